Workspace, value types and the engine owner's state machine

Cause: the promises hang on who may order an engine, so that decision comes first. Change: the owner as a pure state machine; the engine's fence is the lock, grants need a recent report, a takeover unloads nothing for the quarantine.

--- /dev/null
+++ b/crates/portrack/src/lib.rs
@@ -0,0 +1,4 @@
+//! portrack
+pub mod owner;
+pub mod placement;
+pub mod types;
--- /dev/null
+++ b/crates/portrack/src/owner/engine.rs
@@ -0,0 +1,290 @@
+//! The owner's state machine: ownership itself and the dispatch of events.
+
+use super::{
+    Event, Holdings, Load, LoadTimes, Order, OrderId, OrderKind, Output, Pin, Queue, Report, Slot,
+    SlotState, Tuning,
+};
+use crate::placement::Demand;
+use crate::types::{AdapterVersion, EngineName, Fence, Reason, ReservationId, Time};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Load time assumed before the first load has been seen.
+const FIRST_LOAD_GUESS: Duration = Duration::from_millis(1_500);
+/// Wait before an owner that lost its fence tries to get it back.
+const REGAIN_AFTER: Duration = Duration::from_secs(1);
+/// Without an answer after this, a fence order is given again.
+const RAISE_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Waiting for a report; none is asked for before this time.
+    Reading(Time),
+    /// A fence order is out since this time.
+    Raising(Time),
+    /// The engine is ours.
+    Serving,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct PendingOrder {
+    pub(super) adapter: AdapterVersion,
+    pub(super) kind: OrderKind,
+    pub(super) since: Time,
+}
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Want {
+    pub(super) since: Time,
+    pub(super) asked_at: Option<Time>,
+    pub(super) permitted: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Backoff {
+    pub(super) failures: u32,
+    pub(super) until: Time,
+}
+
+/// Owner of one engine. Feed it with [`EngineOwner::on`].
+#[derive(Debug, Clone)]
+pub struct EngineOwner {
+    pub(super) engine: EngineName,
+    pub(super) tuning: Tuning,
+    pub(super) phase: Phase,
+    pub(super) fence: Fence,
+    pub(super) unload_from: Time,
+    pub(super) confirmed: Option<Time>,
+    pub(super) report: Option<Report>,
+    pub(super) slots: BTreeMap<AdapterVersion, Slot>,
+    pub(super) pins: BTreeMap<ReservationId, Pin>,
+    pub(super) queue: Queue,
+    pub(super) demand: Demand,
+    pub(super) times: LoadTimes,
+    pub(super) wants: BTreeMap<AdapterVersion, Want>,
+    pub(super) backoffs: BTreeMap<AdapterVersion, Backoff>,
+    pub(super) unloaded: BTreeMap<AdapterVersion, Time>,
+    pub(super) orders: BTreeMap<OrderId, PendingOrder>,
+    next_order: u64,
+    next_poll: Time,
+    pub(super) holdings: u32,
+}
+
+impl EngineOwner {
+    /// Begins to own an engine at `now`.
+    pub fn new(engine: EngineName, tuning: Tuning, now: Time) -> Self {
+        Self {
+            engine,
+            demand: Demand::new(tuning.demand_half_life),
+            tuning,
+            phase: Phase::Reading(now),
+            fence: Fence(0),
+            unload_from: now,
+            confirmed: None,
+            report: None,
+            slots: BTreeMap::new(),
+            pins: BTreeMap::new(),
+            queue: Queue::default(),
+            times: LoadTimes::new(FIRST_LOAD_GUESS),
+            wants: BTreeMap::new(),
+            backoffs: BTreeMap::new(),
+            unloaded: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            next_order: 0,
+            next_poll: now,
+            holdings: 1,
+        }
+    }
+
+    /// Takes in an event and returns what is to be done, in order.
+    pub fn on(&mut self, now: Time, event: Event) -> Vec<Output> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Reserve { from, ask } => self.reserve(now, from, ask, &mut out),
+            Event::Release { id, ended } => self.release(now, id, ended),
+            Event::Report(report) => self.take_report(now, report, &mut out),
+            Event::FenceRaised(fence) => self.fence_raised(now, fence),
+            Event::FenceRefused(highest) => self.lose(now, highest, &mut out),
+            Event::OrderDone { id, result } => self.order_done(now, id, result, &mut out),
+            Event::Permit(adapter) => self.permitted(&adapter),
+        }
+        self.grant_waiting(now, &mut out);
+        self.plan_loads(now, &mut out);
+        out
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        if let Phase::Raising(since) = self.phase
+            && now.since(since) >= RAISE_TIMEOUT
+        {
+            self.phase = Phase::Reading(now);
+        }
+        if now >= self.next_poll {
+            self.next_poll = now + self.tuning.poll_every;
+            out.push(Output::Poll);
+        }
+        self.expire_orders(now, out);
+        self.expire_waiting(now, out);
+        self.unloaded
+            .retain(|_, at| now.since(*at) < Duration::from_secs(60));
+        self.backoffs
+            .retain(|_, b| now < b.until + Duration::from_secs(60));
+        self.demand.sweep(now);
+    }
+
+    fn take_report(&mut self, now: Time, report: Report, out: &mut Vec<Output>) {
+        let older = |last: &Report| report.asked_at < last.asked_at;
+        if self.report.as_ref().is_some_and(older) {
+            return;
+        }
+        match self.phase {
+            Phase::Reading(from) if now >= from => self.raise(now, report, out),
+            Phase::Reading(_) | Phase::Raising(_) => {}
+            Phase::Serving if report.fence > self.fence => self.lose(now, report.fence, out),
+            Phase::Serving if report.fence < self.fence => self.raise(now, report, out),
+            Phase::Serving => self.reconcile(now, report),
+        }
+    }
+
+    /// Orders a fence above every one that this owner or the engine knows.
+    fn raise(&mut self, now: Time, report: Report, out: &mut Vec<Output>) {
+        let highest = report.fence.max(self.fence);
+        self.phase = Phase::Raising(now);
+        self.confirmed = None;
+        self.report = Some(report);
+        out.push(Output::RaiseFence(highest.next()));
+    }
+
+    fn fence_raised(&mut self, now: Time, fence: Fence) {
+        let Phase::Raising(since) = self.phase else {
+            return;
+        };
+        self.phase = Phase::Serving;
+        self.fence = fence;
+        self.confirmed = Some(since);
+        self.unload_from = now + self.tuning.quarantine();
+        let Some(report) = self.report.take() else {
+            return;
+        };
+        self.reconcile(now, report);
+        self.confirmed = Some(since);
+    }
+
+    /// Another owner has the engine: stop at once.
+    pub(super) fn lose(&mut self, now: Time, highest: Fence, out: &mut Vec<Output>) {
+        self.phase = Phase::Reading(now + REGAIN_AFTER);
+        self.fence = self.fence.max(highest);
+        self.confirmed = None;
+        self.report = None;
+        self.slots.clear();
+        self.orders.clear();
+        self.changed();
+        for adapter in std::mem::take(&mut self.wants).into_keys() {
+            out.push(Output::PermitDone(adapter));
+        }
+        for waiting in self.queue.take_where(|_| true) {
+            let retry = u32::try_from(REGAIN_AFTER.as_millis()).unwrap_or(u32::MAX);
+            out.push(Self::refuse(waiting, Reason::NoBackend, retry));
+        }
+    }
+
+    /// Stops owning: refuses what waits and gives every permit back.
+    pub fn stop(&mut self, now: Time) -> Vec<Output> {
+        let mut out = Vec::new();
+        let fence = self.fence;
+        self.lose(now, fence, &mut out);
+        out
+    }
+
+    /// A new order under our fence.
+    pub(super) fn order(&mut self, now: Time, kind: OrderKind, adapter: &AdapterVersion) -> Order {
+        let id = OrderId(self.next_order);
+        self.next_order += 1;
+        let pending = PendingOrder {
+            adapter: adapter.clone(),
+            kind,
+            since: now,
+        };
+        self.orders.insert(id, pending);
+        Order {
+            id,
+            fence: self.fence,
+            kind,
+            adapter: adapter.clone(),
+        }
+    }
+
+    /// True while grants and unloads are safe: the engine is ours, and was so a moment ago.
+    pub(super) fn holds_fence(&self, now: Time) -> bool {
+        let recent = |at: Time| now.since(at) < self.tuning.grant_validity;
+        self.phase == Phase::Serving && self.confirmed.is_some_and(recent)
+    }
+
+    pub(super) fn changed(&mut self) {
+        self.holdings = self.holdings.wrapping_add(1);
+    }
+
+    pub(super) fn batch(&self) -> usize {
+        self.report.as_ref().map_or(0, |r| r.batch)
+    }
+
+    pub(super) fn slot_count(&self) -> usize {
+        self.report.as_ref().map_or(0, |r| r.slots)
+    }
+
+    /// The engine's name.
+    pub fn engine(&self) -> &EngineName {
+        &self.engine
+    }
+
+    /// The fence this owner gives orders under.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// True once the engine has accepted our fence.
+    pub fn is_serving(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Pins that are held.
+    pub fn pin_count(&self) -> usize {
+        self.pins.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.queue.total()
+    }
+
+    /// The load, as heartbeats carry it.
+    pub fn load(&self, now: Time) -> Load {
+        let free = match self.holds_fence(now) {
+            true => self.batch().saturating_sub(self.pins.len()),
+            false => 0,
+        };
+        let clip = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        Load {
+            engine: self.engine.clone(),
+            holdings: self.holdings,
+            free: clip(free),
+            queued: clip(self.queue.total()),
+            spare_slots: clip(self.spare_slots(now)),
+        }
+    }
+
+    /// The adapters held.
+    pub fn holdings(&self) -> Holdings {
+        let of = |wanted: fn(&SlotState) -> bool| {
+            let kept = self.slots.iter().filter(|(_, slot)| wanted(&slot.state));
+            kept.map(|(adapter, _)| adapter.clone()).collect()
+        };
+        Holdings {
+            engine: self.engine.clone(),
+            version: self.holdings,
+            ready: of(|s| *s == SlotState::Ready),
+            loading: of(|s| matches!(s, SlotState::Loading(_) | SlotState::Unsure(_))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/owner/grant.rs
@@ -0,0 +1,214 @@
+//! Reservations: asks, grants, refusals and releases.
+
+use super::{Answer, Ask, EngineOwner, Output, Pin, SlotState, Verdict, Waiting};
+use crate::types::{AdapterVersion, Class, Instance, Reason, ReservationId, Time};
+use std::time::Duration;
+
+/// Retry hint while an engine is too busy, in milliseconds.
+const BUSY_RETRY_MS: u32 = 1_000;
+
+impl EngineOwner {
+    pub(super) fn reserve(&mut self, now: Time, from: Instance, ask: Ask, out: &mut Vec<Output>) {
+        if self.repeat_grant(now, &from, &ask, out) || self.repeat_queued(&ask, out) {
+            return;
+        }
+        self.demand.note(&ask.adapter, now);
+        if let Some((reason, retry_ms)) = self.objection(now, &ask) {
+            let verdict = Verdict::Refused { reason, retry_ms };
+            let answer = Answer {
+                id: ask.id,
+                attempt: ask.attempt,
+                verdict,
+            };
+            out.push(Output::Answer { to: from, answer });
+            return;
+        }
+        let (id, attempt) = (ask.id, ask.attempt);
+        let until = now + Duration::from_millis(u64::from(ask.wait_ms));
+        self.queue.push(Waiting {
+            from: from.clone(),
+            ask,
+            since: now,
+            until,
+        });
+        self.grant_waiting(now, out);
+        if self.queue.find(id).is_some() {
+            let answer = Answer {
+                id,
+                attempt,
+                verdict: Verdict::Queued,
+            };
+            out.push(Output::Answer { to: from, answer });
+        }
+    }
+
+    fn repeat_grant(
+        &mut self,
+        now: Time,
+        from: &Instance,
+        ask: &Ask,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let usable = self.holds_fence(now) && self.is_ready(&ask.adapter);
+        let fence = self.fence;
+        let Some(pin) = self.pins.get_mut(&ask.id) else {
+            return false;
+        };
+        if usable && pin.adapter == ask.adapter {
+            pin.granted_at = now;
+            pin.holder = Some(from.clone());
+            let answer = Answer {
+                id: ask.id,
+                attempt: ask.attempt,
+                verdict: Verdict::Granted(fence),
+            };
+            out.push(Output::Answer {
+                to: from.clone(),
+                answer,
+            });
+        }
+        true
+    }
+
+    fn repeat_queued(&mut self, ask: &Ask, out: &mut Vec<Output>) -> bool {
+        let Some(waiting) = self.queue.find(ask.id) else {
+            return false;
+        };
+        waiting.ask.attempt = waiting.ask.attempt.max(ask.attempt);
+        let answer = Answer {
+            id: ask.id,
+            attempt: ask.attempt,
+            verdict: Verdict::Queued,
+        };
+        out.push(Output::Answer {
+            to: waiting.from.clone(),
+            answer,
+        });
+        true
+    }
+
+    /// Why an ask cannot be taken, with a retry hint in milliseconds.
+    fn objection(&self, now: Time, ask: &Ask) -> Option<(Reason, u32)> {
+        if let Some(backoff) = self.backoffs.get(&ask.adapter)
+            && now < backoff.until
+        {
+            let wait = backoff.until.since(now).as_millis();
+            return Some((Reason::LoadFailed, u32::try_from(wait).unwrap_or(u32::MAX)));
+        }
+        let queue_full = self.queue.len(ask.class) >= self.tuning.queue_len;
+        if queue_full && !self.could_grant(now, &ask.adapter) {
+            return Some((Reason::QueueFull, BUSY_RETRY_MS));
+        }
+        let expected = self.expected_wait(now, &ask.adapter);
+        if Duration::from_millis(u64::from(ask.wait_ms)) < expected {
+            let retry = u32::try_from(expected.as_millis()).unwrap_or(u32::MAX);
+            return Some((Reason::Deadline, retry));
+        }
+        None
+    }
+
+    fn could_grant(&self, now: Time, adapter: &AdapterVersion) -> bool {
+        self.holds_fence(now) && self.is_ready(adapter) && self.pins.len() < self.batch()
+    }
+
+    /// The least time before a new request for the adapter can start.
+    fn expected_wait(&self, now: Time, adapter: &AdapterVersion) -> Duration {
+        let Some(slot) = self.slots.get(adapter) else {
+            return self.times.expected();
+        };
+        match slot.state {
+            SlotState::Loading(_) => self.times.expected().saturating_sub(now.since(slot.since)),
+            _ => Duration::ZERO,
+        }
+    }
+
+    pub(super) fn is_ready(&self, adapter: &AdapterVersion) -> bool {
+        self.slots
+            .get(adapter)
+            .is_some_and(|slot| slot.state == SlotState::Ready)
+    }
+
+    /// Grants waiting requests while the batch has room.
+    pub(super) fn grant_waiting(&mut self, now: Time, out: &mut Vec<Output>) {
+        if !self.holds_fence(now) {
+            return;
+        }
+        while self.pins.len() < self.batch() {
+            let slots = &self.slots;
+            let ready = |a: &AdapterVersion| {
+                slots
+                    .get(a)
+                    .is_some_and(|slot| slot.state == SlotState::Ready)
+            };
+            let Some(waiting) = self.queue.next(self.tuning.background_every, ready) else {
+                return;
+            };
+            self.grant(now, waiting, out);
+        }
+    }
+
+    fn grant(&mut self, now: Time, waiting: Waiting, out: &mut Vec<Output>) {
+        let Waiting { from, ask, .. } = waiting;
+        if let Some(slot) = self.slots.get_mut(&ask.adapter) {
+            slot.owed = false;
+        }
+        let pin = Pin {
+            adapter: ask.adapter,
+            holder: Some(from.clone()),
+            granted_at: now,
+        };
+        self.pins.insert(ask.id, pin);
+        let verdict = Verdict::Granted(self.fence);
+        let answer = Answer {
+            id: ask.id,
+            attempt: ask.attempt,
+            verdict,
+        };
+        out.push(Output::Answer { to: from, answer });
+    }
+
+    pub(super) fn release(&mut self, now: Time, id: ReservationId, ended: bool) {
+        self.queue.remove(id);
+        if ended {
+            self.unpin(now, id);
+            return;
+        }
+        if let Some(pin) = self.pins.get_mut(&id) {
+            pin.holder = None;
+            pin.granted_at = now;
+        }
+    }
+
+    pub(super) fn unpin(&mut self, now: Time, id: ReservationId) {
+        let Some(pin) = self.pins.remove(&id) else {
+            return;
+        };
+        if let Some(slot) = self.slots.get_mut(&pin.adapter) {
+            slot.idle_since = now;
+        }
+    }
+
+    pub(super) fn expire_waiting(&mut self, now: Time, out: &mut Vec<Output>) {
+        for waiting in self.queue.take_where(|w| now >= w.until) {
+            out.push(Self::refuse(waiting, Reason::Deadline, BUSY_RETRY_MS));
+        }
+    }
+
+    pub(super) fn refuse(waiting: Waiting, reason: Reason, retry_ms: u32) -> Output {
+        let verdict = Verdict::Refused { reason, retry_ms };
+        let answer = Answer {
+            id: waiting.ask.id,
+            attempt: waiting.ask.attempt,
+            verdict,
+        };
+        Output::Answer {
+            to: waiting.from,
+            answer,
+        }
+    }
+
+    /// Requests that wait in a class.
+    pub fn queued(&self, class: Class) -> usize {
+        self.queue.len(class)
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/placement/demand.rs
@@ -0,0 +1,69 @@
+//! Decayed request counts.
+
+use crate::types::{AdapterVersion, Time};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Counts below this are forgotten when the table is swept.
+const FORGET_BELOW: f64 = 0.01;
+
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    value: f64,
+    at: Time,
+}
+
+/// Requests for each adapter, each halved with every half-life that passes.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    half_life_ms: f64,
+    counts: HashMap<AdapterVersion, Count>,
+}
+
+impl Demand {
+    /// An empty table.
+    pub fn new(half_life: Duration) -> Self {
+        Self {
+            half_life_ms: half_life.as_millis().max(1) as f64,
+            counts: HashMap::new(),
+        }
+    }
+
+    fn decayed(&self, count: Count, now: Time) -> f64 {
+        let age = now.since(count.at).as_millis() as f64;
+        count.value * (-age / self.half_life_ms).exp2()
+    }
+
+    /// Counts one request.
+    pub fn note(&mut self, adapter: &AdapterVersion, now: Time) {
+        let value = self.of(adapter, now) + 1.0;
+        self.counts
+            .insert(adapter.clone(), Count { value, at: now });
+    }
+
+    /// The decayed count of an adapter.
+    pub fn of(&self, adapter: &AdapterVersion, now: Time) -> f64 {
+        self.counts
+            .get(adapter)
+            .map_or(0.0, |count| self.decayed(*count, now))
+    }
+
+    /// Forgets adapters that are hardly asked for.
+    pub fn sweep(&mut self, now: Time) {
+        let half_life_ms = self.half_life_ms;
+        self.counts.retain(|_, count| {
+            let age = now.since(count.at).as_millis() as f64;
+            count.value * (-age / half_life_ms).exp2() >= FORGET_BELOW
+        });
+    }
+
+    /// Adapters remembered.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// True if nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/types/instance.rs
@@ -0,0 +1,20 @@
+//! One run of a node's daemon.
+
+use super::NodeName;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A node and its incarnation; a restarted daemon is another instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Instance {
+    /// The node.
+    pub node: NodeName,
+    /// Grows with every start of the node's daemon.
+    pub incarnation: u64,
+}
+
+impl fmt::Display for Instance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.node, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/types/mod.rs
@@ -0,0 +1,24 @@
+//! Plain value types that every other module shares.
+
+mod adapter;
+mod class;
+mod clock;
+mod fence;
+mod instance;
+mod name;
+mod refusal;
+mod reservation;
+mod run;
+mod time;
+
+pub use adapter::{AdapterVersion, ParseAdapterError};
+pub use class::Class;
+pub use clock::{BootClock, Clock, ManualClock};
+pub use fence::Fence;
+pub use instance::Instance;
+pub use name::{AdapterName, BaseName, EngineName, HallName, NameError, NodeName, RegionName};
+pub use name::{ServiceName, VersionName};
+pub use refusal::{Reason, Refusal};
+pub use reservation::ReservationId;
+pub use run::Run;
+pub use time::Time;
