Wire, membership, router, load planner, idempotency keys and the asking side

Cause: the thin path needs every decision between two daemons. Change: each as its own state machine without I/O or clock.

--- /dev/null
+++ b/crates/portrack/src/membership/table.rs
@@ -0,0 +1,242 @@
+//! The state machine of the membership.
+
+use super::{Health, Member, Peer, Scope, Timing, highest, ranked};
+use crate::types::{HallName, Instance, NodeName, Time};
+use crate::wire::{Heartbeat, MemberState};
+use std::collections::BTreeMap;
+
+/// All members that this daemon knows, itself not among them.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    me: Peer,
+    timing: Timing,
+    leaving: bool,
+    members: BTreeMap<NodeName, Member>,
+    next_hall: Time,
+    next_remote: Time,
+}
+
+impl Membership {
+    /// A membership that knows only itself.
+    pub fn new(me: Peer, timing: Timing, now: Time) -> Self {
+        let members = BTreeMap::new();
+        Self {
+            me,
+            timing,
+            leaving: false,
+            members,
+            next_hall: now,
+            next_remote: now,
+        }
+    }
+
+    /// This node's own place.
+    pub fn me(&self) -> &Peer {
+        &self.me
+    }
+
+    /// Adds peers that settings or the node list name. Known ones keep their state.
+    pub fn seed(&mut self, now: Time, peers: impl IntoIterator<Item = Peer>) {
+        for peer in peers {
+            if peer.node == self.me.node {
+                continue;
+            }
+            let scope = self.scope_of(&peer);
+            match self.members.get_mut(&peer.node) {
+                Some(member) => {
+                    member.scope = scope;
+                    member.peer = peer;
+                }
+                None => {
+                    self.members
+                        .insert(peer.node.clone(), fresh(peer, scope, now));
+                }
+            }
+        }
+    }
+
+    fn scope_of(&self, peer: &Peer) -> Scope {
+        if peer.hall == self.me.hall {
+            Scope::Hall
+        } else if peer.region == self.me.region {
+            Scope::Region
+        } else {
+            Scope::Far
+        }
+    }
+
+    /// Takes a heartbeat in. Returns false if it is of an unknown node or an older incarnation.
+    pub fn heard(&mut self, now: Time, from: &Instance, heartbeat: &Heartbeat) -> bool {
+        let Some(member) = self.members.get_mut(&from.node) else {
+            return false;
+        };
+        if from.incarnation < member.incarnation {
+            return false;
+        }
+        member.incarnation = from.incarnation;
+        member.health = Health::Alive;
+        member.state = heartbeat.state;
+        member.heard_at = now;
+        member.settings = heartbeat.settings;
+        member.platform = heartbeat.platform;
+        member.suspects.clone_from(&heartbeat.suspects);
+        true
+    }
+
+    /// Judges silence, and returns whom to send heartbeats to now.
+    pub fn tick(&mut self, now: Time) -> Vec<NodeName> {
+        self.judge(now);
+        let mut due = Vec::new();
+        if now >= self.next_hall {
+            self.next_hall = now + self.timing.hall_every;
+            due.extend(self.in_scope(Scope::Hall));
+        }
+        if now >= self.next_remote {
+            self.next_remote = now + self.timing.remote_every;
+            due.extend(self.in_scope(Scope::Region));
+            due.extend(self.far_peers());
+        }
+        due
+    }
+
+    fn judge(&mut self, now: Time) {
+        let verdicts: Vec<(NodeName, Health)> = self
+            .members
+            .values()
+            .map(|member| (member.peer.node.clone(), self.verdict(now, member)))
+            .collect();
+        for (node, health) in verdicts {
+            if let Some(member) = self.members.get_mut(&node) {
+                member.health = health;
+            }
+        }
+    }
+
+    fn verdict(&self, now: Time, member: &Member) -> Health {
+        if matches!(member.health, Health::Unheard | Health::Dead) {
+            return member.health;
+        }
+        let silence = now.since(member.heard_at);
+        let pace = self.timing.pace(member.scope);
+        if silence < pace * self.timing.suspect_after {
+            return Health::Alive;
+        }
+        if silence < pace * self.timing.dead_after {
+            return Health::Suspect;
+        }
+        let alone = silence >= pace * self.timing.alone_after;
+        match alone || self.others_agree(member) {
+            true => Health::Dead,
+            false => Health::Suspect,
+        }
+    }
+
+    /// True unless most of the live members of the hall still hear the member.
+    fn others_agree(&self, member: &Member) -> bool {
+        if member.scope != Scope::Hall {
+            return true;
+        }
+        let node = &member.peer.node;
+        let witnesses = self.members.values().filter(|other| {
+            other.scope == Scope::Hall && other.is_reachable() && other.peer.node != *node
+        });
+        let (mut missing, mut all) = (0, 0);
+        for witness in witnesses {
+            all += 1;
+            missing += usize::from(witness.suspects.contains(node));
+        }
+        missing * 2 >= all
+    }
+
+    fn in_scope(&self, scope: Scope) -> impl Iterator<Item = NodeName> + '_ {
+        let members = self.members.values().filter(move |m| m.scope == scope);
+        members.map(|m| m.peer.node.clone())
+    }
+
+    /// A few members of each hall of the other regions, the same ones every time.
+    fn far_peers(&self) -> Vec<NodeName> {
+        let mut halls: BTreeMap<&HallName, Vec<&NodeName>> = BTreeMap::new();
+        for member in self.members.values().filter(|m| m.scope == Scope::Far) {
+            halls
+                .entry(&member.peer.hall)
+                .or_default()
+                .push(&member.peer.node);
+        }
+        let mut chosen = Vec::new();
+        for nodes in halls.into_values() {
+            let ranked = ranked(self.me.node.as_str(), nodes);
+            chosen.extend(ranked.into_iter().take(self.timing.far_peers).cloned());
+        }
+        chosen
+    }
+
+    /// Says that this node is leaving.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// What this node says of itself.
+    pub fn state(&self) -> MemberState {
+        match self.leaving {
+            true => MemberState::Leaving,
+            false => MemberState::Alive,
+        }
+    }
+
+    /// Nodes of the own hall that are suspected here.
+    pub fn suspects(&self) -> Vec<NodeName> {
+        let silent = |m: &&Member| matches!(m.health, Health::Suspect | Health::Dead);
+        let hall = self.members.values().filter(|m| m.scope == Scope::Hall);
+        hall.filter(silent).map(|m| m.peer.node.clone()).collect()
+    }
+
+    /// A member by its node.
+    pub fn get(&self, node: &NodeName) -> Option<&Member> {
+        self.members.get(node)
+    }
+
+    /// All members, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Nodes within a scope, this one included, that can be given work.
+    pub fn eligible(&self, scope: Scope) -> impl Iterator<Item = &NodeName> {
+        let others = self
+            .members
+            .values()
+            .filter(move |m| m.scope <= scope && m.is_eligible());
+        let me = (!self.leaving).then_some(&self.me.node);
+        others.map(|m| &m.peer.node).chain(me)
+    }
+
+    /// The owner of something in this hall.
+    pub fn owner_of(&self, key: &str) -> Option<&NodeName> {
+        highest(key, self.eligible(Scope::Hall))
+    }
+
+    /// The load planner of the region, as far as it is reachable.
+    pub fn planner(&self) -> Option<&NodeName> {
+        highest("load-planner", self.eligible(Scope::Region))
+    }
+
+    /// The two daemons of this hall that watch the key-value service.
+    pub fn is_watcher(&self) -> bool {
+        let ranked = ranked("settings-watcher", self.eligible(Scope::Hall));
+        ranked.into_iter().take(2).any(|node| *node == self.me.node)
+    }
+}
+
+fn fresh(peer: Peer, scope: Scope, now: Time) -> Member {
+    Member {
+        peer,
+        scope,
+        incarnation: 0,
+        health: Health::Unheard,
+        state: MemberState::Alive,
+        heard_at: now,
+        settings: Default::default(),
+        platform: false,
+        suspects: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/once/keeper.rs
@@ -0,0 +1,217 @@
+//! The memory of idempotency keys at one member.
+
+use super::PairHistory;
+use crate::types::{Instance, NodeName, ReservationId, Time};
+use crate::wire::{KeyClaim, KeyReply, KeyVerdict};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A claim whose second keeper does not answer is given up after this.
+const COPY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Something to do for a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeeperOutput {
+    /// Tell the second keeper.
+    Copy(NodeName, KeyClaim),
+    /// Answer the first keeper.
+    Copied(NodeName, KeyReply),
+    /// Answer the entry node.
+    Reply(NodeName, KeyReply),
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    request: ReservationId,
+    at: Time,
+    /// The claim still waits for the second keeper.
+    pending: Option<Pending>,
+}
+
+#[derive(Debug, Clone)]
+struct Pending {
+    entry: Instance,
+    trusted: bool,
+}
+
+/// Keeps keys for one window after their claim.
+#[derive(Debug, Clone)]
+pub struct Keeper {
+    me: NodeName,
+    window: Duration,
+    pairs: PairHistory,
+    records: BTreeMap<u128, Record>,
+}
+
+impl Keeper {
+    /// An empty memory.
+    pub fn new(me: NodeName, window: Duration) -> Self {
+        Self {
+            me,
+            window,
+            pairs: PairHistory::default(),
+            records: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a changed window.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
+    /// How long keys are kept.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
+    /// Notes who is there now.
+    pub fn members(&mut self, now: Time, list: Vec<NodeName>) {
+        self.pairs.note(now, list, self.window);
+    }
+
+    /// The member that settles a key.
+    pub fn first_keeper(&self, key: u128) -> Option<NodeName> {
+        self.pairs.keepers(key).0
+    }
+
+    /// An entry node claims a key here.
+    pub fn claim(&mut self, now: Time, claim: KeyClaim) -> Vec<KeeperOutput> {
+        let (first, second) = self.pairs.keepers(claim.key);
+        if first.as_ref() != Some(&self.me) {
+            return vec![self.reply(&claim, KeyVerdict::NotKeeper)];
+        }
+        if let Some(record) = self.records.get(&claim.key) {
+            let again = record.request == claim.request;
+            return match (again, record.pending.is_some()) {
+                (true, true) => second
+                    .into_iter()
+                    .map(|s| KeeperOutput::Copy(s, claim.clone()))
+                    .collect(),
+                (true, false) => vec![self.reply(&claim, KeyVerdict::Yours)],
+                (false, _) => vec![self.reply(&claim, KeyVerdict::Taken)],
+            };
+        }
+        let trusted = self
+            .pairs
+            .kept_throughout(claim.key, &self.me, now, self.window);
+        let Some(second) = second else {
+            return self.claim_alone(now, claim, trusted);
+        };
+        let pending = Some(Pending {
+            entry: claim.entry.clone(),
+            trusted,
+        });
+        let record = Record {
+            request: claim.request,
+            at: now,
+            pending,
+        };
+        self.records.insert(claim.key, record);
+        vec![KeeperOutput::Copy(second, claim)]
+    }
+
+    fn claim_alone(&mut self, now: Time, claim: KeyClaim, trusted: bool) -> Vec<KeeperOutput> {
+        if !trusted {
+            return vec![self.reply(&claim, KeyVerdict::Untrusted)];
+        }
+        let record = Record {
+            request: claim.request,
+            at: now,
+            pending: None,
+        };
+        self.records.insert(claim.key, record);
+        vec![self.reply(&claim, KeyVerdict::Yours)]
+    }
+
+    /// The first keeper tells this one of a claim.
+    pub fn copy(&mut self, now: Time, from: NodeName, claim: KeyClaim) -> Vec<KeeperOutput> {
+        let verdict = match self.records.get(&claim.key) {
+            Some(record) if record.request != claim.request => KeyVerdict::Taken,
+            _ => {
+                let record = Record {
+                    request: claim.request,
+                    at: now,
+                    pending: None,
+                };
+                self.records.insert(claim.key, record);
+                match self
+                    .pairs
+                    .kept_throughout(claim.key, &self.me, now, self.window)
+                {
+                    true => KeyVerdict::Yours,
+                    false => KeyVerdict::Untrusted,
+                }
+            }
+        };
+        let reply = KeyReply {
+            key: claim.key,
+            request: claim.request,
+            verdict,
+        };
+        vec![KeeperOutput::Copied(from, reply)]
+    }
+
+    /// The second keeper has answered.
+    pub fn copied(&mut self, reply: KeyReply) -> Vec<KeeperOutput> {
+        let Some(record) = self.records.get_mut(&reply.key) else {
+            return Vec::new();
+        };
+        if record.request != reply.request {
+            return Vec::new();
+        }
+        let Some(pending) = record.pending.take() else {
+            return Vec::new();
+        };
+        let verdict = match reply.verdict {
+            KeyVerdict::Yours => KeyVerdict::Yours,
+            KeyVerdict::Untrusted if pending.trusted => KeyVerdict::Yours,
+            other => other,
+        };
+        if verdict == KeyVerdict::Untrusted {
+            self.records.remove(&reply.key);
+        }
+        vec![KeeperOutput::Reply(
+            pending.entry.node,
+            KeyReply { verdict, ..reply },
+        )]
+    }
+
+    /// The request was certainly not sent.
+    pub fn free(&mut self, claim: &KeyClaim) {
+        let same = self
+            .records
+            .get(&claim.key)
+            .is_some_and(|r| r.request == claim.request);
+        if same {
+            self.records.remove(&claim.key);
+        }
+    }
+
+    /// Forgets old keys and claims without a second keeper's answer.
+    pub fn tick(&mut self, now: Time) {
+        let window = self.window;
+        self.records.retain(|_, record| {
+            let stuck = record.pending.is_some() && now.since(record.at) >= COPY_TIMEOUT;
+            !stuck && now.since(record.at) < window
+        });
+    }
+
+    fn reply(&self, claim: &KeyClaim, verdict: KeyVerdict) -> KeeperOutput {
+        let reply = KeyReply {
+            key: claim.key,
+            request: claim.request,
+            verdict,
+        };
+        KeeperOutput::Reply(claim.entry.node.clone(), reply)
+    }
+
+    /// Keys remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// True if no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/once/mod.rs
@@ -0,0 +1,7 @@
+//! Idempotency keys: the same key at two entry nodes lets one request through.
+
+mod keeper;
+mod pairs;
+
+pub use keeper::{Keeper, KeeperOutput};
+pub use pairs::PairHistory;
--- /dev/null
+++ b/crates/portrack/src/router/choice.rs
@@ -0,0 +1,165 @@
+//! The choice itself: two candidates, the better one.
+
+use super::{EngineState, PrefixMemory, View, Wanted, Weights};
+use crate::membership::ranked;
+use crate::types::{EngineName, HallName};
+use rand::Rng;
+
+/// How the chosen engine comes to the adapter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// It holds the adapter.
+    Warm,
+    /// It is loading the adapter.
+    Loading,
+    /// It has to load the adapter.
+    Cold,
+}
+
+/// An engine for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The engine.
+    pub engine: EngineName,
+    /// How it comes to the adapter.
+    pub path: Path,
+}
+
+/// Cold engines looked at, in the order of the adapter's rendezvous hash.
+const COLD_CANDIDATES: usize = 4;
+
+impl View {
+    /// Chooses an engine. `is_owned` tells whether an engine has a live owner.
+    pub fn choose(
+        &self,
+        wanted: &Wanted,
+        hall: &HallName,
+        weights: &Weights,
+        prefixes: &PrefixMemory,
+        rng: &mut impl Rng,
+        is_owned: impl Fn(&EngineState) -> bool,
+    ) -> Option<Choice> {
+        let usable = |state: &&EngineState| {
+            !state.server.leaving
+                && state.base() == Some(&wanted.base)
+                && !wanted.tried.contains(&state.server.name)
+                && is_owned(state)
+        };
+        let cost = |state: &EngineState| self.cost(state, wanted, hall, weights, prefixes);
+        let holders: Vec<&EngineState> = self.holders(&wanted.adapter).filter(usable).collect();
+        let warm = better_of_two(&holders, rng, &cost);
+        let cold = self.cold(wanted, hall, &usable, &cost);
+        let best = match (warm, cold) {
+            (Some(warm), Some(cold)) if cost(cold) < cost(warm) => cold,
+            (Some(warm), _) => warm,
+            (None, cold) => cold?,
+        };
+        let path = path(best, wanted);
+        Some(Choice {
+            engine: best.server.name.clone(),
+            path,
+        })
+    }
+
+    /// The best of the first few engines in the adapter's own order, so that all entry nodes
+    /// look at the same ones and one load serves them all.
+    fn cold<'a>(
+        &'a self,
+        wanted: &Wanted,
+        hall: &HallName,
+        usable: &impl Fn(&&EngineState) -> bool,
+        cost: &impl Fn(&EngineState) -> f64,
+    ) -> Option<&'a EngineState> {
+        let near = |state: &&EngineState| state.server.hall == *hall;
+        let mut all: Vec<&EngineState> = self.iter().filter(usable).collect();
+        if all.iter().any(near) {
+            all.retain(near);
+        }
+        let names = all.iter().map(|state| &state.server.name);
+        let ranked = ranked(wanted.adapter.adapter.as_str(), names);
+        let mut best: Option<(f64, &EngineState)> = None;
+        for name in ranked.into_iter().take(COLD_CANDIDATES) {
+            let Some(state) = self.engine(name) else {
+                continue;
+            };
+            if path(state, wanted) != Path::Cold {
+                continue;
+            }
+            let this = cost(state);
+            if best.is_none_or(|(least, _)| this < least) {
+                best = Some((this, state));
+            }
+        }
+        best.map(|(_, state)| state)
+    }
+
+    /// The expected wait on an engine, in milliseconds, less what speaks for it.
+    fn cost(
+        &self,
+        state: &EngineState,
+        wanted: &Wanted,
+        hall: &HallName,
+        weights: &Weights,
+        prefixes: &PrefixMemory,
+    ) -> f64 {
+        let speed = f64::from(state.server.speed.max(1)) / 100.0;
+        let mut cost = match path(state, wanted) {
+            Path::Warm => 0.0,
+            Path::Loading => weights.load_ms / 2.0,
+            Path::Cold => weights.load_ms,
+        };
+        if let Some(load) = &state.load {
+            cost += queue_cost(load.free, load.queued, weights) / speed;
+            if path(state, wanted) == Path::Cold && load.spare_slots == 0 {
+                cost += weights.load_ms;
+            }
+        }
+        if prefixes.engine(wanted.prefix) == Some(&state.server.name) {
+            cost -= weights.prefix_ms;
+        }
+        if state.server.hall != *hall {
+            cost += weights.hall_ms;
+        }
+        cost
+    }
+}
+
+/// A full batch costs the queue; a batch with room costs depth, or is sought for depth.
+fn queue_cost(free: u16, queued: u16, weights: &Weights) -> f64 {
+    if free == 0 {
+        return weights.queued_ms * (1.0 + f64::from(queued));
+    }
+    let fullness = 1.0 / (1.0 + f64::from(free));
+    weights.depth_ms * fullness * (1.0 - 2.0 * weights.batch)
+}
+
+fn path(state: &EngineState, wanted: &Wanted) -> Path {
+    let Some(holdings) = &state.holdings else {
+        return Path::Cold;
+    };
+    if holdings.ready.contains(&wanted.adapter) {
+        return Path::Warm;
+    }
+    match holdings.loading.contains(&wanted.adapter) {
+        true => Path::Loading,
+        false => Path::Cold,
+    }
+}
+
+/// Two at random, the cheaper one: fresh enough without herding on the single best.
+fn better_of_two<'a>(
+    states: &[&'a EngineState],
+    rng: &mut impl Rng,
+    cost: &impl Fn(&EngineState) -> f64,
+) -> Option<&'a EngineState> {
+    if states.len() < 2 {
+        return states.first().copied();
+    }
+    let first = rng.random_range(0..states.len());
+    let shift = rng.random_range(1..states.len());
+    let second = (first + shift) % states.len();
+    match cost(states[second]) < cost(states[first]) {
+        true => Some(states[second]),
+        false => Some(states[first]),
+    }
+}
--- a/crates/portrack/src/types/name.rs
+++ b/crates/portrack/src/types/name.rs
@@ -74,6 +74,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
