--- /dev/null
+++ b/crates/portrack/src/audit/mod.rs
@@ -0,0 +1,5 @@
+//! The audit trail: who changed what, when and why.
+
+mod record;
+
+pub use record::{AuditRecord, ChangeId, digest};
--- /dev/null
+++ b/crates/portrack/src/daemon/completion.rs
@@ -0,0 +1,391 @@
+//! A completion request from its arrival to its end.
+
+use super::answer::Answer;
+use super::callers::refuse;
+use super::core::{Core, Signal};
+use super::inflight::InFlightGuard;
+use super::place::Place;
+use super::prompt::Prompt;
+use crate::engine::{Call, Chunk, ChunkStream, Endpoint, OpenError};
+use crate::http::{self, Meta, Reply, read_body};
+use crate::node::Input;
+use crate::reserve::{Spec, Token};
+use crate::router::Wanted;
+use crate::types::{AdapterVersion, EngineName, Reason, Refusal, Run, Time};
+use crate::wire::KeyVerdict;
+use actix_http::{HttpMessage, Request, StatusCode};
+use bytes::Bytes;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{Sender, channel};
+use xxhash_rust::xxh3::xxh3_128;
+
+/// The longest pause between parts of a caller's body.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// Chunks that wait for a slow caller before its stream is held back.
+const CHUNKS_AHEAD: usize = 64;
+/// Times a broken stream is resumed at its engine.
+const RESUMES: u32 = 3;
+/// Pause before a resume.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+/// The service of requests that name none.
+const DEFAULT_SERVICE: &str = "default";
+
+/// A request that has been checked and resolved once, for good.
+struct Completion {
+    core: Rc<Core>,
+    endpoint: Endpoint,
+    prompt: Prompt,
+    adapter: AdapterVersion,
+    wanted: Wanted,
+    deadline: Time,
+    arrived: Time,
+    once: bool,
+    key: Option<Token>,
+    _in_flight: InFlightGuard,
+}
+
+/// Answers `POST /v1/chat/completions` and `/v1/completions`.
+pub async fn complete(core: Rc<Core>, endpoint: Endpoint, mut request: Request) -> Reply {
+    let in_flight = core.in_flight.enter();
+    match Completion::prepare(&core, endpoint, &mut request, in_flight).await {
+        Ok(completion) => completion.answer().await,
+        Err(refusal) => refuse(&core, &refusal),
+    }
+}
+
+impl Completion {
+    async fn prepare(
+        core: &Rc<Core>,
+        endpoint: Endpoint,
+        request: &mut Request,
+        in_flight: InFlightGuard,
+    ) -> Result<Self, Refusal> {
+        let arrived = core.now();
+        let meta = Meta::parse(request.headers())?;
+        let service = meta.service.clone().unwrap_or_else(|| DEFAULT_SERVICE.to_owned());
+        let settings = core.effective(Some(&service));
+        let body = read_body(request, settings.body_limit(), BODY_PATIENCE).await?;
+        let prompt = Prompt::parse(endpoint, &body)?;
+        let wanted = resolve(core, &prompt, &meta, &service)?;
+        let deadline = arrived + meta.deadline.unwrap_or_else(|| settings.deadline());
+        let key = match &meta.key {
+            Some(key) => Some(claim(core, &service, key).await?),
+            None => None,
+        };
+        core.retries.borrow_mut().note_request();
+        Ok(Self {
+            core: core.clone(),
+            endpoint,
+            prompt,
+            adapter: wanted.adapter.clone(),
+            wanted,
+            deadline,
+            arrived,
+            once: meta.repeatable == Some(false) || key.is_some(),
+            key,
+            _in_flight: in_flight,
+        })
+    }
+
+    async fn answer(self) -> Reply {
+        match self.prompt.stream {
+            true => self.answer_stream().await,
+            false => self.answer_whole().await,
+        }
+    }
+
+    /// Streams: the head goes out once the first chunk is there, so that a refusal before it is
+    /// still a plain refusal.
+    async fn answer_stream(self) -> Reply {
+        let core = self.core.clone();
+        let (sender, mut receiver) = channel::<Result<Bytes, std::io::Error>>(CHUNKS_AHEAD);
+        let (refused, refusal) = tokio::sync::oneshot::channel();
+        actix_rt::spawn(async move {
+            let mut sink = Sink::Stream { sender, forwarded: false };
+            if let Err(refusal) = self.run(&mut sink).await {
+                sink.fail(refusal, refused).await;
+            }
+        });
+        match receiver.recv().await {
+            Some(first) => {
+                let rest = futures_util::stream::unfold(receiver, |mut receiver| async move {
+                    Some((receiver.recv().await?, receiver))
+                });
+                let first = futures_util::stream::once(async { first });
+                http::events(futures_util::StreamExt::chain(first, rest))
+            }
+            None => match refusal.await {
+                Ok(refusal) => refuse(&core, &refusal),
+                Err(_) => refuse(&core, &lost()),
+            },
+        }
+    }
+
+    async fn answer_whole(self) -> Reply {
+        let core = self.core.clone();
+        let mut sink = Sink::Whole(Answer::new(self.endpoint));
+        match (self.run(&mut sink).await, sink) {
+            (Ok(()), Sink::Whole(answer)) => http::json(StatusCode::OK, &answer.finish()),
+            (Err(refusal), _) => refuse(&core, &refusal),
+            (Ok(()), Sink::Stream { .. }) => refuse(&core, &lost()),
+        }
+    }
+
+    /// Runs to the end and settles the idempotency key.
+    async fn run(mut self, sink: &mut Sink) -> Result<(), Refusal> {
+        let result = self.attempts(sink).await;
+        let end = match &result {
+            Ok(()) => "done",
+            Err(refusal) if refusal.run == Run::No => "refused",
+            Err(_) => "failed",
+        };
+        self.core.metrics.requests.with_label_values(&[end]).inc();
+        let not_run = matches!(&result, Err(refusal) if refusal.run == Run::No);
+        if let Some(token) = self.key.take() {
+            settle_key(&self.core, token, not_run);
+        }
+        result
+    }
+
+    /// Tries engines until one answers, as far as the request may be repeated.
+    async fn attempts(&mut self, sink: &mut Sink) -> Result<(), Refusal> {
+        loop {
+            let spec = Spec { wanted: self.wanted.clone(), deadline: self.deadline };
+            let mut place = Place::seek(&self.core, spec);
+            let (engine, error) = match self.attempt(&mut place, sink).await? {
+                Ended::Whole => return Ok(()),
+                Ended::Lost(engine, error) => (engine, error),
+            };
+            place.cancel().await;
+            sink.restart(self.endpoint);
+            let may_repeat = !self.once && !sink.forwarded();
+            if !may_repeat || !self.core.retries.borrow_mut().take() {
+                return Err(error);
+            }
+            self.core.metrics.retries.with_label_values(&["engine"]).inc();
+            self.wanted.tried.push(engine);
+        }
+    }
+
+    /// One place: opens the stream there and passes it on.
+    async fn attempt(&self, place: &mut Place, sink: &mut Sink) -> Result<Ended, Refusal> {
+        loop {
+            let grant = place.granted().await?;
+            let Some(server) = self.core.server(&grant.engine) else {
+                place.not_run();
+                continue;
+            };
+            let call = Call {
+                endpoint: self.endpoint,
+                id: grant.id,
+                adapter: self.adapter.clone(),
+                class: self.wanted.class,
+                fence: grant.fence,
+                body: self.prompt.for_engine(&self.adapter),
+            };
+            if self.core.now() >= grant.start_by {
+                place.not_run();
+                continue;
+            }
+            match self.core.engines.open(&server.address, &call).await {
+                Ok(stream) => {
+                    let waited = self.core.now().since(self.arrived);
+                    self.core.metrics.start_wait.observe(waited.as_secs_f64());
+                    let passed = self.pass_on(stream, &server.address, sink).await;
+                    return Ok(match passed {
+                        Passed::Whole => {
+                            place.finish(true);
+                            Ended::Whole
+                        }
+                        Passed::CallerGone => {
+                            place.cancel().await;
+                            Ended::Whole
+                        }
+                        Passed::Broken => Ended::Lost(grant.engine, lost()),
+                    });
+                }
+                Err(OpenError::NotRun { why }) => {
+                    log::info!(engine = grant.engine.as_str(), why = why.as_str(); "not-run");
+                    self.core.metrics.retries.with_label_values(&["not-run"]).inc();
+                    place.not_run();
+                }
+                Err(OpenError::Rejected { why }) => {
+                    place.finish(true);
+                    return Err(Refusal::not_run(Reason::BackendRefused, why));
+                }
+                Err(OpenError::Unknown { why }) => {
+                    let refusal = Refusal::unknown(Reason::BackendLost, why);
+                    return Ok(Ended::Lost(grant.engine, refusal));
+                }
+            }
+        }
+    }
+
+    /// Passes chunks on; a stream that breaks is resumed at the same engine and nowhere else.
+    async fn pass_on(&self, mut stream: ChunkStream, address: &str, sink: &mut Sink) -> Passed {
+        let mut resumes = 0;
+        loop {
+            match stream.next().await {
+                Ok(chunk) if chunk.is_end() => {
+                    self.core.metrics.chunks_dropped.inc_by(stream.dropped());
+                    return if sink.end().await { Passed::Whole } else { Passed::CallerGone };
+                }
+                Ok(chunk) => {
+                    if !sink.push(chunk).await {
+                        return Passed::CallerGone;
+                    }
+                }
+                Err(_) if resumes < RESUMES => {
+                    resumes += 1;
+                    self.core.metrics.chunks_dropped.inc_by(stream.dropped());
+                    self.core.metrics.retries.with_label_values(&["resume"]).inc();
+                    actix_rt::time::sleep(RESUME_PAUSE * resumes).await;
+                    let resumed = self.core.engines.resume(address, stream.into_check()).await;
+                    let Ok(resumed) = resumed else { return Passed::Broken };
+                    stream = resumed;
+                }
+                Err(_) => return Passed::Broken,
+            }
+        }
+    }
+}
+
+/// How one place ended.
+enum Ended {
+    Whole,
+    Lost(EngineName, Refusal),
+}
+
+/// How one stream ended.
+enum Passed {
+    Whole,
+    CallerGone,
+    Broken,
+}
+
+/// Where chunks go.
+enum Sink {
+    Stream { sender: Sender<Result<Bytes, std::io::Error>>, forwarded: bool },
+    Whole(Answer),
+}
+
+impl Sink {
+    /// Takes a chunk. False if nobody wants it any more.
+    async fn push(&mut self, chunk: Chunk) -> bool {
+        match self {
+            Self::Whole(answer) => answer.push(&chunk.data),
+            Self::Stream { sender, forwarded } => {
+                *forwarded = true;
+                let line = Bytes::from(format!("data: {}\n\n", chunk.data));
+                sender.send(Ok(line)).await.is_ok()
+            }
+        }
+    }
+
+    async fn end(&mut self) -> bool {
+        match self {
+            Self::Whole(_) => true,
+            Self::Stream { sender, .. } => {
+                sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await.is_ok()
+            }
+        }
+    }
+
+    fn forwarded(&self) -> bool {
+        matches!(self, Self::Stream { forwarded: true, .. })
+    }
+
+    /// Forgets what an unfinished answer left behind: answers of two engines are never joined.
+    fn restart(&mut self, endpoint: Endpoint) {
+        if let Self::Whole(answer) = self {
+            *answer = Answer::new(endpoint);
+        }
+    }
+
+    /// Tells the caller that there is no whole answer.
+    async fn fail(self, refusal: Refusal, refused: tokio::sync::oneshot::Sender<Refusal>) {
+        let Self::Stream { sender, forwarded: true } = self else {
+            let _ = refused.send(refusal);
+            return;
+        };
+        let data = serde_json::json!({
+            "type": format!("urn:portrack:{}", refusal.reason.as_str()),
+            "detail": refusal.detail,
+            "run": refusal.run.as_str(),
+        });
+        let line = Bytes::from(format!("event: error\ndata: {data}\n\n"));
+        let _ = sender.send(Ok(line)).await;
+    }
+}
+
+fn lost() -> Refusal {
+    Refusal::unknown(Reason::BackendLost, "the engine was lost before the answer was whole")
+}
+
+/// Adapter, version and node class by the rules in force.
+fn resolve(
+    core: &Rc<Core>,
+    prompt: &Prompt,
+    meta: &Meta,
+    service: &str,
+) -> Result<Wanted, Refusal> {
+    let book = core.book.borrow();
+    if book.is_empty() {
+        let refusal = Refusal::not_run(Reason::NoSettings, "this node has no settings yet");
+        return Err(refusal.after(Duration::from_secs(1)));
+    }
+    let Some(spec) = book.adapters().get(&prompt.adapter) else {
+        let detail = format!("no adapter {} is in force", prompt.adapter);
+        return Err(Refusal::not_run(Reason::UnknownAdapter, detail));
+    };
+    let draw = rand::random();
+    let hall = core.bootstrap.hall.as_str();
+    let Some(route) = spec.route(prompt.version.as_ref(), service, hall, draw) else {
+        let detail = format!("no rule lets {} serve this request here", prompt.adapter);
+        return Err(Refusal::not_run(Reason::NotAllowed, detail));
+    };
+    let adapter = AdapterVersion { adapter: prompt.adapter.clone(), version: route.version };
+    Ok(Wanted {
+        adapter,
+        base: spec.base.clone(),
+        node_class: route.class,
+        class: meta.class,
+        prefix: prompt.prefix,
+        tried: Vec::new(),
+    })
+}
+
+/// Gets an idempotency key for a request, or says why it may not be sent.
+pub async fn claim(core: &Rc<Core>, service: &str, key: &str) -> Result<Token, Refusal> {
+    let (token, mut signals) = core.open_token();
+    let key = xxh3_128(format!("{service}\0{key}").as_bytes());
+    core.feed(Input::Claim { token, key });
+    let verdict = loop {
+        match signals.recv().await {
+            Some(Signal::Key(verdict)) => break verdict,
+            Some(_) => {}
+            None => break KeyVerdict::Untrusted,
+        }
+    };
+    core.close_token(token);
+    match verdict {
+        KeyVerdict::Yours => Ok(token),
+        KeyVerdict::Taken => {
+            let detail = "a request with this idempotency key is running or has run";
+            Err(Refusal::unknown(Reason::DuplicateKey, detail))
+        }
+        KeyVerdict::Untrusted | KeyVerdict::NotKeeper => {
+            let detail = "it cannot be told yet whether this idempotency key was used";
+            Err(Refusal::not_run(Reason::KeyMemory, detail).after(Duration::from_secs(2)))
+        }
+    }
+}
+
+/// Lets go of a key whose request certainly was not run, and keeps any other.
+pub fn settle_key(core: &Rc<Core>, token: Token, not_run: bool) {
+    core.feed(match not_run {
+        true => Input::FreeKey { token },
+        false => Input::KeepKey { token },
+    });
+}
--- /dev/null
+++ b/crates/portrack/src/daemon/core.rs
@@ -0,0 +1,186 @@
+//! The daemon's shared state, and the way from inputs to effects.
+
+use super::inflight::InFlight;
+use super::leases::Leases;
+use super::metrics::Metrics;
+use super::peers::Link;
+use crate::engine::EngineClient;
+use crate::limits::{Breakers, RetryBudget};
+use crate::node::{Effect, Input, Node, Tunables};
+use crate::platform::{Etcd, Kv};
+use crate::reserve::{Grant, Token};
+use crate::router::BackendServer;
+use crate::settings::{Book, Bootstrap, Effective, Operators, Place, Store};
+use crate::types::{AdapterVersion, Clock, EngineName, Refusal, Time};
+use crate::wire::KeyVerdict;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What a request that waits is told.
+#[derive(Debug)]
+pub enum Signal {
+    /// Start here.
+    Start(Grant),
+    /// It is over.
+    GiveUp(Refusal),
+    /// The idempotency key is settled.
+    Key(KeyVerdict),
+}
+
+/// Shared by all tasks of a daemon, on one thread.
+pub struct Core {
+    pub bootstrap: Bootstrap,
+    pub clock: Rc<dyn Clock>,
+    pub node: RefCell<Node>,
+    pub base: Tunables,
+    pub book: RefCell<Book>,
+    pub etcd: Etcd,
+    pub store: Store,
+    pub engines: EngineClient,
+    pub leases: Leases,
+    pub link: Link,
+    pub operators: Operators,
+    pub metrics: Metrics,
+    pub in_flight: InFlight,
+    pub breakers: RefCell<Breakers>,
+    pub retries: RefCell<RetryBudget>,
+    pub ready: Cell<bool>,
+    pub leaving: Cell<bool>,
+    pub platform_seen: Cell<Option<Time>>,
+    pub seen_revision: Cell<u64>,
+    waiting: RefCell<HashMap<Token, UnboundedSender<Signal>>>,
+    next_token: Cell<u64>,
+}
+
+/// The parts that a core is made of.
+pub struct Parts {
+    pub bootstrap: Bootstrap,
+    pub clock: Rc<dyn Clock>,
+    pub node: Node,
+    pub base: Tunables,
+    pub link: Link,
+    pub operators: Operators,
+}
+
+impl Core {
+    pub fn new(parts: Parts) -> Rc<Self> {
+        let Parts { bootstrap, clock, node, base, link, operators } = parts;
+        let etcd = Etcd::new(bootstrap.platform.key_value.clone());
+        let kv: Rc<dyn Kv> = Rc::new(etcd.clone());
+        let store = Store::new(kv.clone(), bootstrap.platform.prefix.clone());
+        let owner = bootstrap.node.to_string();
+        let leases = Leases::new(kv, bootstrap.platform.prefix.clone(), owner);
+        let share = Effective::of([]).retry_budget();
+        Rc::new(Self {
+            bootstrap,
+            clock,
+            node: RefCell::new(node),
+            base,
+            book: RefCell::default(),
+            etcd,
+            store,
+            engines: EngineClient::new(),
+            leases,
+            link,
+            operators,
+            metrics: Metrics::new(),
+            in_flight: InFlight::default(),
+            breakers: RefCell::default(),
+            retries: RefCell::new(RetryBudget::new(share)),
+            ready: Cell::new(false),
+            leaving: Cell::new(false),
+            platform_seen: Cell::new(None),
+            seen_revision: Cell::new(0),
+            waiting: RefCell::default(),
+            next_token: Cell::new(1),
+        })
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Milliseconds since 1970.
+    pub fn unix_ms(&self) -> u64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Feeds the node and carries out what it wants done.
+    pub fn feed(self: &Rc<Self>, input: Input) {
+        let began = Instant::now();
+        let effects = self.node.borrow_mut().on(self.now(), input);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        let spent = u64::try_from(began.elapsed().as_micros()).unwrap_or(0);
+        self.metrics.control_cpu.inc_by(spent);
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Send { to, body } => self.send(&to, body),
+            Effect::Engine { engine, task } => self.engine_task(engine, task),
+            Effect::Start { token, grant } => self.signal(token, Signal::Start(grant)),
+            Effect::GiveUp { token, refusal } => self.signal(token, Signal::GiveUp(refusal)),
+            Effect::KeySettled { token, verdict } => self.signal(token, Signal::Key(verdict)),
+        }
+    }
+
+    fn signal(&self, token: Token, signal: Signal) {
+        if let Some(waiting) = self.waiting.borrow().get(&token) {
+            let _ = waiting.send(signal);
+        }
+    }
+
+    /// A fresh token, and where its signals arrive.
+    pub fn open_token(&self) -> (Token, UnboundedReceiver<Signal>) {
+        let token = Token(self.next_token.get());
+        self.next_token.set(token.0 + 1);
+        let (sender, receiver) = unbounded_channel();
+        self.waiting.borrow_mut().insert(token, sender);
+        (token, receiver)
+    }
+
+    /// Forgets a token.
+    pub fn close_token(&self, token: Token) {
+        self.waiting.borrow_mut().remove(&token);
+    }
+
+    /// The settings that hold for a service in this hall.
+    pub fn effective(&self, service: Option<&str>) -> Effective {
+        let hall = Some(self.bootstrap.hall.to_string());
+        let service = service.map(str::to_owned);
+        self.book.borrow().effective(&Place { hall, class: None, service })
+    }
+
+    /// A backend server's entry in the node list.
+    pub fn server(&self, name: &EngineName) -> Option<BackendServer> {
+        self.node.borrow().view().engine(name).map(|state| state.server.clone())
+    }
+
+    /// Where the weight store keeps an adapter.
+    pub fn weights(&self, adapter: &AdapterVersion) -> Option<String> {
+        let book = self.book.borrow();
+        let spec = book.adapters().get(&adapter.adapter)?;
+        Some(spec.versions.get(&adapter.version)?.weights.clone())
+    }
+
+    /// Notes that the key-value service has answered.
+    pub fn note_platform(&self) {
+        self.platform_seen.set(Some(self.now()));
+    }
+
+    /// Refreshes everything that follows from the settings.
+    pub fn settings_changed(&self) {
+        let effective = self.effective(None);
+        self.node.borrow_mut().retune(effective.tunables(&self.base));
+        self.retries.borrow_mut().set_share(effective.retry_budget());
+        let revision = self.book.borrow().mark().revision;
+        self.metrics.settings_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/daemon/inflight.rs
@@ -0,0 +1,31 @@
+//! Counts the requests being worked on, so that a stop can wait for them.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// A shared count.
+#[derive(Debug, Clone, Default)]
+pub struct InFlight(Rc<Cell<usize>>);
+
+/// Counts one as long as it lives.
+#[derive(Debug)]
+pub struct InFlightGuard(Rc<Cell<usize>>);
+
+impl InFlight {
+    /// Counts one more.
+    pub fn enter(&self) -> InFlightGuard {
+        self.0.set(self.0.get() + 1);
+        InFlightGuard(self.0.clone())
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/daemon/metrics.rs
@@ -0,0 +1,132 @@
+//! Everything the daemon counts.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Buckets of waiting times, in seconds.
+const WAIT_BUCKETS: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
+
+/// The metrics of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: IntCounterVec,
+    /// Refusals by reason and `run`.
+    pub refusals: IntCounterVec,
+    /// Requests sent again, by kind.
+    pub retries: IntCounterVec,
+    /// Chunks dropped because they were repeated or foreign.
+    pub chunks_dropped: IntCounter,
+    /// From the arrival of a request to its start on an engine, in seconds.
+    pub start_wait: Histogram,
+    /// Control bytes sent, by kind of message.
+    pub bytes_sent: IntCounterVec,
+    /// Control bytes received, by kind of message.
+    pub bytes_received: IntCounterVec,
+    /// Control messages sent, by kind.
+    pub messages_sent: IntCounterVec,
+    /// Datagrams and frames dropped, by reason.
+    pub dropped: IntCounterVec,
+    /// Calls to the key-value service, watches included.
+    pub kv_calls: IntGauge,
+    /// Revision of the settings in force.
+    pub settings_revision: IntGauge,
+    /// From acceptance of a change to its being in force here, in seconds, by the two wall clocks.
+    pub settings_delay: Histogram,
+    /// Entries of the settings that this build could not use.
+    pub settings_refused: IntCounter,
+    /// Engines owned.
+    pub engines_owned: IntGauge,
+    /// Orders given to engines, by kind and result.
+    pub orders: IntCounterVec,
+    /// Requests being worked on.
+    pub in_flight: IntGauge,
+    /// Processor time spent in decisions and control messages, in microseconds.
+    pub control_cpu: IntCounter,
+    /// Processor time of the whole process, in microseconds.
+    pub process_cpu: IntGauge,
+    /// Resident memory, in bytes.
+    pub resident: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics that are all zero.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let made = Maker { registry: &registry };
+        Self {
+            requests: made.counters("requests_total", "Requests by end", &["end"]),
+            refusals: made.counters("refusals_total", "Refusals", &["reason", "run"]),
+            retries: made.counters("retries_total", "Requests sent again", &["kind"]),
+            chunks_dropped: made.counter("chunks_dropped_total", "Repeated or foreign chunks"),
+            start_wait: made.histogram("start_wait_seconds", "Arrival to start on an engine"),
+            bytes_sent: made.counters("control_bytes_sent_total", "Control bytes", &["kind"]),
+            bytes_received: made.counters(
+                "control_bytes_received_total",
+                "Control bytes",
+                &["kind"],
+            ),
+            messages_sent: made.counters("control_messages_sent_total", "Messages", &["kind"]),
+            dropped: made.counters("datagrams_dropped_total", "Datagrams dropped", &["reason"]),
+            kv_calls: made.gauge("kv_calls", "Calls to the key-value service so far"),
+            settings_revision: made.gauge("settings_revision", "Revision in force"),
+            settings_delay: made.histogram("settings_delay_seconds", "Acceptance to force"),
+            settings_refused: made.counter("settings_refused_total", "Entries not usable here"),
+            engines_owned: made.gauge("engines_owned", "Engines owned"),
+            orders: made.counters("orders_total", "Orders to engines", &["kind", "result"]),
+            in_flight: made.gauge("requests_in_flight", "Requests being worked on"),
+            control_cpu: made.counter("control_cpu_microseconds_total", "Time in control"),
+            process_cpu: made.gauge("process_cpu_microseconds", "Time of the process"),
+            resident: made.gauge("resident_bytes", "Resident memory"),
+            registry,
+        }
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        encoded.expect("writing to memory does not fail");
+        String::from_utf8(buffer).expect("the text format is UTF-8")
+    }
+}
+
+struct Maker<'a> {
+    registry: &'a Registry,
+}
+
+impl Maker<'_> {
+    fn register(&self, collector: Box<dyn prometheus::core::Collector>) {
+        self.registry.register(collector).expect("every metric has its own name");
+    }
+
+    fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let counter = IntCounter::new(format!("portrack_{name}"), help).expect("a valid name");
+        self.register(Box::new(counter.clone()));
+        counter
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        let opts = Opts::new(format!("portrack_{name}"), help);
+        let counters = IntCounterVec::new(opts, labels).expect("a valid name");
+        self.register(Box::new(counters.clone()));
+        counters
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        let gauge = IntGauge::new(format!("portrack_{name}"), help).expect("a valid name");
+        self.register(Box::new(gauge.clone()));
+        gauge
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> Histogram {
+        let opts = HistogramOpts::new(format!("portrack_{name}"), help);
+        let histogram =
+            Histogram::with_opts(opts.buckets(WAIT_BUCKETS.to_vec())).expect("a valid name");
+        self.register(Box::new(histogram.clone()));
+        histogram
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/daemon/mod.rs
@@ -0,0 +1,26 @@
+//! The daemon: sockets, timers and files around a [`Node`](crate::node::Node).
+
+mod answer;
+mod callers;
+mod completion;
+mod core;
+mod engines;
+mod error;
+mod fetch;
+mod inflight;
+mod leases;
+mod logging;
+mod metrics;
+mod operators;
+mod peers;
+mod place;
+mod plain;
+mod prompt;
+mod running;
+mod status;
+mod sync;
+
+pub use error::StartError;
+pub use logging::init as init_logging;
+pub use running::{Running, start};
+pub use status::{MemberStatus, OwnedStatus, StatusReport};
--- /dev/null
+++ b/crates/portrack/src/daemon/plain.rs
@@ -0,0 +1,228 @@
+//! Requests to plain services: routed by path, and sent at most once unless they may be repeated.
+
+use super::callers::refuse;
+use super::completion::{claim, settle_key};
+use super::core::Core;
+use super::inflight::InFlightGuard;
+use crate::http::{Meta, Reply, read_body};
+use crate::router::BackendServer;
+use crate::settings::PlainService;
+use crate::types::{EngineName, Reason, Refusal, Run, ServiceName};
+use actix_http::header::HeaderMap;
+use actix_http::{HttpMessage, Request, Response, StatusCode};
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use rand::Rng;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest pause between parts of a caller's body.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// The longest wait for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+/// The largest answer passed on, in bytes.
+const MAX_ANSWER: usize = 32 * 1024 * 1024;
+/// Servers tried for one request.
+const SERVERS: usize = 3;
+/// Headers of one connection only; never passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// One request, ready to be sent.
+struct Forward {
+    core: Rc<Core>,
+    service: ServiceName,
+    method: actix_http::Method,
+    target: String,
+    headers: HeaderMap,
+    body: Bytes,
+    repeatable: bool,
+    timeout: Duration,
+    _in_flight: InFlightGuard,
+}
+
+/// Why one try failed.
+enum SendError {
+    /// Not a byte was handed to a connection.
+    NotSent(String),
+    /// The server may have run it.
+    Unknown(String),
+}
+
+/// Answers a request whose path belongs to a plain service.
+pub async fn forward(
+    core: Rc<Core>,
+    name: ServiceName,
+    service: PlainService,
+    mut request: Request,
+) -> Reply {
+    let in_flight = core.in_flight.enter();
+    let result = forward_inner(&core, name, service, &mut request, in_flight).await;
+    let end = match &result {
+        Ok(_) => "done",
+        Err(refusal) if refusal.run == Run::No => "refused",
+        Err(_) => "failed",
+    };
+    core.metrics.requests.with_label_values(&[end]).inc();
+    result.unwrap_or_else(|refusal| refuse(&core, &refusal))
+}
+
+async fn forward_inner(
+    core: &Rc<Core>,
+    name: ServiceName,
+    service: PlainService,
+    request: &mut Request,
+    in_flight: InFlightGuard,
+) -> Result<Reply, Refusal> {
+    let meta = Meta::parse(request.headers())?;
+    let settings = core.effective(Some(name.as_str()));
+    let body = read_body(request, settings.body_limit(), BODY_PATIENCE).await?;
+    let method = request.method().clone();
+    let repeatable = meta.repeatable.unwrap_or_else(|| service.is_repeatable(method.as_str()));
+    let key = match (&meta.key, repeatable) {
+        (Some(key), false) => Some(claim(core, name.as_str(), key).await?),
+        _ => None,
+    };
+    core.retries.borrow_mut().note_request();
+    let forward = Forward {
+        core: core.clone(),
+        service: name,
+        method,
+        target: request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned(),
+        headers: passed_on(request.headers()),
+        body,
+        repeatable,
+        timeout: meta.deadline.unwrap_or_else(|| settings.deadline()),
+        _in_flight: in_flight,
+    };
+    let result = forward.run().await;
+    let not_run = matches!(&result, Err(refusal) if refusal.run == Run::No);
+    if let Some(token) = key {
+        settle_key(core, token, not_run);
+    }
+    result
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = HeaderMap::new();
+    for (name, value) in headers.iter() {
+        if !HOP_BY_HOP.contains(&name.as_str()) && name.as_str() != "host" {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
+
+impl Forward {
+    /// Tries servers. After a byte has been handed over, only a repeatable request goes on.
+    async fn run(&self) -> Result<Reply, Refusal> {
+        let mut tried: Vec<EngineName> = Vec::new();
+        let mut last = Refusal::not_run(Reason::NoBackend, "no server of the service can be had");
+        while tried.len() < SERVERS {
+            let Some(server) = self.choose(&tried) else { break };
+            let (now, name) = (self.core.now(), server.name.clone());
+            match self.send(&server).await {
+                Ok(reply) => {
+                    self.core.breakers.borrow_mut().success(&name);
+                    return Ok(reply);
+                }
+                Err(SendError::NotSent(why)) => {
+                    self.core.breakers.borrow_mut().failure(now, &name);
+                    last = match last.run {
+                        Run::No => Refusal::not_run(Reason::NoBackend, why),
+                        Run::Unknown => last,
+                    };
+                }
+                Err(SendError::Unknown(why)) => {
+                    self.core.breakers.borrow_mut().failure(now, &name);
+                    last = Refusal::unknown(Reason::BackendLost, why);
+                    if !self.repeatable || !self.core.retries.borrow_mut().take() {
+                        break;
+                    }
+                }
+            }
+            self.core.metrics.retries.with_label_values(&["service"]).inc();
+            tried.push(name);
+        }
+        Err(match last.run {
+            Run::No => last.after(Duration::from_secs(1)),
+            Run::Unknown => last,
+        })
+    }
+
+    /// Any server of this hall that is not left alone, else any of another hall.
+    fn choose(&self, tried: &[EngineName]) -> Option<BackendServer> {
+        let node = self.core.node.borrow();
+        let mut servers = node.view().service(&self.service);
+        servers.retain(|server| !tried.contains(&server.name));
+        let near = |server: &&BackendServer| server.hall == self.core.bootstrap.hall;
+        if servers.iter().any(near) {
+            servers.retain(near);
+        }
+        let names: Vec<EngineName> = servers.iter().map(|server| server.name.clone()).collect();
+        let usable = self.core.breakers.borrow().usable(self.core.now(), &names);
+        if usable.is_empty() {
+            return None;
+        }
+        let chosen = &usable[rand::rng().random_range(0..usable.len())];
+        servers.into_iter().find(|server| server.name == *chosen).cloned()
+    }
+
+    async fn send(&self, server: &BackendServer) -> Result<Reply, SendError> {
+        let url = format!("{}{}", server.address, self.target);
+        let mut request = client(self.timeout).request(self.method.clone(), url);
+        for (name, value) in self.headers.iter() {
+            request = request.insert_header((name.clone(), value.clone()));
+        }
+        let sent = request.send_body(self.body.clone()).await;
+        let mut response = sent.map_err(send_error)?;
+        let body = response.body().limit(MAX_ANSWER).await;
+        let body = body.map_err(|e| SendError::Unknown(e.to_string()))?;
+        if self.is_worth_repeating(response.status()) {
+            return Err(SendError::Unknown(response.status().to_string()));
+        }
+        let mut builder = Response::build(response.status());
+        for (name, value) in response.headers().iter() {
+            if !HOP_BY_HOP.contains(&name.as_str()) {
+                builder.append_header((name.clone(), value.clone()));
+            }
+        }
+        Ok(builder.body(body).map_into_boxed_body())
+    }
+
+    fn is_worth_repeating(&self, status: StatusCode) -> bool {
+        let passing =
+            [StatusCode::BAD_GATEWAY, StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
+        self.repeatable && passing.contains(&status)
+    }
+}
+
+/// A connection is never reused: a request on one that the server was just closing could not be
+/// told from a request that ran.
+fn client(timeout: Duration) -> Client {
+    let connector = Connector::new().timeout(CONNECT).conn_keep_alive(Duration::ZERO);
+    Client::builder()
+        .connector(connector)
+        .timeout(timeout)
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
+
+fn send_error(error: SendRequestError) -> SendError {
+    let why = error.to_string();
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => SendError::NotSent(why),
+        _ => SendError::Unknown(why),
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/engine/mod.rs
@@ -0,0 +1,13 @@
+//! Model engines: the calls that portrack makes and the streams that come back.
+
+mod call;
+mod chunk;
+mod client;
+mod status;
+mod stream;
+
+pub use call::{Call, Endpoint};
+pub use chunk::{Chunk, ChunkCheck, ChunkVerdict};
+pub use client::{EngineClient, OpenError};
+pub use status::{FenceAnswer, FenceOrder, LoadOrder, RunningStatus, Status, UnloadOrder};
+pub use stream::{ChunkStream, StreamError};
--- /dev/null
+++ b/crates/portrack/src/engine/stream.rs
@@ -0,0 +1,72 @@
+//! A stream of chunks from an engine.
+
+use super::{Chunk, ChunkCheck, ChunkVerdict};
+use crate::types::ReservationId;
+use bytes::Bytes;
+use eventsource_stream::{Event, Eventsource};
+use futures_util::stream::LocalBoxStream;
+use futures_util::{Stream, StreamExt};
+use snafu::Snafu;
+use std::time::Duration;
+
+/// An engine that sends nothing for this long is taken for lost.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// Why a stream stopped before its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum StreamError {
+    /// The connection broke, or stayed silent.
+    #[snafu(display("the connection to the engine broke"))]
+    Broken,
+    /// Chunks are missing.
+    #[snafu(display("chunks of the stream are missing"))]
+    Gap,
+}
+
+/// Yields each chunk of one request once and in order.
+pub struct ChunkStream {
+    events: LocalBoxStream<'static, Result<Event, StreamError>>,
+    check: ChunkCheck,
+    dropped: u64,
+}
+
+impl ChunkStream {
+    /// Reads server-sent events from `bytes`, continuing where `check` stands.
+    pub fn new<E>(
+        bytes: impl Stream<Item = Result<Bytes, E>> + 'static,
+        check: ChunkCheck,
+    ) -> Self {
+        let events = bytes.map(|b| b.map_err(|_| StreamError::Broken)).eventsource();
+        let events = events.map(|event| event.map_err(|_| StreamError::Broken));
+        Self { events: events.boxed_local(), check, dropped: 0 }
+    }
+
+    /// The next chunk. A stream that ends without its end mark is broken.
+    pub async fn next(&mut self) -> Result<Chunk, StreamError> {
+        loop {
+            let next = actix_rt::time::timeout(SILENCE, self.events.next()).await;
+            let event = next.ok().flatten().ok_or(StreamError::Broken)??;
+            let position = self.check.next();
+            match self.check.judge(&event.id) {
+                ChunkVerdict::Take => return Ok(Chunk { position, data: event.data }),
+                ChunkVerdict::Repeated | ChunkVerdict::Foreign => self.dropped += 1,
+                ChunkVerdict::Gap => return Err(StreamError::Gap),
+            }
+        }
+    }
+
+    /// Chunks dropped because they were repeated or foreign.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// The request.
+    pub fn id(&self) -> ReservationId {
+        self.check.id()
+    }
+
+    /// Where the stream stands, for resuming it.
+    pub fn into_check(self) -> ChunkCheck {
+        self.check
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/http/headers.rs
@@ -0,0 +1,20 @@
+//! The header names that portrack reads and writes, in lower case.
+
+/// The caller's name of a request, given back in the answer; at engines the reservation.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Milliseconds within which the request must start.
+pub const DEADLINE: &str = "portrack-deadline-ms";
+/// `interactive` or `background`.
+pub const CLASS: &str = "portrack-class";
+/// The service that the request belongs to, for rules and settings.
+pub const SERVICE: &str = "portrack-service";
+/// `no` for a request that must not run twice, `yes` for one that may.
+pub const REPEATABLE: &str = "portrack-repeatable";
+/// The key under which a request runs at most once, whatever node it comes to.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// `no` or `unknown` on every refusal.
+pub const RUN: &str = "portrack-run";
+/// The fence of an order, toward engines.
+pub const FENCE: &str = "portrack-fence";
+/// The priority of a request, toward engines; lower goes first.
+pub const PRIORITY: &str = "portrack-priority";
--- /dev/null
+++ b/crates/portrack/src/http/mod.rs
@@ -0,0 +1,12 @@
+//! HTTP toward callers and operators.
+
+pub mod headers;
+mod meta;
+mod problem;
+mod reply;
+mod server;
+
+pub use meta::Meta;
+pub use problem::{problem, status_of};
+pub use reply::{Reply, ReplyBody, events, json, plain};
+pub use server::{Handler, Limits, read_body, serve};
--- /dev/null
+++ b/crates/portrack/src/http/reply.rs
@@ -0,0 +1,38 @@
+//! Answers.
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use futures_util::Stream;
+use std::convert::Infallible;
+
+/// Any answer's body.
+pub type ReplyBody = BoxBody;
+/// Any answer.
+pub type Reply = Response<ReplyBody>;
+
+/// An answer in JSON.
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Reply {
+    let body = serde_json::to_vec(value).expect("answers have string keys only");
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", "application/json"));
+    builder.body(body).map_into_boxed_body()
+}
+
+/// An answer in plain text.
+pub fn plain(status: StatusCode, text: impl Into<String>) -> Reply {
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", "text/plain; charset=utf-8"));
+    builder.body(text.into()).map_into_boxed_body()
+}
+
+/// An answer of server-sent events.
+pub fn events(stream: impl Stream<Item = Result<Bytes, std::io::Error>> + 'static) -> Reply {
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header(("content-type", "text/event-stream"));
+    builder.insert_header(("cache-control", "no-store"));
+    builder.body(BodyStream::new(stream).boxed()).map_into_boxed_body()
+}
+
+/// The error type of handlers, which always answer.
+pub type Never = Infallible;
--- /dev/null
+++ b/crates/portrack/src/http/server.rs
@@ -0,0 +1,107 @@
+//! A listener that hands each request to a handler, on one thread.
+
+use super::reply::{Never, Reply};
+use crate::types::{Reason, Refusal};
+use actix_http::{HttpService, Request};
+use actix_rt::net::TcpListener;
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Answers a request.
+pub trait Handler: Fn(Request) -> Self::Answer + Clone + 'static {
+    /// The answer to come.
+    type Answer: Future<Output = Reply> + 'static;
+}
+
+impl<F, A> Handler for F
+where
+    F: Fn(Request) -> A + Clone + 'static,
+    A: Future<Output = Reply> + 'static,
+{
+    type Answer = A;
+}
+
+/// Limits of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// A caller must have sent its request's head within this.
+    pub head: Duration,
+    /// An idle connection is kept for this long.
+    pub keep_alive: Duration,
+    /// Connections at the same time; further ones wait in the system's queue.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(5),
+            keep_alive: Duration::from_secs(30),
+            connections: 4_096,
+        }
+    }
+}
+
+/// Pause before another look when all connections are taken.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves until the future is dropped. Connections that are open then go on to their end.
+pub async fn serve(listener: TcpListener, limits: Limits, handler: impl Handler) {
+    let factory = HttpService::build()
+        .keep_alive(limits.keep_alive)
+        .client_request_timeout(limits.head)
+        .finish(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<Reply, Never>(answer.await) }
+        }))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else { return };
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        if open.get() >= limits.connections {
+            actix_rt::time::sleep(FULL_PAUSE).await;
+            continue;
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(FULL_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let (service, open) = (service.clone(), open.clone());
+        open.set(open.get() + 1);
+        actix_rt::spawn(async move {
+            let _ = service.call(stream).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Reads a request's body up to `limit` bytes, each part within `patience`.
+pub async fn read_body(
+    request: &mut Request,
+    limit: usize,
+    patience: Duration,
+) -> Result<Bytes, Refusal> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    loop {
+        let Ok(part) = actix_rt::time::timeout(patience, payload.next()).await else {
+            return Err(Refusal::not_run(Reason::BadRequest, "the body came too slowly"));
+        };
+        let Some(part) = part else { return Ok(body.freeze()) };
+        let part = part.map_err(|e| {
+            Refusal::not_run(Reason::BadRequest, format!("the body broke off: {e}"))
+        })?;
+        if body.len() + part.len() > limit {
+            let detail = format!("the body exceeds {limit} bytes");
+            return Err(Refusal::not_run(Reason::TooLarge, detail));
+        }
+        body.extend_from_slice(&part);
+    }
+}
--- a/crates/portrack/src/loads/budget.rs
+++ b/crates/portrack/src/loads/budget.rs
@@ -15,10 +15,6 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            per_second: 3.0,
-            at_once: 2,
-            permit_ttl: Duration::from_secs(60),
-        }
+        Self { per_second: 3.0, at_once: 2, permit_ttl: Duration::from_secs(60) }
     }
 }
--- a/crates/portrack/src/loads/planner.rs
+++ b/crates/portrack/src/loads/planner.rs
@@ -39,13 +39,7 @@
     /// A planner that starts with one second's permits.
     pub fn new(budget: Budget, now: Time) -> Self {
         let tokens = budget.per_second * BURST_SECONDS;
-        Self {
-            budget,
-            tokens,
-            filled_at: now,
-            asked: BTreeMap::new(),
-            given: BTreeMap::new(),
-        }
+        Self { budget, tokens, filled_at: now, asked: BTreeMap::new(), given: BTreeMap::new() }
     }
 
     /// Takes a changed budget.
@@ -61,15 +55,7 @@
         }
         let load = ask.load.clone();
         let since = self.asked.get(&load).map_or(now, |asked| asked.since);
-        self.asked.insert(
-            load,
-            Asked {
-                from,
-                ask,
-                since,
-                seen: now,
-            },
-        );
+        self.asked.insert(load, Asked { from, ask, since, seen: now });
         self.plan(now)
     }
 
@@ -83,8 +69,7 @@
     /// Gives as many permits as the budget allows, the most urgent first.
     pub fn plan(&mut self, now: Time) -> Vec<(NodeName, PermitRef)> {
         self.refill(now);
-        self.asked
-            .retain(|_, asked| now.since(asked.seen) < ASK_TTL);
+        self.asked.retain(|_, asked| now.since(asked.seen) < ASK_TTL);
         let ttl = self.budget.permit_ttl;
         self.given.retain(|_, given| now.since(given.at) < ttl);
         let mut granted = Vec::new();
@@ -96,13 +81,7 @@
                 break;
             };
             self.tokens -= 1.0;
-            self.given.insert(
-                load.clone(),
-                Given {
-                    to: asked.from.clone(),
-                    at: now,
-                },
-            );
+            self.given.insert(load.clone(), Given { to: asked.from.clone(), at: now });
             granted.push((asked.from, load));
         }
         granted
--- a/crates/portrack/src/membership/rendezvous.rs
+++ b/crates/portrack/src/membership/rendezvous.rs
@@ -16,9 +16,7 @@
     key: &str,
     names: impl IntoIterator<Item = &'a T>,
 ) -> Option<&'a T> {
-    names
-        .into_iter()
-        .max_by_key(|name| (weight(key, name.as_ref()), name.as_ref().to_owned()))
+    names.into_iter().max_by_key(|name| (weight(key, name.as_ref()), name.as_ref().to_owned()))
 }
 
 /// The names, highest weight first.
--- a/crates/portrack/src/membership/table.rs
+++ b/crates/portrack/src/membership/table.rs
@@ -5,6 +5,9 @@
 use crate::wire::{Heartbeat, MemberState};
 use std::collections::BTreeMap;
 
+/// Daemons of a hall that watch the key-value service.
+const WATCHERS: usize = 2;
+
 /// All members that this daemon knows, itself not among them.
 #[derive(Debug, Clone)]
 pub struct Membership {
@@ -20,14 +23,7 @@
     /// A membership that knows only itself.
     pub fn new(me: Peer, timing: Timing, now: Time) -> Self {
         let members = BTreeMap::new();
-        Self {
-            me,
-            timing,
-            leaving: false,
-            members,
-            next_hall: now,
-            next_remote: now,
-        }
+        Self { me, timing, leaving: false, members, next_hall: now, next_remote: now }
     }
 
     /// This node's own place.
@@ -48,8 +44,7 @@
                     member.peer = peer;
                 }
                 None => {
-                    self.members
-                        .insert(peer.node.clone(), fresh(peer, scope, now));
+                    self.members.insert(peer.node.clone(), fresh(peer, scope, now));
                 }
             }
         }
@@ -157,10 +152,7 @@
     fn far_peers(&self) -> Vec<NodeName> {
         let mut halls: BTreeMap<&HallName, Vec<&NodeName>> = BTreeMap::new();
         for member in self.members.values().filter(|m| m.scope == Scope::Far) {
-            halls
-                .entry(&member.peer.hall)
-                .or_default()
-                .push(&member.peer.node);
+            halls.entry(&member.peer.hall).or_default().push(&member.peer.node);
         }
         let mut chosen = Vec::new();
         for nodes in halls.into_values() {
@@ -202,10 +194,7 @@
 
     /// Nodes within a scope, this one included, that can be given work.
     pub fn eligible(&self, scope: Scope) -> impl Iterator<Item = &NodeName> {
-        let others = self
-            .members
-            .values()
-            .filter(move |m| m.scope <= scope && m.is_eligible());
+        let others = self.members.values().filter(move |m| m.scope <= scope && m.is_eligible());
         let me = (!self.leaving).then_some(&self.me.node);
         others.map(|m| &m.peer.node).chain(me)
     }
@@ -215,15 +204,29 @@
         highest(key, self.eligible(Scope::Hall))
     }
 
+    /// The owner of something in any hall of the region.
+    pub fn owner_in(&self, hall: &HallName, key: &str) -> Option<&NodeName> {
+        if *hall == self.me.hall {
+            return self.owner_of(key);
+        }
+        let members = self.members.values().filter(|m| m.peer.hall == *hall && m.is_eligible());
+        highest(key, members.map(|m| &m.peer.node))
+    }
+
     /// The load planner of the region, as far as it is reachable.
     pub fn planner(&self) -> Option<&NodeName> {
         highest("load-planner", self.eligible(Scope::Region))
     }
 
     /// The two daemons of this hall that watch the key-value service.
-    pub fn is_watcher(&self) -> bool {
+    pub fn watchers(&self) -> Vec<NodeName> {
         let ranked = ranked("settings-watcher", self.eligible(Scope::Hall));
-        ranked.into_iter().take(2).any(|node| *node == self.me.node)
+        ranked.into_iter().take(WATCHERS).cloned().collect()
+    }
+
+    /// True if this daemon is one of the watchers.
+    pub fn is_watcher(&self) -> bool {
+        self.watchers().contains(&self.me.node)
     }
 }
 
--- /dev/null
+++ b/crates/portrack/src/node/claims.rs
@@ -0,0 +1,132 @@
+//! Idempotency keys: claimed for own requests, kept for others.
+
+use super::{Effect, Node};
+use crate::once::KeeperOutput;
+use crate::reserve::Token;
+use crate::types::{NodeName, ReservationId, Time};
+use crate::wire::{KeyClaim, KeyReply, KeyVerdict, Message};
+use rand::Rng;
+use std::time::Duration;
+
+/// Between repetitions of a claim.
+const REPEAT_AFTER: Duration = Duration::from_millis(100);
+/// A claim without a verdict is given up after this.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(800);
+
+#[derive(Debug, Clone)]
+pub(super) struct PendingClaim {
+    claim: KeyClaim,
+    next: Time,
+    until: Time,
+    settled: bool,
+}
+
+impl Node {
+    pub(super) fn claim(&mut self, now: Time, token: Token, key: u128, out: &mut Vec<Effect>) {
+        let request = ReservationId(self.rng.random());
+        let claim = KeyClaim { key, request, entry: self.me.clone() };
+        let pending = PendingClaim {
+            claim: claim.clone(),
+            next: now + REPEAT_AFTER,
+            until: now + GIVE_UP_AFTER,
+            settled: false,
+        };
+        self.claims.insert(token, pending);
+        self.send_claim(claim, out);
+    }
+
+    fn send_claim(&mut self, claim: KeyClaim, out: &mut Vec<Effect>) {
+        if let Some(keeper) = self.keeper.first_keeper(claim.key) {
+            self.send(keeper, Message::KeyClaim(claim), out);
+        }
+    }
+
+    pub(super) fn tick_claims(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.keeper.tick(now);
+        let mut late = Vec::new();
+        let mut repeat = Vec::new();
+        for (token, pending) in self.claims.iter_mut().filter(|(_, p)| !p.settled) {
+            if now >= pending.until {
+                late.push(*token);
+            } else if now >= pending.next {
+                pending.next = now + REPEAT_AFTER;
+                repeat.push(pending.claim.clone());
+            }
+        }
+        for claim in repeat {
+            self.send_claim(claim, out);
+        }
+        for token in late {
+            self.settle(token, KeyVerdict::Untrusted, out);
+        }
+    }
+
+    /// Ends a claim. One that did not get the key forgets it everywhere.
+    fn settle(&mut self, token: Token, verdict: KeyVerdict, out: &mut Vec<Effect>) {
+        let Some(pending) = self.claims.get_mut(&token) else {
+            return;
+        };
+        pending.settled = true;
+        if verdict != KeyVerdict::Yours {
+            self.free_key(token, out);
+        }
+        out.push(Effect::KeySettled { token, verdict });
+    }
+
+    pub(super) fn free_key(&mut self, token: Token, out: &mut Vec<Effect>) {
+        let Some(pending) = self.claims.remove(&token) else {
+            return;
+        };
+        let (first, second) = self.keeper.keepers(pending.claim.key);
+        for node in [first, second].into_iter().flatten() {
+            self.send(node, Message::KeyFree(pending.claim.clone()), out);
+        }
+    }
+
+    pub(super) fn keep_key(&mut self, token: Token) {
+        self.claims.remove(&token);
+    }
+
+    pub(super) fn key_claim(&mut self, now: Time, claim: KeyClaim, out: &mut Vec<Effect>) {
+        let outputs = self.keeper.claim(now, claim);
+        self.keeper_outputs(outputs, out);
+    }
+
+    pub(super) fn key_copy(
+        &mut self,
+        now: Time,
+        from: NodeName,
+        claim: KeyClaim,
+        out: &mut Vec<Effect>,
+    ) {
+        let outputs = self.keeper.copy(now, from, claim);
+        self.keeper_outputs(outputs, out);
+    }
+
+    pub(super) fn key_copied(&mut self, reply: KeyReply, out: &mut Vec<Effect>) {
+        let outputs = self.keeper.copied(reply);
+        self.keeper_outputs(outputs, out);
+    }
+
+    fn keeper_outputs(&mut self, outputs: Vec<KeeperOutput>, out: &mut Vec<Effect>) {
+        for output in outputs {
+            match output {
+                KeeperOutput::Copy(to, claim) => self.send(to, Message::KeyCopy(claim), out),
+                KeeperOutput::Copied(to, reply) => self.send(to, Message::KeyCopied(reply), out),
+                KeeperOutput::Reply(to, reply) => self.send(to, Message::KeyReply(reply), out),
+            }
+        }
+    }
+
+    /// The keeper's word. `NotKeeper` is not final: the claim is repeated to whoever is next.
+    pub(super) fn key_reply(&mut self, reply: &KeyReply, out: &mut Vec<Effect>) {
+        if reply.verdict == KeyVerdict::NotKeeper {
+            return;
+        }
+        let ours = |p: &PendingClaim| !p.settled && p.claim.request == reply.request;
+        let token = self.claims.iter().find(|(_, p)| ours(p)).map(|(token, _)| *token);
+        if let Some(token) = token {
+            self.settle(token, reply.verdict, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/node/members.rs
@@ -0,0 +1,128 @@
+//! Heartbeats: what is sent and what is made of those that come.
+
+use super::{Effect, Node};
+use crate::membership::Scope;
+use crate::owner::Load;
+use crate::types::{EngineName, Instance, NodeName, Time};
+use crate::wire::{Heartbeat, MemberState, Message};
+
+/// Engines in one datagram.
+const LOADS_PER_DATAGRAM: usize = 24;
+
+impl Node {
+    pub(super) fn heartbeat(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let due = self.members.tick(now);
+        if !due.is_empty() {
+            self.send_heartbeats(now, due, out);
+        }
+        let mut list: Vec<NodeName> = self.members.eligible(Scope::Hall).cloned().collect();
+        list.sort();
+        self.keeper.members(now, list);
+    }
+
+    fn send_heartbeats(&mut self, now: Time, due: Vec<NodeName>, out: &mut Vec<Effect>) {
+        let loads = self.own_loads(now);
+        let mut parts = loads.chunks(LOADS_PER_DATAGRAM).map(<[Load]>::to_vec);
+        let bare = Heartbeat {
+            state: self.members.state(),
+            settings: self.mark,
+            platform: self.platform,
+            suspects: self.members.suspects(),
+            loads: Vec::new(),
+        };
+        let full = Heartbeat { loads: parts.next().unwrap_or_default(), ..bare.clone() };
+        let rest: Vec<Vec<Load>> = parts.collect();
+        for node in due {
+            let far = self.members.get(&node).is_some_and(|m| m.scope == Scope::Far);
+            let heartbeat = if far { bare.clone() } else { full.clone() };
+            out.push(Effect::Send { to: node.clone(), body: Message::Heartbeat(heartbeat) });
+            if far {
+                continue;
+            }
+            for part in &rest {
+                out.push(Effect::Send { to: node.clone(), body: Message::Loads(part.clone()) });
+            }
+        }
+    }
+
+    /// Loads of the owned engines; the own view takes them in on the way.
+    fn own_loads(&mut self, now: Time) -> Vec<Load> {
+        let loads: Vec<Load> = self.owners.values().map(|owner| owner.load(now)).collect();
+        for load in &loads {
+            self.view.load(now, &self.me.node, load.clone());
+        }
+        loads
+    }
+
+    pub(super) fn heard(
+        &mut self,
+        now: Time,
+        from: &Instance,
+        heartbeat: Heartbeat,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.members.heard(now, from, &heartbeat) {
+            return;
+        }
+        if heartbeat.state == MemberState::Leaving {
+            self.update_owners(now, out);
+        }
+        self.take_loads(now, &from.node, heartbeat.loads, out);
+    }
+
+    pub(super) fn take_loads(
+        &mut self,
+        now: Time,
+        from: &NodeName,
+        loads: Vec<Load>,
+        out: &mut Vec<Effect>,
+    ) {
+        for load in loads {
+            let engine = load.engine.clone();
+            if self.owners.contains_key(&engine) {
+                continue;
+            }
+            if self.view.load(now, from, load) {
+                let body = Message::HoldingsAsk(engine);
+                out.push(Effect::Send { to: from.clone(), body });
+            }
+        }
+    }
+
+    pub(super) fn tell_holdings(&self, to: &NodeName, engine: &EngineName, out: &mut Vec<Effect>) {
+        let Some(owner) = self.owners.get(engine) else {
+            return;
+        };
+        out.push(Effect::Send { to: to.clone(), body: Message::Holdings(owner.holdings()) });
+    }
+
+    /// Tells everybody in the region which owned engines changed what they hold.
+    pub(super) fn push_holdings(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut changed = Vec::new();
+        for (engine, owner) in &self.owners {
+            let holdings = owner.holdings();
+            if self.pushed.get(engine) != Some(&holdings.version) {
+                self.pushed.insert(engine.clone(), holdings.version);
+                changed.push((owner.load(now), holdings));
+            }
+        }
+        for (load, holdings) in changed {
+            self.view.load(now, &self.me.node, load);
+            self.view.holdings(holdings.clone());
+            for member in self.members.iter() {
+                if member.scope <= Scope::Region && member.is_reachable() {
+                    let to = member.peer.node.clone();
+                    out.push(Effect::Send { to, body: Message::Holdings(holdings.clone()) });
+                }
+            }
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.members.leave();
+        self.update_owners(now, out);
+        let everyone: Vec<NodeName> =
+            self.members.iter().map(|member| member.peer.node.clone()).collect();
+        self.send_heartbeats(now, everyone, out);
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/node/releases.rs
@@ -0,0 +1,64 @@
+//! Places given back: repeated until the owner has heard of it.
+
+use super::{Effect, Node};
+use crate::types::{EngineName, ReservationId, Time};
+use crate::wire::Message;
+use std::time::Duration;
+
+/// Between repetitions.
+const REPEAT_AFTER: Duration = Duration::from_millis(200);
+/// Repetitions before the engine's own reports are left to settle it.
+const REPETITIONS: u32 = 5;
+
+#[derive(Debug, Clone)]
+pub(super) struct PendingRelease {
+    engine: EngineName,
+    ended: bool,
+    next: Time,
+    left: u32,
+}
+
+impl Node {
+    pub(super) fn release(
+        &mut self,
+        now: Time,
+        engine: EngineName,
+        id: ReservationId,
+        ended: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        self.started.remove(&id);
+        let next = now + REPEAT_AFTER;
+        let pending = PendingRelease { engine: engine.clone(), ended, next, left: REPETITIONS };
+        self.releases.insert(id, pending);
+        self.send_release(engine, id, ended, out);
+    }
+
+    fn send_release(
+        &mut self,
+        engine: EngineName,
+        id: ReservationId,
+        ended: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(owner) = self.owner_of(&engine).cloned() else {
+            return;
+        };
+        self.send(owner, Message::Release { engine, id, ended }, out);
+    }
+
+    pub(super) fn tick_releases(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.releases.retain(|_, release| release.left > 0);
+        let mut due = Vec::new();
+        for (id, release) in &mut self.releases {
+            if now >= release.next {
+                release.next = now + REPEAT_AFTER;
+                release.left -= 1;
+                due.push((release.engine.clone(), *id, release.ended));
+            }
+        }
+        for (engine, id, ended) in due {
+            self.send_release(engine, id, ended, out);
+        }
+    }
+}
--- a/crates/portrack/src/once/keeper.rs
+++ b/crates/portrack/src/once/keeper.rs
@@ -46,12 +46,7 @@
 impl Keeper {
     /// An empty memory.
     pub fn new(me: NodeName, window: Duration) -> Self {
-        Self {
-            me,
-            window,
-            pairs: PairHistory::default(),
-            records: BTreeMap::new(),
-        }
+        Self { me, window, pairs: PairHistory::default(), records: BTreeMap::new() }
     }
 
     /// Takes a changed window.
@@ -69,6 +64,11 @@
         self.pairs.note(now, list, self.window);
     }
 
+    /// First and second keeper of a key.
+    pub fn keepers(&self, key: u128) -> (Option<NodeName>, Option<NodeName>) {
+        self.pairs.keepers(key)
+    }
+
     /// The member that settles a key.
     pub fn first_keeper(&self, key: u128) -> Option<NodeName> {
         self.pairs.keepers(key).0
@@ -83,29 +83,19 @@
         if let Some(record) = self.records.get(&claim.key) {
             let again = record.request == claim.request;
             return match (again, record.pending.is_some()) {
-                (true, true) => second
-                    .into_iter()
-                    .map(|s| KeeperOutput::Copy(s, claim.clone()))
-                    .collect(),
+                (true, true) => {
+                    second.into_iter().map(|s| KeeperOutput::Copy(s, claim.clone())).collect()
+                }
                 (true, false) => vec![self.reply(&claim, KeyVerdict::Yours)],
                 (false, _) => vec![self.reply(&claim, KeyVerdict::Taken)],
             };
         }
-        let trusted = self
-            .pairs
-            .kept_throughout(claim.key, &self.me, now, self.window);
+        let trusted = self.pairs.kept_throughout(claim.key, &self.me, now, self.window);
         let Some(second) = second else {
             return self.claim_alone(now, claim, trusted);
         };
-        let pending = Some(Pending {
-            entry: claim.entry.clone(),
-            trusted,
-        });
-        let record = Record {
-            request: claim.request,
-            at: now,
-            pending,
-        };
+        let pending = Some(Pending { entry: claim.entry.clone(), trusted });
+        let record = Record { request: claim.request, at: now, pending };
         self.records.insert(claim.key, record);
         vec![KeeperOutput::Copy(second, claim)]
     }
@@ -114,11 +104,7 @@
         if !trusted {
             return vec![self.reply(&claim, KeyVerdict::Untrusted)];
         }
-        let record = Record {
-            request: claim.request,
-            at: now,
-            pending: None,
-        };
+        let record = Record { request: claim.request, at: now, pending: None };
         self.records.insert(claim.key, record);
         vec![self.reply(&claim, KeyVerdict::Yours)]
     }
@@ -128,26 +114,15 @@
         let verdict = match self.records.get(&claim.key) {
             Some(record) if record.request != claim.request => KeyVerdict::Taken,
             _ => {
-                let record = Record {
-                    request: claim.request,
-                    at: now,
-                    pending: None,
-                };
+                let record = Record { request: claim.request, at: now, pending: None };
                 self.records.insert(claim.key, record);
-                match self
-                    .pairs
-                    .kept_throughout(claim.key, &self.me, now, self.window)
-                {
+                match self.pairs.kept_throughout(claim.key, &self.me, now, self.window) {
                     true => KeyVerdict::Yours,
                     false => KeyVerdict::Untrusted,
                 }
             }
         };
-        let reply = KeyReply {
-            key: claim.key,
-            request: claim.request,
-            verdict,
-        };
+        let reply = KeyReply { key: claim.key, request: claim.request, verdict };
         vec![KeeperOutput::Copied(from, reply)]
     }
 
@@ -170,18 +145,12 @@
         if verdict == KeyVerdict::Untrusted {
             self.records.remove(&reply.key);
         }
-        vec![KeeperOutput::Reply(
-            pending.entry.node,
-            KeyReply { verdict, ..reply },
-        )]
+        vec![KeeperOutput::Reply(pending.entry.node, KeyReply { verdict, ..reply })]
     }
 
     /// The request was certainly not sent.
     pub fn free(&mut self, claim: &KeyClaim) {
-        let same = self
-            .records
-            .get(&claim.key)
-            .is_some_and(|r| r.request == claim.request);
+        let same = self.records.get(&claim.key).is_some_and(|r| r.request == claim.request);
         if same {
             self.records.remove(&claim.key);
         }
@@ -197,11 +166,7 @@
     }
 
     fn reply(&self, claim: &KeyClaim, verdict: KeyVerdict) -> KeeperOutput {
-        let reply = KeyReply {
-            key: claim.key,
-            request: claim.request,
-            verdict,
-        };
+        let reply = KeyReply { key: claim.key, request: claim.request, verdict };
         KeeperOutput::Reply(claim.entry.node.clone(), reply)
     }
 
--- a/crates/portrack/src/once/pairs.rs
+++ b/crates/portrack/src/once/pairs.rs
@@ -22,11 +22,7 @@
         if self.lists.back().is_none_or(|(_, last)| *last != list) {
             self.lists.push_back((now, list));
         }
-        while self
-            .lists
-            .get(1)
-            .is_some_and(|(began, _)| now.since(*began) >= window)
-        {
+        while self.lists.get(1).is_some_and(|(began, _)| now.since(*began) >= window) {
             self.lists.pop_front();
         }
     }
@@ -42,10 +38,7 @@
 
     /// True if `node` was one of the key's keepers for the whole window.
     pub fn kept_throughout(&self, key: u128, node: &NodeName, now: Time, window: Duration) -> bool {
-        let old_enough = self
-            .lists
-            .front()
-            .is_some_and(|(began, _)| now.since(*began) >= window);
+        let old_enough = self.lists.front().is_some_and(|(began, _)| now.since(*began) >= window);
         let kept = |list: &[NodeName]| {
             let (first, second) = pair(key, list);
             first == Some(node) || second == Some(node)
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -46,10 +46,22 @@
     pub(super) until: Time,
 }
 
+/// What makes an owner the only one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lock {
+    /// The engine checks the fence of every order.
+    Fence,
+    /// The engine checks nothing: a lease in the key-value service. While no lease can be had,
+    /// grants go on and orders stop.
+    Lease,
+}
+
 /// Owner of one engine. Feed it with [`EngineOwner::on`].
 #[derive(Debug, Clone)]
 pub struct EngineOwner {
     pub(super) engine: EngineName,
+    lock: Lock,
+    pub(super) leaving: bool,
     pub(super) tuning: Tuning,
     pub(super) phase: Phase,
     pub(super) fence: Fence,
@@ -72,9 +84,11 @@
 
 impl EngineOwner {
     /// Begins to own an engine at `now`.
-    pub fn new(engine: EngineName, tuning: Tuning, now: Time) -> Self {
+    pub fn new(engine: EngineName, lock: Lock, tuning: Tuning, now: Time) -> Self {
         Self {
             engine,
+            lock,
+            leaving: false,
             demand: Demand::new(tuning.demand_half_life),
             tuning,
             phase: Phase::Reading(now),
@@ -101,13 +115,14 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut out),
-            Event::Reserve { from, ask } => self.reserve(now, from, ask, &mut out),
+            Event::Reserve { from, ask } => self.reserve(now, from, &ask, &mut out),
             Event::Release { id, ended } => self.release(now, id, ended),
             Event::Report(report) => self.take_report(now, report, &mut out),
             Event::FenceRaised(fence) => self.fence_raised(now, fence),
             Event::FenceRefused(highest) => self.lose(now, highest, &mut out),
             Event::OrderDone { id, result } => self.order_done(now, id, result, &mut out),
             Event::Permit(adapter) => self.permitted(&adapter),
+            Event::Leaving => self.leave(&mut out),
         }
         self.grant_waiting(now, &mut out);
         self.plan_loads(now, &mut out);
@@ -126,10 +141,8 @@
         }
         self.expire_orders(now, out);
         self.expire_waiting(now, out);
-        self.unloaded
-            .retain(|_, at| now.since(*at) < Duration::from_secs(60));
-        self.backoffs
-            .retain(|_, b| now < b.until + Duration::from_secs(60));
+        self.unloaded.retain(|_, at| now.since(*at) < Duration::from_secs(60));
+        self.backoffs.retain(|_, b| now < b.until + Duration::from_secs(60));
         self.demand.sweep(now);
     }
 
@@ -138,6 +151,12 @@
         if self.report.as_ref().is_some_and(older) {
             return;
         }
+        if report.leaving {
+            self.leave(out);
+        }
+        if self.lock == Lock::Lease && self.phase != Phase::Serving {
+            self.reconcile(now, report.clone());
+        }
         match self.phase {
             Phase::Reading(from) if now >= from => self.raise(now, report, out),
             Phase::Reading(_) | Phase::Raising(_) => {}
@@ -164,13 +183,20 @@
         self.fence = fence;
         self.confirmed = Some(since);
         self.unload_from = now + self.tuning.quarantine();
-        let Some(report) = self.report.take() else {
-            return;
-        };
-        self.reconcile(now, report);
+        if let Some(report) = self.report.take() {
+            self.reconcile(now, report);
+        }
         self.confirmed = Some(since);
     }
 
+    /// No new work: the engine is leaving.
+    fn leave(&mut self, out: &mut Vec<Output>) {
+        self.leaving = true;
+        for waiting in self.queue.take_where(|_| true) {
+            out.push(Self::refuse(waiting, Reason::NoBackend, 0));
+        }
+    }
+
     /// Another owner has the engine: stop at once.
     pub(super) fn lose(&mut self, now: Time, highest: Fence, out: &mut Vec<Output>) {
         self.phase = Phase::Reading(now + REGAIN_AFTER);
@@ -201,26 +227,31 @@
     pub(super) fn order(&mut self, now: Time, kind: OrderKind, adapter: &AdapterVersion) -> Order {
         let id = OrderId(self.next_order);
         self.next_order += 1;
-        let pending = PendingOrder {
-            adapter: adapter.clone(),
-            kind,
-            since: now,
-        };
+        let pending = PendingOrder { adapter: adapter.clone(), kind, since: now };
         self.orders.insert(id, pending);
-        Order {
-            id,
-            fence: self.fence,
-            kind,
-            adapter: adapter.clone(),
-        }
+        Order { id, fence: self.fence, kind, adapter: adapter.clone() }
     }
 
     /// True while grants and unloads are safe: the engine is ours, and was so a moment ago.
     pub(super) fn holds_fence(&self, now: Time) -> bool {
-        let recent = |at: Time| now.since(at) < self.tuning.grant_validity;
+        let validity = match self.lock {
+            Lock::Fence => self.tuning.grant_validity,
+            Lock::Lease => self.tuning.lease_validity,
+        };
+        let recent = |at: Time| now.since(at) < validity;
         self.phase == Phase::Serving && self.confirmed.is_some_and(recent)
     }
 
+    /// True while grants are safe. Without a lease nobody orders an unload, so grants may go on.
+    pub(super) fn may_grant(&self, now: Time) -> bool {
+        if self.leaving {
+            return false;
+        }
+        let fresh = |r: &Report| now.since(r.asked_at) < self.tuning.grant_validity;
+        let readable = self.lock == Lock::Lease && self.report.as_ref().is_some_and(fresh);
+        readable || self.holds_fence(now)
+    }
+
     pub(super) fn changed(&mut self) {
         self.holdings = self.holdings.wrapping_add(1);
     }
@@ -233,6 +264,11 @@
         self.report.as_ref().map_or(0, |r| r.slots)
     }
 
+    /// What makes this owner the only one.
+    pub fn lock(&self) -> Lock {
+        self.lock
+    }
+
     /// The engine's name.
     pub fn engine(&self) -> &EngineName {
         &self.engine
@@ -258,9 +294,19 @@
         self.queue.total()
     }
 
+    /// True while a load of this adapter is wanted and not yet ordered.
+    pub fn wants(&self, adapter: &AdapterVersion) -> bool {
+        self.wants.contains_key(adapter)
+    }
+
+    /// Takes changed numbers.
+    pub fn retune(&mut self, tuning: Tuning) {
+        self.tuning = tuning;
+    }
+
     /// The load, as heartbeats carry it.
     pub fn load(&self, now: Time) -> Load {
-        let free = match self.holds_fence(now) {
+        let free = match self.may_grant(now) {
             true => self.batch().saturating_sub(self.pins.len()),
             false => 0,
         };
--- a/crates/portrack/src/owner/event.rs
+++ b/crates/portrack/src/owner/event.rs
@@ -37,6 +37,8 @@
     },
     /// The load planner allows a load.
     Permit(AdapterVersion),
+    /// The node list says that the engine is leaving.
+    Leaving,
 }
 
 /// Something to do.
@@ -61,8 +63,8 @@
         adapter: AdapterVersion,
         /// How long the first request has waited for it, in milliseconds.
         waited_ms: u32,
-        /// Requests that wait.
-        waiting: u32,
+        /// Requests that wait, interactive ones counted more.
+        weight: u32,
     },
     /// Give a permit back: the load has ended or is wanted no more.
     PermitDone(AdapterVersion),
--- a/crates/portrack/src/owner/grant.rs
+++ b/crates/portrack/src/owner/grant.rs
@@ -8,36 +8,24 @@
 const BUSY_RETRY_MS: u32 = 1_000;
 
 impl EngineOwner {
-    pub(super) fn reserve(&mut self, now: Time, from: Instance, ask: Ask, out: &mut Vec<Output>) {
-        if self.repeat_grant(now, &from, &ask, out) || self.repeat_queued(&ask, out) {
+    pub(super) fn reserve(&mut self, now: Time, from: Instance, ask: &Ask, out: &mut Vec<Output>) {
+        if self.repeat_grant(now, &from, ask, out) || self.repeat_queued(now, ask, out) {
             return;
         }
         self.demand.note(&ask.adapter, now);
-        if let Some((reason, retry_ms)) = self.objection(now, &ask) {
+        if let Some((reason, retry_ms)) = self.objection(now, ask) {
             let verdict = Verdict::Refused { reason, retry_ms };
-            let answer = Answer {
-                id: ask.id,
-                attempt: ask.attempt,
-                verdict,
-            };
+            let answer = Answer { id: ask.id, attempt: ask.attempt, verdict };
             out.push(Output::Answer { to: from, answer });
             return;
         }
         let (id, attempt) = (ask.id, ask.attempt);
         let until = now + Duration::from_millis(u64::from(ask.wait_ms));
-        self.queue.push(Waiting {
-            from: from.clone(),
-            ask,
-            since: now,
-            until,
-        });
+        let ask = ask.clone();
+        self.queue.push(Waiting { from: from.clone(), ask, since: now, until, renewed: now });
         self.grant_waiting(now, out);
         if self.queue.find(id).is_some() {
-            let answer = Answer {
-                id,
-                attempt,
-                verdict: Verdict::Queued,
-            };
+            let answer = Answer { id, attempt, verdict: Verdict::Queued };
             out.push(Output::Answer { to: from, answer });
         }
     }
@@ -49,7 +37,7 @@
         ask: &Ask,
         out: &mut Vec<Output>,
     ) -> bool {
-        let usable = self.holds_fence(now) && self.is_ready(&ask.adapter);
+        let usable = self.may_grant(now) && self.is_ready(&ask.adapter);
         let fence = self.fence;
         let Some(pin) = self.pins.get_mut(&ask.id) else {
             return false;
@@ -57,38 +45,29 @@
         if usable && pin.adapter == ask.adapter {
             pin.granted_at = now;
             pin.holder = Some(from.clone());
-            let answer = Answer {
-                id: ask.id,
-                attempt: ask.attempt,
-                verdict: Verdict::Granted(fence),
-            };
-            out.push(Output::Answer {
-                to: from.clone(),
-                answer,
-            });
+            let answer =
+                Answer { id: ask.id, attempt: ask.attempt, verdict: Verdict::Granted(fence) };
+            out.push(Output::Answer { to: from.clone(), answer });
         }
         true
     }
 
-    fn repeat_queued(&mut self, ask: &Ask, out: &mut Vec<Output>) -> bool {
+    fn repeat_queued(&mut self, now: Time, ask: &Ask, out: &mut Vec<Output>) -> bool {
         let Some(waiting) = self.queue.find(ask.id) else {
             return false;
         };
+        waiting.renewed = now;
         waiting.ask.attempt = waiting.ask.attempt.max(ask.attempt);
-        let answer = Answer {
-            id: ask.id,
-            attempt: ask.attempt,
-            verdict: Verdict::Queued,
-        };
-        out.push(Output::Answer {
-            to: waiting.from.clone(),
-            answer,
-        });
+        let answer = Answer { id: ask.id, attempt: ask.attempt, verdict: Verdict::Queued };
+        out.push(Output::Answer { to: waiting.from.clone(), answer });
         true
     }
 
     /// Why an ask cannot be taken, with a retry hint in milliseconds.
     fn objection(&self, now: Time, ask: &Ask) -> Option<(Reason, u32)> {
+        if self.leaving {
+            return Some((Reason::NoBackend, 0));
+        }
         if let Some(backoff) = self.backoffs.get(&ask.adapter)
             && now < backoff.until
         {
@@ -108,7 +87,7 @@
     }
 
     fn could_grant(&self, now: Time, adapter: &AdapterVersion) -> bool {
-        self.holds_fence(now) && self.is_ready(adapter) && self.pins.len() < self.batch()
+        self.may_grant(now) && self.is_ready(adapter) && self.pins.len() < self.batch()
     }
 
     /// The least time before a new request for the adapter can start.
@@ -123,22 +102,18 @@
     }
 
     pub(super) fn is_ready(&self, adapter: &AdapterVersion) -> bool {
-        self.slots
-            .get(adapter)
-            .is_some_and(|slot| slot.state == SlotState::Ready)
+        self.slots.get(adapter).is_some_and(|slot| slot.state == SlotState::Ready)
     }
 
     /// Grants waiting requests while the batch has room.
     pub(super) fn grant_waiting(&mut self, now: Time, out: &mut Vec<Output>) {
-        if !self.holds_fence(now) {
+        if !self.may_grant(now) {
             return;
         }
         while self.pins.len() < self.batch() {
             let slots = &self.slots;
             let ready = |a: &AdapterVersion| {
-                slots
-                    .get(a)
-                    .is_some_and(|slot| slot.state == SlotState::Ready)
+                slots.get(a).is_some_and(|slot| slot.state == SlotState::Ready)
             };
             let Some(waiting) = self.queue.next(self.tuning.background_every, ready) else {
                 return;
@@ -152,18 +127,10 @@
         if let Some(slot) = self.slots.get_mut(&ask.adapter) {
             slot.owed = false;
         }
-        let pin = Pin {
-            adapter: ask.adapter,
-            holder: Some(from.clone()),
-            granted_at: now,
-        };
+        let pin = Pin { adapter: ask.adapter, holder: Some(from.clone()), granted_at: now };
         self.pins.insert(ask.id, pin);
         let verdict = Verdict::Granted(self.fence);
-        let answer = Answer {
-            id: ask.id,
-            attempt: ask.attempt,
-            verdict,
-        };
+        let answer = Answer { id: ask.id, attempt: ask.attempt, verdict };
         out.push(Output::Answer { to: from, answer });
     }
 
@@ -189,6 +156,8 @@
     }
 
     pub(super) fn expire_waiting(&mut self, now: Time, out: &mut Vec<Output>) {
+        let ttl = self.tuning.waiter_ttl;
+        self.queue.take_where(|w| now.since(w.renewed) >= ttl);
         for waiting in self.queue.take_where(|w| now >= w.until) {
             out.push(Self::refuse(waiting, Reason::Deadline, BUSY_RETRY_MS));
         }
@@ -196,15 +165,8 @@
 
     pub(super) fn refuse(waiting: Waiting, reason: Reason, retry_ms: u32) -> Output {
         let verdict = Verdict::Refused { reason, retry_ms };
-        let answer = Answer {
-            id: waiting.ask.id,
-            attempt: waiting.ask.attempt,
-            verdict,
-        };
-        Output::Answer {
-            to: waiting.from,
-            answer,
-        }
+        let answer = Answer { id: waiting.ask.id, attempt: waiting.ask.attempt, verdict };
+        Output::Answer { to: waiting.from, answer }
     }
 
     /// Requests that wait in a class.
--- a/crates/portrack/src/owner/loading.rs
+++ b/crates/portrack/src/owner/loading.rs
@@ -3,9 +3,11 @@
 use super::engine::{Backoff, PendingOrder, Want};
 use super::{EngineOwner, OrderId, OrderKind, OrderResult, Output, Slot, SlotState};
 use crate::placement::{Candidate, cheapest};
-use crate::types::{AdapterVersion, Reason, Time};
+use crate::types::{AdapterVersion, Class, Reason, Time};
 use std::collections::BTreeMap;
 
+/// What a waiting interactive request counts for against a background one.
+const INTERACTIVE_WEIGHT: u32 = 4;
 /// Doublings of the load backoff before its cap is certain to hold.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -25,18 +27,12 @@
         let mut waiting: BTreeMap<AdapterVersion, Time> = BTreeMap::new();
         for waiter in self.queue.iter() {
             if !self.slots.contains_key(&waiter.ask.adapter) {
-                let since = waiting
-                    .entry(waiter.ask.adapter.clone())
-                    .or_insert(waiter.since);
+                let since = waiting.entry(waiter.ask.adapter.clone()).or_insert(waiter.since);
                 *since = (*since).min(waiter.since);
             }
         }
-        let unwanted: Vec<AdapterVersion> = self
-            .wants
-            .keys()
-            .filter(|a| !waiting.contains_key(*a))
-            .cloned()
-            .collect();
+        let unwanted: Vec<AdapterVersion> =
+            self.wants.keys().filter(|a| !waiting.contains_key(*a)).cloned().collect();
         for adapter in unwanted {
             self.wants.remove(&adapter);
             out.push(Output::PermitDone(adapter));
@@ -44,48 +40,40 @@
         for (adapter, since) in waiting {
             let blocked = self.backoffs.get(&adapter).is_some_and(|b| now < b.until);
             if !blocked {
-                self.wants.entry(adapter).or_insert(Want {
-                    since,
-                    ..Want::default()
-                });
+                self.wants.entry(adapter).or_insert(Want { since, ..Want::default() });
             }
         }
     }
 
     fn ask_permits(&mut self, now: Time, out: &mut Vec<Output>) {
         let room = self.spare_slots(now);
-        let mut by_age: Vec<_> = self
-            .wants
-            .iter()
-            .map(|(a, w)| (w.since, a.clone()))
-            .collect();
+        let mut by_age: Vec<_> = self.wants.iter().map(|(a, w)| (w.since, a.clone())).collect();
         by_age.sort();
         for (since, adapter) in by_age.into_iter().take(room) {
-            let waiting = self
-                .queue
-                .iter()
-                .filter(|w| w.ask.adapter == adapter)
-                .count();
+            let weight = self.weight(&adapter);
             let Some(want) = self.wants.get_mut(&adapter) else {
                 continue;
             };
-            let due = want
-                .asked_at
-                .is_none_or(|at| now.since(at) >= self.tuning.permit_every);
+            let due = want.asked_at.is_none_or(|at| now.since(at) >= self.tuning.permit_every);
             if want.permitted || !due {
                 continue;
             }
             want.asked_at = Some(now);
             let waited_ms = u32::try_from(now.since(since).as_millis()).unwrap_or(u32::MAX);
-            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-            out.push(Output::AskPermit {
-                adapter,
-                waited_ms,
-                waiting,
-            });
+            out.push(Output::AskPermit { adapter, waited_ms, weight });
         }
     }
 
+    /// Requests that wait for an adapter, interactive ones counted more.
+    fn weight(&self, adapter: &AdapterVersion) -> u32 {
+        let waiting = self.queue.iter().filter(|w| w.ask.adapter == *adapter);
+        let weights = waiting.map(|w| match w.ask.class {
+            Class::Interactive => INTERACTIVE_WEIGHT,
+            Class::Background => 1,
+        });
+        weights.sum()
+    }
+
     pub(super) fn permitted(&mut self, adapter: &AdapterVersion) {
         if let Some(want) = self.wants.get_mut(adapter) {
             want.permitted = true;
@@ -93,12 +81,8 @@
     }
 
     fn load_permitted(&mut self, now: Time, out: &mut Vec<Output>) {
-        let ready: Vec<_> = self
-            .wants
-            .iter()
-            .filter(|(_, w)| w.permitted)
-            .map(|(a, _)| a.clone())
-            .collect();
+        let ready: Vec<_> =
+            self.wants.iter().filter(|(_, w)| w.permitted).map(|(a, _)| a.clone()).collect();
         for adapter in ready {
             if self.slots.len() < self.slot_count() {
                 self.wants.remove(&adapter);
@@ -114,9 +98,7 @@
     }
 
     fn is_unloading(&self) -> bool {
-        self.slots
-            .values()
-            .any(|slot| matches!(slot.state, SlotState::Unloading(_)))
+        self.slots.values().any(|slot| matches!(slot.state, SlotState::Unloading(_)))
     }
 
     fn make_room(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -140,14 +122,8 @@
         }
         let in_use = |adapter: &AdapterVersion| {
             self.pins.values().any(|pin| pin.adapter == *adapter)
-                || report
-                    .running
-                    .iter()
-                    .any(|running| running.adapter == *adapter)
-                || self
-                    .queue
-                    .iter()
-                    .any(|waiting| waiting.ask.adapter == *adapter)
+                || report.running.iter().any(|running| running.adapter == *adapter)
+                || self.queue.iter().any(|waiting| waiting.ask.adapter == *adapter)
         };
         let shown_idle = |slot: &Slot| report.asked_at >= slot.idle_since + self.tuning.report_lag;
         let held_enough = |slot: &Slot| now.since(slot.since) >= self.tuning.min_hold;
@@ -204,12 +180,10 @@
             OrderResult::Done => {
                 self.times.observe(now.since(order.since));
                 self.backoffs.remove(&adapter);
-                self.slots
-                    .insert(adapter, Slot::new(SlotState::Ready, now, true));
+                self.slots.insert(adapter, Slot::new(SlotState::Ready, now, true));
             }
             OrderResult::Unknown => {
-                self.slots
-                    .insert(adapter, Slot::new(SlotState::Unsure(now), now, true));
+                self.slots.insert(adapter, Slot::new(SlotState::Unsure(now), now, true));
             }
             OrderResult::Failed | OrderResult::Fenced(_) => {
                 self.slots.remove(&adapter);
@@ -223,10 +197,7 @@
         let failures = self.backoffs.get(adapter).map_or(0, |b| b.failures);
         let factor = 2_u32.pow(failures.min(MAX_DOUBLINGS));
         let wait = (self.tuning.load_backoff * factor).min(self.tuning.load_backoff_cap);
-        let backoff = Backoff {
-            failures: failures + 1,
-            until: now + wait,
-        };
+        let backoff = Backoff { failures: failures + 1, until: now + wait };
         self.backoffs.insert(adapter.clone(), backoff);
         let retry = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         for waiting in self.queue.take_where(|w| w.ask.adapter == *adapter) {
@@ -240,10 +211,7 @@
             self.unloaded.insert(adapter.clone(), now);
             return;
         }
-        self.slots.insert(
-            adapter.clone(),
-            Slot::new(SlotState::Unsure(now), now, false),
-        );
+        self.slots.insert(adapter.clone(), Slot::new(SlotState::Unsure(now), now, false));
     }
 
     /// Orders without an answer for too long count as unknown.
--- a/crates/portrack/src/owner/mod.rs
+++ b/crates/portrack/src/owner/mod.rs
@@ -22,7 +22,7 @@
 
 pub use answer::{Answer, Verdict};
 pub use ask::Ask;
-pub use engine::EngineOwner;
+pub use engine::{EngineOwner, Lock};
 pub use event::{Event, Output};
 pub use load::LoadTimes;
 pub use order::{Order, OrderId, OrderKind, OrderResult};
--- a/crates/portrack/src/owner/queue.rs
+++ b/crates/portrack/src/owner/queue.rs
@@ -15,6 +15,8 @@
     pub since: Time,
     /// When it is refused if still waiting.
     pub until: Time,
+    /// When its entry node last asked.
+    pub renewed: Time,
 }
 
 /// Two bounded queues, one a class, each first come, first served.
@@ -53,10 +55,7 @@
 
     /// The request of this reservation.
     pub fn find(&mut self, id: ReservationId) -> Option<&mut Waiting> {
-        let mut all = self
-            .interactive
-            .iter_mut()
-            .chain(self.background.iter_mut());
+        let mut all = self.interactive.iter_mut().chain(self.background.iter_mut());
         all.find(|w| w.ask.id == id)
     }
 
--- a/crates/portrack/src/owner/reconcile.rs
+++ b/crates/portrack/src/owner/reconcile.rs
@@ -1,15 +1,15 @@
 //! Brings the owner's picture of slots and pins in line with the engine's reports.
 
-use super::{EngineOwner, Pin, Report, Slot, SlotState};
+use super::{EngineOwner, Lock, Pin, Report, Slot, SlotState};
 use crate::types::{AdapterVersion, Time};
 
 impl EngineOwner {
     pub(super) fn reconcile(&mut self, now: Time, report: Report) {
-        self.confirmed = Some(report.asked_at);
-        let restarted = self
-            .report
-            .as_ref()
-            .is_some_and(|last| last.epoch != report.epoch);
+        self.confirmed = match self.lock() {
+            Lock::Fence => Some(report.asked_at),
+            Lock::Lease => report.lease_at,
+        };
+        let restarted = self.report.as_ref().is_some_and(|last| last.epoch != report.epoch);
         if restarted {
             self.slots.clear();
             self.orders.clear();
@@ -49,18 +49,14 @@
             if self.slots.contains_key(adapter) || self.unloaded_since(adapter, report.asked_at) {
                 continue;
             }
-            self.slots
-                .insert(adapter.clone(), Slot::new(SlotState::Ready, now, false));
+            self.slots.insert(adapter.clone(), Slot::new(SlotState::Ready, now, false));
             self.changed();
         }
         for adapter in &report.loading {
             if self.slots.contains_key(adapter) {
                 continue;
             }
-            self.slots.insert(
-                adapter.clone(),
-                Slot::new(SlotState::Unsure(now), now, false),
-            );
+            self.slots.insert(adapter.clone(), Slot::new(SlotState::Unsure(now), now, false));
             self.changed();
         }
     }
@@ -68,19 +64,13 @@
     /// True if we unloaded the adapter so recently that the report may still show it.
     fn unloaded_since(&self, adapter: &AdapterVersion, asked_at: Time) -> bool {
         let lag = self.tuning.report_lag;
-        self.unloaded
-            .get(adapter)
-            .is_some_and(|at| asked_at < *at + lag)
+        self.unloaded.get(adapter).is_some_and(|at| asked_at < *at + lag)
     }
 
     /// The engine's word decides on pins that are past their start window.
     fn settle_pins(&mut self, now: Time, report: &Report) {
         for running in &report.running {
-            let pin = Pin {
-                adapter: running.adapter.clone(),
-                holder: None,
-                granted_at: now,
-            };
+            let pin = Pin { adapter: running.adapter.clone(), holder: None, granted_at: now };
             self.pins.entry(running.id).or_insert(pin);
         }
         let window = self.tuning.start_window();
--- a/crates/portrack/src/owner/report.rs
+++ b/crates/portrack/src/owner/report.rs
@@ -19,8 +19,12 @@
     pub asked_at: Time,
     /// Changes when the engine restarts.
     pub epoch: u64,
-    /// The highest fence accepted.
+    /// The highest fence accepted; for an engine that checks none, the fence of our lease.
     pub fence: Fence,
+    /// For an engine that checks no fence: when the renewal of our lease was last sent.
+    pub lease_at: Option<Time>,
+    /// True once the engine is leaving.
+    pub leaving: bool,
     /// The adapters in slots.
     pub loaded: Vec<AdapterVersion>,
     /// The adapters that are being loaded.
--- a/crates/portrack/src/owner/slot.rs
+++ b/crates/portrack/src/owner/slot.rs
@@ -32,11 +32,6 @@
 impl Slot {
     /// A slot that enters `state` at `now`.
     pub fn new(state: SlotState, now: Time, owed: bool) -> Self {
-        Self {
-            state,
-            since: now,
-            idle_since: now,
-            owed,
-        }
+        Self { state, since: now, idle_since: now, owed }
     }
 }
--- a/crates/portrack/src/owner/tuning.rs
+++ b/crates/portrack/src/owner/tuning.rs
@@ -7,6 +7,8 @@
 pub struct Tuning {
     /// Grants need a report that showed our fence, asked for at most this long ago.
     pub grant_validity: Duration,
+    /// Orders to an engine that checks no fence need a lease renewed at most this long ago.
+    pub lease_validity: Duration,
     /// A grant must be started within this, counted by the entry node from its ask.
     pub start_within: Duration,
     /// Covers the way of a started request to the engine.
@@ -25,6 +27,8 @@
     pub demand_half_life: Duration,
     /// Requests that may wait in each class.
     pub queue_len: usize,
+    /// A waiting request whose entry node is silent for this long is dropped.
+    pub waiter_ttl: Duration,
     /// One grant in this many goes to background work, if any waits.
     pub background_every: u32,
     /// First wait after a failed load; doubles with each further failure.
@@ -49,6 +53,7 @@
     fn default() -> Self {
         Self {
             grant_validity: Duration::from_millis(1_500),
+            lease_validity: Duration::from_secs(6),
             start_within: Duration::from_millis(1_000),
             start_margin: Duration::from_millis(500),
             report_lag: Duration::from_millis(500),
@@ -58,6 +63,7 @@
             min_hold: Duration::from_secs(2),
             demand_half_life: Duration::from_secs(300),
             queue_len: 64,
+            waiter_ttl: Duration::from_millis(2_500),
             background_every: 8,
             load_backoff: Duration::from_millis(500),
             load_backoff_cap: Duration::from_secs(30),
--- a/crates/portrack/src/placement/demand.rs
+++ b/crates/portrack/src/placement/demand.rs
@@ -23,10 +23,7 @@
 impl Demand {
     /// An empty table.
     pub fn new(half_life: Duration) -> Self {
-        Self {
-            half_life_ms: half_life.as_millis().max(1) as f64,
-            counts: HashMap::new(),
-        }
+        Self { half_life_ms: half_life.as_millis().max(1) as f64, counts: HashMap::new() }
     }
 
     fn decayed(&self, count: Count, now: Time) -> f64 {
@@ -37,15 +34,12 @@
     /// Counts one request.
     pub fn note(&mut self, adapter: &AdapterVersion, now: Time) {
         let value = self.of(adapter, now) + 1.0;
-        self.counts
-            .insert(adapter.clone(), Count { value, at: now });
+        self.counts.insert(adapter.clone(), Count { value, at: now });
     }
 
     /// The decayed count of an adapter.
     pub fn of(&self, adapter: &AdapterVersion, now: Time) -> f64 {
-        self.counts
-            .get(adapter)
-            .map_or(0.0, |count| self.decayed(*count, now))
+        self.counts.get(adapter).map_or(0.0, |count| self.decayed(*count, now))
     }
 
     /// Forgets adapters that are hardly asked for.
--- a/crates/portrack/src/placement/evict.rs
+++ b/crates/portrack/src/placement/evict.rs
@@ -19,9 +19,7 @@
     let order = |a: &Candidate, b: &Candidate| {
         let by_demand = a.demand.total_cmp(&b.demand);
         let by_age = a.idle_since.cmp(&b.idle_since);
-        by_demand
-            .then(by_age)
-            .then_with(|| a.adapter.cmp(&b.adapter))
+        by_demand.then(by_age).then_with(|| a.adapter.cmp(&b.adapter))
     };
     candidates.into_iter().min_by(order).map(|c| c.adapter)
 }
--- /dev/null
+++ b/crates/portrack/src/platform/etcd.rs
@@ -0,0 +1,231 @@
+//! The key-value service by the JSON gateway of etcd v3.
+
+use super::kv::{Kv, KvError, KvHeld, KvList, KvPut, LocalFuture};
+use awc::error::SendRequestError;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest answer taken, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// A client of one endpoint.
+#[derive(Clone)]
+pub struct Etcd {
+    client: awc::Client,
+    endpoint: String,
+    calls: Rc<Cell<u64>>,
+}
+
+impl Etcd {
+    /// A client of `endpoint`, `http://host:port`.
+    pub fn new(endpoint: impl Into<String>) -> Self {
+        let client = awc::Client::builder().timeout(TIMEOUT).finish();
+        Self { client, endpoint: endpoint.into(), calls: Rc::default() }
+    }
+
+    /// Calls made so far, watches included.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    async fn call(&self, path: &str, body: Value) -> Result<Value, KvError> {
+        self.calls.set(self.calls.get() + 1);
+        let url = format!("{}/v3/{path}", self.endpoint);
+        let mut response = self.client.post(url).send_json(&body).await.map_err(classify)?;
+        if !response.status().is_success() {
+            return Err(KvError::Unknown);
+        }
+        let body = response.body().limit(MAX_ANSWER).await.map_err(|_| KvError::Unknown)?;
+        serde_json::from_slice(&body).map_err(|_| KvError::Unknown)
+    }
+
+    async fn range(&self, body: Value) -> Result<KvList, KvError> {
+        let answer = self.call("kv/range", body).await?;
+        let revision = number(&answer["header"]["revision"]).ok_or(KvError::Unknown)?;
+        let kvs = answer["kvs"].as_array().cloned().unwrap_or_default();
+        let entries = kvs.iter().map(held).collect::<Option<_>>().ok_or(KvError::Unknown)?;
+        Ok(KvList { revision, entries })
+    }
+
+    async fn txn(&self, compare: Value, puts: Vec<Value>) -> Result<Option<u64>, KvError> {
+        let success: Vec<Value> =
+            puts.into_iter().map(|put| json!({ "request_put": put })).collect();
+        let body = json!({ "compare": [compare], "success": success });
+        let answer = self.call("kv/txn", body).await?;
+        if answer["succeeded"] != json!(true) {
+            return Ok(None);
+        }
+        number(&answer["header"]["revision"]).map(Some).ok_or(KvError::Unknown)
+    }
+
+    async fn watch_once(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Vec<KvHeld>, KvError> {
+        self.calls.set(self.calls.get() + 1);
+        let create = json!({ "create_request": {
+            "key": STANDARD.encode(prefix),
+            "range_end": STANDARD.encode(prefix_end(prefix)),
+            "start_revision": revision.to_string(),
+        }});
+        let request = self.client.post(format!("{}/v3/watch", self.endpoint)).timeout(wait);
+        let mut response = request.send_json(&create).await.map_err(classify)?;
+        if !response.status().is_success() {
+            return Err(KvError::Unavailable);
+        }
+        let reading = read_events(&mut response);
+        actix_rt::time::timeout(wait, reading).await.unwrap_or(Ok(Vec::new()))
+    }
+}
+
+/// Reads lines of the watch until one has events.
+async fn read_events<S>(response: &mut awc::ClientResponse<S>) -> Result<Vec<KvHeld>, KvError>
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut buffer = BytesMut::new();
+    while let Some(chunk) = response.next().await {
+        buffer.extend_from_slice(&chunk.map_err(|_| KvError::Unavailable)?);
+        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+            let line = buffer.split_to(end + 1);
+            let value: Value = serde_json::from_slice(&line).map_err(|_| KvError::Unavailable)?;
+            let events = value["result"]["events"].as_array().cloned().unwrap_or_default();
+            let puts = events.iter().filter(|event| event["type"] != json!("DELETE"));
+            let held: Vec<KvHeld> = puts.filter_map(|event| held(&event["kv"])).collect();
+            if !held.is_empty() {
+                return Ok(held);
+            }
+        }
+    }
+    Err(KvError::Unavailable)
+}
+
+/// A call whose connection never came about was certainly not carried out.
+fn classify(error: SendRequestError) -> KvError {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => KvError::Unavailable,
+        _ => KvError::Unknown,
+    }
+}
+
+/// The gateway writes 64-bit numbers as strings.
+fn number(value: &Value) -> Option<u64> {
+    value.as_u64().or_else(|| value.as_str()?.parse().ok())
+}
+
+fn text(value: &Value) -> Option<Vec<u8>> {
+    STANDARD.decode(value.as_str()?).ok()
+}
+
+fn held(kv: &Value) -> Option<KvHeld> {
+    let key = String::from_utf8(text(&kv["key"])?).ok()?;
+    let revision = number(&kv["mod_revision"])?;
+    let value = text(&kv["value"]).unwrap_or_default();
+    Some(KvHeld { key, revision, value })
+}
+
+/// The first key after all that begin with `prefix`.
+fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    end
+}
+
+impl Kv for Etcd {
+    fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<KvHeld>, KvError>> {
+        Box::pin(async move {
+            let list = self.range(json!({ "key": STANDARD.encode(key) })).await?;
+            Ok(list.entries.into_iter().next())
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<KvList, KvError>> {
+        let body = json!({
+            "key": STANDARD.encode(prefix),
+            "range_end": STANDARD.encode(prefix_end(prefix)),
+        });
+        Box::pin(self.range(body))
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        revision: u64,
+        puts: Vec<KvPut>,
+    ) -> LocalFuture<'a, Result<Option<u64>, KvError>> {
+        let compare = json!({
+            "key": STANDARD.encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        });
+        let puts = puts.iter().map(
+            |put| json!({ "key": STANDARD.encode(&put.key), "value": STANDARD.encode(&put.value) }),
+        );
+        Box::pin(self.txn(compare, puts.collect()))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        revision: u64,
+        wait: Duration,
+    ) -> LocalFuture<'a, Result<Vec<KvHeld>, KvError>> {
+        Box::pin(self.watch_once(prefix, revision, wait))
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> LocalFuture<'_, Result<u64, KvError>> {
+        Box::pin(async move {
+            let body = json!({ "TTL": ttl.as_secs().max(1).to_string() });
+            let answer = self.call("lease/grant", body).await?;
+            number(&answer["ID"]).ok_or(KvError::Unknown)
+        })
+    }
+
+    fn renew_lease(&self, lease: u64) -> LocalFuture<'_, Result<bool, KvError>> {
+        Box::pin(async move {
+            let answer = self.call("lease/keepalive", json!({ "ID": lease.to_string() })).await?;
+            let ttl = number(&answer["result"]["TTL"]);
+            Ok(ttl.is_some_and(|ttl| ttl > 0))
+        })
+    }
+
+    fn create_leased<'a>(
+        &'a self,
+        key: &'a str,
+        value: Vec<u8>,
+        lease: u64,
+    ) -> LocalFuture<'a, Result<Option<u64>, KvError>> {
+        let compare = json!({
+            "key": STANDARD.encode(key),
+            "target": "CREATE",
+            "result": "EQUAL",
+            "create_revision": "0",
+        });
+        let put = json!({
+            "key": STANDARD.encode(key),
+            "value": STANDARD.encode(&value),
+            "lease": lease.to_string(),
+        });
+        Box::pin(self.txn(compare, vec![put]))
+    }
+
+    fn revoke_lease(&self, lease: u64) -> LocalFuture<'_, Result<(), KvError>> {
+        Box::pin(async move {
+            self.call("lease/revoke", json!({ "ID": lease.to_string() })).await?;
+            Ok(())
+        })
+    }
+}
--- a/crates/portrack/src/reserve/request.rs
+++ b/crates/portrack/src/reserve/request.rs
@@ -27,17 +27,13 @@
     patience: Patience,
     current: Option<Current>,
     last_refusal: Option<(Reason, Duration)>,
+    started: bool,
 }
 
 impl Request {
     /// A request that has asked nobody yet.
     pub fn new(spec: Spec, patience: Patience) -> Self {
-        Self {
-            spec,
-            patience,
-            current: None,
-            last_refusal: None,
-        }
+        Self { spec, patience, current: None, last_refusal: None, started: false }
     }
 
     /// What is sought, with the engines tried so far.
@@ -71,6 +67,9 @@
 
     /// Repeats, renews or ends the current ask.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        if self.started {
+            return Vec::new();
+        }
         if now >= self.spec.deadline {
             return self.too_late();
         }
@@ -122,10 +121,7 @@
                 Vec::new()
             }
             Verdict::Granted(fence) => {
-                let sent = current
-                    .sent
-                    .iter()
-                    .find(|(attempt, _)| *attempt == answer.attempt);
+                let sent = current.sent.iter().find(|(attempt, _)| *attempt == answer.attempt);
                 let start_by = sent.map(|(_, at)| *at + self.patience.start_within);
                 let Some(start_by) = start_by.filter(|by| now < *by) else {
                     current.next = now;
@@ -133,12 +129,8 @@
                 };
                 let (engine, id, fence) = (current.engine.clone(), current.id, *fence);
                 self.current = None;
-                vec![Action::Start(Grant {
-                    engine,
-                    id,
-                    fence,
-                    start_by,
-                })]
+                self.started = true;
+                vec![Action::Start(Grant { engine, id, fence, start_by })]
             }
             Verdict::Refused { reason, retry_ms } => {
                 self.elsewhere(*reason, Duration::from_millis(u64::from(*retry_ms)))
@@ -148,6 +140,7 @@
 
     /// The engine said that it did not run the request: another one is chosen.
     pub fn not_run(&mut self, engine: EngineName) -> Vec<Action> {
+        self.started = false;
         self.spec.wanted.tried.push(engine);
         self.last_refusal = Some((Reason::NoBackend, Duration::from_secs(1)));
         self.choose_or_stop()
--- a/crates/portrack/src/router/choice.rs
+++ b/crates/portrack/src/router/choice.rs
@@ -42,6 +42,7 @@
         let usable = |state: &&EngineState| {
             !state.server.leaving
                 && state.base() == Some(&wanted.base)
+                && wanted.node_class.as_ref().is_none_or(|class| *class == state.server.class)
                 && !wanted.tried.contains(&state.server.name)
                 && is_owned(state)
         };
@@ -55,10 +56,7 @@
             (None, cold) => cold?,
         };
         let path = path(best, wanted);
-        Some(Choice {
-            engine: best.server.name.clone(),
-            path,
-        })
+        Some(Choice { engine: best.server.name.clone(), path })
     }
 
     /// The best of the first few engines in the adapter's own order, so that all entry nodes
--- a/crates/portrack/src/router/prefix.rs
+++ b/crates/portrack/src/router/prefix.rs
@@ -15,11 +15,7 @@
     /// A memory of at most `capacity` prefixes.
     pub fn new(capacity: usize) -> Self {
         let half = (capacity / 2).max(1);
-        Self {
-            half,
-            young: HashMap::new(),
-            old: HashMap::new(),
-        }
+        Self { half, young: HashMap::new(), old: HashMap::new() }
     }
 
     /// Notes that the engine has the prefix cached.
--- a/crates/portrack/src/router/view.rs
+++ b/crates/portrack/src/router/view.rs
@@ -16,12 +16,8 @@
     /// Takes the node list in. Servers that are not in it any more are forgotten.
     pub fn servers(&mut self, now: Time, list: Vec<BackendServer>) {
         let names: BTreeSet<EngineName> = list.iter().map(|s| s.name.clone()).collect();
-        let gone: Vec<EngineName> = self
-            .engines
-            .keys()
-            .filter(|name| !names.contains(*name))
-            .cloned()
-            .collect();
+        let gone: Vec<EngineName> =
+            self.engines.keys().filter(|name| !names.contains(*name)).cloned().collect();
         for name in gone {
             self.forget_holdings(&name);
             self.engines.remove(&name);
@@ -64,10 +60,7 @@
         }
         self.forget_holdings(&name);
         for adapter in holdings.ready.iter().chain(&holdings.loading) {
-            self.holders
-                .entry(adapter.clone())
-                .or_default()
-                .insert(name.clone());
+            self.holders.entry(adapter.clone()).or_default().insert(name.clone());
         }
         if let Some(state) = self.engines.get_mut(&name) {
             state.holdings = Some(holdings);
@@ -94,10 +87,7 @@
 
     /// Counts a request that was just granted, until the owner's next word.
     pub fn note_grant(&mut self, engine: &EngineName) {
-        let load = self
-            .engines
-            .get_mut(engine)
-            .and_then(|state| state.load.as_mut());
+        let load = self.engines.get_mut(engine).and_then(|state| state.load.as_mut());
         if let Some(load) = load {
             load.free = load.free.saturating_sub(1);
         }
@@ -126,10 +116,6 @@
                 BackendKind::Service { service: s } if s == service);
             same && !state.server.leaving
         };
-        self.engines
-            .values()
-            .filter(serves)
-            .map(|state| &state.server)
-            .collect()
+        self.engines.values().filter(serves).map(|state| &state.server).collect()
     }
 }
--- a/crates/portrack/src/router/want.rs
+++ b/crates/portrack/src/router/want.rs
@@ -9,6 +9,8 @@
     pub adapter: AdapterVersion,
     /// The adapter's base model.
     pub base: BaseName,
+    /// The hardware generation that a rule holds it to, if any.
+    pub node_class: Option<String>,
     /// How urgent it is.
     pub class: Class,
     /// Hash of the beginning of the prompt.
--- /dev/null
+++ b/crates/portrack/src/settings/mod.rs
@@ -0,0 +1,31 @@
+//! Settings: the bootstrap file of a daemon, and the tree that operators change.
+
+mod adapter;
+mod book;
+mod bootstrap;
+mod bucket;
+mod change;
+mod effective;
+mod error;
+mod keys;
+mod path;
+mod plain;
+mod resolve;
+mod rule;
+mod secrets;
+mod store;
+
+pub use adapter::{AdapterSpec, VersionSpec};
+pub use book::{Applied, Book};
+pub use bootstrap::{Bootstrap, LogSettings, PeerSettings, PlatformSettings};
+pub use bucket::{BUCKETS, Entry, EntryBody, FORMAT, adapter_key, decode, encode, tree_key};
+pub use change::{Change, Edit};
+pub use effective::Effective;
+pub use error::SettingsError;
+pub use keys::{KEYS, KeySpec, Overrides};
+pub use path::{Level, PathError, TreePath};
+pub use plain::PlainService;
+pub use resolve::{Explained, Place};
+pub use rule::{Route, Rule};
+pub use secrets::{Operator, Operators};
+pub use store::{Accepted, ChangeError, Store};
--- /dev/null
+++ b/crates/portrack/src/settings/secrets.rs
@@ -0,0 +1,70 @@
+//! The operators' tokens.
+
+use super::SettingsError;
+use super::error::ReadSnafu;
+use snafu::ResultExt;
+use std::path::Path;
+use subtle::ConstantTimeEq;
+
+/// The shortest token accepted, in bytes.
+const MIN_TOKEN: usize = 16;
+/// The name in the trail where no tokens are set up.
+const ANONYMOUS: &str = "loopback";
+
+/// An operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operator {
+    /// The name that the audit trail shows.
+    pub name: String,
+}
+
+/// Who may operate: a `name token` pair a line.
+#[derive(Clone, Default)]
+pub struct Operators(Option<Vec<(String, String)>>);
+
+impl Operators {
+    /// Anybody who reaches the listener, under one name.
+    pub fn anybody() -> Self {
+        Self(None)
+    }
+
+    /// Reads a token file.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
+        let mut all = Vec::new();
+        for (at, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let pair = line.split_once(char::is_whitespace);
+            let pair = pair.map(|(name, token)| (name.to_owned(), token.trim().to_owned()));
+            match pair.filter(|(_, token)| token.len() >= MIN_TOKEN) {
+                Some(pair) => all.push(pair),
+                None => {
+                    return Err(SettingsError::Parse {
+                        file: file.to_owned(),
+                        line: at + 1,
+                        message: format!("expected: name token, of at least {MIN_TOKEN} bytes"),
+                    });
+                }
+            }
+        }
+        Ok(Self(Some(all)))
+    }
+
+    /// Who sent this `Authorization` header. Compares every token in constant time.
+    pub fn identify(&self, header: Option<&str>) -> Option<Operator> {
+        let Some(all) = &self.0 else {
+            return Some(Operator { name: ANONYMOUS.to_owned() });
+        };
+        let token = header?.strip_prefix("Bearer ")?.trim();
+        let mut found = None;
+        for (name, secret) in all {
+            if bool::from(secret.as_bytes().ct_eq(token.as_bytes())) {
+                found = Some(Operator { name: name.clone() });
+            }
+        }
+        found
+    }
+}
--- a/crates/portrack/src/types/refusal.rs
+++ b/crates/portrack/src/types/refusal.rs
@@ -79,22 +79,12 @@
 impl Refusal {
     /// A refusal of a request that certainly did not run.
     pub fn not_run(reason: Reason, detail: impl Into<String>) -> Self {
-        Self {
-            reason,
-            run: Run::No,
-            retry_after: None,
-            detail: detail.into(),
-        }
+        Self { reason, run: Run::No, retry_after: None, detail: detail.into() }
     }
 
     /// A failure after which the request may have run.
     pub fn unknown(reason: Reason, detail: impl Into<String>) -> Self {
-        Self {
-            reason,
-            run: Run::Unknown,
-            retry_after: None,
-            detail: detail.into(),
-        }
+        Self { reason, run: Run::Unknown, retry_after: None, detail: detail.into() }
     }
 
     /// The same refusal with a time to come back.
--- a/crates/portrack/src/wire/codec.rs
+++ b/crates/portrack/src/wire/codec.rs
@@ -26,13 +26,7 @@
     let body = postcard::to_allocvec(envelope).context(MalformedSnafu)?;
     let datagram = seal_bytes(ring, &body);
     let size = datagram.len();
-    ensure!(
-        size <= MAX_DATAGRAM,
-        super::error::TooLargeSnafu {
-            size,
-            limit: MAX_DATAGRAM
-        }
-    );
+    ensure!(size <= MAX_DATAGRAM, super::error::TooLargeSnafu { size, limit: MAX_DATAGRAM });
     Ok(datagram)
 }
 
@@ -44,13 +38,7 @@
     datagram: &[u8],
 ) -> Result<(Instance, u64, Message), WireError> {
     let size = datagram.len();
-    ensure!(
-        size <= MAX_DATAGRAM,
-        super::error::TooLargeSnafu {
-            size,
-            limit: MAX_DATAGRAM
-        }
-    );
+    ensure!(size <= MAX_DATAGRAM, super::error::TooLargeSnafu { size, limit: MAX_DATAGRAM });
     let body = open_bytes(ring, datagram)?;
     let envelope: Envelope = postcard::from_bytes(body).context(MalformedSnafu)?;
     ensure!(envelope.cluster == cluster, super::error::ClusterSnafu);
--- a/crates/portrack/src/wire/frame.rs
+++ b/crates/portrack/src/wire/frame.rs
@@ -43,13 +43,7 @@
     let body = postcard::to_allocvec(body).context(MalformedSnafu)?;
     let sealed = seal_bytes(ring, &body);
     let size = sealed.len();
-    ensure!(
-        size <= MAX_FRAME,
-        TooLargeSnafu {
-            size,
-            limit: MAX_FRAME
-        }
-    );
+    ensure!(size <= MAX_FRAME, TooLargeSnafu { size, limit: MAX_FRAME });
     let length = u32::try_from(size).expect("the limit fits");
     let mut frame = length.to_be_bytes().to_vec();
     frame.extend_from_slice(&sealed);
--- a/crates/portrack/src/wire/key.rs
+++ b/crates/portrack/src/wire/key.rs
@@ -102,7 +102,5 @@
         return None;
     }
     let digits = (0..text.len()).step_by(2).map(|at| &text[at..at + 2]);
-    digits
-        .map(|pair| u8::from_str_radix(pair, 16).ok())
-        .collect()
+    digits.map(|pair| u8::from_str_radix(pair, 16).ok()).collect()
 }
--- a/crates/portrack/src/wire/message.rs
+++ b/crates/portrack/src/wire/message.rs
@@ -160,14 +160,8 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 6] = [
-        Self::Heartbeat,
-        Self::Holdings,
-        Self::Reserve,
-        Self::Permit,
-        Self::Key,
-        Self::Settings,
-    ];
+    pub const ALL: [Self; 6] =
+        [Self::Heartbeat, Self::Holdings, Self::Reserve, Self::Permit, Self::Key, Self::Settings];
 
     /// The kind as a metric label.
     pub fn as_str(self) -> &'static str {
--- a/crates/portrack/src/wire/replay.rs
+++ b/crates/portrack/src/wire/replay.rs
@@ -21,20 +21,12 @@
             return Err(WireError::Replayed);
         }
         if from.incarnation > self.incarnation {
-            *self = Self {
-                incarnation: from.incarnation,
-                highest: seq,
-                seen: 1,
-            };
+            *self = Self { incarnation: from.incarnation, highest: seq, seen: 1 };
             return Ok(());
         }
         if seq > self.highest {
             let ahead = seq - self.highest;
-            self.seen = if ahead < WINDOW {
-                self.seen << ahead
-            } else {
-                0
-            };
+            self.seen = if ahead < WINDOW { self.seen << ahead } else { 0 };
             self.seen |= 1;
             self.highest = seq;
             return Ok(());
