--- /dev/null
+++ b/crates/portrack-cli/src/commands/mod.rs
@@ -0,0 +1,13 @@
+//! The commands that talk to a daemon.
+
+mod adapter;
+mod apply;
+mod audit;
+mod settings;
+mod status;
+
+pub use adapter::adapter;
+pub use apply::apply;
+pub use audit::audit;
+pub use settings::{explain, get, set, unset};
+pub use status::{drain, status};
--- a/crates/portrack/src/daemon/completion.rs
+++ b/crates/portrack/src/daemon/completion.rs
@@ -7,14 +7,16 @@
 use super::place::Place;
 use super::prompt::Prompt;
 use crate::engine::{Call, Chunk, ChunkStream, Endpoint, OpenError};
-use crate::http::{self, Meta, Reply, read_body};
+use crate::http::{self, Meta, Reply, headers, read_body};
 use crate::node::Input;
 use crate::reserve::{Spec, Token};
 use crate::router::Wanted;
 use crate::types::{AdapterVersion, EngineName, Reason, Refusal, Run, Time};
 use crate::wire::KeyVerdict;
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, StatusCode};
 use bytes::Bytes;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
@@ -40,6 +42,7 @@
     wanted: Wanted,
     deadline: Time,
     arrived: Time,
+    waited: Rc<Cell<Duration>>,
     once: bool,
     key: Option<Token>,
     _in_flight: InFlightGuard,
@@ -82,6 +85,7 @@
             wanted,
             deadline,
             arrived,
+            waited: Rc::default(),
             once: meta.repeatable == Some(false) || key.is_some(),
             key,
             _in_flight: in_flight,
@@ -98,7 +102,7 @@
     /// Streams: the head goes out once the first chunk is there, so that a refusal before it is
     /// still a plain refusal.
     async fn answer_stream(self) -> Reply {
-        let core = self.core.clone();
+        let (core, waited) = (self.core.clone(), self.waited.clone());
         let (sender, mut receiver) = channel::<Result<Bytes, std::io::Error>>(CHUNKS_AHEAD);
         let (refused, refusal) = tokio::sync::oneshot::channel();
         actix_rt::spawn(async move {
@@ -113,7 +117,8 @@
                     Some((receiver.recv().await?, receiver))
                 });
                 let first = futures_util::stream::once(async { first });
-                http::events(futures_util::StreamExt::chain(first, rest))
+                let reply = http::events(futures_util::StreamExt::chain(first, rest));
+                with_wait(reply, waited.get())
             }
             None => match refusal.await {
                 Ok(refusal) => refuse(&core, &refusal),
@@ -123,10 +128,12 @@
     }
 
     async fn answer_whole(self) -> Reply {
-        let core = self.core.clone();
+        let (core, waited) = (self.core.clone(), self.waited.clone());
         let mut sink = Sink::Whole(Answer::new(self.endpoint));
         match (self.run(&mut sink).await, sink) {
-            (Ok(()), Sink::Whole(answer)) => http::json(StatusCode::OK, &answer.finish()),
+            (Ok(()), Sink::Whole(answer)) => {
+                with_wait(http::json(StatusCode::OK, &answer.finish()), waited.get())
+            }
             (Err(refusal), _) => refuse(&core, &refusal),
             (Ok(()), Sink::Stream { .. }) => refuse(&core, &lost()),
         }
@@ -150,13 +157,17 @@
 
     /// Tries engines until one answers, as far as the request may be repeated.
     async fn attempts(&mut self, sink: &mut Sink) -> Result<(), Refusal> {
+        let mut lost_before = false;
         loop {
             let spec = Spec { wanted: self.wanted.clone(), deadline: self.deadline };
             let mut place = Place::seek(&self.core, spec);
-            let (engine, error) = match self.attempt(&mut place, sink).await? {
-                Ended::Whole => return Ok(()),
-                Ended::Lost(engine, error) => (engine, error),
+            let (engine, error) = match self.attempt(&mut place, sink).await {
+                Ok(Ended::Whole) => return Ok(()),
+                Ok(Ended::Lost(engine, error)) => (engine, error),
+                Err(refusal) if lost_before => return Err(refusal.after_a_run()),
+                Err(refusal) => return Err(refusal),
             };
+            lost_before = true;
             place.cancel().await;
             sink.restart(self.endpoint);
             let may_repeat = !self.once && !sink.forwarded();
@@ -192,6 +203,7 @@
                 Ok(stream) => {
                     let waited = self.core.now().since(self.arrived);
                     self.core.metrics.start_wait.observe(waited.as_secs_f64());
+                    self.waited.set(waited);
                     let passed = self.pass_on(stream, &server.address, sink).await;
                     return Ok(match passed {
                         Passed::Whole => {
@@ -319,6 +331,14 @@
     }
 }
 
+/// Tells how long the request waited for its start.
+fn with_wait(mut reply: Reply, waited: Duration) -> Reply {
+    let name = HeaderName::from_static(headers::WAIT);
+    let value = HeaderValue::from(waited.as_millis() as u64);
+    reply.headers_mut().insert(name, value);
+    reply
+}
+
 fn lost() -> Refusal {
     Refusal::unknown(Reason::BackendLost, "the engine was lost before the answer was whole")
 }
--- a/crates/portrack/src/http/headers.rs
+++ b/crates/portrack/src/http/headers.rs
@@ -12,6 +12,8 @@
 pub const REPEATABLE: &str = "portrack-repeatable";
 /// The key under which a request runs at most once, whatever node it comes to.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Milliseconds from a request's arrival to its start on an engine, on every answer.
+pub const WAIT: &str = "portrack-wait-ms";
 /// `no` or `unknown` on every refusal.
 pub const RUN: &str = "portrack-run";
 /// The fence of an order, toward engines.
--- a/crates/portrack/src/membership/table.rs
+++ b/crates/portrack/src/membership/table.rs
@@ -199,6 +199,25 @@
         others.map(|m| &m.peer.node).chain(me)
     }
 
+    /// Every hall of the region that is known, with the nodes that can be given work.
+    pub fn by_hall(&self) -> BTreeMap<HallName, Vec<NodeName>> {
+        let mut halls: BTreeMap<HallName, Vec<NodeName>> = BTreeMap::new();
+        let own = halls.entry(self.me.hall.clone()).or_default();
+        if !self.leaving {
+            own.push(self.me.node.clone());
+        }
+        for member in self.members.values().filter(|m| m.scope <= Scope::Region) {
+            let nodes = halls.entry(member.peer.hall.clone()).or_default();
+            if member.is_eligible() {
+                nodes.push(member.peer.node.clone());
+            }
+        }
+        for nodes in halls.values_mut() {
+            nodes.sort();
+        }
+        halls
+    }
+
     /// The owner of something in this hall.
     pub fn owner_of(&self, key: &str) -> Option<&NodeName> {
         highest(key, self.eligible(Scope::Hall))
--- a/crates/portrack/src/node/claims.rs
+++ b/crates/portrack/src/node/claims.rs
@@ -10,6 +10,8 @@
 
 /// Between repetitions of a claim.
 const REPEAT_AFTER: Duration = Duration::from_millis(100);
+/// Asks of the first keeper before the second is asked.
+const ASKS_OF_FIRST: u32 = 4;
 /// A claim without a verdict is given up after this.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(800);
 
@@ -18,6 +20,7 @@
     claim: KeyClaim,
     next: Time,
     until: Time,
+    asked: u32,
     settled: bool,
 }
 
@@ -29,14 +32,21 @@
             claim: claim.clone(),
             next: now + REPEAT_AFTER,
             until: now + GIVE_UP_AFTER,
+            asked: 0,
             settled: false,
         };
         self.claims.insert(token, pending);
-        self.send_claim(claim, out);
+        match self.keeper.keepers(key).0 {
+            Some(_) => self.send_claim(claim, 0, out),
+            None => self.settle(token, KeyVerdict::Untrusted, out),
+        }
     }
 
-    fn send_claim(&mut self, claim: KeyClaim, out: &mut Vec<Effect>) {
-        if let Some(keeper) = self.keeper.first_keeper(claim.key) {
+    /// After some asks without an answer the second keeper may have become the first.
+    fn send_claim(&mut self, claim: KeyClaim, asked: u32, out: &mut Vec<Effect>) {
+        let (first, second) = self.keeper.keepers(claim.key);
+        let keeper = if asked >= ASKS_OF_FIRST { second.or(first) } else { first };
+        if let Some(keeper) = keeper {
             self.send(keeper, Message::KeyClaim(claim), out);
         }
     }
@@ -50,11 +60,12 @@
                 late.push(*token);
             } else if now >= pending.next {
                 pending.next = now + REPEAT_AFTER;
-                repeat.push(pending.claim.clone());
+                pending.asked += 1;
+                repeat.push((pending.claim.clone(), pending.asked));
             }
         }
-        for claim in repeat {
-            self.send_claim(claim, out);
+        for (claim, asked) in repeat {
+            self.send_claim(claim, asked, out);
         }
         for token in late {
             self.settle(token, KeyVerdict::Untrusted, out);
--- a/crates/portrack/src/node/members.rs
+++ b/crates/portrack/src/node/members.rs
@@ -15,9 +15,7 @@
         if !due.is_empty() {
             self.send_heartbeats(now, due, out);
         }
-        let mut list: Vec<NodeName> = self.members.eligible(Scope::Hall).cloned().collect();
-        list.sort();
-        self.keeper.members(now, list);
+        self.keeper.members(now, self.members.by_hall());
     }
 
     fn send_heartbeats(&mut self, now: Time, due: Vec<NodeName>, out: &mut Vec<Effect>) {
--- a/crates/portrack/src/once/keeper.rs
+++ b/crates/portrack/src/once/keeper.rs
@@ -1,6 +1,6 @@
 //! The memory of idempotency keys at one member.
 
-use super::PairHistory;
+use super::{Halls, PairHistory};
 use crate::types::{Instance, NodeName, ReservationId, Time};
 use crate::wire::{KeyClaim, KeyReply, KeyVerdict};
 use std::collections::BTreeMap;
@@ -60,8 +60,8 @@
     }
 
     /// Notes who is there now.
-    pub fn members(&mut self, now: Time, list: Vec<NodeName>) {
-        self.pairs.note(now, list, self.window);
+    pub fn members(&mut self, now: Time, halls: Halls) {
+        self.pairs.note(now, halls, self.window);
     }
 
     /// First and second keeper of a key.
@@ -69,11 +69,6 @@
         self.pairs.keepers(key)
     }
 
-    /// The member that settles a key.
-    pub fn first_keeper(&self, key: u128) -> Option<NodeName> {
-        self.pairs.keepers(key).0
-    }
-
     /// An entry node claims a key here.
     pub fn claim(&mut self, now: Time, claim: KeyClaim) -> Vec<KeeperOutput> {
         let (first, second) = self.pairs.keepers(claim.key);
--- a/crates/portrack/src/once/mod.rs
+++ b/crates/portrack/src/once/mod.rs
@@ -4,4 +4,4 @@
 mod pairs;
 
 pub use keeper::{Keeper, KeeperOutput};
-pub use pairs::PairHistory;
+pub use pairs::{Halls, PairHistory};
--- a/crates/portrack/src/settings/bootstrap.rs
+++ b/crates/portrack/src/settings/bootstrap.rs
@@ -2,6 +2,7 @@
 
 use super::SettingsError;
 use super::error::{ParseSnafu, ReadSnafu};
+use super::file::line_at;
 use crate::membership::Peer;
 use crate::types::{HallName, NodeName, RegionName};
 use serde::Deserialize;
@@ -173,10 +174,6 @@
     }
 }
 
-fn line_at(text: &str, offset: usize) -> usize {
-    text.as_bytes().iter().take(offset).filter(|byte| **byte == b'\n').count() + 1
-}
-
 /// Puts the key of the line before a message that does not name it.
 fn with_key(text: &str, line: usize, message: String) -> String {
     let source = text.lines().nth(line - 1).unwrap_or_default();
--- a/crates/portrack/src/settings/mod.rs
+++ b/crates/portrack/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod change;
 mod effective;
 mod error;
+mod file;
 mod keys;
 mod path;
 mod plain;
@@ -22,6 +23,7 @@
 pub use change::{Change, Edit};
 pub use effective::Effective;
 pub use error::SettingsError;
+pub use file::{Difference, SettingsFile};
 pub use keys::{KEYS, KeySpec, Overrides};
 pub use path::{Level, PathError, TreePath};
 pub use plain::PlainService;
--- a/crates/portrack/src/settings/resolve.rs
+++ b/crates/portrack/src/settings/resolve.rs
@@ -1,13 +1,13 @@
 //! Inheritance: which value holds where, and where it comes from.
 
 use super::{Book, Effective, KEYS, Overrides, TreePath};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Where a value is asked for.
 pub type Place = TreePath;
 
 /// A value and its origin.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Explained {
     /// The key.
     pub key: String,
--- a/crates/portrack/src/settings/store.rs
+++ b/crates/portrack/src/settings/store.rs
@@ -4,7 +4,7 @@
 use super::change::Change;
 use crate::audit::{AuditRecord, ChangeId};
 use crate::platform::{Kv, KvError, KvPut};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::rc::Rc;
 
@@ -12,7 +12,7 @@
 const TRIES: usize = 5;
 
 /// An accepted change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
     /// The revision at which it took effect.
     pub revision: u64,
--- a/crates/portrack/src/types/refusal.rs
+++ b/crates/portrack/src/types/refusal.rs
@@ -87,6 +87,12 @@
         Self { reason, run: Run::Unknown, retry_after: None, detail: detail.into() }
     }
 
+    /// The same refusal of a request that may have run in an earlier try.
+    pub fn after_a_run(mut self) -> Self {
+        self.run = Run::Unknown;
+        self
+    }
+
     /// The same refusal with a time to come back.
     pub fn after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
--- a/crates/portrackd/src/main.rs
+++ b/crates/portrackd/src/main.rs
@@ -1,1 +1,82 @@
-fn main() {}
+//! The entry node daemon: reads its settings file and runs until it is told to stop.
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use argh::FromArgs;
+use futures_util::FutureExt;
+use futures_util::future::select_all;
+use portrack::Bootstrap;
+use portrack::daemon;
+use portrack::node::Tunables;
+use portrack::types::BootClock;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Exit code for settings that cannot be used.
+const BAD_SETTINGS: u8 = 2;
+/// Exit code for a start that failed, or a stop that left requests unfinished.
+const FAILED: u8 = 1;
+
+/// portrack entry node daemon
+#[derive(FromArgs)]
+struct Args {
+    /// the settings file, in TOML
+    #[argh(option)]
+    settings: PathBuf,
+
+    /// check the settings file and exit
+    #[argh(switch)]
+    check_settings: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let bootstrap = match Bootstrap::read(&args.settings) {
+        Ok(bootstrap) => bootstrap,
+        Err(error) => {
+            eprintln!("portrackd: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if args.check_settings {
+        println!("{}: ok", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = daemon::init_logging(&bootstrap.log) {
+        eprintln!("portrackd: log: {error}");
+        return ExitCode::from(BAD_SETTINGS);
+    }
+    actix_rt::System::new().block_on(run(bootstrap))
+}
+
+async fn run(bootstrap: Bootstrap) -> ExitCode {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        eprintln!("portrackd: signals cannot be waited for");
+        return ExitCode::from(FAILED);
+    };
+    let running = match daemon::start(bootstrap, Rc::new(BootClock), Tunables::default()).await {
+        Ok(running) => running,
+        Err(error) => {
+            eprintln!("portrackd: {error}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    println!(
+        "callers={} operators={} members={}",
+        running.callers(),
+        running.operators(),
+        running.members()
+    );
+    let asked = [
+        terminate.recv().map(drop).boxed_local(),
+        interrupt.recv().map(drop).boxed_local(),
+        running.asked_to_leave().boxed_local(),
+    ];
+    select_all(asked).await;
+    match running.stop().await {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::from(FAILED),
+    }
+}
