--- /dev/null
+++ b/crates/portrack-bench/src/main.rs
@@ -0,0 +1,40 @@
+//! Measures portrack.
+
+mod capacity;
+
+use argh::FromArgs;
+use std::alloc::System;
+
+/// Counts what is allocated, for slopes of memory.
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
+/// measure portrack
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Capacity(Capacity),
+}
+
+/// slopes of bytes, processor time and memory, and what they come to at the users' size
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {
+    /// only the slopes of bytes, which are the same on every machine
+    #[argh(switch)]
+    bytes: bool,
+}
+
+fn main() {
+    let args: Args = argh::from_env();
+    match args.command {
+        Command::Capacity(args) if args.bytes => print!("{}", capacity::bytes_table()),
+        Command::Capacity(_) => print!("{}", capacity::all()),
+    }
+}
