--- a/crates/portrack/src/membership/table.rs
+++ b/crates/portrack/src/membership/table.rs
@@ -15,6 +15,7 @@
     timing: Timing,
     leaving: bool,
     members: BTreeMap<NodeName, Member>,
+    version: u64,
     next_hall: Time,
     next_remote: Time,
 }
@@ -23,7 +24,7 @@
     /// A membership that knows only itself.
     pub fn new(me: Peer, timing: Timing, now: Time) -> Self {
         let members = BTreeMap::new();
-        Self { me, timing, leaving: false, members, next_hall: now, next_remote: now }
+        Self { me, timing, leaving: false, members, version: 0, next_hall: now, next_remote: now }
     }
 
     /// This node's own place.
@@ -40,6 +41,7 @@
             let scope = self.scope_of(&peer);
             match self.members.get_mut(&peer.node) {
                 Some(member) => {
+                    self.version += u64::from(member.scope != scope);
                     member.scope = scope;
                     member.peer = peer;
                 }
@@ -68,6 +70,7 @@
         if from.incarnation < member.incarnation {
             return false;
         }
+        let was_eligible = member.is_eligible();
         member.incarnation = from.incarnation;
         member.health = Health::Alive;
         member.state = heartbeat.state;
@@ -75,6 +78,9 @@
         member.settings = heartbeat.settings;
         member.platform = heartbeat.platform;
         member.suspects.clone_from(&heartbeat.suspects);
+        if member.is_eligible() != was_eligible {
+            self.version += 1;
+        }
         true
     }
 
@@ -101,8 +107,11 @@
             .map(|member| (member.peer.node.clone(), self.verdict(now, member)))
             .collect();
         for (node, health) in verdicts {
-            if let Some(member) = self.members.get_mut(&node) {
-                member.health = health;
+            let Some(member) = self.members.get_mut(&node) else { continue };
+            let was_eligible = member.is_eligible();
+            member.health = health;
+            if member.is_eligible() != was_eligible {
+                self.version += 1;
             }
         }
     }
@@ -165,6 +174,12 @@
     /// Says that this node is leaving.
     pub fn leave(&mut self) {
         self.leaving = true;
+        self.version += 1;
+    }
+
+    /// Changes whenever another set of nodes can be given work.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// What this node says of itself.
--- a/crates/portrack/src/node/engines.rs
+++ b/crates/portrack/src/node/engines.rs
@@ -31,13 +31,14 @@
 
     /// Takes engines over whose highest live member is this node, and lets go of the others.
     pub(super) fn update_owners(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let hall = &self.members.me().hall;
+        if !self.ownership.update(&self.members, &self.view) {
+            return;
+        }
         let mine: Vec<(EngineName, Lock)> = self
             .view
             .iter()
-            .filter(|state| state.server.hall == *hall)
+            .filter(|state| self.ownership.owner_of(&state.server.name) == Some(&self.me.node))
             .filter_map(|state| Some((state.server.name.clone(), lock(&state.server.kind)?)))
-            .filter(|(name, _)| self.members.owner_of(name.as_str()) == Some(&self.me.node))
             .collect();
         let lost: Vec<EngineName> = self
             .owners
--- a/crates/portrack/src/node/machine.rs
+++ b/crates/portrack/src/node/machine.rs
@@ -1,6 +1,7 @@
 //! The node's state and the dispatch of its inputs.
 
 use super::claims::PendingClaim;
+use super::ownership::Ownership;
 use super::releases::PendingRelease;
 use super::{Effect, Input, Tunables};
 use crate::loads::LoadPlanner;
@@ -26,6 +27,7 @@
     pub(super) members: Membership,
     pub(super) view: View,
     pub(super) owners: BTreeMap<EngineName, EngineOwner>,
+    pub(super) ownership: Ownership,
     pub(super) pushed: BTreeMap<EngineName, u32>,
     pub(super) planner: LoadPlanner,
     pub(super) keeper: Keeper,
@@ -53,6 +55,7 @@
             tunables,
             view: View::default(),
             owners: BTreeMap::new(),
+            ownership: Ownership::default(),
             pushed: BTreeMap::new(),
             requests: BTreeMap::new(),
             seeking: BTreeMap::new(),
--- a/crates/portrack/src/node/mod.rs
+++ b/crates/portrack/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod input;
 mod machine;
 mod members;
+mod ownership;
 mod permits;
 mod releases;
 mod requests;
--- /dev/null
+++ b/crates/portrack/src/node/ownership.rs
@@ -0,0 +1,37 @@
+//! Who owns each engine of the region, worked out anew only when members or servers change.
+
+use crate::membership::Membership;
+use crate::router::View;
+use crate::types::{EngineName, NodeName};
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Ownership {
+    seen: Option<(u64, u64)>,
+    owners: BTreeMap<EngineName, NodeName>,
+}
+
+impl Ownership {
+    /// Brings the owners up to date. Returns false if nothing can have changed.
+    pub(super) fn update(&mut self, members: &Membership, view: &View) -> bool {
+        let now = Some((members.version(), view.version()));
+        if self.seen == now {
+            return false;
+        }
+        self.seen = now;
+        let owner = |engine: &EngineName, hall| members.owner_in(hall, engine.as_str()).cloned();
+        let engines = view.iter().filter(|state| state.base().is_some());
+        self.owners = engines
+            .filter_map(|state| {
+                let name = &state.server.name;
+                Some((name.clone(), owner(name, &state.server.hall)?))
+            })
+            .collect();
+        true
+    }
+
+    /// The live owner of an engine.
+    pub(super) fn owner_of(&self, engine: &EngineName) -> Option<&NodeName> {
+        self.owners.get(engine)
+    }
+}
--- a/crates/portrack/src/node/requests.rs
+++ b/crates/portrack/src/node/requests.rs
@@ -9,8 +9,7 @@
 
 impl Node {
     pub(super) fn owner_of(&self, engine: &EngineName) -> Option<&NodeName> {
-        let state = self.view.engine(engine)?;
-        self.members.owner_in(&state.server.hall, engine.as_str())
+        self.ownership.owner_of(engine)
     }
 
     pub(super) fn begin(&mut self, now: Time, token: Token, spec: Spec, out: &mut Vec<Effect>) {
@@ -23,14 +22,14 @@
         let Some(request) = self.requests.get_mut(&token) else {
             return;
         };
-        let members = &self.members;
+        let ownership = &self.ownership;
         let chosen = self.view.choose(
             &request.spec().wanted,
-            &members.me().hall,
+            &self.members.me().hall,
             &self.tunables.weights,
             &self.prefixes,
             &mut self.rng,
-            |state| members.owner_in(&state.server.hall, state.server.name.as_str()).is_some(),
+            |state| ownership.owner_of(&state.server.name).is_some(),
         );
         let Some(choice) = chosen else {
             let action = request.no_engine();
--- a/crates/portrack/src/router/view.rs
+++ b/crates/portrack/src/router/view.rs
@@ -8,6 +8,7 @@
 /// What the router chooses from.
 #[derive(Debug, Clone, Default)]
 pub struct View {
+    version: u64,
     engines: BTreeMap<EngineName, EngineState>,
     holders: BTreeMap<AdapterVersion, BTreeSet<EngineName>>,
 }
@@ -19,13 +20,18 @@
         let gone: Vec<EngineName> =
             self.engines.keys().filter(|name| !names.contains(*name)).cloned().collect();
         for name in gone {
+            self.version += 1;
             self.forget_holdings(&name);
             self.engines.remove(&name);
         }
         for server in list {
             match self.engines.get_mut(&server.name) {
-                Some(state) => state.server = server,
+                Some(state) => {
+                    self.version += u64::from(state.server != server);
+                    state.server = server;
+                }
                 None => {
+                    self.version += 1;
                     let state = EngineState {
                         server,
                         load: None,
@@ -93,6 +99,11 @@
         }
     }
 
+    /// Changes whenever the node list does.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// An engine by name.
     pub fn engine(&self, name: &EngineName) -> Option<&EngineState> {
         self.engines.get(name)
