Fewer bytes: engines report at leisure, heartbeats carry news only

Cause: engine reports (14,500 B/s) and heartbeats (9,813 B/s) took a daemon over 21 KB/s. Change: an owner polls every 500 ms only while something waits or loads, else every 2 s, and at once when a request needs a fresh report; grants hold for 3 s after a report. Heartbeats within the hall carry loads whose magnitude changed, and every fifth all of them. After: 15,525 B/s (reports 3,625, heartbeats 8,288; the share of news, 30%, is a guess until a fleet has run).

--- a/crates/portrack-bench/src/capacity/model.rs
+++ b/crates/portrack-bench/src/capacity/model.rs
@@ -13,6 +13,10 @@
 const PUSHES_PER_LOAD: f64 = 4.0;
 /// Share of requests that claim an idempotency key; a guess from the users' mix.
 const KEYED: f64 = 0.1;
+/// Share of an owner's loads whose magnitude changes from one heartbeat to the next; a guess.
+const NEWS: f64 = 0.3;
+/// One heartbeat in this many carries all loads.
+const FULL_EVERY: f64 = 5.0;
 /// Bytes of a status call to an engine and its answer, heads included, without running requests.
 const STATUS_BYTES: f64 = 900.0;
 
@@ -88,13 +92,21 @@
         let owned = self.engines / self.daemons;
         let pace = (1.0 / timing.hall_every.as_secs_f64(), 1.0 / timing.remote_every.as_secs_f64());
         let datagram = |name: &str, size: f64| bytes::find(sizes, name).at(size) + HEADERS;
-        let near = hall * pace.0 + region * pace.1;
+        let news = owned * (NEWS + (1.0 - NEWS) / FULL_EVERY);
+        let (near, remote) = (hall * pace.0, region * pace.1);
+        let take =
+            |loads: f64| both(cpu, "seal and open", loads) + both(cpu, "take a heartbeat", loads);
         let beats = Row {
-            what: "heartbeats, hall and region",
+            what: "heartbeats, hall",
             sent: near,
-            bytes: near * datagram("heartbeat", owned),
-            micros: near
-                * (both(cpu, "seal and open", owned) + both(cpu, "take a heartbeat", owned)),
+            bytes: near * datagram("heartbeat", news),
+            micros: near * take(news),
+        };
+        let remote_beats = Row {
+            what: "heartbeats, region",
+            sent: remote,
+            bytes: remote * datagram("heartbeat", owned),
+            micros: remote * take(owned),
         };
         let far = far * pace.1;
         let far_beats = Row {
@@ -115,6 +127,7 @@
         };
         vec![
             beats,
+            remote_beats,
             far_beats,
             holdings,
             self.reservations(sizes, cpu),
@@ -169,7 +182,7 @@
     }
 
     fn polls(&self, owned: f64) -> Row {
-        let polls = owned / Tuning::default().poll_every.as_secs_f64();
+        let polls = owned / Tuning::default().poll_idle.as_secs_f64();
         Row { what: "engine reports", sent: polls, bytes: polls * STATUS_BYTES, micros: 0.0 }
     }
 
--- a/crates/portrack/src/node/machine.rs
+++ b/crates/portrack/src/node/machine.rs
@@ -3,6 +3,7 @@
 use super::claims::PendingClaim;
 use super::ownership::Ownership;
 use super::releases::PendingRelease;
+use super::told::Told;
 use super::{Effect, Input, Tunables};
 use crate::loads::LoadPlanner;
 use crate::membership::{Membership, Peer};
@@ -29,6 +30,7 @@
     pub(super) owners: BTreeMap<EngineName, EngineOwner>,
     pub(super) ownership: Ownership,
     pub(super) pushed: BTreeMap<EngineName, u32>,
+    pub(super) told: Told,
     pub(super) planner: LoadPlanner,
     pub(super) keeper: Keeper,
     pub(super) requests: BTreeMap<Token, Request>,
@@ -57,6 +59,7 @@
             owners: BTreeMap::new(),
             ownership: Ownership::default(),
             pushed: BTreeMap::new(),
+            told: Told::default(),
             requests: BTreeMap::new(),
             seeking: BTreeMap::new(),
             started: BTreeSet::new(),
--- a/crates/portrack/src/node/members.rs
+++ b/crates/portrack/src/node/members.rs
@@ -19,7 +19,19 @@
     }
 
     fn send_heartbeats(&mut self, now: Time, due: Vec<NodeName>, out: &mut Vec<Effect>) {
-        let loads = self.own_loads(now);
+        let all = self.own_loads(now);
+        let remote = |node: &NodeName| {
+            self.members.get(node).is_some_and(|member| member.scope != Scope::Hall)
+        };
+        let (remote, near): (Vec<_>, Vec<_>) = due.into_iter().partition(remote);
+        if !near.is_empty() {
+            let news = self.told.news(&all);
+            self.send_loads(near, news, out);
+        }
+        self.send_loads(remote, all, out);
+    }
+
+    fn send_loads(&mut self, due: Vec<NodeName>, loads: Vec<Load>, out: &mut Vec<Effect>) {
         let mut parts = loads.chunks(LOADS_PER_DATAGRAM).map(<[Load]>::to_vec);
         let bare = Heartbeat {
             state: self.members.state(),
--- a/crates/portrack/src/node/mod.rs
+++ b/crates/portrack/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod permits;
 mod releases;
 mod requests;
+mod told;
 mod tunables;
 
 pub use effect::{Effect, EngineTask};
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -78,7 +78,7 @@
     pub(super) unloaded: BTreeMap<AdapterVersion, Time>,
     pub(super) orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
-    next_poll: Time,
+    polled_at: Option<Time>,
     pub(super) holdings: u32,
 }
 
@@ -105,7 +105,7 @@
             unloaded: BTreeMap::new(),
             orders: BTreeMap::new(),
             next_order: 0,
-            next_poll: now,
+            polled_at: None,
             holdings: 1,
         }
     }
@@ -135,10 +135,11 @@
         {
             self.phase = Phase::Reading(now);
         }
-        if now >= self.next_poll {
-            self.next_poll = now + self.tuning.poll_every;
-            out.push(Output::Poll);
-        }
+        let pace = match self.is_busy() {
+            true => self.tuning.poll_every,
+            false => self.tuning.poll_idle,
+        };
+        self.poll(now, pace, out);
         self.expire_orders(now, out);
         self.expire_waiting(now, out);
         self.unloaded.retain(|_, at| now.since(*at) < Duration::from_secs(60));
@@ -146,6 +147,21 @@
         self.demand.sweep(now);
     }
 
+    /// Asks for a report unless one was asked for within `pace`.
+    pub(super) fn poll(&mut self, now: Time, pace: Duration, out: &mut Vec<Output>) {
+        let due = self.polled_at.is_none_or(|at| now.since(at) >= pace);
+        if due {
+            self.polled_at = Some(now);
+            out.push(Output::Poll);
+        }
+    }
+
+    /// True while the next report decides something.
+    fn is_busy(&self) -> bool {
+        let settled = self.slots.values().all(|slot| slot.state == SlotState::Ready);
+        self.phase != Phase::Serving || !settled || self.queue.total() > 0
+    }
+
     fn take_report(&mut self, now: Time, report: Report, out: &mut Vec<Output>) {
         let older = |last: &Report| report.asked_at < last.asked_at;
         if self.report.as_ref().is_some_and(older) {
--- a/crates/portrack/src/owner/grant.rs
+++ b/crates/portrack/src/owner/grant.rs
@@ -4,6 +4,8 @@
 use crate::types::{AdapterVersion, Class, Instance, Reason, ReservationId, Time};
 use std::time::Duration;
 
+/// A request that waits for a fresh report has one asked for, but not more often than this.
+const POLL_AT_ONCE: Duration = Duration::from_millis(100);
 /// Retry hint while an engine is too busy, in milliseconds.
 const BUSY_RETRY_MS: u32 = 1_000;
 
@@ -24,6 +26,9 @@
         let ask = ask.clone();
         self.queue.push(Waiting { from: from.clone(), ask, since: now, until, renewed: now });
         self.grant_waiting(now, out);
+        if !self.may_grant(now) {
+            self.poll(now, POLL_AT_ONCE, out);
+        }
         if self.queue.find(id).is_some() {
             let answer = Answer { id, attempt, verdict: Verdict::Queued };
             out.push(Output::Answer { to: from, answer });
--- a/crates/portrack/src/owner/tuning.rs
+++ b/crates/portrack/src/owner/tuning.rs
@@ -15,8 +15,10 @@
     pub start_margin: Duration,
     /// How far an engine's report may lag.
     pub report_lag: Duration,
-    /// Time between reports.
+    /// Time between reports while something waits, loads or unloads.
     pub poll_every: Duration,
+    /// Time between reports otherwise; below `grant_validity`.
+    pub poll_idle: Duration,
     /// Time between repeated permit asks.
     pub permit_every: Duration,
     /// Without an end after this, an order's result is taken as unknown.
@@ -52,12 +54,13 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            grant_validity: Duration::from_millis(1_500),
+            grant_validity: Duration::from_millis(3_000),
             lease_validity: Duration::from_secs(6),
             start_within: Duration::from_millis(1_000),
             start_margin: Duration::from_millis(500),
             report_lag: Duration::from_millis(500),
             poll_every: Duration::from_millis(500),
+            poll_idle: Duration::from_millis(2_000),
             permit_every: Duration::from_millis(500),
             order_timeout: Duration::from_secs(30),
             min_hold: Duration::from_secs(2),
