--- a/crates/portrack/src/daemon/completion.rs
+++ b/crates/portrack/src/daemon/completion.rs
@@ -2,17 +2,16 @@
 
 use super::answer::Answer;
 use super::callers::refuse;
-use super::core::{Core, Signal};
+use super::core::Core;
 use super::inflight::InFlightGuard;
+use super::key::HeldKey;
 use super::place::Place;
 use super::prompt::Prompt;
 use crate::engine::{Call, Chunk, ChunkStream, Endpoint, OpenError};
 use crate::http::{self, Meta, Reply, headers, read_body};
-use crate::node::Input;
-use crate::reserve::{Spec, Token};
+use crate::reserve::Spec;
 use crate::router::Wanted;
 use crate::types::{AdapterVersion, EngineName, Reason, Refusal, Run, Time};
-use crate::wire::KeyVerdict;
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, StatusCode};
 use bytes::Bytes;
@@ -20,7 +19,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
-use xxhash_rust::xxh3::xxh3_128;
 
 /// The longest pause between parts of a caller's body.
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
@@ -44,7 +42,9 @@
     arrived: Time,
     waited: Rc<Cell<Duration>>,
     once: bool,
-    key: Option<Token>,
+    /// Service and idempotency key, until the key is claimed.
+    key: Option<(String, String)>,
+    held_key: Option<HeldKey>,
     _in_flight: InFlightGuard,
 }
 
@@ -72,10 +72,6 @@
         let prompt = Prompt::parse(endpoint, &body)?;
         let wanted = resolve(core, &prompt, &meta, &service)?;
         let deadline = arrived + meta.deadline.unwrap_or_else(|| settings.deadline());
-        let key = match &meta.key {
-            Some(key) => Some(claim(core, &service, key).await?),
-            None => None,
-        };
         core.retries.borrow_mut().note_request();
         Ok(Self {
             core: core.clone(),
@@ -86,8 +82,9 @@
             deadline,
             arrived,
             waited: Rc::default(),
-            once: meta.repeatable == Some(false) || key.is_some(),
-            key,
+            once: meta.repeatable == Some(false) || meta.key.is_some(),
+            key: meta.key.map(|key| (service, key)),
+            held_key: None,
             _in_flight: in_flight,
         })
     }
@@ -148,9 +145,8 @@
             Err(_) => "failed",
         };
         self.core.metrics.requests.with_label_values(&[end]).inc();
-        let not_run = matches!(&result, Err(refusal) if refusal.run == Run::No);
-        if let Some(token) = self.key.take() {
-            settle_key(&self.core, token, not_run);
+        if let Some(key) = self.held_key.take() {
+            key.settle(&self.core, result.as_ref().err().map(|refusal| refusal.run));
         }
         result
     }
@@ -180,9 +176,13 @@
     }
 
     /// One place: opens the stream there and passes it on.
-    async fn attempt(&self, place: &mut Place, sink: &mut Sink) -> Result<Ended, Refusal> {
+    async fn attempt(&mut self, place: &mut Place, sink: &mut Sink) -> Result<Ended, Refusal> {
         loop {
             let grant = place.granted().await?;
+            if let Err(refusal) = self.secure_key().await {
+                place.finish(true);
+                return Err(refusal);
+            }
             let Some(server) = self.core.server(&grant.engine) else {
                 place.not_run();
                 continue;
@@ -234,6 +234,17 @@
         }
     }
 
+    /// Claims the key once there is a place, so that it is used soon after.
+    async fn secure_key(&mut self) -> Result<(), Refusal> {
+        if let Some((service, key)) = self.key.take() {
+            self.held_key = Some(HeldKey::claim(&self.core, &service, &key).await?);
+        }
+        match &self.held_key {
+            Some(key) => key.check(&self.core),
+            None => Ok(()),
+        }
+    }
+
     /// Passes chunks on; a stream that breaks is resumed at the same engine and nowhere else.
     async fn pass_on(&self, mut stream: ChunkStream, address: &str, sink: &mut Sink) -> Passed {
         let mut resumes = 0;
@@ -375,37 +386,3 @@
         tried: Vec::new(),
     })
 }
-
-/// Gets an idempotency key for a request, or says why it may not be sent.
-pub async fn claim(core: &Rc<Core>, service: &str, key: &str) -> Result<Token, Refusal> {
-    let (token, mut signals) = core.open_token();
-    let key = xxh3_128(format!("{service}\0{key}").as_bytes());
-    core.feed(Input::Claim { token, key });
-    let verdict = loop {
-        match signals.recv().await {
-            Some(Signal::Key(verdict)) => break verdict,
-            Some(_) => {}
-            None => break KeyVerdict::Untrusted,
-        }
-    };
-    core.close_token(token);
-    match verdict {
-        KeyVerdict::Yours => Ok(token),
-        KeyVerdict::Taken => {
-            let detail = "a request with this idempotency key is running or has run";
-            Err(Refusal::unknown(Reason::DuplicateKey, detail))
-        }
-        KeyVerdict::Untrusted | KeyVerdict::NotKeeper => {
-            let detail = "it cannot be told yet whether this idempotency key was used";
-            Err(Refusal::not_run(Reason::KeyMemory, detail).after(Duration::from_secs(2)))
-        }
-    }
-}
-
-/// Lets go of a key whose request certainly was not run, and keeps any other.
-pub fn settle_key(core: &Rc<Core>, token: Token, not_run: bool) {
-    core.feed(match not_run {
-        true => Input::FreeKey { token },
-        false => Input::KeepKey { token },
-    });
-}
--- a/crates/portrack/src/daemon/core.rs
+++ b/crates/portrack/src/daemon/core.rs
@@ -26,8 +26,8 @@
     Start(Grant),
     /// It is over.
     GiveUp(Refusal),
-    /// The idempotency key is settled.
-    Key(KeyVerdict),
+    /// The idempotency key is settled, and must be used before the time.
+    Key(KeyVerdict, Time),
 }
 
 /// Shared by all tasks of a daemon, on one thread.
@@ -127,7 +127,9 @@
             Effect::Engine { engine, task } => self.engine_task(engine, task),
             Effect::Start { token, grant } => self.signal(token, Signal::Start(grant)),
             Effect::GiveUp { token, refusal } => self.signal(token, Signal::GiveUp(refusal)),
-            Effect::KeySettled { token, verdict } => self.signal(token, Signal::Key(verdict)),
+            Effect::KeySettled { token, verdict, use_by } => {
+                self.signal(token, Signal::Key(verdict, use_by));
+            }
         }
     }
 
--- a/crates/portrack/src/daemon/leases.rs
+++ b/crates/portrack/src/daemon/leases.rs
@@ -84,10 +84,10 @@
         {
             return Some(lease);
         }
-        self.held.borrow_mut().clear();
         let renewed_at = clock.now();
         let id = self.kv.grant_lease(LEASE_TTL).await.ok()?;
         let lease = Lease { id, renewed_at };
+        self.held.borrow_mut().clear();
         self.lease.set(Some(lease));
         Some(lease)
     }
--- a/crates/portrack/src/daemon/mod.rs
+++ b/crates/portrack/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod fetch;
 mod inflight;
+mod key;
 mod leases;
 mod logging;
 mod metrics;
--- a/crates/portrack/src/daemon/place.rs
+++ b/crates/portrack/src/daemon/place.rs
@@ -35,7 +35,7 @@
                     self.not_run();
                 }
                 Some(Signal::GiveUp(refusal)) => return Err(refusal),
-                Some(Signal::Key(_)) => {}
+                Some(Signal::Key(..)) => {}
                 None => return Err(Refusal::not_run(Reason::NoBackend, "the node is stopping")),
             }
         }
--- a/crates/portrack/src/daemon/plain.rs
+++ b/crates/portrack/src/daemon/plain.rs
@@ -1,9 +1,9 @@
 //! Requests to plain services: routed by path, and sent at most once unless they may be repeated.
 
 use super::callers::refuse;
-use super::completion::{claim, settle_key};
 use super::core::Core;
 use super::inflight::InFlightGuard;
+use super::key::HeldKey;
 use crate::http::{Meta, Reply, certainly_not_sent, read_body};
 use crate::router::BackendServer;
 use crate::settings::PlainService;
@@ -90,7 +90,7 @@
     let method = request.method().clone();
     let repeatable = meta.repeatable.unwrap_or_else(|| service.is_repeatable(method.as_str()));
     let key = match (&meta.key, repeatable) {
-        (Some(key), false) => Some(claim(core, name.as_str(), key).await?),
+        (Some(key), false) => Some(HeldKey::claim(core, name.as_str(), key).await?),
         _ => None,
     };
     core.retries.borrow_mut().note_request();
@@ -105,10 +105,9 @@
         timeout: meta.deadline.unwrap_or_else(|| settings.deadline()),
         _in_flight: in_flight,
     };
-    let result = forward.run().await;
-    let not_run = matches!(&result, Err(refusal) if refusal.run == Run::No);
-    if let Some(token) = key {
-        settle_key(core, token, not_run);
+    let result = forward.run(key.as_ref()).await;
+    if let Some(key) = key {
+        key.settle(core, result.as_ref().err().map(|refusal| refusal.run));
     }
     result
 }
@@ -125,11 +124,14 @@
 
 impl Forward {
     /// Tries servers. After a byte has been handed over, only a repeatable request goes on.
-    async fn run(&self) -> Result<Reply, Refusal> {
+    async fn run(&self, key: Option<&HeldKey>) -> Result<Reply, Refusal> {
         let mut tried: Vec<EngineName> = Vec::new();
         let mut last = Refusal::not_run(Reason::NoBackend, "no server of the service can be had");
         while tried.len() < SERVERS {
             let Some(server) = self.choose(&tried) else { break };
+            if let Some(key) = key {
+                key.check(&self.core)?;
+            }
             let (now, name) = (self.core.now(), server.name.clone());
             match self.send(&server).await {
                 Ok(reply) => {
--- a/crates/portrack/src/daemon/running.rs
+++ b/crates/portrack/src/daemon/running.rs
@@ -156,7 +156,7 @@
     loop {
         match client.fetch().await {
             Ok(list) => {
-                core.feed(Input::Peers(list.peers()));
+                core.feed(Input::Listed(list.peers()));
                 core.feed(Input::Servers(list.servers));
             }
             Err(error) => log::debug!(error:% = error; "node-list-away"),
--- a/crates/portrack/src/membership/table.rs
+++ b/crates/portrack/src/membership/table.rs
@@ -52,6 +52,21 @@
         }
     }
 
+    /// Takes the platform's list in. A list that does not name this node is no list of daemons.
+    pub fn listed(&mut self, now: Time, peers: Vec<Peer>) {
+        let names: Vec<NodeName> = peers.iter().map(|peer| peer.node.clone()).collect();
+        self.seed(now, peers);
+        if !names.contains(&self.me.node) {
+            return;
+        }
+        let before = self.members.len();
+        self.members.retain(|node, member| {
+            let silent = matches!(member.health, Health::Dead | Health::Unheard);
+            names.contains(node) || !silent
+        });
+        self.version += u64::from(self.members.len() != before);
+    }
+
     fn scope_of(&self, peer: &Peer) -> Scope {
         if peer.hall == self.me.hall {
             Scope::Hall
@@ -221,18 +236,39 @@
         if !self.leaving {
             own.push(self.me.node.clone());
         }
+        let majority = self.hears_majority();
         for member in self.members.values().filter(|m| m.scope <= Scope::Region) {
             let nodes = halls.entry(member.peer.hall.clone()).or_default();
             if member.is_eligible() {
                 nodes.push(member.peer.node.clone());
             }
         }
+        if !majority {
+            halls.insert(self.me.hall.clone(), Vec::new());
+        }
         for nodes in halls.values_mut() {
             nodes.sort();
         }
         halls
     }
 
+    /// True if this node hears more than half of the hall's nodes, or half of them with the one
+    /// that decides ties. Two parts of a hall that do not hear each other cannot both say so.
+    /// Nodes that announced their leaving keep nothing and do not count.
+    fn hears_majority(&self) -> bool {
+        let hall = self.members.values().filter(|m| m.scope == Scope::Hall);
+        let staying: Vec<&Member> = hall.filter(|m| m.state == MemberState::Alive).collect();
+        let heard = 1 + staying.iter().filter(|m| m.is_reachable()).count();
+        let known = 1 + staying.len();
+        if heard * 2 != known {
+            return heard * 2 > known;
+        }
+        let all = staying.iter().map(|m| &m.peer.node).chain([&self.me.node]);
+        let decides = highest("hall-tie", all);
+        let unheard = staying.iter().filter(|m| !m.is_reachable());
+        !unheard.map(|m| &m.peer.node).any(|node| Some(node) == decides)
+    }
+
     /// The owner of something in this hall.
     pub fn owner_of(&self, key: &str) -> Option<&NodeName> {
         highest(key, self.eligible(Scope::Hall))
--- a/crates/portrack/src/node/claims.rs
+++ b/crates/portrack/src/node/claims.rs
@@ -1,7 +1,7 @@
 //! Idempotency keys: claimed for own requests, kept for others.
 
 use super::{Effect, Node};
-use crate::once::KeeperOutput;
+use crate::once::{KeeperOutput, USE_WITHIN};
 use crate::reserve::Token;
 use crate::types::{NodeName, ReservationId, Time};
 use crate::wire::{KeyClaim, KeyReply, KeyVerdict, Message};
@@ -20,6 +20,7 @@
     claim: KeyClaim,
     next: Time,
     until: Time,
+    use_by: Time,
     asked: u32,
     settled: bool,
 }
@@ -32,6 +33,7 @@
             claim: claim.clone(),
             next: now + REPEAT_AFTER,
             until: now + GIVE_UP_AFTER,
+            use_by: now + USE_WITHIN,
             asked: 0,
             settled: false,
         };
@@ -78,10 +80,11 @@
             return;
         };
         pending.settled = true;
+        let use_by = pending.use_by;
         if verdict != KeyVerdict::Yours {
             self.free_key(token, out);
         }
-        out.push(Effect::KeySettled { token, verdict });
+        out.push(Effect::KeySettled { token, verdict, use_by });
     }
 
     pub(super) fn free_key(&mut self, token: Token, out: &mut Vec<Effect>) {
@@ -129,15 +132,17 @@
         }
     }
 
-    /// The keeper's word. `NotKeeper` is not final: the claim is repeated to whoever is next.
-    pub(super) fn key_reply(&mut self, reply: &KeyReply, out: &mut Vec<Effect>) {
+    /// The keeper's word; one that comes late, as after a pause, is not relied on. `NotKeeper` is not final: the claim is repeated to whoever is next.
+    pub(super) fn key_reply(&mut self, now: Time, reply: &KeyReply, out: &mut Vec<Effect>) {
         if reply.verdict == KeyVerdict::NotKeeper {
             return;
         }
         let ours = |p: &PendingClaim| !p.settled && p.claim.request == reply.request;
-        let token = self.claims.iter().find(|(_, p)| ours(p)).map(|(token, _)| *token);
-        if let Some(token) = token {
-            self.settle(token, reply.verdict, out);
+        let found = self.claims.iter().find(|(_, p)| ours(p));
+        let Some((token, late)) = found.map(|(token, p)| (*token, now >= p.until)) else { return };
+        match late {
+            true => self.settle(token, KeyVerdict::Untrusted, out),
+            false => self.settle(token, reply.verdict, out),
         }
     }
 }
--- a/crates/portrack/src/node/effect.rs
+++ b/crates/portrack/src/node/effect.rs
@@ -2,7 +2,7 @@
 
 use crate::owner::Order;
 use crate::reserve::{Grant, Token};
-use crate::types::{EngineName, Fence, NodeName, Refusal};
+use crate::types::{EngineName, Fence, NodeName, Refusal, Time};
 use crate::wire::{KeyVerdict, Message};
 
 /// Something for an engine.
@@ -53,5 +53,7 @@
         token: Token,
         /// Whether it may be sent.
         verdict: KeyVerdict,
+        /// It must be handed to the connection before this.
+        use_by: Time,
     },
 }
--- a/crates/portrack/src/node/input.rs
+++ b/crates/portrack/src/node/input.rs
@@ -16,6 +16,8 @@
     Servers(Vec<BackendServer>),
     /// Daemons to know of.
     Peers(Vec<Peer>),
+    /// All daemons by the platform's node list: the dead that it no longer names are forgotten.
+    Listed(Vec<Peer>),
     /// The settings in force, and whether the platform answers.
     Settings {
         /// Which settings.
--- a/crates/portrack/src/node/machine.rs
+++ b/crates/portrack/src/node/machine.rs
@@ -3,6 +3,7 @@
 use super::claims::PendingClaim;
 use super::ownership::Ownership;
 use super::releases::PendingRelease;
+use super::takeovers::Clearing;
 use super::told::Told;
 use super::{Effect, Input, Tunables};
 use crate::loads::LoadPlanner;
@@ -31,6 +32,7 @@
     pub(super) ownership: Ownership,
     pub(super) pushed: BTreeMap<EngineName, u32>,
     pub(super) told: Told,
+    pub(super) clearing: BTreeMap<EngineName, Clearing>,
     pub(super) planner: LoadPlanner,
     pub(super) keeper: Keeper,
     pub(super) requests: BTreeMap<Token, Request>,
@@ -60,6 +62,7 @@
             ownership: Ownership::default(),
             pushed: BTreeMap::new(),
             told: Told::default(),
+            clearing: BTreeMap::new(),
             requests: BTreeMap::new(),
             seeking: BTreeMap::new(),
             started: BTreeSet::new(),
@@ -89,6 +92,7 @@
             Input::Tick => self.tick(now, out),
             Input::Servers(list) => self.take_servers(now, list, out),
             Input::Peers(peers) => self.members.seed(now, peers),
+            Input::Listed(peers) => self.members.listed(now, peers),
             Input::Settings { mark, platform } => {
                 self.mark = mark;
                 self.platform = platform;
@@ -113,6 +117,7 @@
         self.heartbeat(now, out);
         self.update_owners(now, out);
         self.tick_owners(now, out);
+        self.tick_takeovers(now, out);
         self.push_holdings(now, out);
         self.tick_requests(now, out);
         self.tick_releases(now, out);
@@ -134,13 +139,19 @@
             Message::Released(id) => {
                 self.releases.remove(&id);
             }
+            Message::Takeover { engine, fence } => {
+                self.takeover(now, from.node, engine, fence, out);
+            }
+            Message::TakeoverSeen { engine, fence } => {
+                self.takeover_seen(from.node, &engine, fence);
+            }
             Message::PermitAsk(ask) => self.permit_ask(now, from.node, ask, out),
             Message::PermitGrant(load) => self.permit_grant(now, load, out),
             Message::PermitDone(load) => self.permit_done(now, &load, out),
             Message::KeyClaim(claim) => self.key_claim(now, claim, out),
             Message::KeyCopy(claim) => self.key_copy(now, from.node, claim, out),
             Message::KeyCopied(reply) => self.key_copied(reply, out),
-            Message::KeyReply(reply) => self.key_reply(&reply, out),
+            Message::KeyReply(reply) => self.key_reply(now, &reply, out),
             Message::KeyFree(claim) => self.keeper.free(&claim),
         }
     }
--- a/crates/portrack/src/node/mod.rs
+++ b/crates/portrack/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod permits;
 mod releases;
 mod requests;
+mod takeovers;
 mod told;
 mod tunables;
 
--- /dev/null
+++ b/crates/portrack/src/node/takeovers.rs
@@ -0,0 +1,80 @@
+//! Engines that check no fence: the members are told who holds the lease before anything is
+//! unloaded there.
+
+use super::{Effect, Node};
+use crate::membership::Scope;
+use crate::owner::Event;
+use crate::types::{EngineName, Fence, NodeName, Time};
+use crate::wire::Message;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Between repetitions to members that have not answered.
+const REPEAT_AFTER: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Clone)]
+pub(super) struct Clearing {
+    fence: Fence,
+    seen: BTreeSet<NodeName>,
+    next: Time,
+}
+
+impl Node {
+    pub(super) fn tick_takeovers(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let waiting = self.owners.values().filter(|o| o.is_serving() && !o.is_cleared());
+        let waiting: Vec<(EngineName, Fence)> =
+            waiting.map(|owner| (owner.engine().clone(), owner.fence())).collect();
+        self.clearing.retain(|engine, _| waiting.iter().any(|(e, _)| e == engine));
+        for (engine, fence) in waiting {
+            self.clear_engine(now, engine, fence, out);
+        }
+    }
+
+    fn clear_engine(&mut self, now: Time, engine: EngineName, fence: Fence, out: &mut Vec<Effect>) {
+        let hall = self.members.iter().filter(|member| member.scope == Scope::Hall);
+        let hall: Vec<NodeName> = hall.map(|member| member.peer.node.clone()).collect();
+        let fresh = Clearing { fence, seen: BTreeSet::new(), next: now };
+        let clearing = self.clearing.entry(engine.clone()).or_insert_with(|| fresh.clone());
+        if clearing.fence != fence {
+            *clearing = fresh;
+        }
+        let missing: Vec<NodeName> =
+            hall.into_iter().filter(|node| !clearing.seen.contains(node)).collect();
+        if missing.is_empty() {
+            return self.engine_event(now, &engine, Event::Cleared, out);
+        }
+        if now < clearing.next {
+            return;
+        }
+        clearing.next = now + REPEAT_AFTER;
+        for to in missing {
+            let body = Message::Takeover { engine: engine.clone(), fence };
+            out.push(Effect::Send { to, body });
+        }
+    }
+
+    /// Stops granting on the engine, then says so.
+    pub(super) fn takeover(
+        &mut self,
+        now: Time,
+        from: NodeName,
+        engine: EngineName,
+        fence: Fence,
+        out: &mut Vec<Effect>,
+    ) {
+        let older = self.owners.get(&engine).is_some_and(|owner| owner.fence() < fence);
+        if older {
+            self.engine_event(now, &engine, Event::FenceRefused(fence), out);
+        }
+        let newer = self.owners.get(&engine).is_some_and(|owner| owner.fence() > fence);
+        if !newer {
+            out.push(Effect::Send { to: from, body: Message::TakeoverSeen { engine, fence } });
+        }
+    }
+
+    pub(super) fn takeover_seen(&mut self, from: NodeName, engine: &EngineName, fence: Fence) {
+        if let Some(clearing) = self.clearing.get_mut(engine).filter(|c| c.fence == fence) {
+            clearing.seen.insert(from);
+        }
+    }
+}
--- a/crates/portrack/src/once/keeper.rs
+++ b/crates/portrack/src/once/keeper.rs
@@ -9,6 +9,10 @@
 /// A claim whose second keeper does not answer is given up after this.
 const COPY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// A key that was given must be used within this, counted by the entry node from its claim.
+/// Keepers remember keys for so much longer than the window.
+pub const USE_WITHIN: Duration = Duration::from_secs(4);
+
 /// Something to do for a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeeperOutput {
@@ -34,7 +38,7 @@
     trusted: bool,
 }
 
-/// Keeps keys for one window after their claim.
+/// Keeps keys for one window after their last possible use.
 #[derive(Debug, Clone)]
 pub struct Keeper {
     me: NodeName,
@@ -46,17 +50,13 @@
 impl Keeper {
     /// An empty memory.
     pub fn new(me: NodeName, window: Duration) -> Self {
+        let window = window + USE_WITHIN;
         Self { me, window, pairs: PairHistory::default(), records: BTreeMap::new() }
     }
 
     /// Takes a changed window.
     pub fn set_window(&mut self, window: Duration) {
-        self.window = window;
-    }
-
-    /// How long keys are kept.
-    pub fn window(&self) -> Duration {
-        self.window
+        self.window = window + USE_WITHIN;
     }
 
     /// Notes who is there now.
--- a/crates/portrack/src/once/mod.rs
+++ b/crates/portrack/src/once/mod.rs
@@ -3,5 +3,5 @@
 mod keeper;
 mod pairs;
 
-pub use keeper::{Keeper, KeeperOutput};
+pub use keeper::{Keeper, KeeperOutput, USE_WITHIN};
 pub use pairs::{Halls, PairHistory};
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -51,8 +51,9 @@
 pub enum Lock {
     /// The engine checks the fence of every order.
     Fence,
-    /// The engine checks nothing: a lease in the key-value service. While no lease can be had,
-    /// grants go on and orders stop.
+    /// The engine checks nothing: a lease in the key-value service. An owner whose lease cannot be
+    /// renewed goes on granting and stops ordering; a successor unloads nothing until the
+    /// members have said that they grant nothing.
     Lease,
 }
 
@@ -62,6 +63,7 @@
     pub(super) engine: EngineName,
     lock: Lock,
     pub(super) leaving: bool,
+    cleared: bool,
     pub(super) tuning: Tuning,
     pub(super) phase: Phase,
     pub(super) fence: Fence,
@@ -89,6 +91,7 @@
             engine,
             lock,
             leaving: false,
+            cleared: false,
             demand: Demand::new(tuning.demand_half_life),
             tuning,
             phase: Phase::Reading(now),
@@ -123,6 +126,7 @@
             Event::OrderDone { id, result } => self.order_done(now, id, result, &mut out),
             Event::Permit(adapter) => self.permitted(&adapter),
             Event::Leaving => self.leave(&mut out),
+            Event::Cleared => self.clear(now),
         }
         self.grant_waiting(now, &mut out);
         self.plan_loads(now, &mut out);
@@ -170,9 +174,6 @@
         if report.leaving {
             self.leave(out);
         }
-        if self.lock == Lock::Lease && self.phase != Phase::Serving {
-            self.reconcile(now, report.clone());
-        }
         match self.phase {
             Phase::Reading(from) if now >= from => self.raise(now, report, out),
             Phase::Reading(_) | Phase::Raising(_) => {}
@@ -197,6 +198,7 @@
         };
         self.phase = Phase::Serving;
         self.fence = fence;
+        self.cleared = self.lock == Lock::Fence;
         self.confirmed = Some(since);
         self.unload_from = now + self.tuning.quarantine();
         if let Some(report) = self.report.take() {
@@ -258,14 +260,32 @@
         self.phase == Phase::Serving && self.confirmed.is_some_and(recent)
     }
 
-    /// True while grants are safe. Without a lease nobody orders an unload, so grants may go on.
+    /// True while grants are safe. An owner that held the lease may go on without it: nobody
+    /// unloads before this one has said that it stopped.
     pub(super) fn may_grant(&self, now: Time) -> bool {
         if self.leaving {
             return false;
         }
+        match self.lock {
+            Lock::Fence => self.holds_fence(now),
+            Lock::Lease => self.phase == Phase::Serving && self.has_fresh_report(now),
+        }
+    }
+
+    fn has_fresh_report(&self, now: Time) -> bool {
         let fresh = |r: &Report| now.since(r.asked_at) < self.tuning.grant_validity;
-        let readable = self.lock == Lock::Lease && self.report.as_ref().is_some_and(fresh);
-        readable || self.holds_fence(now)
+        self.report.as_ref().is_some_and(fresh)
+    }
+
+    /// True once no predecessor can be granting any more.
+    pub fn is_cleared(&self) -> bool {
+        self.cleared
+    }
+
+    /// What was granted until now has started, and shows, after the start window.
+    fn clear(&mut self, now: Time) {
+        self.cleared = true;
+        self.unload_from = self.unload_from.max(now + self.tuning.start_window());
     }
 
     pub(super) fn changed(&mut self) {
--- a/crates/portrack/src/owner/event.rs
+++ b/crates/portrack/src/owner/event.rs
@@ -39,6 +39,8 @@
     Permit(AdapterVersion),
     /// The node list says that the engine is leaving.
     Leaving,
+    /// Every member of the hall has said that it grants nothing on this engine.
+    Cleared,
 }
 
 /// Something to do.
--- a/crates/portrack/src/owner/loading.rs
+++ b/crates/portrack/src/owner/loading.rs
@@ -117,7 +117,8 @@
         let Some(report) = &self.report else {
             return Vec::new();
         };
-        if now < self.unload_from || !self.holds_fence(now) {
+        let settled = self.is_cleared() && report.asked_at >= self.unload_from;
+        if !settled || !self.holds_fence(now) {
             return Vec::new();
         }
         let in_use = |adapter: &AdapterVersion| {
--- a/crates/portrack/src/wire/message.rs
+++ b/crates/portrack/src/wire/message.rs
@@ -1,7 +1,7 @@
 //! Everything that daemons say to each other in datagrams.
 
 use crate::owner::{Answer, Ask, Holdings, Load};
-use crate::types::{AdapterVersion, EngineName, Instance, NodeName, ReservationId};
+use crate::types::{AdapterVersion, EngineName, Fence, Instance, NodeName, ReservationId};
 use serde::{Deserialize, Serialize};
 
 /// What a daemon says of itself.
@@ -129,6 +129,20 @@
     PermitGrant(PermitRef),
     /// Gives a load permit back.
     PermitDone(PermitRef),
+    /// The sender holds the lease of an engine that checks no fence: grant nothing there.
+    Takeover {
+        /// The engine.
+        engine: EngineName,
+        /// The fence it is held under.
+        fence: Fence,
+    },
+    /// The sender grants nothing on the engine below this fence.
+    TakeoverSeen {
+        /// The engine.
+        engine: EngineName,
+        /// The fence.
+        fence: Fence,
+    },
     /// Claims an idempotency key at its first keeper.
     KeyClaim(KeyClaim),
     /// The first keeper tells the second before it answers.
@@ -184,6 +198,7 @@
             Self::Holdings(_) | Self::HoldingsAsk(_) => Kind::Holdings,
             Self::Reserve { .. } | Self::Answer(_) => Kind::Reserve,
             Self::Release { .. } | Self::Released(_) => Kind::Reserve,
+            Self::Takeover { .. } | Self::TakeoverSeen { .. } => Kind::Reserve,
             Self::PermitAsk(_) | Self::PermitGrant(_) | Self::PermitDone(_) => Kind::Permit,
             Self::KeyClaim(_) | Self::KeyCopy(_) | Self::KeyCopied(_) => Kind::Key,
             Self::KeyReply(_) | Self::KeyFree(_) => Kind::Key,
