--- a/crates/portrack/src/once/pairs.rs
+++ b/crates/portrack/src/once/pairs.rs
@@ -13,8 +13,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct PairHistory {
     lists: VecDeque<(Time, Halls)>,
+    noted_at: Time,
 }
 
+/// A node that did not look for longer than this may have been taken for dead meanwhile. Shorter
+/// than the silence after which a member is suspected.
+const MAX_GAP: Duration = Duration::from_secs(2);
+
 /// First and second keeper: the two highest nodes of the key's home hall.
 fn pair(key: u128, halls: &Halls) -> (Option<&NodeName>, Option<&NodeName>) {
     let key = format!("{key:032x}");
@@ -24,8 +29,13 @@
 }
 
 impl PairHistory {
-    /// Takes in the list that holds from `now` on; forgets what is past the window.
+    /// Takes in the list that holds from `now` on; forgets what is past the window, and everything
+    /// after a pause.
     pub fn note(&mut self, now: Time, halls: Halls, window: Duration) {
+        if now.since(self.noted_at) > MAX_GAP {
+            self.lists.clear();
+        }
+        self.noted_at = now;
         if self.lists.back().is_none_or(|(_, last)| *last != halls) {
             self.lists.push_back((now, halls));
         }
--- a/crates/portrack/tests/fuzz/world.rs
+++ b/crates/portrack/tests/fuzz/world.rs
@@ -640,6 +640,11 @@
         self.requests.values().filter(|sent| sent.fate == Fate::Open).count()
     }
 
+    /// Keys that were given to a request.
+    pub fn keys_given(&self) -> usize {
+        self.key_owners.values().map(Vec::len).sum()
+    }
+
     pub fn answered(&self) -> usize {
         self.requests.values().filter(|sent| sent.fate == Fate::Done).count()
     }
