--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures portrack.
 
 mod capacity;
+mod policy;
 
 use argh::FromArgs;
 use std::alloc::System;
@@ -20,6 +21,19 @@
 #[argh(subcommand)]
 enum Command {
     Capacity(Capacity),
+    Policy(Policy),
+}
+
+/// load stalls and batch fullness of policies on the same traces
+#[derive(FromArgs)]
+#[argh(subcommand, name = "policy")]
+struct Policy {
+    /// traces of each shape (default 3)
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// write a picture in SVG
+    #[argh(option)]
+    picture: Option<std::path::PathBuf>,
 }
 
 /// slopes of bytes, processor time and memory, and what they come to at the users' size
@@ -36,5 +50,8 @@
     match args.command {
         Command::Capacity(args) if args.bytes => print!("{}", capacity::bytes_table()),
         Command::Capacity(_) => print!("{}", capacity::all()),
+        Command::Policy(args) => {
+            print!("{}", policy::report(args.seeds, args.picture.as_deref()));
+        }
     }
 }
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -1,11 +1,11 @@
 //! The owner's state machine: ownership itself and the dispatch of events.
 
 use super::{
-    Event, Holdings, Load, LoadTimes, Order, OrderId, OrderKind, Output, Pin, Queue, Report, Slot,
-    SlotState, Tuning,
+    Ask, Event, Holdings, Load, LoadTimes, Order, OrderId, OrderKind, Output, Pin, Queue, Report,
+    Slot, SlotState, Tuning,
 };
 use crate::placement::Demand;
-use crate::types::{AdapterVersion, EngineName, Fence, Reason, ReservationId, Time};
+use crate::types::{AdapterVersion, EngineName, Fence, Instance, Reason, ReservationId, Time};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -335,6 +335,19 @@
         self.wants.contains_key(adapter)
     }
 
+    /// The load order that is out for an adapter.
+    pub fn load_order(&self, adapter: &AdapterVersion) -> Option<OrderId> {
+        match self.slots.get(adapter)?.state {
+            SlotState::Loading(id) => Some(id),
+            _ => None,
+        }
+    }
+
+    /// The asks that wait, as their entry nodes would repeat them.
+    pub fn renewals(&self) -> Vec<(Instance, Ask)> {
+        self.queue.iter().map(|waiting| (waiting.from.clone(), waiting.ask.clone())).collect()
+    }
+
     /// Takes changed numbers.
     pub fn retune(&mut self, tuning: Tuning) {
         self.tuning = tuning;
