Cold adapters go back to their own engine; a taken key stays taken

Cause (1): a cold adapter was placed by the cheapest of four engines of the entry's hall, so its demand was split over several owners and each forgot it. Change: the first engine in the adapter's rendezvous order over the region, the second only if it is 1 s cheaper.

--- a/crates/portrack-bench/src/policy/result.rs
+++ b/crates/portrack-bench/src/policy/result.rs
@@ -50,9 +50,9 @@
     /// there when it came.
     pub fn waited(&mut self, millis: u64, cold: bool) {
         self.requests += 1;
-        self.waits.saturating_record(millis);
+        self.waits.record(millis).expect("the histogram grows");
         let stall = if cold { millis } else { 0 };
-        self.stalls.saturating_record(stall);
+        self.stalls.record(stall).expect("the histogram grows");
         self.stalled += u64::from(cold);
         self.stall_total += stall;
     }
--- a/crates/portrack-cli/src/demo/report.rs
+++ b/crates/portrack-cli/src/demo/report.rs
@@ -52,7 +52,7 @@
 fn quantiles(values: impl Iterator<Item = u64>) -> String {
     let mut histogram = Histogram::<u64>::new(3).expect("three digits are valid");
     for value in values {
-        histogram.saturating_record(value);
+        histogram.record(value).expect("the histogram grows");
     }
     let [p50, p95, p99] = [0.5, 0.95, 0.99].map(|q| histogram.value_at_quantile(q));
     format!("p50 {p50} ms, p95 {p95} ms, p99 {p99} ms")
--- a/crates/portrack/src/once/keeper.rs
+++ b/crates/portrack/src/once/keeper.rs
@@ -26,7 +26,8 @@
 
 #[derive(Debug, Clone)]
 struct Record {
-    request: ReservationId,
+    /// Who has the key; none if the other keeper only said that somebody has.
+    request: Option<ReservationId>,
     at: Time,
     /// The claim still waits for the second keeper.
     pending: Option<Pending>,
@@ -76,7 +77,7 @@
             return vec![self.reply(&claim, KeyVerdict::NotKeeper)];
         }
         if let Some(record) = self.records.get(&claim.key) {
-            let again = record.request == claim.request;
+            let again = record.request == Some(claim.request);
             return match (again, record.pending.is_some()) {
                 (true, true) => {
                     second.into_iter().map(|s| KeeperOutput::Copy(s, claim.clone())).collect()
@@ -90,7 +91,7 @@
             return self.claim_alone(now, claim, trusted);
         };
         let pending = Some(Pending { entry: claim.entry.clone(), trusted });
-        let record = Record { request: claim.request, at: now, pending };
+        let record = Record { request: Some(claim.request), at: now, pending };
         self.records.insert(claim.key, record);
         vec![KeeperOutput::Copy(second, claim)]
     }
@@ -99,7 +100,7 @@
         if !trusted {
             return vec![self.reply(&claim, KeyVerdict::Untrusted)];
         }
-        let record = Record { request: claim.request, at: now, pending: None };
+        let record = Record { request: Some(claim.request), at: now, pending: None };
         self.records.insert(claim.key, record);
         vec![self.reply(&claim, KeyVerdict::Yours)]
     }
@@ -107,9 +108,9 @@
     /// The first keeper tells this one of a claim.
     pub fn copy(&mut self, now: Time, from: NodeName, claim: KeyClaim) -> Vec<KeeperOutput> {
         let verdict = match self.records.get(&claim.key) {
-            Some(record) if record.request != claim.request => KeyVerdict::Taken,
+            Some(record) if record.request != Some(claim.request) => KeyVerdict::Taken,
             _ => {
-                let record = Record { request: claim.request, at: now, pending: None };
+                let record = Record { request: Some(claim.request), at: now, pending: None };
                 self.records.insert(claim.key, record);
                 match self.pairs.kept_throughout(claim.key, &self.me, now, self.window) {
                     true => KeyVerdict::Yours,
@@ -126,7 +127,7 @@
         let Some(record) = self.records.get_mut(&reply.key) else {
             return Vec::new();
         };
-        if record.request != reply.request {
+        if record.request != Some(reply.request) {
             return Vec::new();
         }
         let Some(pending) = record.pending.take() else {
@@ -137,15 +138,19 @@
             KeyVerdict::Untrusted if pending.trusted => KeyVerdict::Yours,
             other => other,
         };
-        if verdict == KeyVerdict::Untrusted {
-            self.records.remove(&reply.key);
+        match verdict {
+            KeyVerdict::Taken => record.request = None,
+            KeyVerdict::Untrusted | KeyVerdict::NotKeeper => {
+                self.records.remove(&reply.key);
+            }
+            KeyVerdict::Yours => {}
         }
         vec![KeeperOutput::Reply(pending.entry.node, KeyReply { verdict, ..reply })]
     }
 
     /// The request was certainly not sent.
     pub fn free(&mut self, claim: &KeyClaim) {
-        let same = self.records.get(&claim.key).is_some_and(|r| r.request == claim.request);
+        let same = self.records.get(&claim.key).is_some_and(|r| r.request == Some(claim.request));
         if same {
             self.records.remove(&claim.key);
         }
--- a/crates/portrack/src/router/choice.rs
+++ b/crates/portrack/src/router/choice.rs
@@ -26,7 +26,9 @@
 }
 
 /// Cold engines looked at, in the order of the adapter's rendezvous hash.
-const COLD_CANDIDATES: usize = 4;
+const COLD_CANDIDATES: usize = 2;
+/// How much cheaper, in milliseconds, a later one must be.
+const COLD_MARGIN_MS: f64 = 1_000.0;
 
 impl View {
     /// Chooses an engine. `is_owned` tells whether an engine has a live owner.
@@ -49,7 +51,7 @@
         let cost = |state: &EngineState| self.cost(state, wanted, hall, weights, prefixes);
         let holders: Vec<&EngineState> = self.holders(&wanted.adapter).filter(usable).collect();
         let warm = better_of_two(&holders, rng, &cost);
-        let cold = self.cold(wanted, hall, &usable, &cost);
+        let cold = self.cold(wanted, &usable, &cost);
         let best = match (warm, cold) {
             (Some(warm), Some(cold)) if cost(cold) < cost(warm) => cold,
             (Some(warm), _) => warm,
@@ -59,32 +61,26 @@
         Some(Choice { engine: best.server.name.clone(), path })
     }
 
-    /// The best of the first few engines in the adapter's own order, so that all entry nodes
-    /// look at the same ones and one load serves them all.
+    /// The first engines in the adapter's own order, so that all entry nodes look at the same
+    /// ones and one load serves them all. A later one is taken only if it is much cheaper: an
+    /// adapter that always comes back to the same engine is known there by its demand.
     fn cold<'a>(
         &'a self,
         wanted: &Wanted,
-        hall: &HallName,
         usable: &impl Fn(&&EngineState) -> bool,
         cost: &impl Fn(&EngineState) -> f64,
     ) -> Option<&'a EngineState> {
-        let near = |state: &&EngineState| state.server.hall == *hall;
-        let mut all: Vec<&EngineState> = self.iter().filter(usable).collect();
-        if all.iter().any(near) {
-            all.retain(near);
-        }
-        let names = all.iter().map(|state| &state.server.name);
+        let usable = self.iter().filter(usable);
+        let names = usable.map(|state| &state.server.name);
         let ranked = ranked(wanted.adapter.adapter.as_str(), names);
         let mut best: Option<(f64, &EngineState)> = None;
         for name in ranked.into_iter().take(COLD_CANDIDATES) {
-            let Some(state) = self.engine(name) else {
-                continue;
-            };
+            let Some(state) = self.engine(name) else { continue };
             if path(state, wanted) != Path::Cold {
                 continue;
             }
             let this = cost(state);
-            if best.is_none_or(|(least, _)| this < least) {
+            if best.is_none_or(|(least, _)| this + COLD_MARGIN_MS < least) {
                 best = Some((this, state));
             }
         }
