No grant on an old report, and the owner tested event by event

Change: every grant needs a report asked for within the grant's validity. Before: a_fence_raised_after_a_pause_does_not_make_an_old_report_good fails.

--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -263,12 +263,12 @@
     /// True while grants are safe. An owner that held the lease may go on without it: nobody
     /// unloads before this one has said that it stopped.
     pub(super) fn may_grant(&self, now: Time) -> bool {
-        if self.leaving {
+        if self.leaving || !self.has_fresh_report(now) {
             return false;
         }
         match self.lock {
             Lock::Fence => self.holds_fence(now),
-            Lock::Lease => self.phase == Phase::Serving && self.has_fresh_report(now),
+            Lock::Lease => self.phase == Phase::Serving,
         }
     }
 
--- /dev/null
+++ b/crates/portrack/tests/owner.rs
@@ -0,0 +1,255 @@
+//! The owner of an engine, event by event.
+
+use portrack::owner::{
+    Answer, Ask, EngineOwner, Event, Lock, OrderKind, OrderResult, Output, Report, Running, Tuning,
+    Verdict,
+};
+use portrack::types::{AdapterVersion, Class, Fence, Instance, Reason, ReservationId, Time};
+
+/// Late enough after a takeover for unloads.
+const SETTLED: Time = Time(20_000);
+
+fn adapter(name: &str) -> AdapterVersion {
+    format!("{name}@v1").parse().unwrap()
+}
+
+fn entry() -> Instance {
+    Instance { node: "n1".parse().unwrap(), incarnation: 1 }
+}
+
+fn ask(id: u128, name: &str) -> Ask {
+    let class = Class::Interactive;
+    Ask { id: ReservationId(id), attempt: 1, adapter: adapter(name), class, wait_ms: 10_000 }
+}
+
+fn report(at: Time, fence: u64, loaded: &[&str]) -> Report {
+    Report {
+        asked_at: at,
+        epoch: 1,
+        fence: Fence(fence),
+        lease_at: None,
+        leaving: false,
+        loaded: loaded.iter().map(|name| adapter(name)).collect(),
+        loading: Vec::new(),
+        running: Vec::new(),
+        slots: 2,
+        batch: 2,
+    }
+}
+
+fn running(id: u128, name: &str) -> Running {
+    Running { id: ReservationId(id), adapter: adapter(name) }
+}
+
+/// An owner that has held the engine under fence 1 for long.
+fn owner(loaded: &[&str]) -> EngineOwner {
+    let mut owner =
+        EngineOwner::new("e1".parse().unwrap(), Lock::Fence, Tuning::default(), Time(0));
+    owner.on(Time(0), Event::Report(report(Time(0), 0, loaded)));
+    owner.on(Time(1), Event::FenceRaised(Fence(1)));
+    owner.on(SETTLED, Event::Report(report(SETTLED, 1, loaded)));
+    owner
+}
+
+fn reserve(owner: &mut EngineOwner, now: Time, ask: Ask) -> Vec<Output> {
+    owner.on(now, Event::Reserve { from: entry(), ask })
+}
+
+fn verdicts(outputs: &[Output]) -> Vec<Verdict> {
+    let answers = outputs.iter().filter_map(|output| match output {
+        Output::Answer { answer: Answer { verdict, .. }, .. } => Some(verdict.clone()),
+        _ => None,
+    });
+    answers.collect()
+}
+
+fn orders(outputs: &[Output]) -> Vec<(OrderKind, AdapterVersion)> {
+    let orders = outputs.iter().filter_map(|output| match output {
+        Output::Order(order) => Some((order.kind, order.adapter.clone())),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn granted() -> Verdict {
+    Verdict::Granted(Fence(1))
+}
+
+#[test]
+fn a_loaded_adapter_is_granted_at_once_and_again_when_asked_again() {
+    let mut owner = owner(&["ana"]);
+    assert_eq!(verdicts(&reserve(&mut owner, SETTLED, ask(1, "ana"))), [granted()]);
+    assert_eq!(verdicts(&reserve(&mut owner, SETTLED, ask(1, "ana"))), [granted()]);
+    assert_eq!(owner.pin_count(), 1);
+}
+
+#[test]
+fn one_load_serves_all_who_wait() {
+    let mut owner = owner(&[]);
+    let outputs = reserve(&mut owner, SETTLED, ask(1, "ana"));
+    assert!(outputs.iter().any(|output| matches!(output, Output::AskPermit { .. })));
+    let outputs = reserve(&mut owner, SETTLED, ask(2, "ana"));
+    assert!(!outputs.iter().any(|output| matches!(output, Output::AskPermit { .. })));
+    let outputs = owner.on(SETTLED, Event::Permit(adapter("ana")));
+    assert_eq!(orders(&outputs), [(OrderKind::Load, adapter("ana"))]);
+    let id = owner.load_order(&adapter("ana")).unwrap();
+    let outputs = owner.on(SETTLED, Event::OrderDone { id, result: OrderResult::Done });
+    assert_eq!(verdicts(&outputs), [granted(), granted()]);
+}
+
+#[test]
+fn nothing_in_use_makes_room() {
+    let mut owner = owner(&["ana", "bea"]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    reserve(&mut owner, SETTLED, ask(2, "bea"));
+    reserve(&mut owner, SETTLED, ask(3, "cyd"));
+    assert_eq!(orders(&owner.on(SETTLED, Event::Permit(adapter("cyd")))), []);
+    let later = Time(SETTLED.0 + 1_000);
+    let outputs = owner.on(later, Event::Release { id: ReservationId(1), ended: true });
+    assert_eq!(orders(&outputs), [], "no report has shown it idle");
+    let shown = Time(later.0 + 600);
+    let mut fresh = report(shown, 1, &["ana", "bea"]);
+    fresh.running = vec![running(2, "bea")];
+    let outputs = owner.on(shown, Event::Report(fresh));
+    assert_eq!(orders(&outputs), [(OrderKind::Unload, adapter("ana"))]);
+}
+
+#[test]
+fn a_release_that_is_not_sure_keeps_the_pin_until_the_engine_says_otherwise() {
+    let mut owner = owner(&["ana"]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    owner.on(SETTLED, Event::Release { id: ReservationId(1), ended: false });
+    assert_eq!(owner.pin_count(), 1);
+    let mut fresh = report(Time(SETTLED.0 + 5_000), 1, &["ana"]);
+    fresh.running = vec![running(1, "ana")];
+    owner.on(fresh.asked_at, Event::Report(fresh));
+    assert_eq!(owner.pin_count(), 1);
+    let gone = report(Time(SETTLED.0 + 6_000), 1, &["ana"]);
+    owner.on(gone.asked_at, Event::Report(gone));
+    assert_eq!(owner.pin_count(), 0);
+}
+
+#[test]
+fn no_grant_without_a_fresh_report() {
+    let mut owner = owner(&["ana"]);
+    let late = Time(SETTLED.0 + 10_000);
+    let outputs = reserve(&mut owner, late, ask(1, "ana"));
+    assert_eq!(verdicts(&outputs), [Verdict::Queued]);
+    assert!(outputs.contains(&Output::Poll), "a fresh report is asked for at once");
+    let outputs = owner.on(late, Event::Report(report(late, 1, &["ana"])));
+    assert_eq!(verdicts(&outputs), [granted()]);
+}
+
+#[test]
+fn a_fence_raised_after_a_pause_does_not_make_an_old_report_good() {
+    let mut owner =
+        EngineOwner::new("e1".parse().unwrap(), Lock::Fence, Tuning::default(), Time(0));
+    owner.on(Time(5_000), Event::Report(report(Time(0), 0, &["ana"])));
+    owner.on(Time(5_001), Event::FenceRaised(Fence(1)));
+    let outputs = reserve(&mut owner, Time(5_001), ask(1, "ana"));
+    assert_eq!(verdicts(&outputs), [Verdict::Queued]);
+    let mut leaving = report(Time(5_001), 1, &["ana"]);
+    leaving.leaving = true;
+    let outputs = owner.on(Time(5_002), Event::Report(leaving));
+    let refused = Verdict::Refused { reason: Reason::NoBackend, retry_ms: 0 };
+    assert_eq!(verdicts(&outputs), [refused]);
+}
+
+#[test]
+fn a_higher_fence_ends_the_ownership() {
+    let mut owner = owner(&["ana"]);
+    reserve(&mut owner, SETTLED, ask(1, "cyd"));
+    let now = Time(SETTLED.0 + 100);
+    let outputs = owner.on(now, Event::Report(report(now, 2, &["ana"])));
+    assert!(matches!(verdicts(&outputs)[..], [Verdict::Refused { .. }]));
+    assert!(!owner.is_serving());
+    assert_eq!(verdicts(&reserve(&mut owner, now, ask(2, "ana"))), [Verdict::Queued]);
+}
+
+#[test]
+fn an_engine_that_restarted_empty_loses_its_slots() {
+    let mut owner = owner(&["ana", "bea"]);
+    let mut empty = report(Time(SETTLED.0 + 100), 0, &[]);
+    empty.epoch = 2;
+    let outputs = owner.on(empty.asked_at, Event::Report(empty.clone()));
+    assert_eq!(outputs, [Output::RaiseFence(Fence(2))]);
+    owner.on(empty.asked_at, Event::FenceRaised(Fence(2)));
+    assert!(owner.holdings().ready.is_empty());
+}
+
+#[test]
+fn a_failed_load_sends_those_who_wait_elsewhere_and_backs_off() {
+    let mut owner = owner(&[]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    owner.on(SETTLED, Event::Permit(adapter("ana")));
+    let id = owner.load_order(&adapter("ana")).unwrap();
+    let outputs = owner.on(SETTLED, Event::OrderDone { id, result: OrderResult::Failed });
+    let refused = Verdict::Refused { reason: Reason::LoadFailed, retry_ms: 500 };
+    assert_eq!(verdicts(&outputs), [refused.clone()]);
+    assert_eq!(verdicts(&reserve(&mut owner, SETTLED, ask(2, "ana"))), [refused]);
+}
+
+#[test]
+fn a_lost_answer_to_a_load_is_settled_by_the_next_report() {
+    let mut owner = owner(&[]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    owner.on(SETTLED, Event::Permit(adapter("ana")));
+    let id = owner.load_order(&adapter("ana")).unwrap();
+    owner.on(SETTLED, Event::OrderDone { id, result: OrderResult::Unknown });
+    let later = Time(SETTLED.0 + 600);
+    let outputs = owner.on(later, Event::Report(report(later, 1, &["ana"])));
+    assert_eq!(verdicts(&outputs), [granted()]);
+}
+
+#[test]
+fn a_queue_that_is_full_refuses_at_once() {
+    let mut owner = owner(&[]);
+    let limit = Tuning::default().queue_len as u128;
+    for id in 0..limit {
+        assert_eq!(verdicts(&reserve(&mut owner, SETTLED, ask(id, "ana"))), [Verdict::Queued]);
+    }
+    let outputs = reserve(&mut owner, SETTLED, ask(limit, "ana"));
+    assert!(matches!(verdicts(&outputs)[..], [Verdict::Refused { reason: Reason::QueueFull, .. }]));
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut owner = owner(&[]);
+    let hasty = Ask { wait_ms: 100, ..ask(1, "ana") };
+    let outputs = reserve(&mut owner, SETTLED, hasty);
+    assert!(matches!(verdicts(&outputs)[..], [Verdict::Refused { reason: Reason::Deadline, .. }]));
+}
+
+#[test]
+fn background_work_gets_its_share() {
+    let mut owner = owner(&["ana"]);
+    reserve(&mut owner, SETTLED, ask(1_000, "ana"));
+    reserve(&mut owner, SETTLED, ask(1_001, "ana"));
+    for id in 0..16 {
+        let class = if id < 8 { Class::Background } else { Class::Interactive };
+        reserve(&mut owner, SETTLED, Ask { class, ..ask(id, "ana") });
+    }
+    let mut background = 0;
+    let mut last = 1_000;
+    for _ in 0..8 {
+        let release = Event::Release { id: ReservationId(last), ended: true };
+        let outputs = owner.on(SETTLED, release);
+        let granted = outputs.iter().find_map(|output| match output {
+            Output::Answer { answer, .. } => Some(answer.id.0),
+            _ => None,
+        });
+        last = granted.expect("a place became free");
+        background += u32::from(last < 8);
+    }
+    assert_eq!(background, 1, "one grant in eight");
+}
+
+#[test]
+fn a_waiting_request_whose_entry_node_is_gone_is_dropped() {
+    let mut owner = owner(&[]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    owner.on(Time(SETTLED.0 + 2_000), Event::Tick);
+    assert_eq!(owner.waiting_count(), 1);
+    owner.on(Time(SETTLED.0 + 2_600), Event::Tick);
+    assert_eq!(owner.waiting_count(), 0);
+}
