Fences are unique, also after an engine forgot them

Cause: an engine that restarts forgets its fence. Ruled out: late requests, by the order of events. Change: a fence is made of the wall clock and the daemon's mark; a report of another epoch than the one in which the fence was raised is foreign.

--- a/crates/portrack-bench/src/capacity/cpu.rs
+++ b/crates/portrack-bench/src/capacity/cpu.rs
@@ -170,7 +170,7 @@
 fn owner() -> EngineOwner {
     let now = Time(0);
     let engine = sample::server(0, 0).name;
-    let mut owner = EngineOwner::new(engine, Lock::Fence, sample::tuning(), now);
+    let mut owner = EngineOwner::new(engine, Lock::Fence, sample::tuning(), sample::fences(), now);
     owner.on(now, Event::Report(sample::report(now, 0)));
     owner.on(now, Event::FenceRaised(Fence(1)));
     owner
--- a/crates/portrack-bench/src/capacity/memory.rs
+++ b/crates/portrack-bench/src/capacity/memory.rs
@@ -56,7 +56,13 @@
 
 fn pins(count: usize) -> EngineOwner {
     let now = Time(0);
-    let mut owner = EngineOwner::new(sample::server(0, 0).name, Lock::Fence, sample::tuning(), now);
+    let mut owner = EngineOwner::new(
+        sample::server(0, 0).name,
+        Lock::Fence,
+        sample::tuning(),
+        sample::fences(),
+        now,
+    );
     owner.on(now, Event::Report(sample::report(now, 0)));
     owner.on(now, Event::FenceRaised(Fence(1)));
     for at in 0..count {
--- a/crates/portrack-bench/src/capacity/sample.rs
+++ b/crates/portrack-bench/src/capacity/sample.rs
@@ -4,7 +4,7 @@
 use portrack::owner::{Ask, Holdings, Load, Report, Tuning};
 use portrack::router::{BackendKind, BackendServer};
 use portrack::settings::{AdapterSpec, Rule, VersionSpec};
-use portrack::types::{AdapterVersion, Class, Fence, Instance, ReservationId, Time};
+use portrack::types::{AdapterVersion, Class, Fence, FenceMaker, Instance, ReservationId, Time};
 use portrack::wire::{Heartbeat, MemberState, SettingsMark};
 
 /// An incarnation as the wall clock gives it.
@@ -114,6 +114,11 @@
     }
 }
 
+/// A maker of fences.
+pub fn fences() -> FenceMaker {
+    FenceMaker::new(&instance(0, 0), Time(0))
+}
+
 /// The owners' numbers.
 pub fn tuning() -> Tuning {
     Tuning::default()
--- a/crates/portrack-bench/src/policy/ours.rs
+++ b/crates/portrack-bench/src/policy/ours.rs
@@ -10,7 +10,8 @@
 use portrack::router::{BackendKind, BackendServer, PrefixMemory, View, Wanted, Weights};
 use portrack::settings::{Effective, Overrides};
 use portrack::types::{
-    AdapterVersion, EngineName, Fence, HallName, Instance, NodeName, ReservationId, Time,
+    AdapterVersion, EngineName, Fence, FenceMaker, HallName, Instance, NodeName, ReservationId,
+    Time,
 };
 use portrack::wire::{PermitAsk, PermitRef};
 use rand::SeedableRng;
@@ -84,8 +85,15 @@
             kind: BackendKind::Engine { base: base(), checks_fence: true },
         };
         view.servers(Time(0), site.engines.iter().enumerate().map(server).collect());
-        let owner =
-            |at| EngineOwner::new(engine_name(at), Lock::Fence, tunables.owner.clone(), Time(0));
+        let owner = |at| {
+            EngineOwner::new(
+                engine_name(at),
+                Lock::Fence,
+                tunables.owner.clone(),
+                FenceMaker::default(),
+                Time(0),
+            )
+        };
         let budget = Budget {
             per_second: shape.loads_per_second,
             at_once: shape.loads_at_once,
--- a/crates/portrack/src/node/engines.rs
+++ b/crates/portrack/src/node/engines.rs
@@ -51,7 +51,8 @@
         }
         for (engine, lock) in mine {
             let tuning = self.tunables.owner.clone();
-            let new = || EngineOwner::new(engine.clone(), lock, tuning, now);
+            let fences = self.fences;
+            let new = || EngineOwner::new(engine.clone(), lock, tuning, fences, now);
             self.owners.entry(engine.clone()).or_insert_with(new);
         }
     }
--- a/crates/portrack/src/node/machine.rs
+++ b/crates/portrack/src/node/machine.rs
@@ -12,7 +12,7 @@
 use crate::owner::EngineOwner;
 use crate::reserve::{Request, Token};
 use crate::router::{PrefixMemory, View};
-use crate::types::{EngineName, Instance, NodeName, ReservationId, Time};
+use crate::types::{EngineName, FenceMaker, Instance, NodeName, ReservationId, Time};
 use crate::wire::{Message, SettingsMark};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -25,6 +25,7 @@
 #[derive(Debug, Clone)]
 pub struct Node {
     pub(super) me: Instance,
+    pub(super) fences: FenceMaker,
     pub(super) tunables: Tunables,
     pub(super) members: Membership,
     pub(super) view: View,
@@ -55,6 +56,7 @@
             keeper: Keeper::new(me.node.clone(), tunables.key_window),
             members: Membership::new(me, tunables.timing.clone(), now),
             planner: LoadPlanner::new(tunables.budget, now),
+            fences: FenceMaker::new(&instance, now),
             me: instance,
             tunables,
             view: View::default(),
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -5,7 +5,9 @@
     Slot, SlotState, Tuning,
 };
 use crate::placement::Demand;
-use crate::types::{AdapterVersion, EngineName, Fence, Instance, Reason, ReservationId, Time};
+use crate::types::{
+    AdapterVersion, EngineName, Fence, FenceMaker, Instance, Reason, ReservationId, Time,
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -38,6 +40,8 @@
     pub(super) since: Time,
     pub(super) asked_at: Option<Time>,
     pub(super) permitted: bool,
+    /// Nobody waits for it.
+    pub(super) ahead: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -66,7 +70,10 @@
     cleared: bool,
     pub(super) tuning: Tuning,
     pub(super) phase: Phase,
+    fences: FenceMaker,
     pub(super) fence: Fence,
+    /// The engine's epoch in which it accepted our fence.
+    epoch: Option<u64>,
     pub(super) unload_from: Time,
     pub(super) confirmed: Option<Time>,
     pub(super) report: Option<Report>,
@@ -80,13 +87,20 @@
     pub(super) unloaded: BTreeMap<AdapterVersion, Time>,
     pub(super) orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
+    pub(super) looked_ahead_at: Time,
     polled_at: Option<Time>,
     pub(super) holdings: u32,
 }
 
 impl EngineOwner {
     /// Begins to own an engine at `now`.
-    pub fn new(engine: EngineName, lock: Lock, tuning: Tuning, now: Time) -> Self {
+    pub fn new(
+        engine: EngineName,
+        lock: Lock,
+        tuning: Tuning,
+        fences: FenceMaker,
+        now: Time,
+    ) -> Self {
         Self {
             engine,
             lock,
@@ -95,7 +109,9 @@
             demand: Demand::new(tuning.demand_half_life),
             tuning,
             phase: Phase::Reading(now),
+            fences,
             fence: Fence(0),
+            epoch: None,
             unload_from: now,
             confirmed: None,
             report: None,
@@ -108,6 +124,7 @@
             unloaded: BTreeMap::new(),
             orders: BTreeMap::new(),
             next_order: 0,
+            looked_ahead_at: now,
             polled_at: None,
             holdings: 1,
         }
@@ -178,18 +195,26 @@
             Phase::Reading(from) if now >= from => self.raise(now, report, out),
             Phase::Reading(_) | Phase::Raising(_) => {}
             Phase::Serving if report.fence > self.fence => self.lose(now, report.fence, out),
-            Phase::Serving if report.fence < self.fence => self.raise(now, report, out),
+            Phase::Serving if self.is_foreign(&report) => self.raise(now, report, out),
             Phase::Serving => self.reconcile(now, report),
         }
     }
 
+    /// True if the engine no longer has our fence: it restarted, and another owner's may even
+    /// look like ours.
+    fn is_foreign(&self, report: &Report) -> bool {
+        let restarted = self.lock == Lock::Fence && self.epoch != Some(report.epoch);
+        restarted || report.fence < self.fence
+    }
+
     /// Orders a fence above every one that this owner or the engine knows.
     fn raise(&mut self, now: Time, report: Report, out: &mut Vec<Output>) {
         let highest = report.fence.max(self.fence);
+        self.epoch = Some(report.epoch);
         self.phase = Phase::Raising(now);
         self.confirmed = None;
         self.report = Some(report);
-        out.push(Output::RaiseFence(highest.next()));
+        out.push(Output::RaiseFence(self.fences.above(highest, now)));
     }
 
     fn fence_raised(&mut self, now: Time, fence: Fence) {
--- a/crates/portrack/src/placement/demand.rs
+++ b/crates/portrack/src/placement/demand.rs
@@ -42,6 +42,20 @@
         self.counts.get(adapter).map_or(0.0, |count| self.decayed(*count, now))
     }
 
+    /// The adapter that is asked for most, of those that `fits` lets through.
+    pub fn highest(
+        &self,
+        now: Time,
+        fits: impl Fn(&AdapterVersion) -> bool,
+    ) -> Option<(AdapterVersion, f64)> {
+        let fitting = self.counts.iter().filter(|(adapter, _)| fits(adapter));
+        let valued = fitting.map(|(adapter, count)| (adapter, self.decayed(*count, now)));
+        let order = |a: &(&AdapterVersion, f64), b: &(&AdapterVersion, f64)| {
+            a.1.total_cmp(&b.1).then_with(|| b.0.cmp(a.0))
+        };
+        valued.max_by(order).map(|(adapter, value)| (adapter.clone(), value))
+    }
+
     /// Forgets adapters that are hardly asked for.
     pub fn sweep(&mut self, now: Time) {
         let half_life_ms = self.half_life_ms;
--- a/crates/portrack/src/types/mod.rs
+++ b/crates/portrack/src/types/mod.rs
@@ -14,7 +14,7 @@
 pub use adapter::{AdapterVersion, ParseAdapterError};
 pub use class::Class;
 pub use clock::{BootClock, Clock, ManualClock};
-pub use fence::Fence;
+pub use fence::{Fence, FenceMaker};
 pub use instance::Instance;
 pub use name::{AdapterName, BaseName, EngineName, HallName, NameError, NodeName, RegionName};
 pub use name::{ServiceName, VersionName};
