--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -31,6 +31,12 @@
     /// traces of each shape (default 3)
     #[argh(option, default = "3")]
     seeds: u64,
+    /// only portrack's own policy, without the baselines
+    #[argh(switch)]
+    ours_only: bool,
+    /// a setting for portrack's policy, KEY=VALUE
+    #[argh(option)]
+    set: Vec<policy::Setting>,
     /// write a picture in SVG
     #[argh(option)]
     picture: Option<std::path::PathBuf>,
@@ -51,7 +57,8 @@
         Command::Capacity(args) if args.bytes => print!("{}", capacity::bytes_table()),
         Command::Capacity(_) => print!("{}", capacity::all()),
         Command::Policy(args) => {
-            print!("{}", policy::report(args.seeds, args.picture.as_deref()));
+            let trial = policy::Trial { seeds: args.seeds, settings: args.set };
+            print!("{}", policy::report(&trial, args.ours_only, args.picture.as_deref()));
         }
     }
 }
--- a/crates/portrack-bench/src/policy/ours.rs
+++ b/crates/portrack-bench/src/policy/ours.rs
@@ -2,13 +2,14 @@
 
 use super::run::{DEADLINE_MS, Decide, Site};
 use super::trace::{Arrival, Shape, adapter};
+use super::trial::Trial;
 use portrack::loads::{Budget, LoadPlanner};
 use portrack::owner::{
     Answer, Ask, EngineOwner, Event, Lock, Order, OrderKind, OrderResult, Output, Report, Running,
     Verdict,
 };
 use portrack::router::{BackendKind, BackendServer, PrefixMemory, View, Wanted, Weights};
-use portrack::settings::{Effective, Overrides};
+use portrack::settings::Effective;
 use portrack::types::{
     AdapterVersion, EngineName, Fence, FenceMaker, HallName, Instance, NodeName, ReservationId,
     Time,
@@ -69,9 +70,8 @@
 
 impl Ours {
     /// Owns every engine of the site.
-    pub fn new(shape: &Shape, seed: u64, site: &Site) -> Self {
-        let mut set = Overrides::default();
-        set.put("stall_weight", Some(shape.stall_weight));
+    pub fn new(shape: &Shape, trial: &Trial, seed: u64, site: &Site) -> Self {
+        let set = trial.overrides(shape.stall_weight);
         let tunables = Effective::of([&set]).tunables(&Default::default());
         let mut view = View::default();
         let server = |(at, engine): (usize, &super::engine::Engine)| BackendServer {
--- a/crates/portrack-bench/src/policy/run.rs
+++ b/crates/portrack-bench/src/policy/run.rs
@@ -6,6 +6,7 @@
 use super::result::Outcome;
 use super::store::Store;
 use super::trace::{Arrival, Shape};
+use super::trial::Trial;
 use portrack::types::Time;
 use std::time::Duration;
 
@@ -76,15 +77,15 @@
 }
 
 /// Runs a policy on the traces of all seeds.
-pub fn run(shape: &Shape, policy: Policy, seeds: u64) -> Outcome {
+pub fn run(shape: &Shape, policy: Policy, trial: &Trial) -> Outcome {
     let mut outcome = Outcome::new(policy.name());
-    for seed in 1..=seeds {
-        outcome = run_seed(shape, policy, seed, outcome);
+    for seed in 1..=trial.seeds {
+        outcome = run_seed(shape, policy, trial, seed, outcome);
     }
     outcome
 }
 
-fn run_seed(shape: &Shape, policy: Policy, seed: u64, outcome: Outcome) -> Outcome {
+fn run_seed(shape: &Shape, policy: Policy, trial: &Trial, seed: u64, outcome: Outcome) -> Outcome {
     let count = shape.halls * shape.engines;
     let speed = |at: usize| if at % 3 == 2 { 60 } else { 100 };
     let mut site = Site {
@@ -93,7 +94,7 @@
         outcome,
     };
     let mut decide: Box<dyn Decide> = match policy {
-        Policy::Portrack => Box::new(Ours::new(shape, seed, &site)),
+        Policy::Portrack => Box::new(Ours::new(shape, trial, seed, &site)),
         Policy::LeastConnections => Box::new(Baseline::new(shape, Rule::LeastConnections, seed)),
         Policy::HolderFirst => Box::new(Baseline::new(shape, Rule::HolderFirst, seed)),
         Policy::Random => Box::new(Baseline::new(shape, Rule::Random, seed)),
--- a/crates/portrack/src/loads/planner.rs
+++ b/crates/portrack/src/loads/planner.rs
@@ -77,10 +77,6 @@
             let Some(load) = self.most_urgent(now) else {
                 break;
             };
-            let ahead = self.asked.get(&load).is_some_and(|asked| asked.ask.weight == 0);
-            if ahead && !self.is_idle() {
-                break;
-            }
             let Some(asked) = self.asked.remove(&load) else {
                 break;
             };
@@ -91,12 +87,6 @@
         granted
     }
 
-    /// True while a load that nobody waits for delays no other: half of the budget is free.
-    fn is_idle(&self) -> bool {
-        let full = (self.budget.per_second * BURST_SECONDS).max(1.0);
-        self.tokens * 2.0 > full && self.given.len() * 2 < self.budget.at_once.max(2)
-    }
-
     fn refill(&mut self, now: Time) {
         let passed = now.since(self.filled_at).as_secs_f64();
         let full = (self.budget.per_second * BURST_SECONDS).max(1.0);
@@ -108,7 +98,7 @@
     fn most_urgent(&self, now: Time) -> Option<PermitRef> {
         let urgency = |asked: &Asked| {
             let waited = u64::from(asked.ask.waited_ms) + now.since(asked.seen).as_millis() as u64;
-            (waited + 1) * u64::from(asked.ask.weight)
+            (waited + 1) * u64::from(asked.ask.weight.max(1))
         };
         let most = self.asked.iter().max_by_key(|(_, asked)| urgency(asked));
         most.map(|(load, _)| load.clone())
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -40,8 +40,6 @@
     pub(super) since: Time,
     pub(super) asked_at: Option<Time>,
     pub(super) permitted: bool,
-    /// Nobody waits for it.
-    pub(super) ahead: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -87,7 +85,6 @@
     pub(super) unloaded: BTreeMap<AdapterVersion, Time>,
     pub(super) orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
-    pub(super) looked_ahead_at: Time,
     polled_at: Option<Time>,
     pub(super) holdings: u32,
 }
@@ -124,7 +121,6 @@
             unloaded: BTreeMap::new(),
             orders: BTreeMap::new(),
             next_order: 0,
-            looked_ahead_at: now,
             polled_at: None,
             holdings: 1,
         }
--- a/crates/portrack/src/owner/loading.rs
+++ b/crates/portrack/src/owner/loading.rs
@@ -5,16 +5,9 @@
 use crate::placement::{Candidate, cheapest};
 use crate::types::{AdapterVersion, Class, Reason, Time};
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// What a waiting interactive request counts for against a background one.
 const INTERACTIVE_WEIGHT: u32 = 4;
-/// Between looks for an adapter worth loading ahead.
-const LOOK_AHEAD_EVERY: Duration = Duration::from_secs(1);
-/// How many times the demand of the replaced adapter one loaded ahead must have.
-const AHEAD_FACTOR: f64 = 1.5;
-/// The least demand, beyond that, of an adapter loaded ahead.
-const AHEAD_LEAST: f64 = 1.0;
 /// Doublings of the load backoff before its cap is certain to hold.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -25,7 +18,6 @@
             return;
         }
         self.update_wants(now, out);
-        self.look_ahead(now);
         self.ask_permits(now, out);
         self.load_permitted(now, out);
     }
@@ -39,8 +31,8 @@
                 *since = (*since).min(waiter.since);
             }
         }
-        let unwanted = self.wants.iter().filter(|(a, w)| !w.ahead && !waiting.contains_key(*a));
-        let unwanted: Vec<AdapterVersion> = unwanted.map(|(a, _)| a.clone()).collect();
+        let unwanted: Vec<AdapterVersion> =
+            self.wants.keys().filter(|a| !waiting.contains_key(*a)).cloned().collect();
         for adapter in unwanted {
             self.wants.remove(&adapter);
             out.push(Output::PermitDone(adapter));
@@ -48,38 +40,11 @@
         for (adapter, since) in waiting {
             let blocked = self.backoffs.get(&adapter).is_some_and(|b| now < b.until);
             if !blocked {
-                let want = self.wants.entry(adapter).or_insert(Want { since, ..Want::default() });
-                want.ahead = false;
+                self.wants.entry(adapter).or_insert(Want { since, ..Want::default() });
             }
         }
     }
 
-    /// Wants an adapter that nobody waits for yet, if it is asked for much more often than the one
-    /// that it would replace. The planner lets such loads pass only when it has nothing else.
-    fn look_ahead(&mut self, now: Time) {
-        let resting = now.since(self.looked_ahead_at) < LOOK_AHEAD_EVERY;
-        let settled = self.slots.values().all(|slot| slot.state == SlotState::Ready);
-        if resting || !settled || self.leaving {
-            return;
-        }
-        self.looked_ahead_at = now;
-        self.wants.retain(|_, want| !want.ahead || want.permitted);
-        if !self.wants.is_empty() {
-            return;
-        }
-        let absent =
-            |a: &AdapterVersion| !self.slots.contains_key(a) && !self.backoffs.contains_key(a);
-        let Some((adapter, demand)) = self.demand.highest(now, absent) else { return };
-        let replaced = match self.slots.len() < self.slot_count() {
-            true => Some(0.0),
-            false => cheapest(self.evictable(now)).map(|a| self.demand.of(&a, now)),
-        };
-        if replaced.is_some_and(|replaced| demand > replaced * AHEAD_FACTOR + AHEAD_LEAST) {
-            let want = Want { since: now, ahead: true, ..Want::default() };
-            self.wants.insert(adapter, want);
-        }
-    }
-
     fn ask_permits(&mut self, now: Time, out: &mut Vec<Output>) {
         let room = self.spare_slots(now);
         let mut by_age: Vec<_> = self.wants.iter().map(|(a, w)| (w.since, a.clone())).collect();
@@ -120,9 +85,9 @@
             self.wants.iter().filter(|(_, w)| w.permitted).map(|(a, _)| a.clone()).collect();
         for adapter in ready {
             if self.slots.len() < self.slot_count() {
-                let ahead = self.wants.remove(&adapter).is_some_and(|want| want.ahead);
+                self.wants.remove(&adapter);
                 let order = self.order(now, OrderKind::Load, &adapter);
-                let slot = Slot::new(SlotState::Loading(order.id), now, !ahead);
+                let slot = Slot::new(SlotState::Loading(order.id), now, true);
                 self.slots.insert(adapter, slot);
                 self.changed();
                 out.push(Output::Order(order));
--- a/crates/portrack/src/owner/tuning.rs
+++ b/crates/portrack/src/owner/tuning.rs
@@ -64,7 +64,7 @@
             permit_every: Duration::from_millis(500),
             order_timeout: Duration::from_secs(30),
             min_hold: Duration::from_secs(2),
-            demand_half_life: Duration::from_secs(300),
+            demand_half_life: Duration::from_secs(80),
             queue_len: 64,
             waiter_ttl: Duration::from_millis(2_500),
             background_every: 8,
--- a/crates/portrack/src/settings/keys.rs
+++ b/crates/portrack/src/settings/keys.rs
@@ -72,7 +72,7 @@
     load_at_once: "loads", 2, 1..=10000, "Adapter loads at the same time that the region's weight store allows.";
     report_lag_ms: "ms", 500, 0..=60000, "How far an engine's report may lag.";
     min_hold_ms: "ms", 2000, 0..=3600000, "How long a loaded adapter stays at least.";
-    demand_half_life_s: "s", 300, 1..=86400, "Time in which half of an adapter's measured demand is forgotten.";
+    demand_half_life_s: "s", 80, 1..=86400, "Time in which half of an adapter's measured demand is forgotten.";
     key_window_s: "s", 60, 1..=86400, "How long an idempotency key is remembered.";
     retry_budget: "percent", 10, 0..=100, "Retries allowed, as a share of requests.";
     body_limit: "bytes", 1048576, 1024..=16777216, "The largest body of a caller's request.";
