Outages through real daemons; broken streams and missing adapters end better

Cause: nothing showed the daemons themselves under outages. (2) A request that found its adapter gone after an engine's restart was refused where only one engine could serve it; the owner hears of it now, waits for a fresh report, and the same engine is asked once more.

--- a/crates/portrack-bench/src/capacity/bytes.rs
+++ b/crates/portrack-bench/src/capacity/bytes.rs
@@ -2,7 +2,7 @@
 
 use super::fit::Line;
 use super::sample;
-use portrack::owner::{Answer, Verdict};
+use portrack::owner::{Answer, End, Verdict};
 use portrack::settings::{Entry, EntryBody, encode};
 use portrack::types::{Fence, ReservationId};
 use portrack::wire::{
@@ -73,7 +73,7 @@
         fixed("reserve", Message::Reserve { engine: engine.clone(), ask }),
         fixed("answer-granted", answer(Verdict::Granted(Fence(900)))),
         fixed("answer-queued", answer(Verdict::Queued)),
-        fixed("release", Message::Release { engine, id, ended: true }),
+        fixed("release", Message::Release { engine, id, end: End::Ended }),
         fixed("released", Message::Released(id)),
         fixed(
             "permit-ask",
--- a/crates/portrack-bench/src/capacity/cpu.rs
+++ b/crates/portrack-bench/src/capacity/cpu.rs
@@ -4,7 +4,7 @@
 use super::sample;
 use portrack::membership::Peer;
 use portrack::node::{Effect, EngineTask, Input, Node, Tunables};
-use portrack::owner::{EngineOwner, Event, Lock};
+use portrack::owner::{End, EngineOwner, Event, Lock};
 use portrack::reserve::{Spec, Token};
 use portrack::router::{View, Wanted};
 use portrack::types::{Class, Fence, ReservationId, Time};
@@ -187,7 +187,7 @@
         let (from, ask) = (from.clone(), sample::ask(at as u128));
         let id = ask.id;
         black_box(owner.on(Time(1), Event::Reserve { from, ask }));
-        black_box(owner.on(Time(1), Event::Release { id, ended: true }));
+        black_box(owner.on(Time(1), Event::Release { id, end: End::Ended }));
     })
 }
 
--- a/crates/portrack-bench/src/policy/ours.rs
+++ b/crates/portrack-bench/src/policy/ours.rs
@@ -5,8 +5,8 @@
 use super::trial::Trial;
 use portrack::loads::{Budget, LoadPlanner};
 use portrack::owner::{
-    Answer, Ask, EngineOwner, Event, Lock, Order, OrderKind, OrderResult, Output, Report, Running,
-    Verdict,
+    Answer, Ask, End, EngineOwner, Event, Lock, Order, OrderKind, OrderResult, Output, Report,
+    Running, Verdict,
 };
 use portrack::router::{BackendKind, BackendServer, PrefixMemory, View, Wanted, Weights};
 use portrack::settings::Effective;
@@ -300,7 +300,7 @@
 
     fn tick(&mut self, now: Time, site: &mut Site, ended: &[(usize, ReservationId)]) {
         for (at, id) in ended {
-            self.owner(now, *at, Event::Release { id: *id, ended: true }, site);
+            self.owner(now, *at, Event::Release { id: *id, end: End::Ended }, site);
         }
         if now.0.is_multiple_of(OWNER_TICK_MS) {
             for at in 0..self.owners.len() {
--- /dev/null
+++ b/crates/portrack-standins/tests/common/mod.rs
@@ -0,0 +1,72 @@
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+//! What the tests through real daemons share.
+
+use awc::http::StatusCode;
+use portrack_standins::world::{World, WorldConfig};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A folder of its own for each test.
+pub fn folder(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("portrack-{}-{name}", std::process::id()))
+}
+
+/// A world whose daemons have met and own their engines.
+pub async fn world(name: &str, config: WorldConfig) -> World {
+    let world = World::start(config, folder(name)).await.unwrap();
+    let revision = world.add_adapter("ana", "v1").await;
+    assert!(world.settled(revision).await, "the daemons did not settle");
+    world
+}
+
+/// One hall with so many daemons and engines.
+pub fn one_hall(daemons: usize, engines: usize) -> WorldConfig {
+    WorldConfig {
+        daemons: vec![daemons],
+        engines: vec![engines],
+        services: vec![1],
+        ..WorldConfig::default()
+    }
+}
+
+pub fn client() -> awc::Client {
+    awc::Client::builder().timeout(Duration::from_secs(30)).finish()
+}
+
+/// Asks for a whole answer: its status, its text, and the problem's `run`.
+pub async fn complete(
+    daemon: SocketAddr,
+    model: &str,
+    prompt: &str,
+    tokens: usize,
+) -> (StatusCode, Value) {
+    let url = format!("http://{daemon}/v1/completions");
+    let body = json!({ "model": model, "prompt": prompt, "max_tokens": tokens });
+    let mut response = client().post(url).send_json(&body).await.unwrap();
+    let status = response.status();
+    let body = response.body().await.unwrap();
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+/// The text of a whole answer.
+pub fn text(answer: &Value) -> &str {
+    answer["choices"][0]["text"].as_str().unwrap_or_default()
+}
+
+/// What the stand-in engine answers to a prompt.
+pub fn expected(model: &str, prompt: &str, tokens: usize) -> String {
+    portrack_standins::expect::answer(model, &json!(prompt).to_string(), tokens)
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..1_200 {
+        if holds() {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(25)).await;
+    }
+    panic!("it never came to this: {what}");
+}
--- /dev/null
+++ b/crates/portrack-standins/tests/outages.rs
@@ -0,0 +1,131 @@
+//! Real daemons on loopback while the platform or engines fail.
+
+mod common;
+
+use common::{complete, expected, one_hall, text, until, world};
+use portrack_standins::kv::Fault;
+use portrack_standins::world::{World, WorldConfig};
+use std::rc::Rc;
+
+#[actix_rt::test]
+async fn a_daemon_that_starts_during_an_outage_takes_the_settings_from_its_peers() {
+    let mut world = world("peers", one_hall(2, 1)).await;
+    world.kv.set_fault(Fault::Down);
+    world.take_daemon("a2").halt();
+    world.add_daemon("a", "a3").await;
+    world.publish(&[]);
+    let informed = || !world.daemon("a3").status().digest.starts_with("0000000000000000");
+    until("the new daemon has settings", informed).await;
+    let (status, answer) = complete(world.daemon("a3").callers(), "ana", "hello", 4).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(text(&answer), expected("ana@v1", "hello", 4));
+}
+
+#[actix_rt::test]
+async fn a_daemon_without_any_source_of_settings_refuses_as_not_run() {
+    let config = WorldConfig { daemons: vec![0], ..one_hall(0, 1) };
+    let mut world = World::start(config, common::folder("nosource")).await.unwrap();
+    world.kv.set_fault(Fault::Down);
+    world.add_daemon("a", "a1").await;
+    let (status, problem) = complete(world.daemon("a1").callers(), "ana", "hello", 4).await;
+    assert_eq!(status, 503);
+    assert_eq!(problem["type"], "urn:portrack:no-settings");
+    assert_eq!(problem["run"], "no");
+}
+
+#[actix_rt::test]
+async fn an_outage_of_the_platform_stops_neither_warm_nor_cold_requests() {
+    let world = world("outage", one_hall(2, 1)).await;
+    complete(world.daemon("a1").callers(), "ana", "warm up", 2).await;
+    let revision = world.add_adapter("bea", "v1").await;
+    assert!(world.settled(revision).await);
+    world.kv.set_fault(Fault::Down);
+    world.nodes.set_away(true);
+    for (model, prompt) in [("ana", "warm"), ("bea", "cold")] {
+        let (status, answer) = complete(world.daemon("a2").callers(), model, prompt, 3).await;
+        assert_eq!(status, 200, "{answer}");
+        assert_eq!(text(&answer), expected(&format!("{model}@v1"), prompt, 3));
+    }
+}
+
+#[actix_rt::test]
+async fn engines_without_fences_are_served_under_a_lease() {
+    let mut config = one_hall(2, 2);
+    config.engine.checks_fence = false;
+    let world = world("leases", config).await;
+    for prompt in ["one", "two"] {
+        let (status, answer) = complete(world.daemon("a1").callers(), "ana", prompt, 3).await;
+        assert_eq!(status, 200, "{answer}");
+    }
+    let owners: usize = world
+        .daemons
+        .iter()
+        .filter_map(|(_, d)| d.as_ref())
+        .map(|d| d.status().owned.iter().filter(|owned| owned.serving).count())
+        .sum();
+    assert_eq!(owners, 2);
+}
+
+#[actix_rt::test]
+async fn a_stream_whose_connection_breaks_is_resumed_at_its_engine() {
+    let world = world("resume", one_hall(1, 1)).await;
+    world.engines[0].1.break_streams(2);
+    let (status, answer) = complete(world.daemon("a1").callers(), "ana", "long", 30).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(text(&answer), expected("ana@v1", "long", 30));
+    assert_eq!(world.engines[0].1.record().runs.len(), 1);
+}
+
+#[actix_rt::test]
+async fn a_refusal_after_a_lost_try_does_not_say_not_run() {
+    let world = Rc::new(world("lost", one_hall(1, 1)).await);
+    let asked = world.clone();
+    let request = actix_rt::spawn(async move {
+        complete(asked.daemon("a1").callers(), "ana", "lost", 5_000).await
+    });
+    until("the engine runs it", || world.engines[0].1.running() == 1).await;
+    world.engines[0].1.stop();
+    let (status, problem) = request.await.unwrap();
+    assert!(status.is_server_error(), "{problem}");
+    assert_eq!(problem["run"], "unknown", "{problem}");
+}
+
+#[actix_rt::test]
+async fn an_engine_that_restarts_empty_is_loaded_again() {
+    let world = world("restart", one_hall(1, 1)).await;
+    complete(world.daemon("a1").callers(), "ana", "one", 2).await;
+    world.engines[0].1.restart();
+    let (status, answer) = complete(world.daemon("a1").callers(), "ana", "two", 2).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(world.weights.loads(), 2);
+}
+
+#[actix_rt::test]
+async fn a_load_that_fails_is_tried_on_another_engine() {
+    let world = world("failing", one_hall(1, 2)).await;
+    for (_, engine) in &world.engines {
+        engine.fail_loads(1);
+    }
+    let mut ends = Vec::new();
+    for _ in 0..3 {
+        let (status, _) = complete(world.daemon("a1").callers(), "ana", "try", 2).await;
+        ends.push(status.as_u16());
+        actix_rt::time::sleep(std::time::Duration::from_secs(1)).await;
+    }
+    assert_eq!(ends.last(), Some(&200), "{ends:?}");
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_finishes_what_is_under_way() {
+    let mut world = world("stop", one_hall(2, 1)).await;
+    complete(world.daemon("a1").callers(), "ana", "warm up", 2).await;
+    let stopping = world.take_daemon("a1");
+    let callers = stopping.callers();
+    let request = actix_rt::spawn(complete(callers, "ana", "long", 400));
+    until("the engine runs it", || world.engines[0].1.running() == 1).await;
+    let left = stopping.stop().await;
+    assert_eq!(left, 0);
+    let (status, answer) = request.await.unwrap();
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(text(&answer), expected("ana@v1", "long", 400));
+}
--- a/crates/portrack-standins/tests/path.rs
+++ b/crates/portrack-standins/tests/path.rs
@@ -1,17 +1,11 @@
 //! The whole path: a caller, a daemon, an engine that did not hold the adapter, and back.
 
+mod common;
+
+use common::{client, folder};
 use portrack_standins::expect;
 use portrack_standins::world::{World, WorldConfig};
 use serde_json::{Value, json};
-use std::time::Duration;
-
-fn folder(name: &str) -> std::path::PathBuf {
-    std::env::temp_dir().join(format!("portrack-{}-{name}", std::process::id()))
-}
-
-fn client() -> awc::Client {
-    awc::Client::builder().timeout(Duration::from_secs(20)).finish()
-}
 
 #[actix_rt::test]
 async fn a_cold_adapter_is_loaded_and_its_answer_streamed() {
--- a/crates/portrack/src/daemon/completion.rs
+++ b/crates/portrack/src/daemon/completion.rs
@@ -7,7 +7,7 @@
 use super::key::HeldKey;
 use super::place::Place;
 use super::prompt::Prompt;
-use crate::engine::{Call, Chunk, ChunkStream, Endpoint, OpenError};
+use crate::engine::{Call, Chunk, ChunkCheck, ChunkStream, Endpoint, OpenError, ResumeError};
 use crate::http::{self, Meta, Reply, headers, read_body};
 use crate::reserve::Spec;
 use crate::router::Wanted;
@@ -217,6 +217,10 @@
                         Passed::Broken => Ended::Lost(grant.engine, lost()),
                     });
                 }
+                Err(OpenError::Missing) => {
+                    self.core.metrics.retries.with_label_values(&["missing"]).inc();
+                    place.missing();
+                }
                 Err(OpenError::NotRun { why }) => {
                     log::info!(engine = grant.engine.as_str(), why = why.as_str(); "not-run");
                     self.core.metrics.retries.with_label_values(&["not-run"]).inc();
@@ -259,19 +263,35 @@
                         return Passed::CallerGone;
                     }
                 }
-                Err(_) if resumes < RESUMES => {
-                    resumes += 1;
+                Err(_) => {
                     self.core.metrics.chunks_dropped.inc_by(stream.dropped());
-                    self.core.metrics.retries.with_label_values(&["resume"]).inc();
-                    actix_rt::time::sleep(RESUME_PAUSE * resumes).await;
-                    let resumed = self.core.engines.resume(address, stream.into_check()).await;
-                    let Ok(resumed) = resumed else { return Passed::Broken };
+                    let resumed = self.resume(address, stream.into_check(), &mut resumes).await;
+                    let Some(resumed) = resumed else { return Passed::Broken };
                     stream = resumed;
                 }
-                Err(_) => return Passed::Broken,
             }
         }
     }
+
+    /// Opens the stream again where it broke, unless the engine no longer knows it.
+    async fn resume(
+        &self,
+        address: &str,
+        check: ChunkCheck,
+        resumes: &mut u32,
+    ) -> Option<ChunkStream> {
+        while *resumes < RESUMES {
+            *resumes += 1;
+            self.core.metrics.retries.with_label_values(&["resume"]).inc();
+            actix_rt::time::sleep(RESUME_PAUSE * *resumes).await;
+            match self.core.engines.resume(address, check.clone()).await {
+                Ok(stream) => return Some(stream),
+                Err(ResumeError::Gone) => return None,
+                Err(ResumeError::Lost) => {}
+            }
+        }
+        None
+    }
 }
 
 /// How one place ended.
--- a/crates/portrack/src/daemon/place.rs
+++ b/crates/portrack/src/daemon/place.rs
@@ -43,9 +43,18 @@
 
     /// The engine did not run the request: seek another place.
     pub fn not_run(&mut self) {
+        self.give_back(false);
+    }
+
+    /// The engine does not hold the adapter, which its owner has to hear.
+    pub fn missing(&mut self) {
+        self.give_back(true);
+    }
+
+    fn give_back(&mut self, missing: bool) {
         let Some(grant) = self.held.take() else { return };
         let (token, engine, id) = (self.token, grant.engine, grant.id);
-        self.core.feed(Input::NotRun { token, engine, id });
+        self.core.feed(Input::NotRun { token, engine, id, missing });
     }
 
     /// The request is over; `ended` says that the engine certainly runs nothing of it.
--- a/crates/portrack/src/engine/client.rs
+++ b/crates/portrack/src/engine/client.rs
@@ -33,6 +33,9 @@
         /// What it said.
         why: String,
     },
+    /// The engine did not run the request because it does not hold the adapter.
+    #[snafu(display("not run: the adapter is not loaded"))]
+    Missing,
     /// The request itself is bad; another engine would say the same.
     #[snafu(display("rejected: {why}"))]
     Rejected {
@@ -47,6 +50,17 @@
     },
 }
 
+/// Why a stream was not resumed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum ResumeError {
+    /// The engine does not know the request any more.
+    #[snafu(display("the engine does not know the request any more"))]
+    Gone,
+    /// The connection broke.
+    #[snafu(display("the connection broke"))]
+    Lost,
+}
+
 /// A client of all engines.
 #[derive(Clone)]
 pub struct EngineClient {
@@ -162,15 +176,19 @@
     }
 
     /// Opens the stream of a request again where `check` stands.
-    pub async fn resume(&self, address: &str, check: ChunkCheck) -> Result<ChunkStream, OpenError> {
+    pub async fn resume(
+        &self,
+        address: &str,
+        check: ChunkCheck,
+    ) -> Result<ChunkStream, ResumeError> {
         let url = format!("{address}/v1/streams/{}", check.id());
         let after = format!("{}/{}", check.id(), check.next());
         let request = self.streams.get(url).insert_header(("last-event-id", after));
-        let response = request.send().await.map_err(open_error)?;
+        let response = request.send().await.map_err(|_| ResumeError::Lost)?;
         if response.status().is_success() {
             return Ok(ChunkStream::new(response, check));
         }
-        Err(OpenError::Unknown { why: response.status().to_string() })
+        Err(ResumeError::Gone)
     }
 
     /// Cancels a request. True once the engine certainly runs nothing of it.
@@ -202,6 +220,7 @@
         return OpenError::Unknown { why };
     }
     match status {
+        StatusCode::NOT_FOUND => OpenError::Missing,
         StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => OpenError::Rejected { why },
         _ => OpenError::NotRun { why },
     }
--- a/crates/portrack/src/engine/mod.rs
+++ b/crates/portrack/src/engine/mod.rs
@@ -8,6 +8,6 @@
 
 pub use call::{Call, Endpoint};
 pub use chunk::{Chunk, ChunkCheck, ChunkVerdict};
-pub use client::{EngineClient, OpenError};
+pub use client::{EngineClient, OpenError, ResumeError};
 pub use status::{FenceAnswer, FenceOrder, LoadOrder, RunningStatus, Status, UnloadOrder};
 pub use stream::{ChunkStream, StreamError};
--- a/crates/portrack/src/node/engines.rs
+++ b/crates/portrack/src/node/engines.rs
@@ -1,7 +1,7 @@
 //! The engines this node owns.
 
 use super::{Effect, EngineTask, Node};
-use crate::owner::{Answer, Ask, EngineOwner, Event, Lock, Output, Verdict};
+use crate::owner::{Answer, Ask, End, EngineOwner, Event, Lock, Output, Verdict};
 use crate::router::{BackendKind, BackendServer};
 use crate::types::{EngineName, Instance, Reason, ReservationId, Time};
 use crate::wire::{Message, PermitAsk, PermitRef};
@@ -136,10 +136,10 @@
         from: Instance,
         engine: &EngineName,
         id: ReservationId,
-        ended: bool,
+        end: End,
         out: &mut Vec<Effect>,
     ) {
-        self.engine_event(now, engine, Event::Release { id, ended }, out);
+        self.engine_event(now, engine, Event::Release { id, end }, out);
         self.send(from.node, Message::Released(id), out);
     }
 }
--- a/crates/portrack/src/node/input.rs
+++ b/crates/portrack/src/node/input.rs
@@ -54,6 +54,8 @@
         engine: EngineName,
         /// The reservation.
         id: ReservationId,
+        /// True if the engine said that it does not hold the adapter.
+        missing: bool,
     },
     /// A granted request is over.
     Finished {
--- a/crates/portrack/src/node/machine.rs
+++ b/crates/portrack/src/node/machine.rs
@@ -9,7 +9,7 @@
 use crate::loads::LoadPlanner;
 use crate::membership::{Membership, Peer};
 use crate::once::Keeper;
-use crate::owner::EngineOwner;
+use crate::owner::{End, EngineOwner};
 use crate::reserve::{Request, Token};
 use crate::router::{PrefixMemory, View};
 use crate::types::{EngineName, FenceMaker, Instance, NodeName, ReservationId, Time};
@@ -102,10 +102,12 @@
             Input::Message { from, body } => self.message(now, from, body, out),
             Input::Engine { engine, event } => self.engine_event(now, &engine, event, out),
             Input::Begin { token, spec } => self.begin(now, token, spec, out),
-            Input::NotRun { token, engine, id } => self.not_run(now, token, engine, id, out),
+            Input::NotRun { token, engine, id, missing } => {
+                self.not_run(now, token, engine, id, missing, out);
+            }
             Input::Finished { token, engine, id, ended } => {
                 self.requests.remove(&token);
-                self.release(now, engine, id, ended, out);
+                self.release(now, engine, id, End::of(ended), out);
             }
             Input::Cancel(token) => self.cancel(now, token, out),
             Input::Claim { token, key } => self.claim(now, token, key, out),
@@ -135,8 +137,8 @@
             Message::HoldingsAsk(engine) => self.tell_holdings(&from.node, &engine, out),
             Message::Reserve { engine, ask } => self.reserve(now, from, &engine, ask, out),
             Message::Answer(answer) => self.answer(now, from, &answer, out),
-            Message::Release { engine, id, ended } => {
-                self.take_release(now, from, &engine, id, ended, out);
+            Message::Release { engine, id, end } => {
+                self.take_release(now, from, &engine, id, end, out);
             }
             Message::Released(id) => {
                 self.releases.remove(&id);
--- a/crates/portrack/src/node/releases.rs
+++ b/crates/portrack/src/node/releases.rs
@@ -1,6 +1,7 @@
 //! Places given back: repeated until the owner has heard of it.
 
 use super::{Effect, Node};
+use crate::owner::End;
 use crate::types::{EngineName, ReservationId, Time};
 use crate::wire::Message;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct PendingRelease {
     engine: EngineName,
-    ended: bool,
+    end: End,
     next: Time,
     left: u32,
 }
@@ -24,27 +25,27 @@
         now: Time,
         engine: EngineName,
         id: ReservationId,
-        ended: bool,
+        end: End,
         out: &mut Vec<Effect>,
     ) {
         self.started.remove(&id);
         let next = now + REPEAT_AFTER;
-        let pending = PendingRelease { engine: engine.clone(), ended, next, left: REPETITIONS };
+        let pending = PendingRelease { engine: engine.clone(), end, next, left: REPETITIONS };
         self.releases.insert(id, pending);
-        self.send_release(engine, id, ended, out);
+        self.send_release(engine, id, end, out);
     }
 
     fn send_release(
         &mut self,
         engine: EngineName,
         id: ReservationId,
-        ended: bool,
+        end: End,
         out: &mut Vec<Effect>,
     ) {
         let Some(owner) = self.owner_of(&engine).cloned() else {
             return;
         };
-        self.send(owner, Message::Release { engine, id, ended }, out);
+        self.send(owner, Message::Release { engine, id, end }, out);
     }
 
     pub(super) fn tick_releases(&mut self, now: Time, out: &mut Vec<Effect>) {
@@ -54,11 +55,11 @@
             if now >= release.next {
                 release.next = now + REPEAT_AFTER;
                 release.left -= 1;
-                due.push((release.engine.clone(), *id, release.ended));
+                due.push((release.engine.clone(), *id, release.end));
             }
         }
-        for (engine, id, ended) in due {
-            self.send_release(engine, id, ended, out);
+        for (engine, id, end) in due {
+            self.send_release(engine, id, end, out);
         }
     }
 }
--- a/crates/portrack/src/node/requests.rs
+++ b/crates/portrack/src/node/requests.rs
@@ -1,7 +1,7 @@
 //! Requests of this entry node that seek a place on an engine.
 
 use super::{Effect, Node};
-use crate::owner::{Answer, Verdict};
+use crate::owner::{Answer, End, Verdict};
 use crate::reserve::{Action, Request, Spec, Token};
 use crate::types::{EngineName, Instance, NodeName, ReservationId, Time};
 use crate::wire::Message;
@@ -51,7 +51,7 @@
                 }
                 Action::Release(engine, id) => {
                     self.seeking.remove(&id);
-                    self.release(now, engine, id, true, out);
+                    self.release(now, engine, id, End::Ended, out);
                 }
                 Action::Start(grant) => {
                     self.seeking.remove(&grant.id);
@@ -100,9 +100,9 @@
         if known || refused || self.started.contains(&answer.id) {
             return;
         }
-        let (id, ended) = (answer.id, true);
+        let (id, end) = (answer.id, End::Ended);
         for engine in self.engines_owned_by(&from.node) {
-            let body = Message::Release { engine, id, ended };
+            let body = Message::Release { engine, id, end };
             self.send(from.node.clone(), body, out);
         }
     }
@@ -119,13 +119,13 @@
         token: Token,
         engine: EngineName,
         id: ReservationId,
+        missing: bool,
         out: &mut Vec<Effect>,
     ) {
-        self.release(now, engine.clone(), id, true, out);
-        let Some(request) = self.requests.get_mut(&token) else {
-            return;
-        };
-        let actions = request.not_run(engine);
+        let end = if missing { End::Missing } else { End::Ended };
+        self.release(now, engine.clone(), id, end, out);
+        let Some(request) = self.requests.get_mut(&token) else { return };
+        let actions = request.not_run(engine, missing);
         self.act(now, token, actions, out);
     }
 
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -132,7 +132,7 @@
         match event {
             Event::Tick => self.tick(now, &mut out),
             Event::Reserve { from, ask } => self.reserve(now, from, &ask, &mut out),
-            Event::Release { id, ended } => self.release(now, id, ended),
+            Event::Release { id, end } => self.release(now, id, end, &mut out),
             Event::Report(report) => self.take_report(now, report, &mut out),
             Event::FenceRaised(fence) => self.fence_raised(now, fence),
             Event::FenceRefused(highest) => self.lose(now, highest, &mut out),
--- a/crates/portrack/src/owner/event.rs
+++ b/crates/portrack/src/owner/event.rs
@@ -1,6 +1,6 @@
 //! What goes into and comes out of an owner.
 
-use super::{Answer, Ask, Order, OrderId, OrderResult, Report};
+use super::{Answer, Ask, End, Order, OrderId, OrderResult, Report};
 use crate::types::{AdapterVersion, Fence, Instance, ReservationId};
 
 /// Something that happened.
@@ -19,8 +19,8 @@
     Release {
         /// Which.
         id: ReservationId,
-        /// True if the engine certainly has nothing of it running.
-        ended: bool,
+        /// What is known of its end.
+        end: End,
     },
     /// The engine has reported.
     Report(Report),
--- a/crates/portrack/src/owner/grant.rs
+++ b/crates/portrack/src/owner/grant.rs
@@ -1,6 +1,6 @@
 //! Reservations: asks, grants, refusals and releases.
 
-use super::{Answer, Ask, EngineOwner, Output, Pin, SlotState, Verdict, Waiting};
+use super::{Answer, Ask, End, EngineOwner, Output, Pin, SlotState, Verdict, Waiting};
 use crate::types::{AdapterVersion, Class, Instance, Reason, ReservationId, Time};
 use std::time::Duration;
 
@@ -139,15 +139,35 @@
         out.push(Output::Answer { to: from, answer });
     }
 
-    pub(super) fn release(&mut self, now: Time, id: ReservationId, ended: bool) {
+    pub(super) fn release(
+        &mut self,
+        now: Time,
+        id: ReservationId,
+        end: End,
+        out: &mut Vec<Output>,
+    ) {
         self.queue.remove(id);
-        if ended {
-            self.unpin(now, id);
-            return;
+        match end {
+            End::Ended => self.unpin(now, id),
+            End::Missing => self.missing(now, id, out),
+            End::Unsure => {
+                if let Some(pin) = self.pins.get_mut(&id) {
+                    pin.holder = None;
+                    pin.granted_at = now;
+                }
+            }
         }
-        if let Some(pin) = self.pins.get_mut(&id) {
-            pin.holder = None;
-            pin.granted_at = now;
+    }
+
+    /// The engine no longer has the adapter: grants wait until a fresh report tells what it has.
+    fn missing(&mut self, now: Time, id: ReservationId, out: &mut Vec<Output>) {
+        let adapter = self.pins.get(&id).map(|pin| pin.adapter.clone());
+        self.unpin(now, id);
+        let slot = adapter.and_then(|adapter| self.slots.get_mut(&adapter));
+        if let Some(slot) = slot.filter(|slot| slot.state == SlotState::Ready) {
+            slot.state = SlotState::Unsure(now);
+            self.changed();
+            self.poll(now, POLL_AT_ONCE, out);
         }
     }
 
--- a/crates/portrack/src/owner/mod.rs
+++ b/crates/portrack/src/owner/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod ask;
+mod end;
 mod engine;
 mod event;
 mod grant;
@@ -22,6 +23,7 @@
 
 pub use answer::{Answer, Verdict};
 pub use ask::Ask;
+pub use end::End;
 pub use engine::{EngineOwner, Lock};
 pub use event::{Event, Output};
 pub use load::LoadTimes;
--- a/crates/portrack/src/reserve/request.rs
+++ b/crates/portrack/src/reserve/request.rs
@@ -28,12 +28,20 @@
     current: Option<Current>,
     last_refusal: Option<(Reason, Duration)>,
     started: bool,
+    missed: Vec<EngineName>,
 }
 
 impl Request {
     /// A request that has asked nobody yet.
     pub fn new(spec: Spec, patience: Patience) -> Self {
-        Self { spec, patience, current: None, last_refusal: None, started: false }
+        Self {
+            spec,
+            patience,
+            current: None,
+            last_refusal: None,
+            started: false,
+            missed: Vec::new(),
+        }
     }
 
     /// What is sought, with the engines tried so far.
@@ -139,9 +147,14 @@
     }
 
     /// The engine said that it did not run the request: another one is chosen.
-    pub fn not_run(&mut self, engine: EngineName) -> Vec<Action> {
+    /// One that only misses the adapter may be asked once more: its owner knows by then.
+    pub fn not_run(&mut self, engine: EngineName, missing: bool) -> Vec<Action> {
         self.started = false;
-        self.spec.wanted.tried.push(engine);
+        if !missing || self.missed.contains(&engine) {
+            self.spec.wanted.tried.push(engine);
+        } else {
+            self.missed.push(engine);
+        }
         self.last_refusal = Some((Reason::NoBackend, Duration::from_secs(1)));
         self.choose_or_stop()
     }
--- a/crates/portrack/src/wire/message.rs
+++ b/crates/portrack/src/wire/message.rs
@@ -1,6 +1,6 @@
 //! Everything that daemons say to each other in datagrams.
 
-use crate::owner::{Answer, Ask, Holdings, Load};
+use crate::owner::{Answer, Ask, End, Holdings, Load};
 use crate::types::{AdapterVersion, EngineName, Fence, Instance, NodeName, ReservationId};
 use serde::{Deserialize, Serialize};
 
@@ -118,8 +118,8 @@
         engine: EngineName,
         /// The reservation.
         id: ReservationId,
-        /// True if the engine certainly runs nothing of it.
-        ended: bool,
+        /// What is known of its end.
+        end: End,
     },
     /// The owner has taken a release in.
     Released(ReservationId),
--- a/crates/portrack/tests/fuzz/world.rs
+++ b/crates/portrack/tests/fuzz/world.rs
@@ -228,7 +228,8 @@
                 let adapter = self.requests[&token].adapter.clone();
                 if self.now >= grant.start_by {
                     let (engine, id) = (grant.engine, grant.id);
-                    return self.input(at, Input::NotRun { token, engine, id });
+                    let missing = false;
+                    return self.input(at, Input::NotRun { token, engine, id, missing });
                 }
                 let delay = self.rng.random_range(0..400);
                 let open = Flight::Open { node: at, incarnation, token, grant, adapter };
@@ -486,7 +487,7 @@
         if !engine.loaded.contains(&adapter) {
             let (engine, id) = (grant.engine, grant.id);
             if self.is_current(node, incarnation) {
-                self.input(node, Input::NotRun { token, engine, id });
+                self.input(node, Input::NotRun { token, engine, id, missing: true });
             }
             return;
         }
--- a/crates/portrack/tests/owner.rs
+++ b/crates/portrack/tests/owner.rs
@@ -1,8 +1,8 @@
 //! The owner of an engine, event by event.
 
 use portrack::owner::{
-    Answer, Ask, EngineOwner, Event, Lock, OrderKind, OrderResult, Output, Report, Running, Tuning,
-    Verdict,
+    Answer, Ask, End, EngineOwner, Event, Lock, OrderKind, OrderResult, Output, Report, Running,
+    Tuning, Verdict,
 };
 use portrack::types::{
     AdapterVersion, Class, Fence, FenceMaker, Instance, Reason, ReservationId, Time,
@@ -111,7 +111,7 @@
     reserve(&mut owner, SETTLED, ask(3, "cyd"));
     assert_eq!(orders(&owner.on(SETTLED, Event::Permit(adapter("cyd")))), []);
     let later = Time(SETTLED.0 + 1_000);
-    let outputs = owner.on(later, Event::Release { id: ReservationId(1), ended: true });
+    let outputs = owner.on(later, Event::Release { id: ReservationId(1), end: End::Ended });
     assert_eq!(orders(&outputs), [], "no report has shown it idle");
     let shown = Time(later.0 + 600);
     let mut fresh = report(shown, 1, &["ana", "bea"]);
@@ -124,7 +124,7 @@
 fn a_release_that_is_not_sure_keeps_the_pin_until_the_engine_says_otherwise() {
     let mut owner = owner(&["ana"]);
     reserve(&mut owner, SETTLED, ask(1, "ana"));
-    owner.on(SETTLED, Event::Release { id: ReservationId(1), ended: false });
+    owner.on(SETTLED, Event::Release { id: ReservationId(1), end: End::Unsure });
     assert_eq!(owner.pin_count(), 1);
     let mut fresh = report(Time(SETTLED.0 + 5_000), 1, &["ana"]);
     fresh.running = vec![running(1, "ana")];
@@ -224,6 +224,19 @@
     assert_eq!(verdicts(&outputs), [granted()]);
 }
 
+#[test]
+fn a_missing_adapter_is_granted_again_only_after_a_fresh_report() {
+    let mut owner = owner(&["ana"]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    let missing = Event::Release { id: ReservationId(1), end: End::Missing };
+    let outputs = owner.on(SETTLED, missing);
+    assert!(outputs.contains(&Output::Poll));
+    assert_eq!(verdicts(&reserve(&mut owner, SETTLED, ask(2, "ana"))), [Verdict::Queued]);
+    let later = Time(SETTLED.0 + 600);
+    let outputs = owner.on(later, Event::Report(report(later, 1, &[])));
+    assert!(outputs.iter().any(|output| matches!(output, Output::AskPermit { .. })));
+}
+
 #[test]
 fn a_queue_that_is_full_refuses_at_once() {
     let mut owner = owner(&[]);
@@ -255,7 +268,7 @@
     let mut background = 0;
     let mut last = 1_000;
     for _ in 0..8 {
-        let release = Event::Release { id: ReservationId(last), ended: true };
+        let release = Event::Release { id: ReservationId(last), end: End::Ended };
         let outputs = owner.on(SETTLED, release);
         let granted = outputs.iter().find_map(|output| match output {
             Output::Answer { answer, .. } => Some(answer.id.0),
