--- a/crates/portrack-standins/src/world.rs
+++ b/crates/portrack-standins/src/world.rs
@@ -151,6 +151,19 @@
 
     /// Publishes the node list; `leaving` names servers that are leaving.
     pub fn publish(&self, leaving: &[&str]) {
+        let running = self.daemons.iter().filter_map(|(name, d)| Some((name, d.as_ref()?)));
+        let list: Vec<_> = running.map(|(name, d)| (name.as_str(), d.members())).collect();
+        let daemons = daemon_list(&list);
+        self.nodes.set(json!({ "servers": self.server_list(leaving), "daemons": daemons }));
+    }
+
+    /// Publishes the node list with daemons that run as processes of their own.
+    pub fn publish_daemons(&self, daemons: &[(&str, SocketAddr)]) {
+        let daemons = daemon_list(daemons);
+        self.nodes.set(json!({ "servers": self.server_list(&[]), "daemons": daemons }));
+    }
+
+    fn server_list(&self, leaving: &[&str]) -> Vec<Value> {
         let mut servers = Vec::new();
         for (at, (hall, engine)) in self.engines.iter().enumerate() {
             let name = format!("e{at}");
@@ -169,16 +182,7 @@
                 "kind": "service", "service": SERVICE,
             }));
         }
-        self.nodes.set(json!({ "servers": servers, "daemons": self.daemon_list() }));
-    }
-
-    fn daemon_list(&self) -> Vec<Value> {
-        let running = self.daemons.iter().filter_map(|(name, d)| Some((name, d.as_ref()?)));
-        let list = running.map(|(name, daemon)| {
-            json!({ "node": name, "hall": &name[..1], "region": "r1",
-                    "address": daemon.members().to_string() })
-        });
-        list.collect()
+        servers
     }
 
     /// Changes the settings as an operator would.
@@ -266,3 +270,11 @@
         rules: rules.collect(),
     }
 }
+
+/// Daemons as the node list shows them; the first letter of a name is the hall.
+fn daemon_list(daemons: &[(&str, SocketAddr)]) -> Vec<Value> {
+    let list = daemons.iter().map(|(name, address)| {
+        json!({ "node": name, "hall": &name[..1], "region": "r1", "address": address.to_string() })
+    });
+    list.collect()
+}
