A fleet of daemon processes, measured from outside; documentation builds

Change: portrack-bench fleet starts daemon processes before stand-ins and reads their meters; two links to private items mended.

--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures portrack.
 
 mod capacity;
+mod fleet;
 mod policy;
 
 use argh::FromArgs;
@@ -22,6 +23,31 @@
 enum Command {
     Capacity(Capacity),
     Policy(Policy),
+    Fleet(FleetArgs),
+}
+
+/// one hall of real daemon processes on loopback, measured from outside
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetArgs {
+    /// the daemon's program
+    #[argh(option)]
+    portrackd: std::path::PathBuf,
+    /// daemons (default 30)
+    #[argh(option, default = "30")]
+    daemons: usize,
+    /// engines (default 60)
+    #[argh(option, default = "60")]
+    engines: usize,
+    /// adapters (default 500)
+    #[argh(option, default = "500")]
+    adapters: usize,
+    /// requests a second, all daemons together (default 20)
+    #[argh(option, default = "20.0")]
+    rate: f64,
+    /// seconds measured (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
 }
 
 /// load stalls and batch fullness of policies on the same traces
@@ -51,9 +77,10 @@
     bytes: bool,
 }
 
-fn main() {
+fn main() -> std::io::Result<()> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Fleet(args) => return actix_rt::System::new().block_on(fleet::run(&args)),
         Command::Capacity(args) if args.bytes => print!("{}", capacity::bytes_table()),
         Command::Capacity(_) => print!("{}", capacity::all()),
         Command::Policy(args) => {
@@ -61,4 +88,5 @@
             print!("{}", policy::report(&trial, args.ours_only, args.picture.as_deref()));
         }
     }
+    Ok(())
 }
--- a/crates/portrack/src/types/name.rs
+++ b/crates/portrack/src/types/name.rs
@@ -11,7 +11,7 @@
 /// Why a text is no name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NameError {
-    /// The text is empty or longer than [`MAX_NAME_LEN`].
+    /// The text is empty or longer than `MAX_NAME_LEN`.
     Length(usize),
     /// The text holds a character other than ASCII letters, digits, `-`, `_` and `.`.
     Character(char),
--- a/crates/portrack/src/wire/error.rs
+++ b/crates/portrack/src/wire/error.rs
@@ -2,7 +2,7 @@
 
 use snafu::Snafu;
 
-/// Errors of the codec. Each is counted by [`WireError::label`].
+/// Errors of the codec. Each is counted by `WireError::label`.
 #[derive(Debug, Snafu, PartialEq, Eq)]
 #[snafu(visibility(pub(crate)))]
 pub enum WireError {
