--- a/crates/portrack-bench/src/capacity/bytes.rs
+++ b/crates/portrack-bench/src/capacity/bytes.rs
@@ -2,6 +2,7 @@
 
 use super::fit::Line;
 use super::sample;
+use portrack::engine::{RunningStatus, Status};
 use portrack::owner::{Answer, End, Verdict};
 use portrack::settings::{Entry, EntryBody, encode};
 use portrack::types::{Fence, ReservationId};
@@ -92,9 +93,29 @@
             seal_frame(&ring(), &ask).expect("samples fit a frame").len() as f64
         }),
         sized("fetch-reply, one bucket", "adapters", &[10, 20, 40, 80], bucket_frame),
+        sized("engine status, JSON body", "adapters", &[0, 4, 8, 16], |n| status_body(n, 0)),
+        sized("engine status, idle", "running requests", &[0, 4, 8, 16], |n| status_body(0, n)),
     ]
 }
 
+/// The body of an engine's status.
+fn status_body(adapters: usize, running: usize) -> f64 {
+    let request = |n: usize| RunningStatus {
+        id: ReservationId(u128::MAX / 3 - n as u128).to_string(),
+        adapter: sample::adapter(n).to_string(),
+    };
+    let status = Status {
+        epoch: 3,
+        fence: sample::INCARNATION << 16,
+        slots: sample::SLOTS,
+        batch: 64,
+        loaded: (0..adapters).map(|n| sample::adapter(n).to_string()).collect(),
+        running: (0..running).map(request).collect(),
+        ..Status::default()
+    };
+    serde_json::to_vec(&status).expect("string keys only").len() as f64
+}
+
 /// A frame with one bucket of adapters, as one change makes every daemon fetch.
 fn bucket_frame(adapters: usize) -> f64 {
     let value = bucket(adapters);
--- a/crates/portrack-bench/src/capacity/model.rs
+++ b/crates/portrack-bench/src/capacity/model.rs
@@ -13,12 +13,17 @@
 const PUSHES_PER_LOAD: f64 = 4.0;
 /// Share of requests that claim an idempotency key; a guess from the users' mix.
 const KEYED: f64 = 0.1;
+/// The row of status calls, which go one way only.
+const ENGINE_REPORTS: &str = "engine reports";
 /// Share of an owner's loads whose magnitude changes from one heartbeat to the next; a guess.
-const NEWS: f64 = 0.3;
+const NEWS: f64 = 0.1;
 /// One heartbeat in this many carries all loads.
 const FULL_EVERY: f64 = 5.0;
-/// Bytes of a status call to an engine and its answer, heads included, without running requests.
-const STATUS_BYTES: f64 = 900.0;
+/// Bytes around the body of a status call: both heads and the headers of TCP and IP, counted by
+/// hand.
+const STATUS_AROUND: f64 = 400.0;
+/// Seconds that a request runs.
+const RUNS_FOR: f64 = 5.0;
 
 /// A fleet.
 pub struct Size {
@@ -33,7 +38,18 @@
     changes_per_day: f64,
 }
 
-const SIZES: [Size; 3] = [
+const SIZES: [Size; 4] = [
+    Size {
+        name: "the fleet that was run, one hall of 30 daemons",
+        halls: 1.0,
+        halls_per_region: 1.0,
+        daemons: 30.0,
+        engines: 60.0,
+        requests: 15.0,
+        adapters: 60.0,
+        loads_per_hour: 0.0,
+        changes_per_day: 0.0,
+    },
     Size {
         name: "Pedala today",
         halls: 3.0,
@@ -135,7 +151,7 @@
             self.keys(sizes, cpu),
             self.settings(sizes),
             self.ticks(cpu),
-            self.polls(owned),
+            self.polls(sizes, owned),
         ]
     }
 
@@ -181,9 +197,19 @@
         Row { what: "ticks", sent: 0.0, bytes: 0.0, micros: TICKS * tick }
     }
 
-    fn polls(&self, owned: f64) -> Row {
+    /// The engine's answer is nearly all of it, so it counts as received.
+    fn polls(&self, sizes: &[Bytes], owned: f64) -> Row {
         let polls = owned / Tuning::default().poll_idle.as_secs_f64();
-        Row { what: "engine reports", sent: polls, bytes: polls * STATUS_BYTES, micros: 0.0 }
+        let running = self.requests * RUNS_FOR / self.engines;
+        let held = (self.adapters / self.engines).min(SLOTS as f64);
+        let body = bytes::find(sizes, "engine status, JSON body").at(held)
+            + bytes::find(sizes, "engine status, idle").slope * running;
+        Row {
+            what: ENGINE_REPORTS,
+            sent: polls,
+            bytes: polls * (body + STATUS_AROUND),
+            micros: 0.0,
+        }
     }
 
     fn resident(&self, memory: &[Memory]) -> f64 {
@@ -213,9 +239,13 @@
             text.push_str(&format!("| {what} | {sent:.2} | {bytes:.0} | {micros:.0} |\n"));
         }
         let total: f64 = rows.iter().map(|row| row.bytes).sum();
+        let reports = rows.iter().filter(|row| row.what == ENGINE_REPORTS);
+        let reports: f64 = reports.map(|row| row.bytes).sum();
+        let both_ways = 2.0 * (total - reports) + reports;
         let micros: f64 = rows.iter().map(|row| row.micros).sum();
         text.push_str(&format!(
-            "| all | | {total:.0} | {micros:.0} ({:.2}% of a core) |\n\nstate: {:.1} MB\n",
+            "| all | | {total:.0} | {micros:.0} ({:.2}% of a core) |\n\n\
+             sent and received together: {both_ways:.0} bytes/s; state: {:.1} MB\n",
             micros / 10_000.0,
             size.resident(memory) / 1e6
         ));
--- a/crates/portrack/tests/keeper.rs
+++ b/crates/portrack/tests/keeper.rs
@@ -122,3 +122,24 @@
     here.members(Time(1_000), both(Vec::new()));
     assert_eq!(here.keepers(key), (None, None));
 }
+
+#[test]
+fn a_keeper_that_did_not_look_for_a_while_trusts_nothing_from_before() {
+    let mut first = keeper("n1", &["n1", "n2"]);
+    let key = own_key(&first, "n1");
+    let woken = Time(TRUSTED.0 + 10_000);
+    let halls = [("a".parse().unwrap(), vec![node("n1"), node("n2")])].into();
+    first.members(woken, halls);
+    first.claim(woken, claim(key, 1));
+    let outputs = first.copied(reply(key, 1, KeyVerdict::Untrusted));
+    assert_eq!(verdicts(&outputs), [KeyVerdict::Untrusted]);
+}
+
+#[test]
+fn a_keeper_that_looked_all_along_is_enough_beside_a_new_one() {
+    let mut first = keeper("n1", &["n1", "n2"]);
+    let key = own_key(&first, "n1");
+    first.claim(TRUSTED, claim(key, 1));
+    let outputs = first.copied(reply(key, 1, KeyVerdict::Untrusted));
+    assert_eq!(verdicts(&outputs), [KeyVerdict::Yours]);
+}
