Smaller files: messages, sinks, resolving and TOML parsing each by themselves

Cause: completion.rs and message.rs had grown; TOML errors and the benchmark's owner stood twice; four public items had no use.

--- a/crates/portrack-bench/src/capacity/cpu.rs
+++ b/crates/portrack-bench/src/capacity/cpu.rs
@@ -167,22 +167,23 @@
     })
 }
 
-fn owner() -> EngineOwner {
+/// An owner that serves, with a number of pins.
+pub fn owner(pins: usize) -> EngineOwner {
     let now = Time(0);
     let engine = sample::server(0, 0).name;
     let mut owner = EngineOwner::new(engine, Lock::Fence, sample::tuning(), sample::fences(), now);
     owner.on(now, Event::Report(sample::report(now, 0)));
     owner.on(now, Event::FenceRaised(Fence(1)));
+    for at in 0..pins {
+        let (from, ask) = (sample::instance(0, 1), sample::ask(1_000_000 + at as u128));
+        owner.on(now, Event::Reserve { from, ask });
+    }
     owner
 }
 
 fn reserve(pins: usize) -> f64 {
-    let mut owner = owner();
+    let mut owner = owner(pins);
     let from = sample::instance(0, 1);
-    for at in 0..pins {
-        let (from, ask) = (from.clone(), sample::ask(1_000_000 + at as u128));
-        owner.on(Time(1), Event::Reserve { from, ask });
-    }
     micros(1_000, |at| {
         let (from, ask) = (from.clone(), sample::ask(at as u128));
         let id = ask.id;
--- a/crates/portrack-bench/src/capacity/memory.rs
+++ b/crates/portrack-bench/src/capacity/memory.rs
@@ -3,11 +3,9 @@
 use super::bytes::bucket;
 use super::cpu;
 use super::fit::Line;
-use super::sample;
 use portrack::node::Input;
-use portrack::owner::{EngineOwner, Event, Lock};
 use portrack::settings::Book;
-use portrack::types::{Fence, Time};
+use portrack::types::Time;
 use portrack::wire::FetchEntry;
 use stats_alloc::Region;
 
@@ -39,7 +37,7 @@
         line("member", &[30, 120, 360], |n| held(|| cpu::node(n, 0))),
         line("engine in the view, 16 adapters held", &[60, 240, 960], |n| held(|| cpu::view(n))),
         line("adapter in the settings, one rule", &[1_000, 4_000, 10_000], |n| held(|| book(n))),
-        line("pin at an owner", &[100, 400, 1_600], |n| held(|| pins(n))),
+        line("pin at an owner", &[100, 400, 1_600], |n| held(|| cpu::owner(n))),
         line("request that seeks a place", &[100, 400, 1_600], |n| held(|| seeking(n))),
     ]
 }
@@ -54,24 +52,6 @@
     book
 }
 
-fn pins(count: usize) -> EngineOwner {
-    let now = Time(0);
-    let mut owner = EngineOwner::new(
-        sample::server(0, 0).name,
-        Lock::Fence,
-        sample::tuning(),
-        sample::fences(),
-        now,
-    );
-    owner.on(now, Event::Report(sample::report(now, 0)));
-    owner.on(now, Event::FenceRaised(Fence(1)));
-    for at in 0..count {
-        let (from, ask) = (sample::instance(0, 1), sample::ask(at as u128));
-        owner.on(now, Event::Reserve { from, ask });
-    }
-    owner
-}
-
 fn seeking(count: usize) -> portrack::Node {
     let mut node = cpu::node(30, 240);
     for at in 0..count {
--- a/crates/portrack/src/audit/mod.rs
+++ b/crates/portrack/src/audit/mod.rs
@@ -2,4 +2,4 @@
 
 mod record;
 
-pub use record::{AuditRecord, ChangeId, digest};
+pub use record::{AuditRecord, ChangeId};
--- a/crates/portrack/src/audit/record.rs
+++ b/crates/portrack/src/audit/record.rs
@@ -3,7 +3,6 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Names one change, so that a lost answer can be looked up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -55,8 +54,3 @@
     /// The value after, as JSON; `null` if it was removed.
     pub after: String,
 }
-
-/// The digest of a value, as it is shown and compared.
-pub fn digest(value: &str) -> String {
-    format!("{:016x}", xxh3_64(value.as_bytes()))
-}
--- a/crates/portrack/src/daemon/completion.rs
+++ b/crates/portrack/src/daemon/completion.rs
@@ -7,7 +7,9 @@
 use super::key::HeldKey;
 use super::place::Place;
 use super::prompt::Prompt;
-use crate::engine::{Call, Chunk, ChunkCheck, ChunkStream, Endpoint, OpenError, ResumeError};
+use super::resolve::resolve;
+use super::sink::Sink;
+use crate::engine::{Call, ChunkCheck, ChunkStream, Endpoint, OpenError, ResumeError};
 use crate::http::{self, Meta, Reply, headers, read_body};
 use crate::reserve::Spec;
 use crate::router::Wanted;
@@ -18,7 +20,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::mpsc::channel;
 
 /// The longest pause between parts of a caller's body.
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
@@ -307,61 +309,6 @@
     Broken,
 }
 
-/// Where chunks go.
-enum Sink {
-    Stream { sender: Sender<Result<Bytes, std::io::Error>>, forwarded: bool },
-    Whole(Answer),
-}
-
-impl Sink {
-    /// Takes a chunk. False if nobody wants it any more.
-    async fn push(&mut self, chunk: Chunk) -> bool {
-        match self {
-            Self::Whole(answer) => answer.push(&chunk.data),
-            Self::Stream { sender, forwarded } => {
-                *forwarded = true;
-                let line = Bytes::from(format!("data: {}\n\n", chunk.data));
-                sender.send(Ok(line)).await.is_ok()
-            }
-        }
-    }
-
-    async fn end(&mut self) -> bool {
-        match self {
-            Self::Whole(_) => true,
-            Self::Stream { sender, .. } => {
-                sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await.is_ok()
-            }
-        }
-    }
-
-    fn forwarded(&self) -> bool {
-        matches!(self, Self::Stream { forwarded: true, .. })
-    }
-
-    /// Forgets what an unfinished answer left behind: answers of two engines are never joined.
-    fn restart(&mut self, endpoint: Endpoint) {
-        if let Self::Whole(answer) = self {
-            *answer = Answer::new(endpoint);
-        }
-    }
-
-    /// Tells the caller that there is no whole answer.
-    async fn fail(self, refusal: Refusal, refused: tokio::sync::oneshot::Sender<Refusal>) {
-        let Self::Stream { sender, forwarded: true } = self else {
-            let _ = refused.send(refusal);
-            return;
-        };
-        let data = serde_json::json!({
-            "type": format!("urn:portrack:{}", refusal.reason.as_str()),
-            "detail": refusal.detail,
-            "run": refusal.run.as_str(),
-        });
-        let line = Bytes::from(format!("event: error\ndata: {data}\n\n"));
-        let _ = sender.send(Ok(line)).await;
-    }
-}
-
 /// Tells how long the request waited for its start.
 fn with_wait(mut reply: Reply, waited: Duration) -> Reply {
     let name = HeaderName::from_static(headers::WAIT);
@@ -373,36 +320,3 @@
 fn lost() -> Refusal {
     Refusal::unknown(Reason::BackendLost, "the engine was lost before the answer was whole")
 }
-
-/// Adapter, version and node class by the rules in force.
-fn resolve(
-    core: &Rc<Core>,
-    prompt: &Prompt,
-    meta: &Meta,
-    service: &str,
-) -> Result<Wanted, Refusal> {
-    let book = core.book.borrow();
-    if book.is_empty() {
-        let refusal = Refusal::not_run(Reason::NoSettings, "this node has no settings yet");
-        return Err(refusal.after(Duration::from_secs(1)));
-    }
-    let Some(spec) = book.adapters().get(&prompt.adapter) else {
-        let detail = format!("no adapter {} is in force", prompt.adapter);
-        return Err(Refusal::not_run(Reason::UnknownAdapter, detail));
-    };
-    let draw = rand::random();
-    let hall = core.bootstrap.hall.as_str();
-    let Some(route) = spec.route(prompt.version.as_ref(), service, hall, draw) else {
-        let detail = format!("no rule lets {} serve this request here", prompt.adapter);
-        return Err(Refusal::not_run(Reason::NotAllowed, detail));
-    };
-    let adapter = AdapterVersion { adapter: prompt.adapter.clone(), version: route.version };
-    Ok(Wanted {
-        adapter,
-        base: spec.base.clone(),
-        node_class: route.class,
-        class: meta.class,
-        prefix: prompt.prefix,
-        tried: Vec::new(),
-    })
-}
--- a/crates/portrack/src/daemon/mod.rs
+++ b/crates/portrack/src/daemon/mod.rs
@@ -17,7 +17,9 @@
 mod place;
 mod plain;
 mod prompt;
+mod resolve;
 mod running;
+mod sink;
 mod status;
 mod sync;
 
--- a/crates/portrack/src/daemon/running.rs
+++ b/crates/portrack/src/daemon/running.rs
@@ -244,11 +244,6 @@
         self.core.status()
     }
 
-    /// Adds daemons to know of.
-    pub fn add_peers(&self, peers: Vec<Peer>) {
-        self.core.feed(Input::Peers(peers));
-    }
-
     /// Resolves once a planned stop was asked for over the operators' listener.
     pub async fn asked_to_leave(&self) {
         while !self.core.leaving.get() {
--- a/crates/portrack/src/node/machine.rs
+++ b/crates/portrack/src/node/machine.rs
@@ -206,9 +206,4 @@
     pub fn owners(&self) -> impl Iterator<Item = &EngineOwner> {
         self.owners.values()
     }
-
-    /// Loads this node has permitted and that are still out.
-    pub fn permits_out(&self) -> usize {
-        self.planner.given_count()
-    }
 }
--- a/crates/portrack/src/settings/bootstrap.rs
+++ b/crates/portrack/src/settings/bootstrap.rs
@@ -1,8 +1,8 @@
 //! The daemon's own file: what it must know before it can ask anybody.
 
 use super::SettingsError;
-use super::error::{ParseSnafu, ReadSnafu};
-use super::file::line_at;
+use super::error::ReadSnafu;
+use super::parse::parse_toml;
 use crate::membership::Peer;
 use crate::types::{HallName, NodeName, RegionName};
 use serde::Deserialize;
@@ -131,15 +131,7 @@
 
     /// Checks a file's text; `file` only names it in errors.
     pub fn parse(file: &Path, text: &str) -> Result<Self, SettingsError> {
-        let parsed: Result<Self, toml::de::Error> = toml::from_str(text);
-        let bootstrap = match parsed {
-            Ok(bootstrap) => bootstrap,
-            Err(error) => {
-                let line = error.span().map_or(1, |span| line_at(text, span.start));
-                let message = error.message().replace('\n', " ");
-                return ParseSnafu { file, line, message: with_key(text, line, message) }.fail();
-            }
-        };
+        let bootstrap: Self = parse_toml(file, text)?;
         match bootstrap.problem() {
             None => Ok(bootstrap),
             Some((key, message)) => Err(SettingsError::Invalid {
@@ -174,15 +166,6 @@
     }
 }
 
-/// Puts the key of the line before a message that does not name it.
-fn with_key(text: &str, line: usize, message: String) -> String {
-    let source = text.lines().nth(line - 1).unwrap_or_default();
-    match source.split_once('=') {
-        Some((key, _)) if !message.contains(key.trim()) => format!("{}: {message}", key.trim()),
-        _ => message,
-    }
-}
-
 fn line_of_key(text: &str, key: &str) -> usize {
     let names = |line: &str| {
         let line = line.trim_start_matches('[').trim();
--- a/crates/portrack/src/settings/file.rs
+++ b/crates/portrack/src/settings/file.rs
@@ -1,6 +1,7 @@
 //! A file of settings that operators apply.
 
-use super::error::{ParseSnafu, ReadSnafu};
+use super::error::ReadSnafu;
+use super::parse::parse_toml;
 use super::{AdapterSpec, Edit, KEYS, Overrides, PlainService, SettingsError, TreePath};
 use crate::types::{AdapterName, ServiceName};
 use serde::Deserialize;
@@ -41,14 +42,7 @@
 
     /// Checks a file's text; `file` only names it in errors.
     pub fn parse(file: &Path, text: &str) -> Result<Self, SettingsError> {
-        let parsed: Result<Self, toml::de::Error> = toml::from_str(text);
-        let parsed = match parsed {
-            Ok(parsed) => parsed,
-            Err(error) => {
-                let line = error.span().map_or(1, |span| line_at(text, span.start));
-                return ParseSnafu { file, line, message: error.message() }.fail();
-            }
-        };
+        let parsed: Self = parse_toml(file, text)?;
         for edit in parsed.edits() {
             if let Some(message) = edit.problem() {
                 let key = edit.what();
@@ -90,10 +84,6 @@
     }
 }
 
-pub(super) fn line_at(text: &str, offset: usize) -> usize {
-    text.as_bytes().iter().take(offset).filter(|byte| **byte == b'\n').count() + 1
-}
-
 /// The line of the table that an edit comes from, or of its key within it.
 fn line_naming(text: &str, edit: &Edit) -> usize {
     let (table, key) = match edit {
--- a/crates/portrack/src/settings/mod.rs
+++ b/crates/portrack/src/settings/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod file;
 mod keys;
+mod parse;
 mod path;
 mod plain;
 mod resolve;
--- a/crates/portrack/src/wire/message.rs
+++ b/crates/portrack/src/wire/message.rs
@@ -1,97 +1,10 @@
 //! Everything that daemons say to each other in datagrams.
 
+use super::{Heartbeat, KeyClaim, KeyReply, Kind, PermitAsk, PermitRef};
 use crate::owner::{Answer, Ask, End, Holdings, Load};
-use crate::types::{AdapterVersion, EngineName, Fence, Instance, NodeName, ReservationId};
+use crate::types::{EngineName, Fence, ReservationId};
 use serde::{Deserialize, Serialize};
 
-/// What a daemon says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum MemberState {
-    /// Works.
-    Alive,
-    /// Finishes what it has; owns nothing, takes nothing new.
-    Leaving,
-}
-
-/// Which settings a daemon has in force.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SettingsMark {
-    /// The highest revision applied.
-    pub revision: u64,
-    /// A hash over all entries and their revisions.
-    pub digest: u64,
-}
-
-/// Sent by every daemon at a steady pace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Alive or leaving.
-    pub state: MemberState,
-    /// Settings in force.
-    pub settings: SettingsMark,
-    /// True if the platform's key-value service answered lately.
-    pub platform: bool,
-    /// Nodes of the own hall that this daemon no longer hears.
-    pub suspects: Vec<NodeName>,
-    /// The engines owned.
-    pub loads: Vec<Load>,
-}
-
-/// Asks the load planner for a permit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitAsk {
-    /// Which load.
-    pub load: PermitRef,
-    /// How long the first request has waited, in milliseconds.
-    pub waited_ms: u32,
-    /// Requests that wait, interactive ones counted more.
-    pub weight: u32,
-}
-
-/// Names one load.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct PermitRef {
-    /// The engine.
-    pub engine: EngineName,
-    /// The adapter.
-    pub adapter: AdapterVersion,
-}
-
-/// A claim of an idempotency key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeyClaim {
-    /// Hash of service, caller's scope and key.
-    pub key: u128,
-    /// The request that claims it.
-    pub request: ReservationId,
-    /// The entry node that will send the request.
-    pub entry: Instance,
-}
-
-/// How a claim ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum KeyVerdict {
-    /// The key is this request's; it may be sent once.
-    Yours,
-    /// Another request has it.
-    Taken,
-    /// Too little is remembered to tell.
-    Untrusted,
-    /// This node does not keep the key.
-    NotKeeper,
-}
-
-/// Answers a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeyReply {
-    /// The key.
-    pub key: u128,
-    /// The request that claimed it.
-    pub request: ReservationId,
-    /// The verdict.
-    pub verdict: KeyVerdict,
-}
-
 /// A message between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -157,41 +70,6 @@
     KeyFree(KeyClaim),
 }
 
-/// The kinds of messages, for meters.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Kind {
-    /// Heartbeats and further loads.
-    Heartbeat,
-    /// Holdings and asks for them.
-    Holdings,
-    /// Reservations, answers and releases.
-    Reserve,
-    /// Load permits.
-    Permit,
-    /// Idempotency keys.
-    Key,
-    /// Settings fetched over TCP.
-    Settings,
-}
-
-impl Kind {
-    /// All kinds.
-    pub const ALL: [Self; 6] =
-        [Self::Heartbeat, Self::Holdings, Self::Reserve, Self::Permit, Self::Key, Self::Settings];
-
-    /// The kind as a metric label.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Heartbeat => "heartbeat",
-            Self::Holdings => "holdings",
-            Self::Reserve => "reserve",
-            Self::Permit => "permit",
-            Self::Key => "key",
-            Self::Settings => "settings",
-        }
-    }
-}
-
 impl Message {
     /// The kind of this message.
     pub fn kind(&self) -> Kind {
