One lease for all engines of a daemon, and given up with each engine

Also, a daemon that lost an engine to a new member kept its key, renewed for ever. Ruled out: the machine's load, by running it alone. Change: asking for a lease is serialised; a key is removed when its engine is let go, and again at each renewal until that is answered.

--- a/crates/portrack-standins/src/kv/http.rs
+++ b/crates/portrack-standins/src/kv/http.rs
@@ -164,8 +164,8 @@
     let holds = body["compare"].as_array().is_none_or(|all| all.iter().all(|c| holds(shared, c)));
     if holds {
         let empty = Vec::new();
-        let puts = body["success"].as_array().unwrap_or(&empty).iter();
-        let puts = puts.map(|op| &op["request_put"]);
+        let operations = body["success"].as_array().unwrap_or(&empty);
+        let puts = operations.iter().map(|op| &op["request_put"]).filter(|put| !put.is_null());
         let puts: Vec<_> = puts
             .map(|put| (bytes(&put["key"]), bytes(&put["value"]), number(&put["lease"])))
             .collect();
@@ -174,7 +174,14 @@
         if too_large || !leases {
             return http::plain(StatusCode::BAD_REQUEST, "value too large or lease gone\n");
         }
-        shared.store.borrow_mut().put(puts);
+        if !puts.is_empty() {
+            shared.store.borrow_mut().put(puts);
+        }
+        for operation in operations.iter().map(|op| &op["request_delete_range"]) {
+            if !operation.is_null() {
+                shared.store.borrow_mut().remove(bytes(&operation["key"]));
+            }
+        }
         shared.changed.notify_waiters();
     }
     http::json(StatusCode::OK, &json!({ "header": header(shared), "succeeded": holds }))
--- a/crates/portrack-standins/src/kv/state.rs
+++ b/crates/portrack-standins/src/kv/state.rs
@@ -63,13 +63,19 @@
         }
     }
 
+    /// Removes a key, if it is there.
+    pub fn remove(&mut self, key: Vec<u8>) {
+        if self.keys.remove(&key).is_some() {
+            self.revision += 1;
+            self.history.push(Changed { key, revision: self.revision, value: None });
+        }
+    }
+
     fn remove_leased(&mut self, lease: u64) {
         let gone: Vec<Vec<u8>> =
             self.keys.iter().filter(|(_, h)| h.lease == lease).map(|(k, _)| k.clone()).collect();
         for key in gone {
-            self.revision += 1;
-            self.keys.remove(&key);
-            self.history.push(Changed { key, revision: self.revision, value: None });
+            self.remove(key);
         }
     }
 
--- a/crates/portrack-standins/tests/outages.rs
+++ b/crates/portrack-standins/tests/outages.rs
@@ -66,6 +66,23 @@
     assert_eq!(owners, 2);
 }
 
+#[actix_rt::test]
+async fn an_engine_without_fences_changes_hands_when_a_daemon_comes() {
+    let mut config = one_hall(1, 6);
+    config.engine.checks_fence = false;
+    let mut world = world("handover", config).await;
+    world.add_daemon("a", "a2").await;
+    world.publish(&[]);
+    let serving = |daemon: &str| {
+        let owned = world.daemon(daemon).status().owned;
+        owned.iter().filter(|owned| owned.serving).count()
+    };
+    until("the new daemon has taken some engines over", || {
+        serving("a2") > 0 && serving("a1") + serving("a2") == 6
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_stream_whose_connection_breaks_is_resumed_at_its_engine() {
     let world = world("resume", one_hall(1, 1)).await;
--- a/crates/portrack/src/daemon/engines.rs
+++ b/crates/portrack/src/daemon/engines.rs
@@ -16,6 +16,7 @@
                 EngineTask::Poll => core.poll(engine, &server).await,
                 EngineTask::RaiseFence(fence) => core.raise_fence(engine, &server, fence).await,
                 EngineTask::Order(order) => core.order(engine, &server, order).await,
+                EngineTask::LetGo => core.leases.let_go(&engine).await,
             }
         });
     }
--- a/crates/portrack/src/daemon/leases.rs
+++ b/crates/portrack/src/daemon/leases.rs
@@ -35,12 +35,24 @@
     prefix: String,
     owner: String,
     lease: Cell<Option<Lease>>,
+    /// Held while a lease is asked for, so that several engines share one.
+    granting: tokio::sync::Mutex<()>,
     held: RefCell<BTreeMap<EngineName, Fence>>,
+    /// Keys that are still to be removed.
+    given_up: RefCell<BTreeMap<EngineName, Fence>>,
 }
 
 impl Leases {
     pub fn new(kv: Rc<dyn Kv>, prefix: String, owner: String) -> Self {
-        Self { kv, prefix, owner, lease: Cell::new(None), held: RefCell::default() }
+        Self {
+            kv,
+            prefix,
+            owner,
+            lease: Cell::new(None),
+            granting: Default::default(),
+            held: RefCell::default(),
+            given_up: RefCell::default(),
+        }
     }
 
     fn key(&self, engine: &EngineName) -> String {
@@ -63,6 +75,7 @@
         if !same_lease {
             return None;
         }
+        self.given_up.borrow_mut().remove(engine);
         self.held.borrow_mut().insert(engine.clone(), fence);
         Some(fence)
     }
@@ -79,6 +92,7 @@
     }
 
     async fn ensure_lease(&self, clock: &dyn Clock) -> Option<Lease> {
+        let _granting = self.granting.lock().await;
         if let Some(lease) = self.lease.get()
             && clock.now().since(lease.renewed_at) < ORDER_WITHIN
         {
@@ -92,8 +106,26 @@
         Some(lease)
     }
 
+    /// Gives the key of an engine up, so that its next owner need not wait for the lease to lapse.
+    pub async fn let_go(&self, engine: &EngineName) {
+        let Some(fence) = self.held.borrow_mut().remove(engine) else { return };
+        self.given_up.borrow_mut().insert(engine.clone(), fence);
+        self.remove_given_up().await;
+    }
+
+    async fn remove_given_up(&self) {
+        let given_up: Vec<_> =
+            self.given_up.borrow().iter().map(|(e, fence)| (e.clone(), *fence)).collect();
+        for (engine, fence) in given_up {
+            if self.kv.remove(&self.key(&engine), fence.0).await.is_ok() {
+                self.given_up.borrow_mut().remove(&engine);
+            }
+        }
+    }
+
     /// Renews the lease; one that lapsed takes every hold with it.
     pub async fn renew(&self, clock: &dyn Clock) {
+        self.remove_given_up().await;
         let Some(lease) = self.lease.get() else { return };
         let sent_at = clock.now();
         match self.kv.renew_lease(lease.id).await {
--- a/crates/portrack/src/node/effect.rs
+++ b/crates/portrack/src/node/effect.rs
@@ -14,6 +14,8 @@
     RaiseFence(Fence),
     /// Give it an order.
     Order(Order),
+    /// This node owns it no more; what holds it in the key-value service is to be given up.
+    LetGo,
 }
 
 /// Something to do.
--- a/crates/portrack/src/node/engines.rs
+++ b/crates/portrack/src/node/engines.rs
@@ -64,6 +64,7 @@
         self.pushed.remove(engine);
         let outputs = owner.stop(now);
         self.owner_outputs(now, engine, outputs, out);
+        out.push(Effect::Engine { engine: engine.clone(), task: EngineTask::LetGo });
     }
 
     pub(super) fn tick_owners(&mut self, now: Time, out: &mut Vec<Effect>) {
--- a/crates/portrack/src/platform/etcd.rs
+++ b/crates/portrack/src/platform/etcd.rs
@@ -57,8 +57,12 @@
     }
 
     async fn txn(&self, compare: Value, puts: Vec<Value>) -> Result<Option<u64>, KvError> {
-        let success: Vec<Value> =
-            puts.into_iter().map(|put| json!({ "request_put": put })).collect();
+        let puts = puts.into_iter().map(|put| json!({ "request_put": put }));
+        self.commit(compare, puts.collect()).await
+    }
+
+    /// Carries operations out if the comparison holds, and returns the new revision.
+    async fn commit(&self, compare: Value, success: Vec<Value>) -> Result<Option<u64>, KvError> {
         let body = json!({ "compare": [compare], "success": success });
         let answer = self.call("kv/txn", body).await?;
         if answer["succeeded"] != json!(true) {
@@ -135,6 +139,15 @@
     Some(KvHeld { key, revision, value })
 }
 
+fn unchanged_since(key: &str, revision: u64) -> Value {
+    json!({
+        "key": STANDARD.encode(key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": revision.to_string(),
+    })
+}
+
 /// The first key after all that begin with `prefix`.
 fn prefix_end(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
@@ -166,12 +179,7 @@
         revision: u64,
         puts: Vec<KvPut>,
     ) -> LocalFuture<'a, Result<Option<u64>, KvError>> {
-        let compare = json!({
-            "key": STANDARD.encode(key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": revision.to_string(),
-        });
+        let compare = unchanged_since(key, revision);
         let puts = puts.iter().map(
             |put| json!({ "key": STANDARD.encode(&put.key), "value": STANDARD.encode(&put.value) }),
         );
@@ -223,6 +231,12 @@
         Box::pin(self.txn(compare, vec![put]))
     }
 
+    fn remove<'a>(&'a self, key: &'a str, revision: u64) -> LocalFuture<'a, Result<bool, KvError>> {
+        let compare = unchanged_since(key, revision);
+        let remove = json!({ "request_delete_range": { "key": STANDARD.encode(key) } });
+        Box::pin(async move { Ok(self.commit(compare, vec![remove]).await?.is_some()) })
+    }
+
     fn revoke_lease(&self, lease: u64) -> LocalFuture<'_, Result<(), KvError>> {
         Box::pin(async move {
             self.call("lease/revoke", json!({ "ID": lease.to_string() })).await?;
--- a/crates/portrack/src/platform/kv.rs
+++ b/crates/portrack/src/platform/kv.rs
@@ -87,6 +87,9 @@
         lease: u64,
     ) -> LocalFuture<'a, Result<Option<u64>, KvError>>;
 
+    /// Removes a key that was last changed at `revision`. False if it has changed since.
+    fn remove<'a>(&'a self, key: &'a str, revision: u64) -> LocalFuture<'a, Result<bool, KvError>>;
+
     /// Ends a lease and its keys at once.
     fn revoke_lease(&self, lease: u64) -> LocalFuture<'_, Result<(), KvError>>;
 }
--- a/crates/portrack/tests/fuzz/world.rs
+++ b/crates/portrack/tests/fuzz/world.rs
@@ -306,6 +306,7 @@
         let engine: usize = engine.as_str()[1..].parse().unwrap();
         let asked_at = self.now;
         let flight = match task {
+            EngineTask::LetGo => return self.let_go(node, engine),
             EngineTask::Poll => Flight::Poll { node, incarnation, engine, asked_at },
             EngineTask::RaiseFence(fence) => Flight::Raise { node, incarnation, engine, fence },
             EngineTask::Order(order) if self.may_order(node, engine) => {
@@ -320,6 +321,15 @@
         self.fly(delay, flight);
     }
 
+    /// The key is removed at once if the service can be reached, else at the next renewal.
+    fn let_go(&mut self, node: usize, engine: usize) {
+        let held = self.hosts[node].fences.remove(&engine).is_some();
+        self.hosts[node].renewed.remove(&engine);
+        if held && self.sees_kv(node) {
+            self.leases.remove(&engine);
+        }
+    }
+
     /// The look that the daemon takes right before an order to an engine without fences.
     fn may_order(&self, node: usize, engine: usize) -> bool {
         let renewed = self.hosts[node].renewed.get(&engine);
