An owner that loses its engine gives its loads' permits back

Two daemons had owned the engines one after the other; the loads of the first were fenced, it stepped down and forgot its orders without giving the permits back, so that both of the region's permits were out until they lapsed after 60 s. Ruled out: streams, membership, fences (by a dump of every daemon's state while it hung). Change: stepping down returns the permit of every load under way; a restart of the engine leaves orders to their own end.

--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -243,8 +243,12 @@
         self.confirmed = None;
         self.report = None;
         self.slots.clear();
-        self.orders.clear();
         self.changed();
+        for order in std::mem::take(&mut self.orders).into_values() {
+            if order.kind == OrderKind::Load {
+                out.push(Output::PermitDone(order.adapter));
+            }
+        }
         for adapter in std::mem::take(&mut self.wants).into_keys() {
             out.push(Output::PermitDone(adapter));
         }
--- a/crates/portrack/src/owner/reconcile.rs
+++ b/crates/portrack/src/owner/reconcile.rs
@@ -12,7 +12,6 @@
         let restarted = self.report.as_ref().is_some_and(|last| last.epoch != report.epoch);
         if restarted {
             self.slots.clear();
-            self.orders.clear();
             self.changed();
         }
         self.settle_slots(now, &report);
--- a/crates/portrack/tests/owner.rs
+++ b/crates/portrack/tests/owner.rs
@@ -210,6 +210,17 @@
     assert_eq!(verdicts(&reserve(&mut owner, now, ask(2, "ana"))), [Verdict::Queued]);
 }
 
+#[test]
+fn an_owner_that_loses_its_engine_gives_back_the_permits_of_its_loads() {
+    let mut owner = owner(&[]);
+    reserve(&mut owner, SETTLED, ask(1, "ana"));
+    owner.on(SETTLED, Event::Permit(adapter("ana")));
+    let id = owner.load_order(&adapter("ana")).unwrap();
+    let fenced = Event::OrderDone { id, result: OrderResult::Fenced(Fence(9)) };
+    let outputs = owner.on(SETTLED, fenced);
+    assert!(outputs.contains(&Output::PermitDone(adapter("ana"))));
+}
+
 #[test]
 fn an_engine_that_restarted_empty_loses_its_slots() {
     let mut owner = owner(&["ana", "bea"]);
