--- a/crates/portrack-bench/src/capacity/model.rs
+++ b/crates/portrack-bench/src/capacity/model.rs
@@ -38,6 +38,18 @@
     changes_per_day: f64,
 }
 
+const PEDALA: Size = Size {
+    name: "Pedala today",
+    halls: 3.0,
+    halls_per_region: 3.0,
+    daemons: 7.0,
+    engines: 12.0,
+    requests: 20.0,
+    adapters: 5_000.0,
+    loads_per_hour: 3_600.0,
+    changes_per_day: 100.0,
+};
+
 const SIZES: [Size; 4] = [
     Size {
         name: "the fleet that was run, one hall of 30 daemons",
@@ -50,28 +62,8 @@
         loads_per_hour: 0.0,
         changes_per_day: 0.0,
     },
-    Size {
-        name: "Pedala today",
-        halls: 3.0,
-        halls_per_region: 3.0,
-        daemons: 7.0,
-        engines: 12.0,
-        requests: 20.0,
-        adapters: 5_000.0,
-        loads_per_hour: 3_600.0,
-        changes_per_day: 100.0,
-    },
-    Size {
-        name: "Gopherline today",
-        halls: 4.0,
-        halls_per_region: 4.0,
-        daemons: 7.0,
-        engines: 12.0,
-        requests: 20.0,
-        adapters: 5_000.0,
-        loads_per_hour: 3_600.0,
-        changes_per_day: 100.0,
-    },
+    PEDALA,
+    Size { name: "Gopherline today", halls: 4.0, halls_per_region: 4.0, ..PEDALA },
     Size {
         name: "the letter's",
         halls: 12.0,
--- a/crates/portrack/src/http/reply.rs
+++ b/crates/portrack/src/http/reply.rs
@@ -4,7 +4,6 @@
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use futures_util::Stream;
-use std::convert::Infallible;
 
 /// Any answer's body.
 pub type ReplyBody = BoxBody;
@@ -33,6 +32,3 @@
     builder.insert_header(("cache-control", "no-store"));
     builder.body(BodyStream::new(stream).boxed()).map_into_boxed_body()
 }
-
-/// The error type of handlers, which always answer.
-pub type Never = Infallible;
--- a/crates/portrack/src/http/server.rs
+++ b/crates/portrack/src/http/server.rs
@@ -1,6 +1,6 @@
 //! A listener that hands each request to a handler, on one thread.
 
-use super::reply::{Never, Reply};
+use super::reply::Reply;
 use crate::types::{Reason, Refusal};
 use actix_http::{HttpService, Request};
 use actix_rt::net::TcpListener;
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,7 +58,7 @@
         .client_request_timeout(limits.head)
         .finish(fn_service(move |request: Request| {
             let answer = handler(request);
-            async move { Ok::<Reply, Never>(answer.await) }
+            async move { Ok::<Reply, Infallible>(answer.await) }
         }))
         .tcp();
     let Ok(service) = factory.new_service(()).await else { return };
--- a/crates/portrack/src/membership/table.rs
+++ b/crates/portrack/src/membership/table.rs
@@ -273,7 +273,7 @@
 
     /// The owner of something in this hall.
     pub fn owner_of(&self, key: &str) -> Option<&NodeName> {
-        highest(key, self.eligible(Scope::Hall))
+        self.owner_in(&self.me.hall, key)
     }
 
     /// Nodes of a hall of the region, this one included, that can be given work.
--- a/crates/portrack/src/node/members.rs
+++ b/crates/portrack/src/node/members.rs
@@ -110,10 +110,10 @@
     pub(super) fn push_holdings(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut changed = Vec::new();
         for (engine, owner) in &self.owners {
-            let holdings = owner.holdings();
-            if self.pushed.get(engine) != Some(&holdings.version) {
-                self.pushed.insert(engine.clone(), holdings.version);
-                changed.push((owner.load(now), holdings));
+            let version = owner.holdings_version();
+            if self.pushed.get(engine) != Some(&version) {
+                self.pushed.insert(engine.clone(), version);
+                changed.push((owner.load(now), owner.holdings()));
             }
         }
         for (load, holdings) in changed {
--- a/crates/portrack/src/owner/engine.rs
+++ b/crates/portrack/src/owner/engine.rs
@@ -394,6 +394,11 @@
         }
     }
 
+    /// The version of the adapters held; grows with every change.
+    pub fn holdings_version(&self) -> u32 {
+        self.holdings
+    }
+
     /// The adapters held.
     pub fn holdings(&self) -> Holdings {
         let of = |wanted: fn(&SlotState) -> bool| {
