--- a/crates/portrack-standins/tests/settings.rs
+++ b/crates/portrack-standins/tests/settings.rs
@@ -1,8 +1,8 @@
 //! Accepting changes through the stand-in key-value service, with its faults.
 
 use portrack::audit::ChangeId;
-use portrack::platform::Etcd;
 use portrack::settings::{Change, ChangeError, Edit, Store, TreePath};
+use portrack::store::Etcd;
 use portrack_standins::kv::{Fault, KeyValue};
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/portrack/src/daemon/leases.rs
+++ b/crates/portrack/src/daemon/leases.rs
@@ -1,6 +1,6 @@
 //! One lease in the key-value service for all owned engines that check no fence.
 
-use crate::platform::Kv;
+use crate::store::Kv;
 use crate::types::{Clock, EngineName, Fence, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/portrack/src/daemon/logging.rs
+++ b/crates/portrack/src/daemon/logging.rs
@@ -19,10 +19,9 @@
     }
 }
 
-/// Sends log lines where the settings say. Call once a process.
-pub fn init(settings: &LogSettings) -> Result<(), String> {
-    let dispatch = fern::Dispatch::new()
-        .level(settings.level)
+fn lines(level: log::LevelFilter) -> fern::Dispatch {
+    fern::Dispatch::new()
+        .level(level)
         .level_for("actix_http", log::LevelFilter::Warn)
         .level_for("actix_server", log::LevelFilter::Warn)
         .format(|out, message, record| {
@@ -33,7 +32,12 @@
             let event = message.to_string().replace(' ', "-");
             let millis = now.as_millis();
             out.finish(format_args!("time_ms={millis} level={level} event={event}{}", pairs.0));
-        });
+        })
+}
+
+/// Sends log lines where the settings say. Call once a process.
+pub fn init(settings: &LogSettings) -> Result<(), String> {
+    let dispatch = lines(settings.level);
     let dispatch = match settings.target.as_str() {
         "stderr" => dispatch.chain(std::io::stderr()),
         "stdout" => dispatch.chain(std::io::stdout()),
@@ -41,3 +45,8 @@
     };
     dispatch.apply().map_err(|e| e.to_string())
 }
+
+/// Sends log lines to a writer of the caller's. Call once a process.
+pub fn init_to(out: Box<dyn std::io::Write + Send>) -> Result<(), String> {
+    lines(log::LevelFilter::Info).chain(out).apply().map_err(|e| e.to_string())
+}
--- a/crates/portrack/src/daemon/mod.rs
+++ b/crates/portrack/src/daemon/mod.rs
@@ -24,6 +24,6 @@
 mod sync;
 
 pub use error::StartError;
-pub use logging::init as init_logging;
+pub use logging::{init as init_logging, init_to as log_to};
 pub use running::{Running, start};
 pub use status::{MemberStatus, OwnedStatus, StatusReport};
--- a/crates/portrack/src/daemon/sync.rs
+++ b/crates/portrack/src/daemon/sync.rs
@@ -4,8 +4,8 @@
 use super::core::Core;
 use crate::membership::Member;
 use crate::node::Input;
-use crate::platform::KvHeld;
 use crate::settings::{Applied, decode};
+use crate::store::KvHeld;
 use crate::types::NodeName;
 use crate::wire::FetchEntry;
 use rand::Rng;
@@ -121,7 +121,7 @@
     }
 
     async fn etcd_list(&self) -> Option<Vec<FetchEntry>> {
-        use crate::platform::Kv as _;
+        use crate::store::Kv as _;
         let prefix = self.store.entries_prefix();
         let list = self.etcd.list(&prefix).await.ok()?;
         self.seen_revision.set(list.revision);
@@ -129,7 +129,7 @@
     }
 
     async fn watch_once(self: &Rc<Self>) -> bool {
-        use crate::platform::Kv as _;
+        use crate::store::Kv as _;
         let prefix = self.store.entries_prefix();
         let from = self.seen_revision.get() + 1;
         let Ok(changed) = self.etcd.watch(&prefix, from, WATCH).await else { return false };
--- /dev/null
+++ b/crates/portrack/src/gateway/backend.rs
@@ -0,0 +1,51 @@
+//! A backend server as the platform lists it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// One life of a backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Backend {
+    /// Differs with every start.
+    pub id: Rc<str>,
+    /// The service it belongs to.
+    pub service: Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: Rc<str>,
+    /// Requests at once.
+    pub slots: usize,
+    /// It says that it is leaving.
+    pub draining: bool,
+    /// The time it has left, if it says so.
+    pub leaves_in: Option<Duration>,
+    /// What it holds.
+    pub models: Vec<HeldModel>,
+}
+
+impl Backend {
+    /// What it holds of a model.
+    pub fn model(&self, name: &str) -> Option<&HeldModel> {
+        self.models.iter().find(|model| &*model.name == name)
+    }
+}
+
+/// A base model at a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// Its name.
+    pub name: Rc<str>,
+    /// The adapters loaded for it.
+    pub adapters: Vec<HeldAdapter>,
+}
+
+/// An adapter at a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldAdapter {
+    /// Its name.
+    pub name: Rc<str>,
+    /// Its version.
+    pub version: u64,
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/choose.rs
@@ -0,0 +1,44 @@
+//! Which server takes a request.
+
+use super::backend::Backend;
+use super::load::LoadTable;
+use crate::types::Time;
+use std::rc::Rc;
+
+/// What a server in another data hall costs, in requests waiting.
+const OTHER_HALL: f64 = 1.0;
+/// What a server that fails every request costs, in requests waiting.
+const ALL_FAIL: f64 = 40.0;
+/// Prompt tokens that weigh as much as one running request.
+const TOKENS_A_REQUEST: f64 = 600.0;
+/// What a server found unreachable a moment ago costs.
+const UNREACHABLE: f64 = 10_000.0;
+
+/// What a request would cost at a server, in requests waiting there.
+pub fn cost(now: Time, loads: &LoadTable, hall: &str, backend: &Backend) -> f64 {
+    let work = loads.work(now, &backend.id);
+    let mut cost = f64::from(work.requests);
+    cost += f64::from(work.waiting_tokens) / TOKENS_A_REQUEST;
+    cost += loads.failure_rate(now, &backend.id) * ALL_FAIL;
+    if &*backend.hall != hall {
+        cost += OTHER_HALL;
+    }
+    if loads.is_unreachable(now, &backend.id) {
+        cost += UNREACHABLE;
+    }
+    cost
+}
+
+/// The cheapest server of those not tried yet.
+pub fn cheapest<'a>(
+    now: Time,
+    loads: &LoadTable,
+    hall: &str,
+    tried: &[Rc<str>],
+    backends: impl Iterator<Item = &'a Rc<Backend>>,
+) -> Option<Rc<Backend>> {
+    let untried = backends.filter(|backend| !tried.contains(&backend.id));
+    let costed = untried.map(|backend| (cost(now, loads, hall, backend), backend));
+    let best = costed.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, backend)| backend.clone())
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -0,0 +1,194 @@
+//! One gateway daemon: the parts that its tasks share.
+
+use super::demand::DemandLog;
+use super::dialect::Dialect;
+use super::load::LoadTable;
+use super::metrics::GatewayMetrics;
+use super::mirror::{Mirror, Mirrored};
+use super::order_lease::OrderLease;
+use super::ordering::Ordering;
+use super::path::RequestPath;
+use super::peers::Peers;
+use super::pool::Pool;
+use super::retries::{RetryBounds, ServiceRetries};
+use super::settings::GatewaySettings;
+use super::view::{FleetView, ViewChange};
+use crate::store::KvFeed;
+use crate::types::{Clock, Time};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+/// What the daemon's tasks share.
+pub struct GatewayDaemon {
+    /// The settings file.
+    pub settings: GatewaySettings,
+    /// The monotonic clock.
+    pub clock: Rc<dyn Clock>,
+    /// The platform's messages.
+    pub dialect: Rc<dyn Dialect>,
+    /// The platform's store.
+    pub store: Rc<dyn KvFeed>,
+    /// The path of requests.
+    pub path: RequestPath,
+    /// The copy of the store.
+    pub mirror: RefCell<Mirror>,
+    /// The other daemons.
+    pub peers: RefCell<Peers>,
+    /// Orders to servers.
+    pub ordering: Rc<Ordering>,
+    /// For datagrams.
+    pub socket: UdpSocket,
+    /// Rises with every start.
+    pub incarnation: u64,
+    /// When the store last answered.
+    pub store_seen: Cell<Option<Time>>,
+    /// Requests being served.
+    pub in_flight: Cell<usize>,
+    /// A stop was asked for.
+    pub stopping: Cell<bool>,
+    /// Woken when the holder of orders gives them up.
+    pub office_vacant: Notify,
+    /// Idle connections are to be closed.
+    pub closing: Rc<Notify>,
+    /// Idle connections are being closed.
+    pub closing_idle: Cell<bool>,
+    /// Everything counted.
+    pub metrics: GatewayMetrics,
+}
+
+/// The store counts as reachable if it answered within this.
+const STORE_SEEN_WITHIN: Duration = Duration::from_millis(4_500);
+
+impl GatewayDaemon {
+    /// A daemon that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        clock: Rc<dyn Clock>,
+        dialect: Rc<dyn Dialect>,
+        store: Rc<dyn KvFeed>,
+        socket: UdpSocket,
+        incarnation: u64,
+    ) -> Self {
+        let bounds = &settings.bounds;
+        let retries = ServiceRetries::new(RetryBounds {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: Duration::from_secs_f64(bounds.retry_window_s),
+        });
+        let lease = OrderLease::new(
+            Duration::from_millis(bounds.lease_ttl_ms),
+            Duration::from_millis(bounds.order_quiet_ms),
+        );
+        let path = RequestPath {
+            clock: clock.clone(),
+            dialect: dialect.clone(),
+            view: Rc::new(RefCell::new(FleetView::default())),
+            changed: Rc::new(Notify::new()),
+            loads: Rc::new(LoadTable::default()),
+            pool: Rc::new(Pool::default()),
+            retries: RefCell::new(retries),
+            demand: Rc::new(DemandLog::default()),
+            hall: settings.hall.clone(),
+            daemons: Cell::new(1),
+        };
+        let member_port = settings.members.port();
+        let seeds = settings.seeds.iter().map(|seed| (seed.ip(), member_port).into()).collect();
+        let node: Rc<str> = settings.node.as_str().into();
+        let ordering = Ordering::new(clock.clone(), dialect.clone(), node, lease);
+        Self {
+            peers: RefCell::new(Peers::new(settings.members, seeds)),
+            settings,
+            clock,
+            dialect,
+            store,
+            path,
+            mirror: RefCell::default(),
+            ordering: Rc::new(ordering),
+            socket,
+            incarnation,
+            store_seen: Cell::new(None),
+            in_flight: Cell::new(0),
+            stopping: Cell::new(false),
+            office_vacant: Notify::new(),
+            closing: Rc::new(Notify::new()),
+            closing_idle: Cell::new(false),
+            metrics: GatewayMetrics::new(),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// True if the store answered a moment ago.
+    pub fn sees_store(&self) -> bool {
+        self.store_seen.get().is_some_and(|at| self.now().since(at) < STORE_SEEN_WITHIN)
+    }
+
+    /// Takes changes of the mirror in; `source` is for logs.
+    pub fn apply(&self, changes: Vec<Mirrored>, source: &str) {
+        let now = self.now();
+        let mut changed = false;
+        for change in changes {
+            let key = match &change {
+                Mirrored::Put(held) => held.key.clone(),
+                Mirrored::Gone(key) => key.clone(),
+            };
+            let applied = self.path.view.borrow_mut().apply(now, &*self.dialect, change);
+            match applied {
+                Ok(Some(change)) => {
+                    changed = true;
+                    self.note(now, &change, source);
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    log::error!(key = key.as_str(), error:% = error, source = source; "store_item_refused");
+                }
+            }
+        }
+        if changed {
+            self.path.changed.notify_waiters();
+        }
+    }
+
+    fn note(&self, now: Time, change: &ViewChange, source: &str) {
+        let view = self.path.view.borrow();
+        let mut planner = self.ordering.planner.borrow_mut();
+        match change {
+            ViewChange::Config(version) => {
+                if let Some(config) = view.config() {
+                    planner.config(now, config.clone());
+                    self.metrics.config_version.set(*version as i64);
+                    log::info!(version = version, routes = config.routes.len(), source = source; "config_in_force");
+                }
+            }
+            ViewChange::Backend(id) => {
+                if let Some(backend) = view.backend(id) {
+                    planner.server(now, backend);
+                }
+            }
+            ViewChange::Draining(id) => {
+                if let Some(backend) = view.backend(id) {
+                    planner.server(now, backend);
+                }
+                self.path.pool.forget(id);
+                log::info!(server = &**id, source = source; "server_draining");
+            }
+            ViewChange::BackendGone(id) => {
+                planner.server_gone(id);
+                self.path.pool.forget(id);
+                self.path.loads.forget(id);
+                self.ordering.forget(id);
+                log::info!(server = &**id, source = source; "server_gone");
+            }
+            ViewChange::Version(key, version) => {
+                planner.named(key, *version);
+                log::info!(adapter = &*key.adapter, version = version, source = source; "adapter_version");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/decay.rs
@@ -0,0 +1,25 @@
+//! A sum that fades with time.
+
+use crate::types::Time;
+use std::time::Duration;
+
+/// Loses half of its value in each half-life.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Decayed {
+    value: f64,
+    at: Time,
+}
+
+impl Decayed {
+    /// Adds to the sum.
+    pub fn add(&mut self, now: Time, half_life: Duration, amount: f64) {
+        self.value = self.get(now, half_life) + amount;
+        self.at = now;
+    }
+
+    /// The sum now.
+    pub fn get(&self, now: Time, half_life: Duration) -> f64 {
+        let halves = now.since(self.at).as_secs_f64() / half_life.as_secs_f64();
+        self.value * 0.5_f64.powf(halves)
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/exchange.rs
@@ -0,0 +1,152 @@
+//! One request at one server.
+
+use super::answer::{AnswerHead, Framing};
+use super::backend::Backend;
+use super::body::BodyDecoder;
+use super::caller::CallerRequest;
+use super::connection::ExchangeError;
+use super::dialect::{Dialect, ForwardMeta};
+use super::pool::{LendError, Lent, Pool};
+use actix_http::Method;
+use bytes::{Bytes, BytesMut};
+use std::io::Write as _;
+use std::rc::Rc;
+
+/// Answers of other requests that are skipped before a connection is given up.
+const FOREIGN_SKIPPED: usize = 2;
+/// The longest body of an answer that is collected before it is handed on, in bytes.
+const COLLECTED: usize = 8 * 1024 * 1024;
+
+const IN_MEMORY: &str = "writing to memory does not fail";
+
+/// How sending a request to a server went.
+#[derive(Debug)]
+pub enum Sent {
+    /// The server answers.
+    Answer(Box<Exchange>),
+    /// The server certainly did not run it.
+    NotRun(NotRun),
+    /// The server may have run it.
+    MayHaveRun(ExchangeError),
+}
+
+/// Why a request was certainly not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NotRun {
+    /// This daemon's share of the server's connections is in use.
+    NoConnection,
+    /// The server could not be reached.
+    Unreachable(ExchangeError),
+    /// The server turned it away with this status.
+    TurnedAway(u16),
+}
+
+/// An answer under way.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Its head.
+    pub head: AnswerHead,
+    body: BodyDecoder,
+    lent: Lent,
+    sent_whole: bool,
+}
+
+impl Exchange {
+    /// The next part of the body; `None` at its end.
+    pub async fn part(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        self.lent.connection().part(&mut self.body).await
+    }
+
+    /// The whole body.
+    pub async fn collect(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.part().await? {
+            whole.extend_from_slice(&part);
+            if whole.len() > COLLECTED {
+                return Err(ExchangeError::Lost { why: "answer too large".into() });
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Gives the connection back after the whole answer.
+    pub fn finish(mut self) {
+        let connection = self.lent.connection();
+        if self.head.close || !self.sent_whole || connection.has_leftover() {
+            return;
+        }
+        connection.rest(self.head.keep_alive);
+        self.lent.keep();
+    }
+}
+
+/// The request as the server gets it.
+pub fn request_bytes(
+    dialect: &dyn Dialect,
+    request: &CallerRequest,
+    meta: &ForwardMeta<'_>,
+) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512 + request.body.len());
+    write!(out, "{} {} HTTP/1.1\r\n", request.method, request.target).expect(IN_MEMORY);
+    for (name, value) in &request.headers {
+        if dialect.is_set_by_us(name.as_str()) {
+            continue;
+        }
+        write!(out, "{name}: ").expect(IN_MEMORY);
+        out.extend_from_slice(value.as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+    dialect.write_forward(meta, &mut out);
+    if !request.body.is_empty() || request.method == Method::POST {
+        write!(out, "content-length: {}\r\n", request.body.len()).expect(IN_MEMORY);
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&request.body);
+    out
+}
+
+/// Sends a request and reads the head of its answer.
+pub async fn exchange(
+    dialect: &dyn Dialect,
+    pool: &Rc<Pool>,
+    backend: &Backend,
+    most_connections: usize,
+    request_id: &str,
+    bytes: &[u8],
+) -> Sent {
+    let lent = pool.lend(&backend.id, backend.address, most_connections).await;
+    let mut lent = match lent {
+        Ok(lent) => lent,
+        Err(LendError::Full) => return Sent::NotRun(NotRun::NoConnection),
+        Err(LendError::Unreachable(error)) => return Sent::NotRun(NotRun::Unreachable(error)),
+    };
+    let sent_whole = match lent.connection().send(bytes).await {
+        Ok(whole) => whole,
+        Err(error) => return Sent::MayHaveRun(error),
+    };
+    for _ in 0..=FOREIGN_SKIPPED {
+        let head = match lent.connection().head(dialect).await {
+            Ok(head) => head,
+            Err(error) => return Sent::MayHaveRun(error),
+        };
+        let mut body = BodyDecoder::new(head.framing);
+        let foreign = head.meta.request_id.as_deref().is_some_and(|id| id != request_id);
+        if !foreign {
+            return classify(Exchange { head, body, lent, sent_whole }).await;
+        }
+        while let Ok(Some(_)) = lent.connection().part(&mut body).await {}
+    }
+    Sent::MayHaveRun(ExchangeError::Lost { why: "answers of other requests".into() })
+}
+
+async fn classify(mut exchange: Exchange) -> Sent {
+    let status = exchange.head.status.as_u16();
+    let not_run = exchange.head.meta.not_run || status == 421;
+    if not_run && matches!(status, 421 | 429 | 503) {
+        if exchange.head.framing != Framing::UntilClose && exchange.collect().await.is_ok() {
+            exchange.finish();
+        }
+        return Sent::NotRun(NotRun::TurnedAway(status));
+    }
+    Sent::Answer(Box::new(exchange))
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/holdings.rs
@@ -0,0 +1,124 @@
+//! Which server holds which adapter, from the store's list and from fresher notices.
+
+use super::backend::Backend;
+use super::dialect::AdapterKey;
+use crate::types::Time;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A notice of the planner outweighs the store's list for this long; by then the list has caught up.
+pub const NOTICE_HOLDS: Duration = Duration::from_millis(4_000);
+
+/// What a notice says of an adapter at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It can be used, at this version.
+    Held(u64),
+    /// It is on its way and expected at this time.
+    Coming(u64, Time),
+    /// It is not there, or about to go.
+    Absent,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Notice {
+    presence: Presence,
+    until: Time,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Holders {
+    listed: BTreeMap<Rc<str>, u64>,
+    noticed: BTreeMap<Rc<str>, Notice>,
+}
+
+/// An index from adapters to the servers that hold them.
+#[derive(Debug, Clone, Default)]
+pub struct Holdings {
+    adapters: HashMap<AdapterKey, Holders>,
+}
+
+impl Holdings {
+    /// Takes a server's entry in, in place of its last one.
+    pub fn list(&mut self, before: Option<&Backend>, now: Option<&Backend>) {
+        if let Some(before) = before {
+            for key in keys(before) {
+                self.unlist(&key.0, &before.id);
+            }
+        }
+        let Some(backend) = now else { return };
+        for (key, version) in keys(backend) {
+            let holders = self.adapters.entry(key).or_default();
+            holders.listed.insert(backend.id.clone(), version);
+        }
+    }
+
+    fn unlist(&mut self, key: &AdapterKey, id: &str) {
+        let Some(holders) = self.adapters.get_mut(key) else { return };
+        holders.listed.remove(id);
+        if holders.listed.is_empty() && holders.noticed.is_empty() {
+            self.adapters.remove(key);
+        }
+    }
+
+    /// Takes a notice in that outweighs the list until a time.
+    pub fn notice(&mut self, key: &AdapterKey, id: &Rc<str>, presence: Presence, until: Time) {
+        let holders = self.adapters.entry(key.clone()).or_default();
+        holders.noticed.insert(id.clone(), Notice { presence, until });
+    }
+
+    /// Forgets notices that the list has caught up with.
+    pub fn forget_old(&mut self, now: Time) {
+        self.adapters.retain(|_, holders| {
+            holders.noticed.retain(|_, notice| notice.fresh(now));
+            !(holders.listed.is_empty() && holders.noticed.is_empty())
+        });
+    }
+
+    /// The servers that can serve an adapter now, with its version there.
+    pub fn holders(&self, now: Time, key: &AdapterKey) -> Vec<(Rc<str>, u64)> {
+        let Some(holders) = self.adapters.get(key) else { return Vec::new() };
+        let fresh = |id: &Rc<str>| holders.noticed.get(id).filter(|notice| notice.fresh(now));
+        let listed = holders.listed.iter().filter(|(id, _)| fresh(id).is_none());
+        let mut all: Vec<(Rc<str>, u64)> = listed.map(|(id, v)| (id.clone(), *v)).collect();
+        for (id, notice) in holders.noticed.iter().filter(|(_, notice)| notice.fresh(now)) {
+            if let Some(version) = notice.usable() {
+                all.push((id.clone(), version));
+            }
+        }
+        all
+    }
+
+    /// When the adapter is expected at some server, if it is on its way.
+    pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
+        let holders = self.adapters.get(key)?;
+        let coming = holders.noticed.values().filter_map(|notice| match notice.presence {
+            Presence::Coming(_, at) if notice.fresh(now) => Some(at),
+            _ => None,
+        });
+        coming.min()
+    }
+}
+
+impl Notice {
+    fn fresh(&self, now: Time) -> bool {
+        now < self.until
+    }
+
+    fn usable(&self) -> Option<u64> {
+        match self.presence {
+            Presence::Held(version) => Some(version),
+            Presence::Coming(..) | Presence::Absent => None,
+        }
+    }
+}
+
+fn keys(backend: &Backend) -> impl Iterator<Item = (AdapterKey, u64)> + '_ {
+    backend.models.iter().flat_map(|model| {
+        model.adapters.iter().map(|held| {
+            let key = AdapterKey { model: model.name.clone(), adapter: held.name.clone() };
+            (key, held.version)
+        })
+    })
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/host.rs
@@ -0,0 +1,141 @@
+//! The daemon as its callers' connections see it.
+
+use super::caller::{CallerRequest, Refused};
+use super::config::{CallerLimits, RouteKind};
+use super::daemon::GatewayDaemon;
+use super::dialect::Dialect;
+use super::ingress::{Host, Writer, serve_connection};
+use super::path::{RequestEnd, Served};
+use crate::types::Clock;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// A listener that cannot accept waits this long.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Counts and logs a request, also one whose caller leaves in the middle.
+struct Account<'a> {
+    daemon: &'a GatewayDaemon,
+    request: &'a CallerRequest,
+    served: Option<Served>,
+}
+
+impl GatewayDaemon {
+    /// Accepts callers, for ever.
+    pub async fn accept_callers(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let daemon = self.clone();
+                    actix_rt::spawn(async move { serve_connection(&*daemon, stream).await });
+                }
+                Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+}
+
+impl Host for GatewayDaemon {
+    fn limits(&self) -> CallerLimits {
+        let view = self.path.view.borrow();
+        view.config().map(|config| config.limits.clone()).unwrap_or_default()
+    }
+
+    fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+
+    fn dialect(&self) -> &dyn Dialect {
+        &*self.dialect
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    async fn idle_connections_end(&self) {
+        if !self.closing_idle.get() {
+            self.closing.notified().await;
+        }
+    }
+
+    async fn serve(&self, request: CallerRequest, sink: &mut Writer<'_>) {
+        let mut account = Account { daemon: self, request: &request, served: None };
+        self.in_flight.set(self.in_flight.get() + 1);
+        let served = self.path.serve(&request, sink).await;
+        if let RequestEnd::Refused(refused) = &served.end {
+            let _ = sink.refuse(refused).await;
+        }
+        account.served = Some(served);
+    }
+}
+
+impl Drop for Account<'_> {
+    fn drop(&mut self) {
+        let daemon = self.daemon;
+        daemon.in_flight.set(daemon.in_flight.get().saturating_sub(1));
+        let took = daemon.now().since(self.request.arrived);
+        let kind = self.kind();
+        let end = self.end();
+        daemon.metrics.requests.with_label_values(&[kind, end]).inc();
+        daemon.metrics.duration.with_label_values(&[kind]).observe(took.as_secs_f64());
+        let Some(served) = &self.served else {
+            log::info!(request = &*self.request.meta.id, end = end, took_ms = took.as_millis() as u64; "request");
+            return;
+        };
+        daemon.metrics.resends.inc_by(served.sends.saturating_sub(1).into());
+        self.log(served, end, took);
+    }
+}
+
+impl Account<'_> {
+    fn kind(&self) -> &'static str {
+        let route = self.served.as_ref().and_then(|served| served.route.as_ref());
+        match route.map(|route| route.kind) {
+            Some(RouteKind::Repeatable) => "repeatable",
+            Some(RouteKind::Once) => "once",
+            Some(RouteKind::Stream) => "stream",
+            None => "none",
+        }
+    }
+
+    fn end(&self) -> &'static str {
+        match self.served.as_ref().map(|served| &served.end) {
+            Some(RequestEnd::Answered(status)) if *status < 400 => "answered",
+            Some(RequestEnd::Answered(_)) => "answered_failure",
+            Some(RequestEnd::Refused(Refused { reason, .. })) => reason.name(),
+            Some(RequestEnd::Broken(_)) => "broken",
+            Some(RequestEnd::CallerGone) | None => "caller_gone",
+        }
+    }
+
+    fn log(&self, served: &Served, end: &'static str, took: Duration) {
+        let request = self.request;
+        let status = match &served.end {
+            RequestEnd::Answered(status) => *status,
+            RequestEnd::Refused(refused) => refused.status.as_u16(),
+            RequestEnd::Broken(_) | RequestEnd::CallerGone => 0,
+        };
+        let broken = match &served.end {
+            RequestEnd::Broken(why) => why.as_str(),
+            _ => "",
+        };
+        let route = served.route.as_ref().map_or("", |route| &*route.name);
+        let model = request.meta.model.as_ref();
+        let adapter = model.and_then(|model| model.adapter.as_deref()).unwrap_or_default();
+        log::info!(
+            request = &*request.meta.id,
+            route = route,
+            end = end,
+            status = status,
+            server = served.server.as_deref().unwrap_or_default(),
+            adapter = adapter,
+            sends = served.sends,
+            failure = served.last_failure.as_str(),
+            broken = broken,
+            took_ms = took.as_millis() as u64;
+            "request"
+        );
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/ingress.rs
@@ -0,0 +1,335 @@
+//! Serves one caller's connection: reads requests, answers them, notices when the caller leaves.
+
+use super::caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
+use super::config::CallerLimits;
+use super::dialect::Dialect;
+use crate::types::Clock;
+use actix_http::body::BodySize;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message};
+use actix_http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{
+    ConnectionType, HttpMessage as _, KeepAlive, Request, Response, ServiceConfig, StatusCode,
+};
+use bytes::{Bytes, BytesMut};
+use std::future::Future;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Bytes read at once.
+const READ_SIZE: usize = 4 * 1024;
+/// Bytes of further requests that are read while one is answered.
+const READ_AHEAD: usize = 16 * 1024;
+/// The longest wait for a caller to take bytes.
+const WRITE_PATIENCE: Duration = Duration::from_secs(10);
+/// The longest wait for a body, if nothing else bounds it.
+const BODY_PATIENCE: Duration = Duration::from_secs(15);
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// What a connection asks of the daemon.
+pub trait Host {
+    /// The limits in force.
+    fn limits(&self) -> CallerLimits;
+    /// The clock.
+    fn clock(&self) -> &dyn Clock;
+    /// The platform's messages.
+    fn dialect(&self) -> &dyn Dialect;
+    /// True once connections are to be closed after the answer under way.
+    fn is_stopping(&self) -> bool;
+    /// Resolves once idle connections are to be closed.
+    fn idle_connections_end(&self) -> impl Future<Output = ()>;
+    /// Serves a request.
+    fn serve(&self, request: CallerRequest, sink: &mut Writer<'_>) -> impl Future<Output = ()>;
+}
+
+/// Writes one answer.
+pub struct Writer<'a> {
+    write: WriteHalf<'a>,
+    codec: Codec,
+    buffer: BytesMut,
+    close: bool,
+    begun: bool,
+    finished: bool,
+}
+
+impl Writer<'_> {
+    /// Ends the request with an answer of the gateway itself.
+    pub async fn refuse(&mut self, refused: &Refused) -> Result<(), CallerGone> {
+        let mut headers = Vec::new();
+        if let Some(after) = refused.retry_after {
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            let value = HeaderValue::from_str(&seconds).expect("digits are a header value");
+            headers.push((RETRY_AFTER, value));
+        }
+        let body = Bytes::from_static(refused.reason.name().as_bytes());
+        let length = Some(body.len() as u64);
+        self.head(ReplyHead { status: refused.status, headers, length }).await?;
+        self.part(body).await?;
+        self.finish().await
+    }
+
+    /// True if the answer has begun.
+    pub fn begun(&self) -> bool {
+        self.begun
+    }
+
+    async fn flush(&mut self) -> Result<(), CallerGone> {
+        let writing = self.write.write_all(&self.buffer);
+        let written = actix_rt::time::timeout(WRITE_PATIENCE, writing).await;
+        self.buffer.clear();
+        match written {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(CallerGone),
+        }
+    }
+
+    fn encode(&mut self, message: Message<(Response<()>, BodySize)>) -> Result<(), CallerGone> {
+        self.codec.encode(message, &mut self.buffer).map_err(|_| CallerGone)
+    }
+}
+
+impl ReplySink for Writer<'_> {
+    async fn head(&mut self, head: ReplyHead) -> Result<(), CallerGone> {
+        let mut response = Response::with_body(head.status, ());
+        for (name, value) in head.headers {
+            response.headers_mut().append(name, value);
+        }
+        if self.close {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        let size = head.length.map_or(BodySize::Stream, BodySize::Sized);
+        self.begun = true;
+        self.encode(Message::Item((response, size)))?;
+        match size {
+            BodySize::Stream => self.flush().await,
+            _ => Ok(()),
+        }
+    }
+
+    async fn part(&mut self, part: Bytes) -> Result<(), CallerGone> {
+        if part.is_empty() {
+            return Ok(());
+        }
+        self.encode(Message::Chunk(Some(part)))?;
+        self.flush().await
+    }
+
+    async fn finish(&mut self) -> Result<(), CallerGone> {
+        self.encode(Message::Chunk(None))?;
+        self.finished = true;
+        match self.buffer.is_empty() {
+            true => Ok(()),
+            false => self.flush().await,
+        }
+    }
+}
+
+/// Why reading a request ended without one.
+enum NoRequest {
+    /// The connection is over.
+    Over,
+    /// The request cannot be accepted.
+    Refuse(StatusCode, RefusalReason),
+}
+
+struct Reader<'a> {
+    read: ReadHalf<'a>,
+    buffer: BytesMut,
+}
+
+impl Reader<'_> {
+    async fn fill(&mut self) -> Result<(), NoRequest> {
+        self.buffer.reserve(READ_SIZE);
+        match self.read.read_buf(&mut self.buffer).await {
+            Ok(0) | Err(_) => Err(NoRequest::Over),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Reads ahead until the caller leaves.
+    async fn left(&mut self) {
+        loop {
+            if self.buffer.len() >= READ_AHEAD {
+                std::future::pending::<()>().await;
+            }
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Serves a connection until it ends.
+pub async fn serve_connection(host: &impl Host, mut stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let config = ServiceConfig::new(
+        KeepAlive::Timeout(host.limits().idle_timeout),
+        Duration::ZERO,
+        Duration::ZERO,
+        false,
+        None,
+    );
+    let (read, write) = stream.split();
+    let mut reader = Reader { read, buffer: BytesMut::new() };
+    let mut writer = Writer {
+        write,
+        codec: Codec::new(config),
+        buffer: BytesMut::new(),
+        close: false,
+        begun: false,
+        finished: false,
+    };
+    loop {
+        let request = match next_request(host, &mut reader, &mut writer.codec).await {
+            Ok(request) => request,
+            Err(NoRequest::Over) => return,
+            Err(NoRequest::Refuse(status, reason)) => {
+                writer.close = true;
+                let refused = Refused { status, reason, retry_after: None };
+                let _ = writer.refuse(&refused).await;
+                let _ = writer.write.shutdown().await;
+                return;
+            }
+        };
+        writer.close = host.is_stopping() || !writer.codec.keep_alive();
+        writer.begun = false;
+        writer.finished = false;
+        let gone = tokio::select! {
+            biased;
+            () = host.serve(request, &mut writer) => false,
+            () = reader.left() => true,
+        };
+        if gone || !writer.finished {
+            return;
+        }
+        if writer.close {
+            let _ = writer.write.shutdown().await;
+            return;
+        }
+        if reader.buffer.is_empty() {
+            reader.buffer = BytesMut::new();
+            writer.buffer = BytesMut::new();
+        }
+    }
+}
+
+async fn next_request(
+    host: &impl Host,
+    reader: &mut Reader<'_>,
+    codec: &mut Codec,
+) -> Result<CallerRequest, NoRequest> {
+    let limits = host.limits();
+    if reader.buffer.is_empty() {
+        tokio::select! {
+            biased;
+            filled = actix_rt::time::timeout(limits.idle_timeout, reader.fill()) => {
+                filled.map_err(|_| NoRequest::Over)??;
+            }
+            () = host.idle_connections_end() => return Err(NoRequest::Over),
+        }
+    }
+    let heading = read_head(reader, codec, limits.header_bytes);
+    let timeout = actix_rt::time::timeout(limits.header_timeout, heading).await;
+    let head = timeout
+        .map_err(|_| NoRequest::Refuse(StatusCode::REQUEST_TIMEOUT, RefusalReason::BadRequest))??;
+    let arrived = host.clock().now();
+    let meta = host.dialect().request(head.headers()).map_err(|_| bad_request())?;
+    let patience = meta.patience.unwrap_or(BODY_PATIENCE).min(BODY_PATIENCE);
+    let reading = read_body(reader, codec, &head, limits.body_bytes);
+    let body = actix_rt::time::timeout(patience, reading)
+        .await
+        .map_err(|_| NoRequest::Refuse(StatusCode::REQUEST_TIMEOUT, RefusalReason::BadRequest))??;
+    let target = head.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
+    let host_name = head.headers().get("host").and_then(|value| value.to_str().ok());
+    Ok(CallerRequest {
+        arrived,
+        method: head.method().clone(),
+        target,
+        host: host_name.unwrap_or_default().to_owned(),
+        headers: end_to_end(head.headers()),
+        last_event: host.dialect().last_event(head.headers()),
+        body,
+        meta,
+    })
+}
+
+fn bad_request() -> NoRequest {
+    NoRequest::Refuse(StatusCode::BAD_REQUEST, RefusalReason::BadRequest)
+}
+
+fn too_large(status: StatusCode) -> NoRequest {
+    NoRequest::Refuse(status, RefusalReason::BadRequest)
+}
+
+async fn read_head(
+    reader: &mut Reader<'_>,
+    codec: &mut Codec,
+    limit: usize,
+) -> Result<Request, NoRequest> {
+    loop {
+        match codec.decode(&mut reader.buffer) {
+            Ok(Some(Message::Item(request))) => return Ok(request),
+            Ok(Some(Message::Chunk(_))) | Err(ParseError::Io(_)) => return Err(NoRequest::Over),
+            Err(ParseError::TooLarge) => {
+                return Err(too_large(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+            }
+            Err(_) => return Err(bad_request()),
+            Ok(None) if reader.buffer.len() > limit => {
+                return Err(too_large(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+            }
+            Ok(None) => reader.fill().await?,
+        }
+    }
+}
+
+async fn read_body(
+    reader: &mut Reader<'_>,
+    codec: &mut Codec,
+    head: &Request,
+    limit: usize,
+) -> Result<Bytes, NoRequest> {
+    if codec.message_type() == actix_http::h1::MessageType::None {
+        return Ok(Bytes::new());
+    }
+    let announced = head.headers().get("content-length").and_then(|value| value.to_str().ok());
+    let announced: Option<usize> = announced.and_then(|text| text.parse().ok());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let mut body = BytesMut::with_capacity(announced.unwrap_or(0).min(READ_SIZE));
+    loop {
+        match codec.decode(&mut reader.buffer) {
+            Ok(Some(Message::Chunk(Some(part)))) if body.len() + part.len() > limit => {
+                return Err(too_large(StatusCode::PAYLOAD_TOO_LARGE));
+            }
+            Ok(Some(Message::Chunk(Some(part)))) => body.extend_from_slice(&part),
+            Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+            Ok(Some(Message::Item(_))) | Err(_) => return Err(bad_request()),
+            Ok(None) => reader.fill().await?,
+        }
+    }
+}
+
+/// The headers to hand on: all but those of one connection.
+fn end_to_end(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
+    let named = headers.get(CONNECTION).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let named: Vec<String> =
+        named.split(',').map(|name| name.trim().to_ascii_lowercase()).collect();
+    let hop = |name: &str| HOP_HEADERS.contains(&name) || named.iter().any(|own| own == name);
+    let kept = headers.iter().filter(|(name, _)| !hop(name.as_str()));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/load.rs
@@ -0,0 +1,151 @@
+//! How busy and how reliable each backend server is, as this daemon knows it.
+
+use crate::types::Time;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Failures lose half their weight in this time.
+const FAILURE_HALF_LIFE: Duration = Duration::from_millis(2_500);
+/// Share of a new outcome in the failure rate.
+const OUTCOME_WEIGHT: f64 = 0.3;
+/// A server that could not be reached is left alone for this long.
+const UNREACHABLE_FOR: Duration = Duration::from_millis(700);
+/// What peers said of their own load counts for this long.
+const PEER_FRESH: Duration = Duration::from_millis(2_500);
+
+/// Requests at one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Requests sent and not finished.
+    pub requests: u32,
+    /// Prompt tokens of those that have not begun to answer.
+    pub waiting_tokens: u32,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Server {
+    own: Work,
+    failure_rate: f64,
+    rated_at: Time,
+    unreachable_until: Time,
+}
+
+/// Load and health of the servers.
+#[derive(Debug, Default)]
+pub struct LoadTable {
+    servers: RefCell<HashMap<Rc<str>, Server>>,
+    peers: RefCell<HashMap<Rc<str>, (Time, HashMap<u32, Work>)>>,
+}
+
+/// The short name of a server in messages between daemons.
+pub fn server_mark(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
+
+impl LoadTable {
+    /// Counts a request at a server until the guard is dropped.
+    pub fn begin(self: &Rc<Self>, server: &Rc<str>, tokens: u32) -> WorkGuard {
+        let mut servers = self.servers.borrow_mut();
+        let entry = servers.entry(server.clone()).or_default();
+        entry.own.requests += 1;
+        entry.own.waiting_tokens += tokens;
+        WorkGuard { table: self.clone(), server: server.clone(), tokens }
+    }
+
+    /// Notes an outcome of a server.
+    pub fn outcome(&self, now: Time, server: &Rc<str>, failed: bool) {
+        let mut servers = self.servers.borrow_mut();
+        let entry = servers.entry(server.clone()).or_default();
+        let rate = entry.rate(now);
+        let outcome = if failed { 1.0 } else { 0.0 };
+        entry.failure_rate = rate + (outcome - rate) * OUTCOME_WEIGHT;
+        entry.rated_at = now;
+    }
+
+    /// Notes that a server could not be reached.
+    pub fn unreachable(&self, now: Time, server: &Rc<str>) {
+        self.outcome(now, server, true);
+        let mut servers = self.servers.borrow_mut();
+        let entry = servers.entry(server.clone()).or_default();
+        entry.unreachable_until = now + UNREACHABLE_FOR;
+    }
+
+    /// True if the server was found unreachable a moment ago.
+    pub fn is_unreachable(&self, now: Time, server: &str) -> bool {
+        self.servers.borrow().get(server).is_some_and(|entry| now < entry.unreachable_until)
+    }
+
+    /// The share of recent requests that failed, fading with time.
+    pub fn failure_rate(&self, now: Time, server: &str) -> f64 {
+        self.servers.borrow().get(server).map_or(0.0, |entry| entry.rate(now))
+    }
+
+    /// What all daemons have at a server, as far as known.
+    pub fn work(&self, now: Time, server: &str) -> Work {
+        let own = self.servers.borrow().get(server).map(|entry| entry.own).unwrap_or_default();
+        let mark = server_mark(server);
+        let peers = self.peers.borrow();
+        let fresh = peers.values().filter(|(at, _)| now.since(*at) < PEER_FRESH);
+        fresh.filter_map(|(_, works)| works.get(&mark)).fold(own, |sum, work| Work {
+            requests: sum.requests + work.requests,
+            waiting_tokens: sum.waiting_tokens + work.waiting_tokens,
+        })
+    }
+
+    /// This daemon's own work, for its peers.
+    pub fn own(&self) -> Vec<(u32, Work)> {
+        let servers = self.servers.borrow();
+        let busy = servers.iter().filter(|(_, entry)| entry.own.requests > 0);
+        busy.map(|(id, entry)| (server_mark(id), entry.own)).collect()
+    }
+
+    /// Takes a peer's work in.
+    pub fn peer(&self, now: Time, peer: &Rc<str>, works: Vec<(u32, Work)>) {
+        self.peers.borrow_mut().insert(peer.clone(), (now, works.into_iter().collect()));
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&self, server: &str) {
+        let mut servers = self.servers.borrow_mut();
+        if servers.get(server).is_some_and(|entry| entry.own.requests == 0) {
+            servers.remove(server);
+        }
+    }
+}
+
+impl Server {
+    fn rate(&self, now: Time) -> f64 {
+        let halves = now.since(self.rated_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(halves)
+    }
+}
+
+/// Counts one request at a server for as long as it lives.
+#[derive(Debug)]
+pub struct WorkGuard {
+    table: Rc<LoadTable>,
+    server: Rc<str>,
+    tokens: u32,
+}
+
+impl WorkGuard {
+    /// The server has begun to answer: the prompt is read.
+    pub fn begun(&mut self) {
+        let tokens = std::mem::take(&mut self.tokens);
+        if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
+            entry.own.waiting_tokens = entry.own.waiting_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.begun();
+        if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
+            entry.own.requests = entry.own.requests.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/message.rs
@@ -0,0 +1,100 @@
+//! What daemons of a gateway fleet tell each other by datagram.
+
+use super::demand::Asked;
+use super::load::Work;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The version of the messages; others are dropped.
+pub const MESSAGE_VERSION: u8 = 1;
+/// The longest datagram, in bytes.
+pub const MAX_DATAGRAM: usize = 1_400;
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Who is there and what it knows.
+    Heartbeat(Heartbeat),
+    /// What was asked for, for the holder of orders.
+    Demand(Vec<AdapterDemand>),
+    /// What the holder of orders has changed at servers.
+    Placement(Vec<PlacementNotice>),
+    /// The holder of orders gives its office up; a successor need not wait for the lease.
+    Resigned(u64),
+}
+
+/// A sign of life.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub node: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where it hears datagrams.
+    pub address: SocketAddr,
+    /// Differs with every start, and rises.
+    pub incarnation: u64,
+    /// The store's revision up to which it knows everything.
+    pub revision: u64,
+    /// It is being stopped.
+    pub leaving: bool,
+    /// It can reach the store.
+    pub sees_store: bool,
+    /// Its fence, if it holds the orders.
+    pub orders_fence: Option<u64>,
+    /// Its requests at servers.
+    pub work: Vec<(u32, Work)>,
+    /// Some daemons it knows.
+    pub known: Vec<SocketAddr>,
+}
+
+/// Requests for one adapter.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AdapterDemand {
+    /// The base model.
+    pub model: String,
+    /// The adapter.
+    pub adapter: String,
+    /// How often.
+    pub asked: Asked,
+}
+
+/// A change at a server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlacementNotice {
+    /// The server.
+    pub server: String,
+    /// The base model.
+    pub model: String,
+    /// The adapter.
+    pub adapter: String,
+    /// What holds now.
+    pub state: NoticeState,
+}
+
+/// What holds of an adapter at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoticeState {
+    /// It can be used, at this version.
+    Held(u64),
+    /// This version is expected in so many milliseconds.
+    Coming(u64, u32),
+    /// It is gone or about to go.
+    Absent,
+}
+
+/// A datagram as bytes; `None` if it is too long.
+pub fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
+    let mut bytes = vec![MESSAGE_VERSION];
+    bytes.extend(postcard::to_allocvec(message).ok()?);
+    (bytes.len() <= MAX_DATAGRAM).then_some(bytes)
+}
+
+/// Reads a datagram; `None` for bytes that are no message of this version.
+pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
+    let (version, body) = bytes.split_first()?;
+    if *version != MESSAGE_VERSION || bytes.len() > MAX_DATAGRAM {
+        return None;
+    }
+    postcard::from_bytes(body).ok()
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -0,0 +1,112 @@
+//! Everything a gateway daemon counts.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Buckets of times, in seconds.
+const TIME_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 3.0, 15.0];
+
+/// The metrics of one daemon.
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by route kind and how they ended.
+    pub requests: IntCounterVec,
+    /// From arrival to the end of the answer, by route kind.
+    pub duration: HistogramVec,
+    /// Requests being served.
+    pub in_flight: IntGauge,
+    /// Sends beyond the first of each request.
+    pub resends: IntCounter,
+    /// Failed calls to the store, by trouble.
+    pub store_failures: IntCounterVec,
+    /// The configuration in force.
+    pub config_version: IntGauge,
+    /// Other daemons that are up.
+    pub peers_up: IntGauge,
+    /// Bytes sent to other daemons by datagram.
+    pub peer_bytes: IntCounter,
+    /// Datagrams that are no message.
+    pub datagrams_dropped: IntCounter,
+    /// 1 while this daemon holds the orders.
+    pub holds_orders: IntGauge,
+    /// Log lines dropped because the reader was too slow.
+    pub log_lines_dropped: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Metrics that are all zero.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let made = Maker { registry: &registry };
+        Self {
+            requests: made.counters("requests_total", "Requests by end", &["kind", "end"]),
+            duration: made.histograms("request_seconds", "Arrival to the end of the answer"),
+            in_flight: made.gauge("requests_in_flight", "Requests being served"),
+            resends: made.counter("resends_total", "Sends beyond the first"),
+            store_failures: made.counters("store_failures_total", "Failed calls", &["trouble"]),
+            config_version: made.gauge("config_version", "Configuration in force"),
+            peers_up: made.gauge("peers_up", "Other daemons that are up"),
+            peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
+            datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
+            holds_orders: made.gauge("holds_orders", "1 while this daemon orders servers"),
+            log_lines_dropped: made.gauge("log_lines_dropped", "Log lines dropped so far"),
+            registry,
+        }
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        encoded.expect("writing to memory does not fail");
+        String::from_utf8(buffer).expect("the text format is UTF-8")
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+struct Maker<'a> {
+    registry: &'a Registry,
+}
+
+impl Maker<'_> {
+    fn register(&self, collector: Box<dyn prometheus::core::Collector>) {
+        self.registry.register(collector).expect("every metric has its own name");
+    }
+
+    fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let counter = IntCounter::new(full(name), help).expect("a valid name");
+        self.register(Box::new(counter.clone()));
+        counter
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        let counters = IntCounterVec::new(Opts::new(full(name), help), labels);
+        let counters = counters.expect("a valid name");
+        self.register(Box::new(counters.clone()));
+        counters
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        let gauge = IntGauge::new(full(name), help).expect("a valid name");
+        self.register(Box::new(gauge.clone()));
+        gauge
+    }
+
+    fn histograms(&self, name: &str, help: &str) -> HistogramVec {
+        let opts = HistogramOpts::new(full(name), help).buckets(TIME_BUCKETS.to_vec());
+        let histogram = HistogramVec::new(opts, &["kind"]).expect("a valid name");
+        self.register(Box::new(histogram.clone()));
+        histogram
+    }
+}
+
+fn full(name: &str) -> String {
+    format!("portrack_gateway_{name}")
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/mod.rs
@@ -0,0 +1,76 @@
+//! The gateway: serves callers on the users' machines, word by word, over one request path.
+
+mod adapter_demand;
+mod answer;
+mod backend;
+mod body;
+mod caller;
+mod choose;
+mod config;
+mod connection;
+mod daemon;
+mod decay;
+mod demand;
+mod dialect;
+mod events;
+mod exchange;
+mod gossip;
+mod holdings;
+mod host;
+mod ingress;
+mod load;
+mod load_budget;
+mod logging;
+mod message;
+mod metrics;
+mod mirror;
+mod office;
+mod order_lease;
+mod ordering;
+mod path;
+mod peers;
+mod placing;
+mod planned_server;
+mod planner;
+mod pool;
+mod relay;
+mod retries;
+mod routes;
+mod run;
+mod settings;
+mod sync;
+mod view;
+
+pub use answer::{AnswerError, AnswerHead, Framing, take_head};
+pub use backend::{Backend, HeldAdapter, HeldModel};
+pub use body::{BodyDecoder, Step};
+pub use caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
+pub use config::{
+    CallerLimits, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
+};
+pub use connection::{Connection, ExchangeError};
+pub use daemon::GatewayDaemon;
+pub use demand::{Asked, DemandLog};
+pub use dialect::{
+    AdapterKey, AnswerMeta, Dialect, DialectError, ForwardMeta, Item, ItemKey, MalformedSnafu,
+    ModelRequest, Order, OrderAnswer, OrderKind, RequestMeta, ServerReport,
+};
+pub use events::EventSplitter;
+pub use holdings::{Holdings, Presence};
+pub use load::{LoadTable, Work};
+pub use load_budget::LoadBudget;
+pub use logging::LogSink;
+pub use message::{Heartbeat, NoticeState, PeerMessage, PlacementNotice};
+pub use metrics::GatewayMetrics;
+pub use mirror::{Mirror, MirrorItem, Mirrored};
+pub use order_lease::OrderLease;
+pub use ordering::{NoticeSink, Ordering};
+pub use path::{RequestEnd, RequestPath, Served};
+pub use peers::{PeerChange, Peers};
+pub use planner::{Plan, PlanEnd, PlanReason, PlannedLoad, Planner};
+pub use pool::Pool;
+pub use retries::{RetryBounds, ServiceRetries};
+pub use routes::{RouteTable, pick_target};
+pub use run::{GatewayError, RunningGateway, start_gateway};
+pub use settings::{Bounds, GatewaySettings};
+pub use view::{FleetView, NamedVersion, ViewChange};
--- /dev/null
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -0,0 +1,368 @@
+//! Carries the planner's steps out: sends orders, one at a time to each server, and tells the
+//! other daemons what came of them.
+
+use super::answer::AnswerHead;
+use super::body::BodyDecoder;
+use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind};
+use super::message::{NoticeState, PlacementNotice};
+use super::order_lease::OrderLease;
+use super::planner::{Plan, PlanEnd, PlannedLoad, Planner};
+use super::pool::{Lent, Pool};
+use crate::types::Clock;
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest wait for the answer to an order.
+const ORDER_PATIENCE: Duration = Duration::from_millis(700);
+/// Connections to one server for orders.
+const ORDER_CONNECTIONS: usize = 2;
+/// An order is asked about again after this while it is carried out.
+const CONFIRM_EVERY: Duration = Duration::from_millis(90);
+/// A load that is not confirmed after this is left to the store's list.
+const CONFIRM_FOR: Duration = Duration::from_millis(4_000);
+/// First guess of a load from the weight store.
+const COLD_GUESS: Duration = Duration::from_millis(260);
+/// First guess of a load of what the server has at hand.
+const WARM_GUESS: Duration = Duration::from_millis(40);
+/// Tries of an order whose expected count of orders was out of date.
+const COUNT_TRIES: usize = 3;
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ordered {
+    Answer(OrderAnswer),
+    /// Sent, and no answer came.
+    Unknown,
+    /// Not sent: no right to order, or no connection.
+    NotSent,
+}
+
+/// Who hears of what was ordered.
+pub trait NoticeSink {
+    /// Takes notices of one step.
+    fn notices(&self, notices: Vec<PlacementNotice>);
+}
+
+#[derive(Default)]
+struct ServerLine {
+    turn: tokio::sync::Mutex<()>,
+    orders_taken: Cell<Option<u64>>,
+}
+
+/// Sends orders.
+pub struct Ordering {
+    clock: Rc<dyn Clock>,
+    dialect: Rc<dyn Dialect>,
+    node: Rc<str>,
+    pool: Rc<Pool>,
+    lines: RefCell<HashMap<Rc<str>, Rc<ServerLine>>>,
+    cold_takes: Cell<Duration>,
+    /// The right to order.
+    pub lease: RefCell<OrderLease>,
+    /// What is to be ordered.
+    pub planner: RefCell<Planner>,
+}
+
+impl Ordering {
+    /// Nothing ordered yet.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        dialect: Rc<dyn Dialect>,
+        node: Rc<str>,
+        lease: OrderLease,
+    ) -> Self {
+        Self {
+            clock,
+            dialect,
+            node,
+            pool: Rc::default(),
+            lines: RefCell::default(),
+            cold_takes: Cell::new(COLD_GUESS),
+            lease: RefCell::new(lease),
+            planner: RefCell::default(),
+        }
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&self, server: &str) {
+        self.lines.borrow_mut().remove(server);
+        self.pool.forget(server);
+    }
+
+    /// Closes connections that can no longer be used.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// True if this daemon may order at this moment.
+    pub fn may_order(&self) -> bool {
+        self.lease.borrow().may_order(self.clock.now()).is_some()
+    }
+
+    /// Begins every step that is due.
+    pub fn begin_due(self: &Rc<Self>, sink: &Rc<impl NoticeSink + 'static>) {
+        let now = self.clock.now();
+        if !self.may_order() {
+            return;
+        }
+        let plans = self.planner.borrow_mut().plan(now);
+        for plan in plans {
+            let (ordering, sink) = (self.clone(), sink.clone());
+            actix_rt::spawn(async move { ordering.carry_out(plan, &*sink).await });
+        }
+    }
+
+    fn line(&self, server: &Rc<str>) -> Rc<ServerLine> {
+        self.lines.borrow_mut().entry(server.clone()).or_default().clone()
+    }
+
+    async fn carry_out(&self, plan: Plan, sink: &impl NoticeSink) {
+        let began = self.clock.now();
+        let end = self.steps(&plan, sink).await;
+        let now = self.clock.now();
+        self.planner.borrow_mut().ended(now, &plan, end);
+        let took_ms = now.since(began).as_millis() as u64;
+        if let PlannedLoad::Adapter(key, version) = &plan.load {
+            let state = match end {
+                PlanEnd::Done => Some(NoticeState::Held(*version)),
+                PlanEnd::Refused | PlanEnd::NotSent => Some(NoticeState::Absent),
+                PlanEnd::Unknown => None,
+            };
+            sink.notices(state.map(|state| notice(&plan, key, state)).into_iter().collect());
+        }
+        log::info!(
+            server = &*plan.server, load:? = plan.load, evict:? = plan.evict,
+            reason = plan.reason.name(), cold = plan.cold, worth = plan.worth, took_ms = took_ms,
+            end:? = end; "order"
+        );
+    }
+
+    async fn steps(&self, plan: &Plan, sink: &impl NoticeSink) -> PlanEnd {
+        if let Some(victim) = &plan.evict {
+            sink.notices(vec![notice(plan, victim, NoticeState::Absent)]);
+            let order = self.adapter_order(OrderKind::Unload, victim, None);
+            match self.order(plan, order).await {
+                Ordered::Answer(OrderAnswer::Holds | OrderAnswer::Accepted) => {
+                    self.planner.borrow_mut().evicted(self.clock.now(), &plan.server, victim);
+                }
+                Ordered::Answer(_) => return PlanEnd::Refused,
+                Ordered::Unknown => return PlanEnd::Unknown,
+                Ordered::NotSent => return PlanEnd::NotSent,
+            }
+        }
+        match &plan.load {
+            PlannedLoad::Nothing => PlanEnd::Done,
+            PlannedLoad::Base(model) => {
+                let order = self.base_order(model);
+                end_of(self.order(plan, order).await)
+            }
+            PlannedLoad::Adapter(key, version) => self.load(plan, key, *version, sink).await,
+        }
+    }
+
+    fn base_order(&self, model: &Rc<str>) -> Order {
+        Order {
+            kind: OrderKind::Load,
+            model: model.clone(),
+            adapter: None,
+            version: None,
+            holder: self.node.clone(),
+            fence: 0,
+            expected: None,
+        }
+    }
+
+    fn adapter_order(&self, kind: OrderKind, key: &AdapterKey, version: Option<u64>) -> Order {
+        Order {
+            kind,
+            model: key.model.clone(),
+            adapter: Some(key.adapter.clone()),
+            version,
+            holder: self.node.clone(),
+            fence: 0,
+            expected: None,
+        }
+    }
+
+    /// Orders a load and asks about it until it is there.
+    async fn load(
+        &self,
+        plan: &Plan,
+        key: &AdapterKey,
+        version: u64,
+        sink: &impl NoticeSink,
+    ) -> PlanEnd {
+        let began = self.clock.now();
+        let first = self.order(plan, self.adapter_order(OrderKind::Load, key, Some(version))).await;
+        match first {
+            Ordered::Answer(OrderAnswer::Accepted) => {}
+            other => return end_of(other),
+        }
+        let guess = if plan.cold { self.cold_takes.get() } else { WARM_GUESS };
+        let coming = NoticeState::Coming(version, guess.as_millis() as u32);
+        sink.notices(vec![notice(plan, key, coming)]);
+        actix_rt::time::sleep(guess).await;
+        while self.clock.now().since(began) < CONFIRM_FOR {
+            let order = self.adapter_order(OrderKind::Load, key, Some(version));
+            match self.order(plan, order).await {
+                Ordered::Answer(OrderAnswer::Holds) => {
+                    self.learn(plan, self.clock.now().since(began));
+                    return PlanEnd::Done;
+                }
+                Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy) => {}
+                Ordered::Answer(_) => return PlanEnd::Refused,
+                Ordered::NotSent | Ordered::Unknown => return PlanEnd::Unknown,
+            }
+            actix_rt::time::sleep(CONFIRM_EVERY).await;
+        }
+        PlanEnd::Unknown
+    }
+
+    fn learn(&self, plan: &Plan, took: Duration) {
+        if plan.cold {
+            self.cold_takes.set(self.cold_takes.get().mul_f64(0.8) + took.mul_f64(0.2));
+        }
+    }
+
+    /// Sends one order, with the number of orders that the server must have taken before.
+    async fn order(&self, plan: &Plan, mut order: Order) -> Ordered {
+        let line = self.line(&plan.server);
+        let _turn = line.turn.lock().await;
+        for _ in 0..COUNT_TRIES {
+            let Some(count) = self.orders_taken(plan, &line).await else {
+                return Ordered::NotSent;
+            };
+            order.expected = Some(count);
+            let ordered = self.send(plan, &mut order).await;
+            match ordered {
+                Ordered::Answer(OrderAnswer::Accepted) => line.orders_taken.set(Some(count + 1)),
+                Ordered::Answer(OrderAnswer::Holds) if order.kind == OrderKind::Unload => {
+                    line.orders_taken.set(Some(count + 1));
+                }
+                Ordered::Answer(OrderAnswer::Holds) => {}
+                Ordered::Answer(OrderAnswer::Busy) => {
+                    line.orders_taken.set(None);
+                    continue;
+                }
+                Ordered::Answer(_) | Ordered::Unknown => line.orders_taken.set(None),
+                Ordered::NotSent => {}
+            }
+            return ordered;
+        }
+        Ordered::Answer(OrderAnswer::Busy)
+    }
+
+    async fn orders_taken(&self, plan: &Plan, line: &ServerLine) -> Option<u64> {
+        if let Some(count) = line.orders_taken.get() {
+            return Some(count);
+        }
+        let path = self.dialect.report_path();
+        let answer = self.call(&plan.server, plan.address, "GET", path, &[], || true).await;
+        let Called::Answer(head, body) = answer else { return None };
+        if !head.status.is_success() {
+            return None;
+        }
+        let report = self.dialect.report(&body).ok()?;
+        line.orders_taken.set(Some(report.orders_taken));
+        Some(report.orders_taken)
+    }
+
+    async fn send(&self, plan: &Plan, order: &mut Order) -> Ordered {
+        let Some(fence) = self.lease.borrow().may_order(self.clock.now()) else {
+            return Ordered::NotSent;
+        };
+        order.fence = fence;
+        let (path, body) = self.dialect.order(order);
+        let still = || self.lease.borrow().may_order(self.clock.now()) == Some(fence);
+        match self.call(&plan.server, plan.address, "POST", path, &body, still).await {
+            Called::Answer(head, _) => {
+                Ordered::Answer(self.dialect.order_answer(head.status.as_u16()))
+            }
+            Called::NoAnswer => Ordered::Unknown,
+            Called::NotSent => Ordered::NotSent,
+        }
+    }
+
+    /// One call to a server; `still` is asked right before the first byte leaves.
+    async fn call(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        still: impl Fn() -> bool,
+    ) -> Called {
+        let Ok(lent) = self.pool.lend(server, address, ORDER_CONNECTIONS).await else {
+            return Called::NotSent;
+        };
+        let (name, value) = self.dialect.order_target(server);
+        let mut bytes = Vec::with_capacity(256 + body.len());
+        write!(
+            bytes,
+            "{method} {path} HTTP/1.1\r\nhost: {address}\r\n{name}: {value}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        )
+        .expect("writing to memory does not fail");
+        bytes.extend_from_slice(body);
+        if !still() {
+            lent.keep();
+            return Called::NotSent;
+        }
+        let answer = answer(&*self.dialect, lent, &bytes);
+        match actix_rt::time::timeout(ORDER_PATIENCE, answer).await {
+            Ok(Some((head, body))) => Called::Answer(Box::new(head), body),
+            Ok(None) | Err(_) => Called::NoAnswer,
+        }
+    }
+}
+
+enum Called {
+    Answer(Box<AnswerHead>, Bytes),
+    NoAnswer,
+    NotSent,
+}
+
+async fn answer(
+    dialect: &dyn Dialect,
+    mut lent: Lent,
+    bytes: &[u8],
+) -> Option<(AnswerHead, Bytes)> {
+    let connection = lent.connection();
+    connection.send(bytes).await.ok()?;
+    let head = connection.head(dialect).await.ok()?;
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = bytes::BytesMut::new();
+    while let Some(part) = connection.part(&mut decoder).await.ok()? {
+        body.extend_from_slice(&part);
+    }
+    if !head.close && !connection.has_leftover() {
+        connection.rest(head.keep_alive);
+        lent.keep();
+    }
+    Some((head, body.freeze()))
+}
+
+fn end_of(ordered: Ordered) -> PlanEnd {
+    match ordered {
+        Ordered::Answer(OrderAnswer::Holds | OrderAnswer::Accepted) => PlanEnd::Done,
+        Ordered::Answer(_) => PlanEnd::Refused,
+        Ordered::Unknown => PlanEnd::Unknown,
+        Ordered::NotSent => PlanEnd::NotSent,
+    }
+}
+
+fn notice(plan: &Plan, key: &AdapterKey, state: NoticeState) -> PlacementNotice {
+    PlacementNotice {
+        server: plan.server.to_string(),
+        model: key.model.to_string(),
+        adapter: key.adapter.to_string(),
+        state,
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/path.rs
@@ -0,0 +1,397 @@
+//! The path of a request: route, server, tries, answer.
+
+use super::backend::Backend;
+use super::caller::{CallerRequest, RefusalReason, Refused, ReplySink};
+use super::config::{Route, Service};
+use super::demand::DemandLog;
+use super::dialect::{AdapterKey, Dialect, ForwardMeta, ModelRequest};
+use super::exchange::{NotRun, Sent, exchange, request_bytes};
+use super::load::LoadTable;
+use super::pool::Pool;
+use super::relay::{Relay, RelayEnd};
+use super::retries::ServiceRetries;
+use super::routes::pick_target;
+use super::view::FleetView;
+use crate::types::{Clock, Time};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Sends beyond a route's attempts that are allowed if the earlier ones were not run.
+const EXTRA_SENDS: u32 = 2;
+/// When to come back if all servers are busy.
+const BUSY_RETRY: Duration = Duration::from_millis(300);
+/// When to come back if nothing is known yet.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
+/// A request that may be repeated is tried elsewhere after this many times its objective.
+const SLOW_FACTOR: u32 = 3;
+
+/// Everything that the path of requests shares.
+pub struct RequestPath {
+    /// The monotonic clock.
+    pub clock: Rc<dyn Clock>,
+    /// The platform's messages.
+    pub dialect: Rc<dyn Dialect>,
+    /// What is known of the fleet.
+    pub view: Rc<RefCell<FleetView>>,
+    /// Woken when the view has changed.
+    pub changed: Rc<Notify>,
+    /// Load and health of the servers.
+    pub loads: Rc<LoadTable>,
+    /// Connections to the servers.
+    pub pool: Rc<Pool>,
+    /// What may be repeated.
+    pub retries: RefCell<ServiceRetries>,
+    /// What is asked for.
+    pub demand: Rc<DemandLog>,
+    /// This daemon's data hall.
+    pub hall: String,
+    /// Daemons that share the servers' connections and the retry budget.
+    pub daemons: Cell<usize>,
+}
+
+/// How a request ended, for logs and metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RequestEnd {
+    /// A server's answer was handed on whole.
+    Answered(u16),
+    /// The gateway refused it.
+    Refused(Refused),
+    /// The answer broke off after its head.
+    Broken(String),
+    /// The caller is gone.
+    CallerGone,
+}
+
+/// What one request needs.
+pub struct Job<'a> {
+    /// The request.
+    pub request: &'a CallerRequest,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Its service.
+    pub service: Rc<Service>,
+    /// When it must have its final answer.
+    pub deadline: Time,
+    /// Sends so far.
+    pub sends: u32,
+    /// Sends that may have run.
+    pub runs: u32,
+    /// Servers tried.
+    pub tried: Vec<Rc<str>>,
+    /// The server of the last try.
+    pub server: Option<Rc<str>>,
+    /// The last event handed on, to go on behind it.
+    pub last_event: Option<String>,
+    /// What the last try came to.
+    pub last_failure: String,
+}
+
+/// A server chosen for a request.
+pub struct Choice {
+    /// The server.
+    pub backend: Rc<Backend>,
+    /// The version of the adapter that it must have.
+    pub adapter_version: Option<u64>,
+}
+
+/// What follows after a try.
+enum Next {
+    /// Try another server.
+    Again,
+    /// It is over.
+    End(RequestEnd),
+}
+
+impl Job<'_> {
+    /// The adapter asked for, if any.
+    pub fn adapter(&self) -> Option<AdapterKey> {
+        let model = self.request.meta.model.as_ref()?;
+        let adapter = model.adapter.clone()?;
+        Some(AdapterKey { model: model.model.clone(), adapter })
+    }
+
+    /// The model asked for, if the service has models.
+    pub fn model(&self) -> Option<&ModelRequest> {
+        self.service.engine.as_ref()?;
+        self.request.meta.model.as_ref()
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// The end when no other server is to be tried.
+    fn out_of_tries(&self, reason: RefusalReason) -> RequestEnd {
+        if self.may_have_run() {
+            return RequestEnd::Refused(Refused::new(RefusalReason::Lost, None));
+        }
+        RequestEnd::Refused(Refused::new(reason, Some(BUSY_RETRY)))
+    }
+}
+
+impl RequestPath {
+    /// Serves a request to its end.
+    pub async fn serve(&self, request: &CallerRequest, sink: &mut impl ReplySink) -> Served {
+        let mut job = match self.job(request) {
+            Ok(job) => job,
+            Err(refused) => return Served::refused(refused),
+        };
+        let now = self.clock.now();
+        self.retries.borrow_mut().note_request(now, &job.service.name);
+        let mut relay = Relay::new(&job.route);
+        let time_left = job.deadline.since(now);
+        let running = self.run(&mut job, &mut relay, sink);
+        let end = match actix_rt::time::timeout(time_left, running).await {
+            Ok(end) => end,
+            Err(_) if relay.begun() => RequestEnd::Broken("deadline".into()),
+            Err(_) => RequestEnd::Refused(timed_out(&job)),
+        };
+        Served {
+            end,
+            route: Some(job.route.clone()),
+            server: job.server.clone(),
+            sends: job.sends,
+            last_failure: std::mem::take(&mut job.last_failure),
+            begun: relay.begun(),
+        }
+    }
+
+    fn job<'a>(&self, request: &'a CallerRequest) -> Result<Job<'a>, Refused> {
+        let view = self.view.borrow();
+        if view.config().is_none() {
+            return Err(Refused::new(RefusalReason::NoConfig, Some(UNKNOWN_RETRY)));
+        }
+        let route = view.route(&request.host, request.path());
+        let route = route.ok_or_else(|| Refused::new(RefusalReason::NoRoute, None))?.clone();
+        let service = pick_target(&route, &request.meta.id)
+            .and_then(|target| view.service(&target.service))
+            .ok_or_else(|| Refused::new(RefusalReason::NoServer, Some(UNKNOWN_RETRY)))?
+            .clone();
+        let patience = request.meta.patience.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = request.arrived + patience;
+        Ok(Job {
+            request,
+            route,
+            service,
+            deadline,
+            sends: 0,
+            runs: 0,
+            tried: Vec::new(),
+            server: None,
+            last_event: request.last_event.clone(),
+            last_failure: String::new(),
+        })
+    }
+
+    async fn run(
+        &self,
+        job: &mut Job<'_>,
+        relay: &mut Relay,
+        sink: &mut impl ReplySink,
+    ) -> RequestEnd {
+        loop {
+            let choice = match self.choose(job).await {
+                Ok(choice) => choice,
+                Err(refused) if relay.begun() => {
+                    return RequestEnd::Broken(refused.reason.name().into());
+                }
+                Err(_) if job.may_have_run() => {
+                    return RequestEnd::Refused(Refused::new(RefusalReason::Lost, None));
+                }
+                Err(refused) => return RequestEnd::Refused(refused),
+            };
+            match self.try_at(job, &choice, relay, sink).await {
+                Next::Again => {}
+                Next::End(end) => return end,
+            }
+        }
+    }
+
+    async fn try_at(
+        &self,
+        job: &mut Job<'_>,
+        choice: &Choice,
+        relay: &mut Relay,
+        sink: &mut impl ReplySink,
+    ) -> Next {
+        if job.sends > 0 && !self.may_send_again(job) {
+            return Next::End(match relay.begun() {
+                true => RequestEnd::Broken("retry budget".into()),
+                false => job.out_of_tries(RefusalReason::Budget),
+            });
+        }
+        let backend = &choice.backend;
+        job.server = Some(backend.id.clone());
+        job.tried.push(backend.id.clone());
+        let now = self.clock.now();
+        let bytes = request_bytes(&*self.dialect, job.request, &self.forward_meta(job, choice));
+        let tokens = job.model().map_or(0, |model| model.prompt_tokens as u32);
+        let mut guard = self.loads.begin(&backend.id, tokens);
+        let most = self.connections_share(&job.service);
+        let id = &job.request.meta.id;
+        let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
+        let sent = match self.slow_after(job, now) {
+            Some(patience) => match actix_rt::time::timeout(patience, exchanging).await {
+                Ok(sent) => sent,
+                Err(_) => Sent::MayHaveRun(super::ExchangeError::Lost { why: "slow".into() }),
+            },
+            None => exchanging.await,
+        };
+        drop(bytes);
+        match sent {
+            Sent::NotRun(why) => self.after_not_run(job, choice, &why, relay),
+            Sent::MayHaveRun(error) => {
+                job.sends += 1;
+                job.runs += 1;
+                self.loads.outcome(self.clock.now(), &backend.id, true);
+                job.last_failure = error.to_string();
+                self.after_loss(job, relay)
+            }
+            Sent::Answer(answer) => {
+                job.sends += 1;
+                job.runs += 1;
+                guard.begun();
+                let end = relay.answer(job, *answer, sink).await;
+                drop(guard);
+                self.after_relay(job, &backend.id, end, relay)
+            }
+        }
+    }
+
+    /// How long a server may take before another one is tried; only where that is allowed.
+    fn slow_after(&self, job: &Job<'_>, now: Time) -> Option<Duration> {
+        let again = job.runs + 1 < job.route.attempts;
+        let plain = job.service.engine.is_none();
+        let patience = job.route.objective * SLOW_FACTOR;
+        let left = job.deadline.since(now);
+        (job.route.repeatable() && again && plain && patience * 2 < left).then_some(patience)
+    }
+
+    fn forward_meta<'a>(&self, job: &'a Job<'_>, choice: &'a Choice) -> ForwardMeta<'a> {
+        let left = job.deadline.since(self.clock.now());
+        ForwardMeta {
+            time_left: Some(left),
+            instance: &choice.backend.id,
+            urgency: job.service.engine.as_ref().map(|_| job.route.priority.min(9)),
+            adapter_version: choice.adapter_version,
+            last_event: job.last_event.as_deref(),
+        }
+    }
+
+    fn connections_share(&self, service: &Service) -> usize {
+        (service.max_connections / self.daemons.get().max(1)).max(2)
+    }
+
+    fn may_send_again(&self, job: &Job<'_>) -> bool {
+        let now = self.clock.now();
+        job.runs < job.route.attempts
+            && job.sends < job.route.attempts + EXTRA_SENDS
+            && self.retries.borrow_mut().take(now, &job.service.name, self.daemons.get())
+    }
+
+    fn after_not_run(
+        &self,
+        job: &mut Job<'_>,
+        choice: &Choice,
+        why: &NotRun,
+        relay: &Relay,
+    ) -> Next {
+        let (now, id) = (self.clock.now(), &choice.backend.id);
+        job.last_failure = format!("{why:?}");
+        match why {
+            NotRun::NoConnection => {}
+            NotRun::Unreachable(_) => self.loads.unreachable(now, id),
+            NotRun::TurnedAway(status) => {
+                job.sends += 1;
+                self.note_turned_away(job, id, *status);
+            }
+        }
+        let others = self.has_untried(job);
+        if others {
+            return Next::Again;
+        }
+        Next::End(match relay.begun() {
+            true => RequestEnd::Broken("no server left".into()),
+            false => job.out_of_tries(RefusalReason::Busy),
+        })
+    }
+
+    fn after_loss(&self, job: &Job<'_>, relay: &Relay) -> Next {
+        if job.route.repeatable() && job.runs < job.route.attempts {
+            return Next::Again;
+        }
+        Next::End(match relay.begun() {
+            true => RequestEnd::Broken(job.last_failure.clone()),
+            false => RequestEnd::Refused(Refused::new(RefusalReason::Lost, None)),
+        })
+    }
+
+    fn after_relay(
+        &self,
+        job: &mut Job<'_>,
+        server: &Rc<str>,
+        end: RelayEnd,
+        relay: &mut Relay,
+    ) -> Next {
+        let now = self.clock.now();
+        match end {
+            RelayEnd::Whole(status) => {
+                self.loads.outcome(now, server, status >= 500);
+                Next::End(RequestEnd::Answered(status))
+            }
+            RelayEnd::CallerGone => Next::End(RequestEnd::CallerGone),
+            RelayEnd::Failed(status) => {
+                self.loads.outcome(now, server, true);
+                job.last_failure = format!("status {status}");
+                Next::Again
+            }
+            RelayEnd::Lost(why) => {
+                self.loads.outcome(now, server, true);
+                job.last_failure = why;
+                job.last_event = relay.last_event().map(str::to_owned).or(job.last_event.take());
+                self.after_loss(job, relay)
+            }
+        }
+    }
+}
+
+/// The end of a request whose time is over: not run only if nothing was ever sent.
+fn timed_out(job: &Job<'_>) -> Refused {
+    match job.server.is_some() {
+        true => Refused::new(RefusalReason::TimedOut, None),
+        false => Refused::new(RefusalReason::Expired, Some(BUSY_RETRY)),
+    }
+}
+
+/// A request's end with what is worth logging of it.
+#[derive(Debug)]
+pub struct Served {
+    /// How it ended.
+    pub end: RequestEnd,
+    /// Its route.
+    pub route: Option<Rc<Route>>,
+    /// The server of the last try.
+    pub server: Option<Rc<str>>,
+    /// Sends.
+    pub sends: u32,
+    /// What the last failed try came to.
+    pub last_failure: String,
+    /// The caller has the head of the answer.
+    pub begun: bool,
+}
+
+impl Served {
+    /// A request that was refused before it had a route.
+    pub fn refused(refused: Refused) -> Self {
+        Self {
+            end: RequestEnd::Refused(refused),
+            route: None,
+            server: None,
+            sends: 0,
+            last_failure: String::new(),
+            begun: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/peers.rs
@@ -0,0 +1,170 @@
+//! The other daemons: who is there, and whom to tell. A state machine without sockets.
+
+use super::message::Heartbeat;
+use crate::types::Time;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A daemon not heard for this long counts as gone.
+const GONE_AFTER: Duration = Duration::from_millis(3_000);
+/// A daemon not heard for this long is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+/// The holder of orders not heard for this long counts as silent.
+const HOLDER_SILENT_AFTER: Duration = Duration::from_millis(900);
+/// Daemons that one heartbeat goes to; in small fleets that is all of them.
+const FAN_OUT: usize = 12;
+/// Addresses of others that a heartbeat carries.
+const KNOWN_CARRIED: usize = 8;
+
+/// One other daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Peer {
+    /// Its last sign of life.
+    pub heartbeat: Heartbeat,
+    /// When that came.
+    pub heard_at: Time,
+}
+
+/// Why a heartbeat changed something.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerChange {
+    /// A daemon came up, or back.
+    Up,
+    /// It says that it is leaving.
+    Leaving,
+}
+
+/// The daemons known.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    me: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    heard_of: Vec<SocketAddr>,
+    peers: BTreeMap<Rc<str>, Peer>,
+    turn: usize,
+}
+
+impl Peers {
+    /// Knows only where to ask first.
+    pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
+        Self { me, seeds, heard_of: Vec::new(), peers: BTreeMap::new(), turn: 0 }
+    }
+
+    /// Takes a heartbeat in.
+    pub fn heard(&mut self, now: Time, heartbeat: Heartbeat) -> Option<PeerChange> {
+        if heartbeat.address == self.me {
+            return None;
+        }
+        for address in &heartbeat.known {
+            self.hear_of(*address);
+        }
+        self.heard_of.retain(|address| *address != heartbeat.address);
+        let name: Rc<str> = heartbeat.node.as_str().into();
+        let before = self.peers.get(&name);
+        if before.is_some_and(|peer| peer.heartbeat.incarnation > heartbeat.incarnation) {
+            return None;
+        }
+        let was_up = before.is_some_and(|peer| peer.is_up(now));
+        let was_leaving = before.is_some_and(|peer| peer.heartbeat.leaving);
+        let leaving = heartbeat.leaving;
+        self.peers.insert(name, Peer { heartbeat, heard_at: now });
+        match (leaving, was_leaving, was_up) {
+            (true, false, _) => Some(PeerChange::Leaving),
+            (false, _, false) => Some(PeerChange::Up),
+            _ => None,
+        }
+    }
+
+    fn hear_of(&mut self, address: SocketAddr) {
+        let known = address == self.me
+            || self.heard_of.contains(&address)
+            || self.peers.values().any(|peer| peer.heartbeat.address == address);
+        if !known && self.heard_of.len() < FAN_OUT {
+            self.heard_of.push(address);
+        }
+    }
+
+    /// Forgets daemons not heard for long. Returns those that have just gone silent.
+    pub fn sweep(&mut self, now: Time, since: Time) -> Vec<Rc<str>> {
+        let silent = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_up(now) && since.since(peer.heard_at) < GONE_AFTER);
+        let silent: Vec<Rc<str>> = silent.map(|(name, _)| name.clone()).collect();
+        self.peers.retain(|_, peer| now.since(peer.heard_at) < FORGOTTEN_AFTER);
+        silent
+    }
+
+    /// The daemons that are up.
+    pub fn up(&self, now: Time) -> impl Iterator<Item = (&Rc<str>, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| peer.is_up(now))
+    }
+
+    /// Where all daemons that are up hear datagrams.
+    pub fn addresses(&self, now: Time) -> Vec<SocketAddr> {
+        self.up(now).map(|(_, peer)| peer.heartbeat.address).collect()
+    }
+
+    /// Where the next heartbeat goes: some daemons in turn, and whoever was only heard of.
+    pub fn targets(&mut self, now: Time) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> =
+            self.peers.values().map(|peer| peer.heartbeat.address).collect();
+        if all.len() > FAN_OUT {
+            let start = self.turn % all.len();
+            all.rotate_left(start);
+            all.truncate(FAN_OUT);
+            self.turn += FAN_OUT;
+        }
+        all.append(&mut self.heard_of);
+        let few = self.up(now).next().is_none();
+        let unheard = self.seeds.iter().filter(|seed| **seed != self.me && !all.contains(seed));
+        let unheard: Vec<SocketAddr> = unheard.copied().collect();
+        if few || self.turn.is_multiple_of(8) {
+            all.extend(unheard);
+        }
+        if all.len() <= FAN_OUT {
+            self.turn += 1;
+        }
+        all
+    }
+
+    /// Some daemons to tell others of.
+    pub fn known(&self, now: Time) -> Vec<SocketAddr> {
+        let all = self.addresses(now);
+        let start = if all.is_empty() { 0 } else { self.turn % all.len() };
+        all.iter().cycle().skip(start).take(all.len().min(KNOWN_CARRIED)).copied().collect()
+    }
+
+    /// The daemon that holds the orders, if it was heard lately: the highest fence.
+    pub fn orders_holder(&self, now: Time) -> Option<(&Rc<str>, &Peer)> {
+        let holders = self.peers.iter().filter(|(_, peer)| {
+            let fresh = now.since(peer.heard_at) < HOLDER_SILENT_AFTER;
+            fresh && peer.heartbeat.orders_fence.is_some() && !peer.heartbeat.leaving
+        });
+        holders.max_by_key(|(_, peer)| peer.heartbeat.orders_fence)
+    }
+
+    /// A daemon that knows more of the store than `revision`: the one that knows most.
+    pub fn better_informed(&self, now: Time, revision: u64) -> Option<SocketAddr> {
+        let ahead = self.up(now).filter(|(_, peer)| peer.heartbeat.revision > revision);
+        let best = ahead.max_by_key(|(_, peer)| peer.heartbeat.revision);
+        best.map(|(_, peer)| peer.heartbeat.address)
+    }
+
+    /// This daemon's place among those that could take the orders, 0 first.
+    pub fn rank(&self, now: Time, me: &str, term: u64) -> usize {
+        let place = |name: &str| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), term);
+        let mine = place(me);
+        let able =
+            self.up(now).filter(|(_, peer)| peer.heartbeat.sees_store && !peer.heartbeat.leaving);
+        able.filter(|(name, _)| place(name) < mine).count()
+    }
+}
+
+impl Peer {
+    fn is_up(&self, now: Time) -> bool {
+        now.since(self.heard_at) < GONE_AFTER
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/run.rs
@@ -0,0 +1,162 @@
+//! Starts and stops a gateway daemon.
+
+use super::daemon::GatewayDaemon;
+use super::dialect::Dialect;
+use super::settings::GatewaySettings;
+use crate::http::{Limits, plain, serve};
+use crate::store::KvFeed;
+use crate::types::{Clock, Time};
+use actix_http::{Request, StatusCode};
+use actix_rt::net::TcpListener;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+
+/// After a stop was asked for, idle connections are kept this long: by then the balancer sends no
+/// new ones.
+const IDLE_KEPT: Duration = Duration::from_millis(2_600);
+/// Kept back of the time to stop.
+const STOP_RESERVE: Duration = Duration::from_millis(450);
+/// Between looks at what is still running.
+const STOP_LOOK: Duration = Duration::from_millis(25);
+/// Between sweeps of what is kept.
+const SWEEP: Duration = Duration::from_millis(1_000);
+
+/// Why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum GatewayError {
+    /// An address cannot be listened on.
+    #[snafu(display("{what} {address}: {source}"))]
+    Listen {
+        /// Which listener.
+        what: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// A daemon that runs.
+pub struct RunningGateway {
+    daemon: Rc<GatewayDaemon>,
+}
+
+/// Starts a daemon.
+pub async fn start_gateway(
+    settings: GatewaySettings,
+    clock: Rc<dyn Clock>,
+    dialect: Rc<dyn Dialect>,
+    store: Rc<dyn KvFeed>,
+) -> Result<RunningGateway, GatewayError> {
+    let callers = listen("callers", settings.callers).await?;
+    let readiness = listen("readiness", settings.readiness).await?;
+    let members = listen("members", settings.members).await?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(listen("metrics", address).await?),
+        None => None,
+    };
+    let address = settings.members;
+    let socket =
+        UdpSocket::bind(address).await.context(ListenSnafu { what: "members", address })?;
+    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = incarnation.as_millis() as u64;
+    log::info!(
+        node = settings.node.as_str(), hall = settings.hall.as_str(),
+        callers:% = settings.callers, version = env!("CARGO_PKG_VERSION"); "start"
+    );
+    let daemon = GatewayDaemon::new(settings, clock, dialect, store, socket, incarnation);
+    let daemon = Rc::new(daemon);
+    daemon.follow_store();
+    actix_rt::spawn(daemon.clone().follow_peers());
+    actix_rt::spawn(daemon.clone().answer_peers(members));
+    actix_rt::spawn(daemon.clone().receive());
+    actix_rt::spawn(daemon.clone().send_heartbeats());
+    actix_rt::spawn(daemon.clone().tell_demand());
+    actix_rt::spawn(daemon.clone().hold_orders());
+    actix_rt::spawn(daemon.clone().sweep());
+    actix_rt::spawn(daemon.clone().accept_callers(callers));
+    actix_rt::spawn(answer_readiness(daemon.clone(), readiness));
+    if let Some(listener) = metrics {
+        actix_rt::spawn(answer_metrics(daemon.clone(), listener));
+    }
+    Ok(RunningGateway { daemon })
+}
+
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).await.context(ListenSnafu { what, address })
+}
+
+async fn answer_readiness(daemon: Rc<GatewayDaemon>, listener: TcpListener) {
+    let answer = move |request: Request| {
+        let daemon = daemon.clone();
+        async move {
+            let asked = request.path() == daemon.dialect.readiness_path();
+            let status = match (asked, daemon.is_ready()) {
+                (false, _) => StatusCode::NOT_FOUND,
+                (true, true) => StatusCode::OK,
+                (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            plain(status, "")
+        }
+    };
+    serve(listener, Limits::default(), answer).await;
+}
+
+async fn answer_metrics(daemon: Rc<GatewayDaemon>, listener: TcpListener) {
+    let answer = move |_request: Request| {
+        let daemon = daemon.clone();
+        async move { plain(StatusCode::OK, daemon.metrics.text()) }
+    };
+    serve(listener, Limits::default(), answer).await;
+}
+
+impl GatewayDaemon {
+    /// True while new callers are wanted.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.path.view.borrow().config().is_some()
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(SWEEP).await;
+            let now: Time = self.now();
+            self.path.pool.sweep();
+            self.ordering.sweep();
+            self.path.view.borrow_mut().holdings.forget_old(now);
+            self.metrics.in_flight.set(self.in_flight.get() as i64);
+        }
+    }
+}
+
+impl RunningGateway {
+    /// Stops: refuses readiness at once, finishes what runs, and returns what could not be
+    /// finished in time.
+    pub async fn stop(self) -> usize {
+        let daemon = &self.daemon;
+        let began = daemon.now();
+        let within = Duration::from_secs_f64(daemon.settings.bounds.stop_within_s);
+        let within = within.saturating_sub(STOP_RESERVE);
+        daemon.stopping.set(true);
+        log::info!(in_flight = daemon.in_flight.get(); "stop_begun");
+        daemon.beat();
+        daemon.resign().await;
+        loop {
+            let passed = daemon.now().since(began);
+            if passed >= IDLE_KEPT && !daemon.closing_idle.get() {
+                daemon.closing_idle.set(true);
+                daemon.closing.notify_waiters();
+            }
+            let idle = daemon.in_flight.get() == 0 && passed >= IDLE_KEPT + STOP_LOOK * 4;
+            if idle || passed >= within {
+                break;
+            }
+            actix_rt::time::sleep(STOP_LOOK).await;
+        }
+        let left = daemon.in_flight.get();
+        log::info!(left = left, took_ms = daemon.now().since(began).as_millis() as u64; "stop");
+        left
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/settings.rs
@@ -0,0 +1,116 @@
+//! The settings file of a gateway daemon.
+
+use crate::settings::SettingsError;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What a gateway daemon must know before it can reach anybody. Unknown keys are ignored.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct GatewaySettings {
+    /// This daemon's name.
+    pub node: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where other daemons reach it, over UDP and TCP.
+    pub members: SocketAddr,
+    /// Where metrics are read; none if left out.
+    pub metrics: Option<SocketAddr>,
+    /// Addresses of daemons to ask first; their ports are not used.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The key-value service, `host:port`.
+    pub store: String,
+    /// The bounds it is run under.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// Times and shares that the deployment sets.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// Retries as a share of requests.
+    pub retry_ratio: f64,
+    /// Retries allowed besides, over all daemons.
+    pub retry_slack: f64,
+    /// The window in which retries are counted, in seconds.
+    pub retry_window_s: f64,
+    /// After a request to stop, the process may run this long, in seconds.
+    pub stop_within_s: f64,
+    /// Between the last order of one holder and the first of the next, in milliseconds.
+    pub order_quiet_ms: u64,
+    /// The shortest lease that the store grants, in milliseconds.
+    pub lease_ttl_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_s: 10.0,
+            stop_within_s: 8.0,
+            order_quiet_ms: 3_000,
+            lease_ttl_ms: 1_000,
+        }
+    }
+}
+
+impl GatewaySettings {
+    /// Reads and checks a file.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(file)
+            .map_err(|source| SettingsError::Read { file: file.into(), source })?;
+        Self::parse(file, &text)
+    }
+
+    /// Checks a file's text; `file` only names it in errors.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = crate::settings::parse_toml(file, text)?;
+        match settings.problem() {
+            None => Ok(settings),
+            Some((key, message)) => Err(SettingsError::Invalid {
+                file: file.into(),
+                line: line_of(text, key),
+                key: key.into(),
+                message: message.into(),
+            }),
+        }
+    }
+
+    fn problem(&self) -> Option<(&'static str, &'static str)> {
+        let bounds = &self.bounds;
+        if self.node.is_empty() {
+            return Some(("node", "is empty"));
+        }
+        if self.store.parse::<SocketAddr>().is_err() {
+            return Some(("store", "is no address and port"));
+        }
+        if !(0.0..=10.0).contains(&bounds.retry_ratio) {
+            return Some(("retry_ratio", "is not between 0 and 10"));
+        }
+        if !(bounds.retry_slack >= 0.0 && bounds.retry_slack.is_finite()) {
+            return Some(("retry_slack", "is negative or no number"));
+        }
+        if !(0.1..=3_600.0).contains(&bounds.retry_window_s) {
+            return Some(("retry_window_s", "is not between 0.1 and 3600"));
+        }
+        if !(1.0..=3_600.0).contains(&bounds.stop_within_s) {
+            return Some(("stop_within_s", "is not between 1 and 3600"));
+        }
+        if !(500..=600_000).contains(&bounds.lease_ttl_ms) {
+            return Some(("lease_ttl_ms", "is not between 500 and 600000"));
+        }
+        None
+    }
+}
+
+fn line_of(text: &str, key: &str) -> usize {
+    let sets = |line: &str| line.trim_start().starts_with(key);
+    text.lines().position(sets).map_or(1, |at| at + 1)
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/view.rs
@@ -0,0 +1,154 @@
+//! What a daemon believes of the fleet: configuration, backend servers, versions, holdings.
+
+use super::backend::Backend;
+use super::config::{FleetConfig, Route, Service};
+use super::dialect::{AdapterKey, Dialect, DialectError, Item, ItemKey};
+use super::holdings::Holdings;
+use super::mirror::Mirrored;
+use super::routes::RouteTable;
+use crate::types::Time;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// The newest version named for an adapter, and since when it is known here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedVersion {
+    /// The version.
+    pub version: u64,
+    /// When this daemon learned of it.
+    pub learned_at: Time,
+}
+
+/// What a change of the store changed in the view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ViewChange {
+    /// A newer configuration is in force.
+    Config(u64),
+    /// A server came up or its entry changed.
+    Backend(Rc<str>),
+    /// A server says that it is leaving.
+    Draining(Rc<str>),
+    /// A server's entry is gone.
+    BackendGone(Rc<str>),
+    /// A newer version of an adapter is named.
+    Version(AdapterKey, u64),
+}
+
+/// The view.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    config: Option<Rc<FleetConfig>>,
+    routes: RouteTable,
+    backends: BTreeMap<Rc<str>, Rc<Backend>>,
+    versions: HashMap<AdapterKey, NamedVersion>,
+    /// Which server holds which adapter.
+    pub holdings: Holdings,
+}
+
+impl FleetView {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Rc<FleetConfig>> {
+        self.config.as_ref()
+    }
+
+    /// The route of a host and path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        self.routes.find(host, path)
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Rc<Service>> {
+        self.config.as_ref()?.services.get(name)
+    }
+
+    /// A backend server by its id.
+    pub fn backend(&self, id: &str) -> Option<&Rc<Backend>> {
+        self.backends.get(id)
+    }
+
+    /// All backend servers.
+    pub fn backends(&self) -> impl Iterator<Item = &Rc<Backend>> {
+        self.backends.values()
+    }
+
+    /// The servers of a service that take new work.
+    pub fn open_backends<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
+        self.backends.values().filter(move |b| &*b.service == service && !b.draining)
+    }
+
+    /// The newest version named for an adapter; adapters nobody named anew are at the first.
+    pub fn named_version(&self, key: &AdapterKey) -> Option<NamedVersion> {
+        self.versions.get(key).copied()
+    }
+
+    /// All named versions.
+    pub fn named_versions(&self) -> impl Iterator<Item = (&AdapterKey, NamedVersion)> {
+        self.versions.iter().map(|(key, named)| (key, *named))
+    }
+
+    /// Takes a change of the mirror in.
+    pub fn apply(
+        &mut self,
+        now: Time,
+        dialect: &dyn Dialect,
+        change: Mirrored,
+    ) -> Result<Option<ViewChange>, DialectError> {
+        match change {
+            Mirrored::Put(held) => match dialect.item(&held.key, &held.value)? {
+                Some(Item::Config(config)) => Ok(self.apply_config(*config)),
+                Some(Item::Backend(backend)) => Ok(Some(self.apply_backend(*backend))),
+                Some(Item::AdapterVersion(key, version)) => {
+                    Ok(self.apply_version(now, key, version))
+                }
+                None => Ok(None),
+            },
+            Mirrored::Gone(key) => match dialect.key(&key) {
+                ItemKey::Backend(id) => Ok(self.remove_backend(&id)),
+                ItemKey::Config | ItemKey::AdapterVersion | ItemKey::Unknown => Ok(None),
+            },
+        }
+    }
+
+    /// A lower version never replaces a higher one.
+    fn apply_config(&mut self, config: FleetConfig) -> Option<ViewChange> {
+        let version = config.version;
+        if self.config.as_ref().is_some_and(|held| held.version >= version) {
+            return None;
+        }
+        self.routes = RouteTable::new(&config);
+        self.config = Some(Rc::new(config));
+        Some(ViewChange::Config(version))
+    }
+
+    /// A server that once said it is leaving stays so for the rest of its life.
+    fn apply_backend(&mut self, mut backend: Backend) -> ViewChange {
+        let id = backend.id.clone();
+        let before = self.backends.get(&id).cloned();
+        let was_draining = before.as_ref().is_some_and(|b| b.draining);
+        backend.draining |= was_draining;
+        let began_draining = backend.draining && !was_draining;
+        self.holdings.list(before.as_deref(), Some(&backend));
+        self.backends.insert(id.clone(), Rc::new(backend));
+        match began_draining {
+            true => ViewChange::Draining(id),
+            false => ViewChange::Backend(id),
+        }
+    }
+
+    fn remove_backend(&mut self, id: &str) -> Option<ViewChange> {
+        let removed = self.backends.remove(id)?;
+        self.holdings.list(Some(&removed), None);
+        Some(ViewChange::BackendGone(removed.id.clone()))
+    }
+
+    fn apply_version(&mut self, now: Time, key: AdapterKey, version: u64) -> Option<ViewChange> {
+        if self.versions.get(&key).is_some_and(|named| named.version >= version) {
+            return None;
+        }
+        self.versions.insert(key.clone(), NamedVersion { version, learned_at: now });
+        Some(ViewChange::Version(key, version))
+    }
+}
--- a/crates/portrack/src/lib.rs
+++ b/crates/portrack/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod audit;
 pub mod daemon;
 pub mod engine;
+pub mod gateway;
 pub mod http;
 pub mod limits;
 pub mod loads;
@@ -32,10 +33,10 @@
 pub mod once;
 pub mod owner;
 pub mod placement;
-pub mod platform;
 pub mod reserve;
 pub mod router;
 pub mod settings;
+pub mod store;
 pub mod types;
 pub mod wire;
 
--- a/crates/portrack/src/settings/mod.rs
+++ b/crates/portrack/src/settings/mod.rs
@@ -26,6 +26,7 @@
 pub use error::SettingsError;
 pub use file::{Difference, SettingsFile};
 pub use keys::{KEYS, KeySpec, Overrides};
+pub(crate) use parse::parse_toml;
 pub use path::{Level, PathError, TreePath};
 pub use plain::PlainService;
 pub use resolve::{Explained, Place};
--- a/crates/portrack/src/settings/store.rs
+++ b/crates/portrack/src/settings/store.rs
@@ -3,7 +3,7 @@
 use super::bucket::{Entry, decode};
 use super::change::Change;
 use crate::audit::{AuditRecord, ChangeId};
-use crate::platform::{Kv, KvError, KvPut};
+use crate::store::{Kv, KvError, KvPut};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/portrack/src/store/feed.rs
@@ -0,0 +1,67 @@
+//! What a follower of the store needs beyond single calls: changes with removals, and why a call
+//! failed.
+
+use super::kv::{Kv, KvHeld, LocalFuture};
+use snafu::Snafu;
+use std::time::Duration;
+
+/// One change under a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KvChange {
+    /// A key was written.
+    Put(KvHeld),
+    /// A key was removed at this revision.
+    Gone {
+        /// The key.
+        key: String,
+        /// The revision of its removal.
+        revision: u64,
+    },
+}
+
+/// Changes after a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KvChanges {
+    /// In order; empty if none came within the wait.
+    pub changes: Vec<KvChange>,
+    /// The revision to go on from.
+    pub revision: u64,
+}
+
+/// Why a reading call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum FeedError {
+    /// The store turned the call away.
+    #[snafu(display("refused with {status}"))]
+    Refused {
+        /// Its status.
+        status: u16,
+    },
+    /// The connection was refused or broke off.
+    #[snafu(display("connection broken"))]
+    Broken,
+    /// No answer within the time allowed.
+    #[snafu(display("no answer"))]
+    Silent,
+    /// The answer cannot be read.
+    #[snafu(display("malformed answer"))]
+    Malformed,
+    /// The history before the revision asked for is gone: read everything anew.
+    #[snafu(display("history is gone"))]
+    Forgotten,
+}
+
+/// Reads whole prefixes and follows their changes.
+pub trait KvFeed: Kv {
+    /// All keys under a prefix, page by page.
+    fn read_all<'a>(&'a self, prefix: &'a str)
+    -> LocalFuture<'a, Result<super::KvList, FeedError>>;
+
+    /// Waits up to `wait` for changes under a prefix after a revision.
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> LocalFuture<'a, Result<KvChanges, FeedError>>;
+}
--- a/crates/portrack/src/platform/mod.rs
+++ b/crates/portrack/src/store/mod.rs
@@ -1,9 +1,11 @@
-//! The platform's services: key-value service and node list.
+//! The stores that portrack meets: a key-value service and a list of nodes.
 
 mod etcd;
+mod feed;
 mod kv;
 mod nodes;
 
 pub use etcd::Etcd;
+pub use feed::{FeedError, KvChange, KvChanges, KvFeed};
 pub use kv::{Kv, KvError, KvHeld, KvList, KvPut, LocalFuture};
 pub use nodes::{NodeList, NodeListClient, NodeListError};
--- a/crates/portrackd/src/main.rs
+++ b/crates/portrackd/src/main.rs
@@ -1,5 +1,7 @@
 //! The entry node daemon: reads its settings file and runs until it is told to stop.
 
+mod gateway;
+
 use actix_rt::signal::unix::{SignalKind, signal};
 use argh::FromArgs;
 use futures_util::FutureExt;
@@ -20,18 +22,29 @@
 /// portrack entry node daemon
 #[derive(FromArgs)]
 struct Args {
-    /// the settings file, in TOML
+    /// the settings file, in TOML; with --gateway, the platform's if left out
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 
     /// check the settings file and exit
     #[argh(switch)]
     check_settings: bool,
+
+    /// run as a gateway on the users' machines
+    #[argh(switch)]
+    gateway: bool,
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let bootstrap = match Bootstrap::read(&args.settings) {
+    if args.gateway {
+        return gateway::main(args.settings, args.check_settings);
+    }
+    let Some(file) = args.settings else {
+        eprintln!("portrackd: --settings is missing");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    let bootstrap = match Bootstrap::read(&file) {
         Ok(bootstrap) => bootstrap,
         Err(error) => {
             eprintln!("portrackd: {error}");
@@ -39,7 +52,7 @@
         }
     };
     if args.check_settings {
-        println!("{}: ok", args.settings.display());
+        println!("{}: ok", file.display());
         return ExitCode::SUCCESS;
     }
     if let Err(error) = daemon::init_logging(&bootstrap.log) {
