--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -22,13 +22,13 @@
 /// Connections to one server for orders.
 const ORDER_CONNECTIONS: usize = 2;
 /// An order is asked about again after this while it is carried out.
-const CONFIRM_EVERY: Duration = Duration::from_millis(90);
+const CONFIRM_EVERY: Duration = Duration::from_millis(25);
 /// A load that is not confirmed after this is left to the store's list.
 const CONFIRM_FOR: Duration = Duration::from_millis(4_000);
-/// First guess of a load from the weight store.
-const COLD_GUESS: Duration = Duration::from_millis(260);
-/// First guess of a load of what the server has at hand.
-const WARM_GUESS: Duration = Duration::from_millis(40);
+/// A load from the weight store is asked about after this.
+const COLD_GUESS: Duration = Duration::from_millis(240);
+/// A load of what the server has at hand is asked about after this.
+const WARM_GUESS: Duration = Duration::from_millis(20);
 /// Tries of an order whose expected count of orders was out of date.
 const COUNT_TRIES: usize = 3;
 
@@ -61,7 +61,6 @@
     node: Rc<str>,
     pool: Rc<Pool>,
     lines: RefCell<HashMap<Rc<str>, Rc<ServerLine>>>,
-    cold_takes: Cell<Duration>,
     /// The right to order.
     pub lease: RefCell<OrderLease>,
     /// What is to be ordered.
@@ -82,7 +81,6 @@
             node,
             pool: Rc::default(),
             lines: RefCell::default(),
-            cold_takes: Cell::new(COLD_GUESS),
             lease: RefCell::new(lease),
             planner: RefCell::default(),
         }
@@ -203,17 +201,14 @@
             Ordered::Answer(OrderAnswer::Accepted) => {}
             other => return end_of(other),
         }
-        let guess = if plan.cold { self.cold_takes.get() } else { WARM_GUESS };
+        let guess = if plan.cold { COLD_GUESS } else { WARM_GUESS };
         let coming = NoticeState::Coming(version, guess.as_millis() as u32);
         sink.notices(vec![notice(plan, key, coming)]);
         actix_rt::time::sleep(guess).await;
         while self.clock.now().since(began) < CONFIRM_FOR {
             let order = self.adapter_order(OrderKind::Load, key, Some(version));
-            match self.order(plan, order).await {
-                Ordered::Answer(OrderAnswer::Holds) => {
-                    self.learn(plan, self.clock.now().since(began));
-                    return PlanEnd::Done;
-                }
+            match self.confirm(plan, order).await {
+                Ordered::Answer(OrderAnswer::Holds) => return PlanEnd::Done,
                 Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy) => {}
                 Ordered::Answer(_) => return PlanEnd::Refused,
                 Ordered::NotSent | Ordered::Unknown => return PlanEnd::Unknown,
@@ -223,10 +218,18 @@
         PlanEnd::Unknown
     }
 
-    fn learn(&self, plan: &Plan, took: Duration) {
-        if plan.cold {
-            self.cold_takes.set(self.cold_takes.get().mul_f64(0.8) + took.mul_f64(0.2));
+    /// Sends an order again that the server has taken: it answers whether it holds by now, and
+    /// does not count it again.
+    async fn confirm(&self, plan: &Plan, mut order: Order) -> Ordered {
+        let line = self.line(&plan.server);
+        let _turn = line.turn.lock().await;
+        let Some(count) = self.orders_taken(plan, &line).await else { return Ordered::NotSent };
+        order.expected = Some(count);
+        let ordered = self.send(plan, &mut order).await;
+        if !matches!(ordered, Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Holds)) {
+            line.orders_taken.set(None);
         }
+        ordered
     }
 
     /// Sends one order, with the number of orders that the server must have taken before.
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -14,7 +14,7 @@
 /// A server that did not answer an order is left alone for this long.
 const REST: Duration = Duration::from_millis(1_500);
 /// Adapters on the way to one server at the same time.
-const MOST_PENDING: usize = 3;
+const MOST_PENDING: usize = 4;
 /// Adapters that a server once held and may still have at hand.
 const REMEMBERED: usize = 100;
 
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -14,12 +14,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Loads from the weight store at the same time.
-const MOST_COLD: usize = 2;
-/// A load is worth it from here on.
-const WORTH_A_LOAD: f64 = 0.9;
-/// Further copies wait while some missing adapter is worth this much.
-const WORTH_BEFORE_COPIES: f64 = 2.5;
+/// Adapters fetched from the weight store at the same time; more slow each other down.
+const MOST_COLD: usize = 24;
+/// A load is worth it from here on: one request that waits is enough.
+const WORTH_A_LOAD: f64 = 0.5;
 /// An outdated adapter asked for less than this is dropped instead of replaced.
 const WORTH_A_REPLACEMENT: f64 = 0.4;
 /// Copies for a share of the requests equal to one server's.
@@ -222,10 +220,9 @@
         self.versions.get(key).copied().unwrap_or(1)
     }
 
-    /// True if a load from the weight store may begin; takes its place.
-    fn take_cold(&mut self, now: Time, service: &Rc<str>) -> bool {
+    /// True if an adapter may be fetched from the weight store.
+    fn may_fetch(&self) -> bool {
         self.cold.len() < MOST_COLD
-            && self.budgets.get_mut(service).is_some_and(|budget| budget.take(now))
     }
 
     /// An adapter at a server whose version is no longer the newest.
@@ -250,7 +247,7 @@
         if rate < WORTH_A_REPLACEMENT {
             return self.drop_outdated(now, &id, key);
         }
-        if !self.take_cold(now, service) {
+        if !self.may_fetch() {
             return None;
         }
         let server = self.servers.get_mut(&id)?;
@@ -307,7 +304,7 @@
             let Some((server, evict)) = self.home(now, service, spec, &key, worth) else {
                 continue;
             };
-            return self.load(now, service, &server, evict, key, PlanReason::Missing, worth);
+            return self.load(now, &server, evict, key, PlanReason::Missing, worth);
         }
         None
     }
@@ -370,10 +367,7 @@
         let servers = self.servers.values().filter(|s| s.service == *service && !s.draining);
         let servers = servers.count();
         let total: f64 = self.demand.values().map(|demand| demand.rate(now)).sum();
-        let missing = self.demand.iter().any(|(key, demand)| {
-            demand.worth(now) >= WORTH_BEFORE_COPIES && !self.is_provided(key)
-        });
-        if missing || servers < 2 {
+        if servers < 2 {
             return None;
         }
         let mut short: Vec<(f64, AdapterKey)> = Vec::new();
@@ -391,7 +385,7 @@
         short.sort_by(|(a, x), (b, y)| b.total_cmp(a).then_with(|| x.cmp(y)));
         let (rate, key) = short.into_iter().next()?;
         let (server, evict) = self.copy_home(now, service, spec, &key, rate)?;
-        self.load(now, service, &server, evict, key, PlanReason::Copy, rate)
+        self.load(now, &server, evict, key, PlanReason::Copy, rate)
     }
 
     /// The server whose adapters are asked for least, in a hall without a copy if there is one.
@@ -433,11 +427,9 @@
         server.slots.keys().map(|key| rate(key) / self.copies(key).max(1) as f64).sum()
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn load(
         &mut self,
         now: Time,
-        service: &Rc<str>,
         server: &Rc<str>,
         evict: Option<AdapterKey>,
         key: AdapterKey,
@@ -446,7 +438,7 @@
     ) -> Option<Plan> {
         let version = self.version(&key);
         let cold = !self.servers.get(server)?.at_hand(&key, version);
-        if cold && !self.take_cold(now, service) {
+        if cold && !self.may_fetch() {
             return None;
         }
         let target = self.servers.get_mut(server)?;
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -14,7 +14,7 @@
 /// How long one watch waits; a lost one is noticed this late at most.
 const WATCH: Duration = Duration::from_millis(2_500);
 /// Changes are gathered for this long between watches.
-const GATHER: Duration = Duration::from_millis(120);
+const GATHER: Duration = Duration::from_millis(400);
 /// First pause after a failed call; doubles up to the cap.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failed calls.
