--- /dev/null
+++ b/crates/portrack/src/gateway/claims.rs
@@ -0,0 +1,139 @@
+//! The right to order servers: one daemon a server at a time, by records in the store that hang on
+//! the daemon's lease.
+//!
+//! Servers check no fences, so the time checks here are what keeps two daemons from ordering the
+//! same server.
+
+use crate::types::Time;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Orders stop this long before the lease can have lapsed.
+const STOP_BEFORE: Duration = Duration::from_millis(250);
+/// Added to a successor's wait, for orders on their way.
+const ORDER_TRAVEL: Duration = Duration::from_millis(200);
+
+/// The lease that all claims hang on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lease {
+    id: u64,
+    /// When the last renewal was sent that was answered.
+    renewed_at: Time,
+}
+
+/// A server's record that names this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Claim {
+    /// The revision of the record, which serves as fence.
+    pub fence: u64,
+    /// The predecessor's last order is old enough from here on.
+    pub orders_from: Time,
+    /// The record says that nobody else's orders have to be waited for.
+    pub settled: bool,
+}
+
+/// Who held a server before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Predecessor {
+    /// Nobody, or this very machine: nothing has to be waited for.
+    None,
+    /// It gave the server up by itself after its last order.
+    Resigned,
+    /// Its lease was found gone; it may not know yet.
+    Lapsed,
+}
+
+/// This daemon's claims.
+#[derive(Debug, Clone)]
+pub struct Claims {
+    ttl: Duration,
+    quiet: Duration,
+    lease: Option<Lease>,
+    claims: BTreeMap<Rc<str>, Claim>,
+}
+
+impl Claims {
+    /// No claims yet. `ttl` is the lease's; `quiet` is the time that has to pass between the last
+    /// order of one holder and the first of the next.
+    pub fn new(ttl: Duration, quiet: Duration) -> Self {
+        Self { ttl, quiet, lease: None, claims: BTreeMap::new() }
+    }
+
+    /// The lease's time to live.
+    pub fn ttl(&self) -> Duration {
+        self.ttl
+    }
+
+    /// A lease was granted that was asked for at `asked_at`.
+    pub fn leased(&mut self, id: u64, asked_at: Time) {
+        self.lease = Some(Lease { id, renewed_at: asked_at });
+    }
+
+    /// A renewal sent at `sent_at` was confirmed.
+    pub fn renewed(&mut self, id: u64, sent_at: Time) {
+        if let Some(lease) = self.lease.as_mut().filter(|lease| lease.id == id) {
+            lease.renewed_at = lease.renewed_at.max(sent_at);
+        }
+    }
+
+    /// The lease is over. The claims stay, and can be used again under a new lease if their records
+    /// are found unchanged.
+    pub fn lapsed(&mut self) {
+        self.lease = None;
+    }
+
+    /// The lease, if it may still live.
+    pub fn lease(&self, now: Time) -> Option<u64> {
+        let living = self.lease.filter(|lease| now.since(lease.renewed_at) < self.ttl);
+        living.map(|lease| lease.id)
+    }
+
+    /// A server's record names this daemon since the change at revision `fence`.
+    pub fn claimed(&mut self, now: Time, server: &Rc<str>, fence: u64, before: Predecessor) {
+        let wait = match before {
+            Predecessor::None => Duration::ZERO,
+            Predecessor::Resigned => self.quiet + ORDER_TRAVEL,
+            Predecessor::Lapsed => self.ttl.saturating_sub(STOP_BEFORE) + self.quiet + ORDER_TRAVEL,
+        };
+        let settled = before == Predecessor::None;
+        self.claims.insert(server.clone(), Claim { fence, orders_from: now + wait, settled });
+    }
+
+    /// The record was written anew to say that it is settled.
+    pub fn settled(&mut self, server: &str, fence: u64) {
+        if let Some(claim) = self.claims.get_mut(server) {
+            claim.settled = true;
+            claim.fence = claim.fence.max(fence);
+        }
+    }
+
+    /// A claim is gone: the server ended, or its record names another daemon.
+    pub fn dropped(&mut self, server: &str) -> Option<Claim> {
+        self.claims.remove(server)
+    }
+
+    /// All claims.
+    pub fn all(&self) -> impl Iterator<Item = (&Rc<str>, &Claim)> {
+        self.claims.iter()
+    }
+
+    /// True if the server's record names this daemon.
+    pub fn has(&self, server: &str) -> bool {
+        self.claims.contains_key(server)
+    }
+
+    /// The fence under which an order to a server may be sent at this very moment.
+    pub fn may_order(&self, now: Time, server: &str) -> Option<u64> {
+        let lease = self.lease?;
+        let safe = now.since(lease.renewed_at) + STOP_BEFORE < self.ttl;
+        let claim = self.claims.get(server)?;
+        (safe && now >= claim.orders_from).then_some(claim.fence)
+    }
+
+    /// The servers that may be ordered at this moment.
+    pub fn orderable(&self, now: Time) -> Vec<Rc<str>> {
+        let orderable = self.claims.keys().filter(|id| self.may_order(now, id).is_some());
+        orderable.cloned().collect()
+    }
+}
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -1,17 +1,18 @@
 //! One gateway daemon: the parts that its tasks share.
 
+use super::claims::Claims;
 use super::demand::DemandLog;
 use super::dialect::Dialect;
-use super::load::LoadTable;
+use super::load::{LoadTable, server_mark};
 use super::metrics::GatewayMetrics;
 use super::mirror::{Mirror, Mirrored};
-use super::order_lease::OrderLease;
 use super::ordering::Ordering;
 use super::path::RequestPath;
 use super::peers::Peers;
 use super::pool::Pool;
 use super::retries::{RetryBounds, ServiceRetries};
 use super::settings::GatewaySettings;
+use super::vacancies::Vacancies;
 use super::view::{FleetView, ViewChange};
 use crate::store::KvFeed;
 use crate::types::{Clock, Time};
@@ -36,7 +37,7 @@
     /// The copy of the store.
     pub mirror: RefCell<Mirror>,
     /// The other daemons.
-    pub peers: RefCell<Peers>,
+    pub peers: Rc<RefCell<Peers>>,
     /// Orders to servers.
     pub ordering: Rc<Ordering>,
     /// For datagrams.
@@ -49,8 +50,8 @@
     pub in_flight: Cell<usize>,
     /// A stop was asked for.
     pub stopping: Cell<bool>,
-    /// Woken when the holder of orders gives them up.
-    pub office_vacant: Notify,
+    /// Servers that nobody orders.
+    pub vacancies: RefCell<Vacancies>,
     /// Idle connections are to be closed.
     pub closing: Rc<Notify>,
     /// Idle connections are being closed.
@@ -59,6 +60,19 @@
     pub metrics: GatewayMetrics,
 }
 
+/// Tells whether this daemon or one heard lately may order a server.
+fn is_ordered(
+    clock: Rc<dyn Clock>,
+    ordering: Rc<Ordering>,
+    peers: Rc<RefCell<Peers>>,
+) -> Box<dyn Fn(&str) -> bool> {
+    Box::new(move |server| {
+        let now = clock.now();
+        let ours = ordering.claims.borrow().may_order(now, server).is_some();
+        ours || peers.borrow().orderer(now, server_mark(server)).is_some()
+    })
+}
+
 /// The store counts as reachable if it answered within this.
 const STORE_SEEN_WITHIN: Duration = Duration::from_millis(4_500);
 
@@ -78,10 +92,15 @@
             slack: bounds.retry_slack,
             window: Duration::from_secs_f64(bounds.retry_window_s),
         });
-        let lease = OrderLease::new(
+        let claims = Claims::new(
             Duration::from_millis(bounds.lease_ttl_ms),
             Duration::from_millis(bounds.order_quiet_ms),
         );
+        let member_port = settings.members.port();
+        let seeds = settings.seeds.iter().map(|seed| (seed.ip(), member_port).into()).collect();
+        let peers = Rc::new(RefCell::new(Peers::new(settings.members, seeds)));
+        let node: Rc<str> = settings.node.as_str().into();
+        let ordering = Rc::new(Ordering::new(clock.clone(), dialect.clone(), node, claims));
         let path = RequestPath {
             clock: clock.clone(),
             dialect: dialect.clone(),
@@ -93,26 +112,23 @@
             demand: Rc::new(DemandLog::default()),
             hall: settings.hall.clone(),
             daemons: Cell::new(1),
+            is_ordered: is_ordered(clock.clone(), ordering.clone(), peers.clone()),
         };
-        let member_port = settings.members.port();
-        let seeds = settings.seeds.iter().map(|seed| (seed.ip(), member_port).into()).collect();
-        let node: Rc<str> = settings.node.as_str().into();
-        let ordering = Ordering::new(clock.clone(), dialect.clone(), node, lease);
         Self {
-            peers: RefCell::new(Peers::new(settings.members, seeds)),
+            peers,
             settings,
             clock,
             dialect,
             store,
             path,
             mirror: RefCell::default(),
-            ordering: Rc::new(ordering),
+            ordering,
             socket,
             incarnation,
             store_seen: Cell::new(None),
             in_flight: Cell::new(0),
             stopping: Cell::new(false),
-            office_vacant: Notify::new(),
+            vacancies: RefCell::default(),
             closing: Rc::new(Notify::new()),
             closing_idle: Cell::new(false),
             metrics: GatewayMetrics::new(),
@@ -130,7 +146,7 @@
     }
 
     /// Takes changes of the mirror in; `source` is for logs.
-    pub fn apply(&self, changes: Vec<Mirrored>, source: &str) {
+    pub fn apply(self: &Rc<Self>, changes: Vec<Mirrored>, source: &str) {
         let now = self.now();
         let mut changed = false;
         for change in changes {
@@ -155,7 +171,7 @@
         }
     }
 
-    fn note(&self, now: Time, change: &ViewChange, source: &str) {
+    fn note(self: &Rc<Self>, now: Time, change: &ViewChange, source: &str) {
         let view = self.path.view.borrow();
         let mut planner = self.ordering.planner.borrow_mut();
         match change {
@@ -183,6 +199,7 @@
                 self.path.pool.forget(id);
                 self.path.loads.forget(id);
                 self.ordering.forget(id);
+                self.drop_claim(id);
                 log::info!(server = &**id, source = source; "server_gone");
             }
             ViewChange::Version(key, version) => {
--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -1,52 +1,75 @@
-//! How often each adapter is asked for, until the planner of loads is told.
+//! What requests use and wish for, until the daemons that order the servers are told.
 
 use super::dialect::AdapterKey;
-use serde::{Deserialize, Serialize};
+use crate::types::Time;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Requests for one adapter.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Asked {
-    /// Requests that found it loaded.
-    pub hits: u16,
-    /// Requests that did not.
-    pub misses: u16,
+/// The same wish is told again after this if nothing came of it.
+const WISH_AGAIN: Duration = Duration::from_millis(400);
+
+/// An adapter wished for at a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wish {
+    /// The server.
+    pub server: Rc<str>,
+    /// The adapter.
+    pub key: AdapterKey,
+    /// The oldest version that will do.
+    pub version: u64,
 }
 
-/// Requests since the planner was last told.
+/// Uses and wishes that were not told yet.
 #[derive(Debug, Default)]
 pub struct DemandLog {
-    asked: RefCell<HashMap<AdapterKey, Asked>>,
-    missed: Notify,
+    uses: RefCell<HashMap<(Rc<str>, AdapterKey), u16>>,
+    wishes: RefCell<Vec<Wish>>,
+    wished_at: RefCell<HashMap<(AdapterKey, Rc<str>), Time>>,
+    wished: Notify,
 }
 
 impl DemandLog {
-    /// Counts a request that found its adapter loaded.
-    pub fn hit(&self, key: &AdapterKey) {
-        let mut asked = self.asked.borrow_mut();
-        let entry = asked.entry(key.clone()).or_default();
-        entry.hits = entry.hits.saturating_add(1);
+    /// Counts a request that uses an adapter at a server.
+    pub fn used(&self, server: &Rc<str>, key: &AdapterKey) {
+        let mut uses = self.uses.borrow_mut();
+        let times = uses.entry((server.clone(), key.clone())).or_default();
+        *times = times.saturating_add(1);
     }
 
-    /// Counts a request that did not, and wakes whoever tells the planner.
-    pub fn miss(&self, key: &AdapterKey) {
-        {
-            let mut asked = self.asked.borrow_mut();
-            let entry = asked.entry(key.clone()).or_default();
-            entry.misses = entry.misses.saturating_add(1);
+    /// Wishes for an adapter at a server, unless that was just done.
+    pub fn wish(&self, now: Time, wish: Wish) {
+        let mut wished_at = self.wished_at.borrow_mut();
+        let place = (wish.key.clone(), wish.server.clone());
+        let last = wished_at.insert(place.clone(), now);
+        if let Some(last) = last.filter(|last| now.since(*last) < WISH_AGAIN) {
+            wished_at.insert(place, last);
+            return;
         }
-        self.missed.notify_one();
+        self.wishes.borrow_mut().push(wish);
+        self.wished.notify_one();
+    }
+
+    /// Waits for a wish.
+    pub async fn wished(&self) {
+        self.wished.notified().await;
+    }
+
+    /// Takes the wishes not told yet.
+    pub fn take_wishes(&self) -> Vec<Wish> {
+        self.wishes.take()
     }
 
-    /// Waits for a request that does not find its adapter loaded.
-    pub async fn missed(&self) {
-        self.missed.notified().await;
+    /// Takes the uses not told yet.
+    pub fn take_uses(&self) -> Vec<(Rc<str>, AdapterKey, u16)> {
+        let uses = self.uses.take();
+        uses.into_iter().map(|((server, key), times)| (server, key, times)).collect()
     }
 
-    /// Takes everything counted so far.
-    pub fn take(&self) -> Vec<(AdapterKey, Asked)> {
-        self.asked.borrow_mut().drain().collect()
+    /// Forgets old wishes.
+    pub fn sweep(&self, now: Time) {
+        self.wished_at.borrow_mut().retain(|_, at| now.since(*at) < WISH_AGAIN);
     }
 }
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -2,27 +2,33 @@
 
 use super::daemon::GatewayDaemon;
 use super::dialect::AdapterKey;
-use super::holdings::{NOTICE_HOLDS, Presence};
+use super::holdings::{NOTICE_HOLDS, Presence, REFUSAL_HOLDS};
+use super::load::server_mark;
 use super::message::{
-    AdapterDemand, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice, decode,
-    encode,
+    AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
+    decode, encode,
 };
 use super::ordering::NoticeSink;
 use super::peers::PeerChange;
+use super::planner::WishAnswer;
+use crate::types::Time;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Between heartbeats.
 const BEAT: Duration = Duration::from_millis(300);
-/// Misses are gathered for this long before the holder of orders is told.
-const MISS_GATHER: Duration = Duration::from_millis(8);
-/// Hits are told this often.
-const HITS_TOLD: Duration = Duration::from_millis(500);
-/// Adapters in one datagram of demand.
-const DEMAND_CHUNK: usize = 40;
+/// Uses are told this often.
+const USES_TOLD: Duration = Duration::from_millis(1_000);
+/// Wishes and uses in one datagram.
+const DEMAND_CHUNK: usize = 20;
 /// Notices in one datagram.
 const NOTICE_CHUNK: usize = 12;
+/// Up to so many daemons all hear every notice; in larger fleets only those that asked do.
+const NOTICE_ALL: usize = 24;
+/// What a load takes from the wish to the use, in milliseconds, as first told.
+const WISH_TAKES_MS: u32 = 320;
 /// A datagram could not be received; the pause before the next try.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -56,20 +62,14 @@
     pub fn beat(&self) {
         let now = self.now();
         let heartbeat = self.heartbeat();
-        let holds_orders = heartbeat.orders_fence.is_some();
         let message = PeerMessage::Heartbeat(heartbeat);
-        let mut targets = self.peers.borrow_mut().targets(now);
-        if holds_orders {
-            let all = self.peers.borrow().addresses(now);
-            targets.extend(
-                all.into_iter().filter(|address| !targets.contains(address)).collect::<Vec<_>>(),
-            );
-        }
+        let targets = self.peers.borrow_mut().targets(now);
         for target in targets {
             self.tell(&message, target);
         }
         let up = self.peers.borrow().up(now).count();
         self.path.daemons.set(up + 1);
+        self.ordering.planner.borrow_mut().daemons(up + 1);
         self.metrics.peers_up.set(up as i64);
     }
 
@@ -83,12 +83,18 @@
             revision: self.mirror.borrow().revision(),
             leaving: self.stopping.get(),
             sees_store: self.sees_store(),
-            orders_fence: self.ordering.lease.borrow().fence(now),
+            orders: self.orderable_marks(now),
             work: self.path.loads.own(),
             known: self.peers.borrow().known(now),
         }
     }
 
+    fn orderable_marks(&self, now: Time) -> Vec<u32> {
+        let orderable = self.ordering.claims.borrow().orderable(now);
+        self.metrics.servers_ordered.set(orderable.len() as i64);
+        orderable.iter().map(|id| server_mark(id)).collect()
+    }
+
     /// Takes datagrams in, for ever.
     pub async fn receive(self: Rc<Self>) {
         let mut buffer = [0_u8; MAX_DATAGRAM + 1];
@@ -103,24 +109,55 @@
         }
     }
 
-    fn on_message(self: &Rc<Self>, message: PeerMessage, _from: SocketAddr) {
+    fn on_message(self: &Rc<Self>, message: PeerMessage, from: SocketAddr) {
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(heartbeat),
-            PeerMessage::Demand(demand) => {
-                let now = self.now();
-                let mut planner = self.ordering.planner.borrow_mut();
-                for asked in demand {
-                    let key = key_of(&asked.model, &asked.adapter);
-                    planner.asked(now, &key, asked.asked);
-                }
-                drop(planner);
-                self.ordering.begin_due(self);
-            }
+            PeerMessage::Wishes(wishes) => self.on_wishes(&wishes, Some(from)),
+            PeerMessage::Uses(uses) => self.on_uses(&uses),
             PeerMessage::Placement(notices) => self.on_notices(&notices),
-            PeerMessage::Resigned(fence) => {
-                log::info!(fence = fence; "orders_given_up_by_peer");
-                self.office_vacant.notify_one();
-            }
+        }
+    }
+
+    /// Meets wishes at servers that this daemon orders, and answers what is known at once.
+    fn on_wishes(self: &Rc<Self>, wishes: &[AdapterWish], from: Option<SocketAddr>) {
+        let now = self.now();
+        let mut answers = Vec::new();
+        for wish in wishes {
+            let server: Rc<str> = wish.server.as_str().into();
+            let key = key_of(&wish.model, &wish.adapter);
+            let ours = self.ordering.claims.borrow().may_order(now, &server).is_some();
+            let answer = match ours {
+                true => self.ordering.planner.borrow_mut().wish(now, &server, &key, wish.version),
+                false => WishAnswer::Refused,
+            };
+            let state = match answer {
+                WishAnswer::Held(version) => NoticeState::Held(version),
+                WishAnswer::Coming => NoticeState::Coming(wish.version, WISH_TAKES_MS),
+                WishAnswer::Refused => NoticeState::Refused,
+            };
+            answers.push(PlacementNotice {
+                server: wish.server.clone(),
+                model: wish.model.clone(),
+                adapter: wish.adapter.clone(),
+                state,
+            });
+        }
+        match from {
+            Some(address) => self.tell_notices(&answers, &[address]),
+            None => self.on_notices(&answers),
+        }
+        self.ordering.begin_due(self);
+    }
+
+    fn on_uses(&self, uses: &[AdapterUse]) {
+        let now = self.now();
+        let claims = self.ordering.claims.borrow();
+        let marks: HashMap<u32, Rc<str>> =
+            claims.all().map(|(id, _)| (server_mark(id), id.clone())).collect();
+        let mut planner = self.ordering.planner.borrow_mut();
+        for used in uses {
+            let Some(server) = marks.get(&used.server) else { continue };
+            planner.used(now, server, &key_of(&used.model, &used.adapter), used.times);
         }
     }
 
@@ -150,48 +187,92 @@
                     Presence::Coming(version, now + Duration::from_millis(ms.into()))
                 }
                 NoticeState::Absent => Presence::Absent,
+                NoticeState::Refused => Presence::Refused,
+            };
+            let holds = match presence {
+                Presence::Refused => REFUSAL_HOLDS,
+                _ => NOTICE_HOLDS,
             };
             let server: Rc<str> = notice.server.as_str().into();
-            view.holdings.notice(&key, &server, presence, now + NOTICE_HOLDS);
+            view.holdings.notice(&key, &server, presence, now + holds);
         }
         drop(view);
         self.path.changed.notify_waiters();
     }
 
-    /// Tells the holder of orders what is asked for, for ever.
-    pub async fn tell_demand(self: Rc<Self>) {
+    /// Tells the daemons that order servers what is wished for, for ever.
+    pub async fn tell_wishes(self: Rc<Self>) {
         loop {
-            let missed = self.path.demand.missed();
-            if actix_rt::time::timeout(HITS_TOLD, missed).await.is_ok() {
-                actix_rt::time::sleep(MISS_GATHER).await;
+            self.path.demand.wished().await;
+            let now = self.now();
+            let mut by_address: HashMap<Option<SocketAddr>, Vec<AdapterWish>> = HashMap::new();
+            for wish in self.path.demand.take_wishes() {
+                let Some(address) = self.orderer(now, &wish.server) else { continue };
+                by_address.entry(address).or_default().push(AdapterWish {
+                    server: wish.server.to_string(),
+                    model: wish.key.model.to_string(),
+                    adapter: wish.key.adapter.to_string(),
+                    version: wish.version,
+                });
+            }
+            for (address, wishes) in by_address {
+                match address {
+                    None => self.on_wishes(&wishes, None),
+                    Some(address) => {
+                        for chunk in wishes.chunks(DEMAND_CHUNK) {
+                            self.tell(&PeerMessage::Wishes(chunk.to_vec()), address);
+                        }
+                    }
+                }
             }
-            self.tell_demand_once();
         }
     }
 
-    fn tell_demand_once(self: &Rc<Self>) {
-        let now = self.now();
-        let holding = self.ordering.lease.borrow().fence(now).is_some();
-        let holder = self.peers.borrow().orders_holder(now).map(|(_, p)| p.heartbeat.address);
-        if holding {
-            let asked = self.path.demand.take();
-            let mut planner = self.ordering.planner.borrow_mut();
-            for (key, asked) in asked {
-                planner.asked(now, &key, asked);
+    /// Tells them what is used, for ever.
+    pub async fn tell_uses(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(USES_TOLD).await;
+            let now = self.now();
+            let mut by_address: HashMap<Option<SocketAddr>, Vec<AdapterUse>> = HashMap::new();
+            for (server, key, times) in self.path.demand.take_uses() {
+                let Some(address) = self.orderer(now, &server) else { continue };
+                by_address.entry(address).or_default().push(AdapterUse {
+                    server: server_mark(&server),
+                    model: key.model.to_string(),
+                    adapter: key.adapter.to_string(),
+                    times,
+                });
             }
-            drop(planner);
-            self.ordering.begin_due(self);
-            return;
+            for (address, uses) in by_address {
+                match address {
+                    None => self.on_uses(&uses),
+                    Some(address) => {
+                        for chunk in uses.chunks(DEMAND_CHUNK) {
+                            self.tell(&PeerMessage::Uses(chunk.to_vec()), address);
+                        }
+                    }
+                }
+            }
+            self.path.demand.sweep(now);
         }
-        let Some(holder) = holder else { return };
-        let asked = self.path.demand.take();
-        for chunk in asked.chunks(DEMAND_CHUNK) {
-            let demand = chunk.iter().map(|(key, asked)| AdapterDemand {
-                model: key.model.to_string(),
-                adapter: key.adapter.to_string(),
-                asked: *asked,
-            });
-            self.tell(&PeerMessage::Demand(demand.collect()), holder);
+    }
+
+    /// Where the daemon that may order a server is: `Some(None)` for this one.
+    fn orderer(&self, now: Time, server: &str) -> Option<Option<SocketAddr>> {
+        if self.ordering.claims.borrow().may_order(now, server).is_some() {
+            return Some(None);
+        }
+        let peers = self.peers.borrow();
+        let (_, peer) = peers.orderer(now, server_mark(server))?;
+        Some(Some(peer.heartbeat.address))
+    }
+
+    fn tell_notices(&self, notices: &[PlacementNotice], addresses: &[SocketAddr]) {
+        for chunk in notices.chunks(NOTICE_CHUNK) {
+            let message = PeerMessage::Placement(chunk.to_vec());
+            for address in addresses {
+                self.tell(&message, *address);
+            }
         }
     }
 }
@@ -202,13 +283,9 @@
             return;
         }
         self.on_notices(&notices);
-        let addresses = self.peers.borrow().addresses(self.now());
-        for chunk in notices.chunks(NOTICE_CHUNK) {
-            let message = PeerMessage::Placement(chunk.to_vec());
-            for address in &addresses {
-                self.tell(&message, *address);
-            }
-        }
+        let mut addresses = self.peers.borrow().addresses(self.now());
+        addresses.truncate(NOTICE_ALL);
+        self.tell_notices(&notices, &addresses);
     }
 }
 
--- a/crates/portrack/src/gateway/holdings.rs
+++ b/crates/portrack/src/gateway/holdings.rs
@@ -9,6 +9,8 @@
 
 /// A notice of the planner outweighs the store's list for this long; by then the list has caught up.
 pub const NOTICE_HOLDS: Duration = Duration::from_millis(4_000);
+/// That an adapter could not be loaded at a server counts for this long.
+pub const REFUSAL_HOLDS: Duration = Duration::from_millis(900);
 
 /// What a notice says of an adapter at a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +21,8 @@
     Coming(u64, Time),
     /// It is not there, or about to go.
     Absent,
+    /// It could not be loaded there.
+    Refused,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -90,6 +94,12 @@
         all
     }
 
+    /// True if a fresh notice says that an adapter could not be loaded at a server.
+    pub fn is_refused(&self, now: Time, key: &AdapterKey, id: &str) -> bool {
+        let notice = self.adapters.get(key).and_then(|holders| holders.noticed.get(id));
+        notice.is_some_and(|notice| notice.fresh(now) && notice.presence == Presence::Refused)
+    }
+
     /// When the adapter is expected at some server, if it is on its way.
     pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
         let holders = self.adapters.get(key)?;
@@ -109,7 +119,7 @@
     fn usable(&self) -> Option<u64> {
         match self.presence {
             Presence::Held(version) => Some(version),
-            Presence::Coming(..) | Presence::Absent => None,
+            Presence::Coming(..) | Presence::Absent | Presence::Refused => None,
         }
     }
 }
--- a/crates/portrack/src/gateway/ingress.rs
+++ b/crates/portrack/src/gateway/ingress.rs
@@ -82,10 +82,6 @@
         self.finish().await
     }
 
-    /// True if the answer has begun.
-    pub fn begun(&self) -> bool {
-        self.begun
-    }
 
     async fn flush(&mut self) -> Result<(), CallerGone> {
         let writing = self.write.write_all(&self.buffer);
--- a/crates/portrack/src/gateway/load_budget.rs
+++ b/crates/portrack/src/gateway/load_budget.rs
@@ -1,24 +1,23 @@
-//! Loads from the weight store: evenly spread, a few at once.
+//! Loads of base models from the weight store: evenly spread, shared between the daemons.
 
 use crate::types::Time;
 
 /// Loads that may begin right after each other.
 const BURST: f64 = 2.0;
-/// Of the rate allowed, this share is used.
-const USED_SHARE: f64 = 0.98;
 
 /// A token bucket for loads.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadBudget {
     rate: f64,
+    sharers: usize,
     tokens: f64,
     at: Time,
 }
 
 impl LoadBudget {
-    /// An empty bucket that fills at `rate` loads a second.
+    /// A full bucket that fills at `rate` loads a second.
     pub fn new(now: Time, rate: f64) -> Self {
-        Self { rate, tokens: 0.0, at: now }
+        Self { rate, sharers: 1, tokens: BURST, at: now }
     }
 
     /// Takes a changed rate.
@@ -26,9 +25,15 @@
         self.rate = rate;
     }
 
+    /// Takes a changed number of daemons that share the rate.
+    pub fn set_sharers(&mut self, sharers: usize) {
+        self.sharers = sharers.max(1);
+    }
+
     /// Loads that may begin now.
     pub fn tokens(&mut self, now: Time) -> f64 {
-        let filled = now.since(self.at).as_secs_f64() * self.rate * USED_SHARE;
+        let share = self.rate / self.sharers as f64;
+        let filled = now.since(self.at).as_secs_f64() * share;
         self.tokens = (self.tokens + filled).min(BURST);
         self.at = now;
         self.tokens
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/message.rs
@@ -1,6 +1,5 @@
 //! What daemons of a gateway fleet tell each other by datagram.
 
-use super::demand::Asked;
 use super::load::Work;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -15,12 +14,12 @@
 pub enum PeerMessage {
     /// Who is there and what it knows.
     Heartbeat(Heartbeat),
-    /// What was asked for, for the holder of orders.
-    Demand(Vec<AdapterDemand>),
-    /// What the holder of orders has changed at servers.
+    /// Adapters wished for at servers that the receiver orders.
+    Wishes(Vec<AdapterWish>),
+    /// How often adapters were used at servers that the receiver orders.
+    Uses(Vec<AdapterUse>),
+    /// What the sender has changed at servers that it orders.
     Placement(Vec<PlacementNotice>),
-    /// The holder of orders gives its office up; a successor need not wait for the lease.
-    Resigned(u64),
 }
 
 /// A sign of life.
@@ -40,23 +39,38 @@
     pub leaving: bool,
     /// It can reach the store.
     pub sees_store: bool,
-    /// Its fence, if it holds the orders.
-    pub orders_fence: Option<u64>,
+    /// The servers that it may order now, by their marks.
+    pub orders: Vec<u32>,
     /// Its requests at servers.
     pub work: Vec<(u32, Work)>,
     /// Some daemons it knows.
     pub known: Vec<SocketAddr>,
 }
 
-/// Requests for one adapter.
+/// An adapter wished for at a server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct AdapterDemand {
+pub struct AdapterWish {
+    /// The server.
+    pub server: String,
+    /// The base model.
+    pub model: String,
+    /// The adapter.
+    pub adapter: String,
+    /// The oldest version that will do.
+    pub version: u64,
+}
+
+/// How often an adapter was used at a server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AdapterUse {
+    /// The server, by its mark.
+    pub server: u32,
     /// The base model.
     pub model: String,
     /// The adapter.
     pub adapter: String,
-    /// How often.
-    pub asked: Asked,
+    /// Requests since the last report.
+    pub times: u16,
 }
 
 /// A change at a server.
@@ -81,6 +95,8 @@
     Coming(u64, u32),
     /// It is gone or about to go.
     Absent,
+    /// It could not be loaded there.
+    Refused,
 }
 
 /// A datagram as bytes; `None` if it is too long.
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -29,8 +29,8 @@
     pub peer_bytes: IntCounter,
     /// Datagrams that are no message.
     pub datagrams_dropped: IntCounter,
-    /// 1 while this daemon holds the orders.
-    pub holds_orders: IntGauge,
+    /// Servers that this daemon orders.
+    pub servers_ordered: IntGauge,
     /// Log lines dropped because the reader was too slow.
     pub log_lines_dropped: IntGauge,
 }
@@ -50,7 +50,7 @@
             peers_up: made.gauge("peers_up", "Other daemons that are up"),
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
-            holds_orders: made.gauge("holds_orders", "1 while this daemon orders servers"),
+            servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
             log_lines_dropped: made.gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
         }
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -3,9 +3,9 @@
 
 use super::answer::AnswerHead;
 use super::body::BodyDecoder;
+use super::claims::Claims;
 use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind};
 use super::message::{NoticeState, PlacementNotice};
-use super::order_lease::OrderLease;
 use super::planner::{Plan, PlanEnd, PlannedLoad, Planner};
 use super::pool::{Lent, Pool};
 use crate::types::Clock;
@@ -62,7 +62,7 @@
     pool: Rc<Pool>,
     lines: RefCell<HashMap<Rc<str>, Rc<ServerLine>>>,
     /// The right to order.
-    pub lease: RefCell<OrderLease>,
+    pub claims: RefCell<Claims>,
     /// What is to be ordered.
     pub planner: RefCell<Planner>,
 }
@@ -73,7 +73,7 @@
         clock: Rc<dyn Clock>,
         dialect: Rc<dyn Dialect>,
         node: Rc<str>,
-        lease: OrderLease,
+        claims: Claims,
     ) -> Self {
         Self {
             clock,
@@ -81,7 +81,7 @@
             node,
             pool: Rc::default(),
             lines: RefCell::default(),
-            lease: RefCell::new(lease),
+            claims: RefCell::new(claims),
             planner: RefCell::default(),
         }
     }
@@ -97,22 +97,22 @@
         self.pool.sweep();
     }
 
-    /// True if this daemon may order at this moment.
-    pub fn may_order(&self) -> bool {
-        self.lease.borrow().may_order(self.clock.now()).is_some()
-    }
-
     /// Begins every step that is due.
     pub fn begin_due(self: &Rc<Self>, sink: &Rc<impl NoticeSink + 'static>) {
         let now = self.clock.now();
-        if !self.may_order() {
-            return;
-        }
-        let plans = self.planner.borrow_mut().plan(now);
+        let orderable = self.claims.borrow().orderable(now);
+        let (plans, given_up) = self.planner.borrow_mut().plan(now, &orderable);
         for plan in plans {
             let (ordering, sink) = (self.clone(), sink.clone());
             actix_rt::spawn(async move { ordering.carry_out(plan, &*sink).await });
         }
+        let refused = given_up.iter().map(|(server, key)| PlacementNotice {
+            server: server.to_string(),
+            model: key.model.to_string(),
+            adapter: key.adapter.to_string(),
+            state: NoticeState::Refused,
+        });
+        sink.notices(refused.collect());
     }
 
     fn line(&self, server: &Rc<str>) -> Rc<ServerLine> {
@@ -128,14 +128,16 @@
         if let PlannedLoad::Adapter(key, version) = &plan.load {
             let state = match end {
                 PlanEnd::Done => Some(NoticeState::Held(*version)),
-                PlanEnd::Refused | PlanEnd::NotSent => Some(NoticeState::Absent),
-                PlanEnd::Unknown => None,
+                PlanEnd::Refused | PlanEnd::NotSent | PlanEnd::Unknown => {
+                    Some(NoticeState::Refused)
+                }
+                PlanEnd::Busy => None,
             };
             sink.notices(state.map(|state| notice(&plan, key, state)).into_iter().collect());
         }
         log::info!(
             server = &*plan.server, load:? = plan.load, evict:? = plan.evict,
-            reason = plan.reason.name(), cold = plan.cold, worth = plan.worth, took_ms = took_ms,
+            cold = plan.cold, waited_ms = plan.waited.as_millis() as u64, took_ms = took_ms,
             end:? = end; "order"
         );
     }
@@ -148,13 +150,10 @@
                 Ordered::Answer(OrderAnswer::Holds | OrderAnswer::Accepted) => {
                     self.planner.borrow_mut().evicted(self.clock.now(), &plan.server, victim);
                 }
-                Ordered::Answer(_) => return PlanEnd::Refused,
-                Ordered::Unknown => return PlanEnd::Unknown,
-                Ordered::NotSent => return PlanEnd::NotSent,
+                other => return end_of(other),
             }
         }
         match &plan.load {
-            PlannedLoad::Nothing => PlanEnd::Done,
             PlannedLoad::Base(model) => {
                 let order = self.base_order(model);
                 end_of(self.order(plan, order).await)
@@ -276,12 +275,11 @@
     }
 
     async fn send(&self, plan: &Plan, order: &mut Order) -> Ordered {
-        let Some(fence) = self.lease.borrow().may_order(self.clock.now()) else {
-            return Ordered::NotSent;
-        };
+        let may_order = || self.claims.borrow().may_order(self.clock.now(), &plan.server);
+        let Some(fence) = may_order() else { return Ordered::NotSent };
         order.fence = fence;
         let (path, body) = self.dialect.order(order);
-        let still = || self.lease.borrow().may_order(self.clock.now()) == Some(fence);
+        let still = || may_order() == Some(fence);
         match self.call(&plan.server, plan.address, "POST", path, &body, still).await {
             Called::Answer(head, _) => {
                 Ordered::Answer(self.dialect.order_answer(head.status.as_u16()))
@@ -355,6 +353,7 @@
 fn end_of(ordered: Ordered) -> PlanEnd {
     match ordered {
         Ordered::Answer(OrderAnswer::Holds | OrderAnswer::Accepted) => PlanEnd::Done,
+        Ordered::Answer(OrderAnswer::Busy) => PlanEnd::Busy,
         Ordered::Answer(_) => PlanEnd::Refused,
         Ordered::Unknown => PlanEnd::Unknown,
         Ordered::NotSent => PlanEnd::NotSent,
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -45,6 +45,8 @@
     pub retries: RefCell<ServiceRetries>,
     /// What is asked for.
     pub demand: Rc<DemandLog>,
+    /// True if some daemon, as far as known, may order this server.
+    pub is_ordered: Box<dyn Fn(&str) -> bool>,
     /// This daemon's data hall.
     pub hall: String,
     /// Daemons that share the servers' connections and the retry budget.
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -11,8 +11,8 @@
 const GONE_AFTER: Duration = Duration::from_millis(3_000);
 /// A daemon not heard for this long is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
-/// The holder of orders not heard for this long counts as silent.
-const HOLDER_SILENT_AFTER: Duration = Duration::from_millis(900);
+/// What a daemon said of its orders counts for this long.
+const ORDERS_FRESH: Duration = Duration::from_millis(1_400);
 /// Daemons that one heartbeat goes to; in small fleets that is all of them.
 const FAN_OUT: usize = 12;
 /// Addresses of others that a heartbeat carries.
@@ -137,13 +137,19 @@
         all.iter().cycle().skip(start).take(all.len().min(KNOWN_CARRIED)).copied().collect()
     }
 
-    /// The daemon that holds the orders, if it was heard lately: the highest fence.
-    pub fn orders_holder(&self, now: Time) -> Option<(&Rc<str>, &Peer)> {
-        let holders = self.peers.iter().filter(|(_, peer)| {
-            let fresh = now.since(peer.heard_at) < HOLDER_SILENT_AFTER;
-            fresh && peer.heartbeat.orders_fence.is_some() && !peer.heartbeat.leaving
-        });
-        holders.max_by_key(|(_, peer)| peer.heartbeat.orders_fence)
+    /// The daemon that may order a server, as far as heard lately.
+    pub fn orderer(&self, now: Time, mark: u32) -> Option<(&Rc<str>, &Peer)> {
+        self.peers.iter().find(|(_, peer)| {
+            let fresh = now.since(peer.heard_at) < ORDERS_FRESH;
+            fresh && !peer.heartbeat.leaving && peer.heartbeat.orders.contains(&mark)
+        })
+    }
+
+    /// True if a machine, by its daemon's name and address, was heard within `span`.
+    pub fn heard_within(&self, now: Time, machine: &str, span: Duration) -> bool {
+        let mut peers = self.peers.values();
+        peers
+            .any(|peer| machine_name(&peer.heartbeat) == machine && now.since(peer.heard_at) < span)
     }
 
     /// A daemon that knows more of the store than `revision`: the one that knows most.
@@ -153,16 +159,28 @@
         best.map(|(_, peer)| peer.heartbeat.address)
     }
 
-    /// This daemon's place among those that could take the orders, 0 first.
-    pub fn rank(&self, now: Time, me: &str, term: u64) -> usize {
-        let place = |name: &str| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), term);
-        let mine = place(me);
+    /// The daemons of a hall that could order servers: up, seeing the store and not leaving.
+    pub fn able_in(&self, now: Time, hall: &str) -> Vec<Rc<str>> {
+        let able = self.up(now).filter(|(_, peer)| {
+            let heartbeat = &peer.heartbeat;
+            heartbeat.sees_store && !heartbeat.leaving && heartbeat.hall == hall
+        });
+        able.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// All daemons that could order servers.
+    pub fn able(&self, now: Time) -> Vec<Rc<str>> {
         let able =
             self.up(now).filter(|(_, peer)| peer.heartbeat.sees_store && !peer.heartbeat.leaving);
-        able.filter(|(name, _)| place(name) < mine).count()
+        able.map(|(name, _)| name.clone()).collect()
     }
 }
 
+/// A machine by its daemon's name and address; stays the same over restarts.
+pub fn machine_name(heartbeat: &Heartbeat) -> String {
+    format!("{}|{}", heartbeat.node, heartbeat.address)
+}
+
 impl Peer {
     fn is_up(&self, now: Time) -> bool {
         now.since(self.heard_at) < GONE_AFTER
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -4,8 +4,10 @@
 use super::caller::{RefusalReason, Refused};
 use super::choose::{cheapest, cost};
 use super::config::Route;
+use super::demand::Wish;
 use super::dialect::AdapterKey;
 use super::holdings::Presence;
+use super::homes::{Home, home};
 use super::path::{Choice, Job, RequestPath};
 use crate::types::Time;
 use std::rc::Rc;
@@ -13,6 +15,8 @@
 
 /// A newer version may still be missing at a server for this long after it became known.
 const VERSION_GRACE: Duration = Duration::from_millis(2_500);
+/// A server with so many requests waiting is crowded; the same more than the idlest one is unfair.
+const CROWDED: f64 = 14.0;
 /// Of its objective, a request waits this share for a sign that its adapter is coming.
 const SIGN_SHARE: f64 = 0.22;
 /// Callers give a silent stream up after this at the earliest.
@@ -64,17 +68,15 @@
     }
 
     async fn choose_adapter(&self, job: &Job<'_>, key: &AdapterKey) -> Result<Choice, Refused> {
-        if let Some(choice) = self.holder(job, key) {
-            if job.sends == 0 {
-                self.demand.hit(key);
-            }
-            return Ok(choice);
-        }
-        self.demand.miss(key);
         let arrived = job.request.arrived;
         let sign_by = arrived + job.route.objective.mul_f64(SIGN_SHARE);
         let give_up = arrived + patience(&job.route);
         loop {
+            if let Some(choice) = self.holder(job, key) {
+                self.demand.used(&choice.backend.id, key);
+                return Ok(choice);
+            }
+            self.wish(job, key);
             let expected = self.view.borrow().holdings.expected(self.clock.now(), key);
             let until = match expected {
                 Some(at) => (at + EXPECTED_SLACK).min(give_up),
@@ -86,37 +88,85 @@
             }
             let changed = self.changed.notified();
             let _ = actix_rt::time::timeout(until.since(now), changed).await;
-            if let Some(choice) = self.holder(job, key) {
-                return Ok(choice);
-            }
         }
     }
 
-    /// The cheapest server that holds the adapter at a version still allowed.
+    /// Wishes for an adapter at its home, if some daemon may order a server for it.
+    fn wish(&self, job: &Job<'_>, key: &AdapterKey) {
+        let now = self.clock.now();
+        let view = self.view.borrow();
+        if view.holdings.expected(now, key).is_some() {
+            return;
+        }
+        let version = view.named_version(key).map_or(1, |named| named.version);
+        let outdated = view.holdings.holders(now, key);
+        let open = view.open_backends(&job.service.name).filter(|backend| {
+            let holds = backend.model(&key.model).is_some();
+            let old = outdated.iter().any(|(id, _)| *id == backend.id);
+            let refused = view.holdings.is_refused(now, key, &backend.id);
+            holds && !old && !refused && (self.is_ordered)(&backend.id)
+        });
+        let homes: Vec<Home> = open
+            .map(|backend| Home {
+                server: backend.id.clone(),
+                cost: cost(now, &self.loads, &self.hall, backend),
+            })
+            .collect();
+        let server = home(key, &homes).or_else(|| self.replaceable(&outdated));
+        if let Some(server) = server {
+            self.demand.wish(now, Wish { server, key: key.clone(), version });
+        }
+    }
+
+    /// A server that holds an older version, for an adapter that has no other home.
+    fn replaceable(&self, outdated: &[(Rc<str>, u64)]) -> Option<Rc<str>> {
+        let ordered = outdated.iter().find(|(id, _)| (self.is_ordered)(id));
+        ordered.map(|(id, _)| id.clone())
+    }
+
+    /// The cheapest server that holds the adapter, the newest version before an older one.
     fn holder(&self, job: &Job<'_>, key: &AdapterKey) -> Option<Choice> {
         let now = self.clock.now();
         let view = self.view.borrow();
         let named = view.named_version(key);
         let in_grace = named.is_some_and(|named| now.since(named.learned_at) < VERSION_GRACE);
         let newest = named.map_or(1, |named| named.version);
-        let allowed = |version: u64| version >= newest || in_grace;
         let holders = view.holdings.holders(now, key);
-        let usable = holders.into_iter().filter(|(_, version)| allowed(*version));
-        let candidates = usable.filter_map(|(id, version)| {
-            let backend = view.backend(&id)?;
-            let open = !backend.draining && backend.service == job.service.name;
-            let fresh = open && !job.tried.contains(&backend.id);
-            fresh.then(|| (backend.clone(), version))
-        });
-        let best = candidates.min_by(|(a, _), (b, _)| {
-            let a = cost(now, &self.loads, &self.hall, a);
-            a.total_cmp(&cost(now, &self.loads, &self.hall, b))
-        })?;
-        let (backend, version) = best;
-        let current = named.is_some() && version >= newest;
+        let usable = holders.into_iter().filter(|(_, v)| *v >= newest || in_grace);
+        let mut candidates: Vec<(bool, f64, Rc<Backend>, u64)> = usable
+            .filter_map(|(id, version)| {
+                let backend = view.backend(&id)?;
+                let open = !backend.draining && backend.service == job.service.name;
+                let fresh = open && !job.tried.contains(&backend.id);
+                let cost = cost(now, &self.loads, &self.hall, backend);
+                fresh.then(|| (version < newest, cost, backend.clone(), version))
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        drop(view);
+        let (old, cost, backend, version) = candidates.into_iter().next()?;
+        if old || cost > CROWDED {
+            self.wish_beside(job, key, old, cost);
+        }
+        let current = named.is_some() && !old;
         Some(Choice { backend, adapter_version: current.then_some(version) })
     }
 
+    /// Wishes for the newest version, or for a further copy where a much idler server is.
+    fn wish_beside(&self, job: &Job<'_>, key: &AdapterKey, old: bool, crowded: f64) {
+        let now = self.clock.now();
+        if !old {
+            let view = self.view.borrow();
+            let open = view.open_backends(&job.service.name);
+            let costs = open.map(|backend| cost(now, &self.loads, &self.hall, backend));
+            let idlest = costs.fold(f64::MAX, f64::min);
+            if crowded < idlest + CROWDED {
+                return;
+            }
+        }
+        self.wish(job, key);
+    }
+
     /// True if a server is left that was not tried.
     pub(super) fn has_untried(&self, job: &Job<'_>) -> bool {
         match job.adapter() {
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -1,5 +1,6 @@
-//! What the planner believes of one server.
+//! What the planner believes of one server that it orders.
 
+use super::adapter_demand::AdapterDemand;
 use super::backend::Backend;
 use super::config::EngineSpec;
 use super::dialect::AdapterKey;
@@ -12,11 +13,17 @@
 /// The store's list catches up with an order within this.
 const LIST_LAG: Duration = Duration::from_millis(4_000);
 /// A server that did not answer an order is left alone for this long.
-const REST: Duration = Duration::from_millis(1_500);
+const REST_AFTER_SILENCE: Duration = Duration::from_millis(1_500);
+/// A server that is busy with another order is left alone for this long.
+const REST_AFTER_BUSY: Duration = Duration::from_millis(120);
 /// Adapters on the way to one server at the same time.
 const MOST_PENDING: usize = 4;
 /// Adapters that a server once held and may still have at hand.
 const REMEMBERED: usize = 100;
+/// An adapter used this lately is not evicted if another one can be.
+const JUST_USED: Duration = Duration::from_millis(2_500);
+/// What a victim that was used a moment ago costs besides its rate.
+const JUST_USED_COST: f64 = 50.0;
 
 /// How far an adapter at a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +37,7 @@
 }
 
 /// An adapter at a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Slot {
     /// Its version.
     pub version: u64,
@@ -38,19 +45,19 @@
     pub state: SlotState,
     /// When that changed last.
     pub changed_at: Time,
+    /// How much it is used.
+    pub demand: AdapterDemand,
+    /// When it was used last, as far as told.
+    pub used_at: Time,
 }
 
 /// One server.
 #[derive(Debug, Clone)]
 pub struct PlannedServer {
-    /// Its id.
-    pub id: Rc<str>,
     /// Its service.
     pub service: Rc<str>,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its data hall.
-    pub hall: Rc<str>,
     /// It takes no new work.
     pub draining: bool,
     /// The base models it holds.
@@ -68,10 +75,8 @@
     /// A server as the store lists it.
     pub fn new(now: Time, backend: &Backend) -> Self {
         let mut server = Self {
-            id: backend.id.clone(),
             service: backend.service.clone(),
             address: backend.address,
-            hall: backend.hall.clone(),
             draining: false,
             models: Vec::new(),
             slots: HashMap::new(),
@@ -111,11 +116,12 @@
             return;
         }
         self.remember(&key, version);
-        let fresh = Slot { version, state: SlotState::Held, changed_at: Time(0) };
-        let slot = self.slots.entry(key).or_insert(fresh);
+        let slot = self.slots.entry(key).or_insert(Slot::new(version, SlotState::Held, Time(0)));
         let settled = now.since(slot.changed_at) >= LIST_LAG;
         if slot.version < version || (settled && slot.state != SlotState::Held) {
-            *slot = Slot { version, state: SlotState::Held, changed_at: now };
+            slot.version = version;
+            slot.state = SlotState::Held;
+            slot.changed_at = now;
         }
     }
 
@@ -138,7 +144,10 @@
             self.remember(key, version);
         }
         self.gone.remove(key);
-        self.slots.insert(key.clone(), Slot { version, state, changed_at: now });
+        let slot = self.slots.entry(key.clone()).or_insert(Slot::new(version, state, now));
+        slot.version = version;
+        slot.state = state;
+        slot.changed_at = now;
     }
 
     /// Notes that an adapter is not there.
@@ -147,16 +156,22 @@
         self.gone.insert(key.clone(), now);
     }
 
+    /// Notes that requests used an adapter.
+    pub fn used(&mut self, now: Time, key: &AdapterKey, times: u16) {
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.demand.used(now, times);
+            slot.used_at = now;
+        }
+    }
+
     /// The server did not answer an order.
-    pub fn rest(&mut self, now: Time) {
-        self.resting_until = now + REST;
+    pub fn silent(&mut self, now: Time) {
+        self.resting_until = self.resting_until.max(now + REST_AFTER_SILENCE);
     }
 
-    /// True if it takes orders for adapters of a model.
-    pub fn is_open(&self, now: Time, model: &str) -> bool {
-        let pending = self.slots.values().filter(|slot| slot.state == SlotState::Loading).count();
-        let holds = self.models.iter().any(|name| &**name == model);
-        holds && !self.draining && now >= self.resting_until && pending < MOST_PENDING
+    /// The server is busy with another order.
+    pub fn busy(&mut self, now: Time) {
+        self.resting_until = self.resting_until.max(now + REST_AFTER_BUSY);
     }
 
     /// True if it takes orders at all.
@@ -164,9 +179,36 @@
         !self.draining && now >= self.resting_until
     }
 
-    /// Free places; one always stays free for a replacement.
+    /// True if it takes a further adapter of a model now.
+    pub fn takes_adapters(&self, now: Time, model: &str) -> bool {
+        let pending = self.slots.values().filter(|slot| slot.state == SlotState::Loading).count();
+        let holds = self.models.iter().any(|name| &**name == model);
+        holds && self.takes_orders(now) && pending < MOST_PENDING
+    }
+
+    /// Free places; one always stays free for an order that is carried out late.
     pub fn free(&self, spec: &EngineSpec, model: &str) -> usize {
         let room = spec.model(model).map_or(0, |model| spec.adapter_room(model));
         room.saturating_sub(1).saturating_sub(self.slots.len())
     }
+
+    /// The adapter that is missed least if it goes. `newest` tells the newest version of each.
+    pub fn victim(&self, now: Time, newest: impl Fn(&AdapterKey) -> u64) -> Option<AdapterKey> {
+        let held = self.slots.iter().filter(|(_, slot)| slot.state == SlotState::Held);
+        let costed = held.map(|(key, slot)| {
+            let outdated = slot.version < newest(key);
+            let rate = if outdated { 0.0 } else { slot.demand.rate(now) };
+            let just_used = now.since(slot.used_at) < JUST_USED;
+            (rate + if just_used { JUST_USED_COST } else { 0.0 }, key)
+        });
+        let least = costed.min_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| x.cmp(y)));
+        least.map(|(_, key)| key.clone())
+    }
+}
+
+impl Slot {
+    fn new(version: u64, state: SlotState, changed_at: Time) -> Self {
+        let demand = AdapterDemand::default();
+        Self { version, state, changed_at, demand, used_at: changed_at }
+    }
 }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -18,7 +18,9 @@
 /// new ones.
 const IDLE_KEPT: Duration = Duration::from_millis(2_600);
 /// Kept back of the time to stop.
-const STOP_RESERVE: Duration = Duration::from_millis(450);
+const STOP_RESERVE: Duration = Duration::from_millis(700);
+/// For giving up the servers at the end of a stop.
+const RESIGN: Duration = Duration::from_millis(300);
 /// Between looks at what is still running.
 const STOP_LOOK: Duration = Duration::from_millis(25);
 /// Between sweeps of what is kept.
@@ -74,8 +76,11 @@
     actix_rt::spawn(daemon.clone().answer_peers(members));
     actix_rt::spawn(daemon.clone().receive());
     actix_rt::spawn(daemon.clone().send_heartbeats());
-    actix_rt::spawn(daemon.clone().tell_demand());
-    actix_rt::spawn(daemon.clone().hold_orders());
+    actix_rt::spawn(daemon.clone().tell_wishes());
+    actix_rt::spawn(daemon.clone().tell_uses());
+    actix_rt::spawn(daemon.clone().claim_servers());
+    actix_rt::spawn(daemon.clone().renew_lease());
+    actix_rt::spawn(daemon.clone().plan_steps());
     actix_rt::spawn(daemon.clone().sweep());
     actix_rt::spawn(daemon.clone().accept_callers(callers));
     actix_rt::spawn(answer_readiness(daemon.clone(), readiness));
@@ -142,7 +147,6 @@
         daemon.stopping.set(true);
         log::info!(in_flight = daemon.in_flight.get(); "stop_begun");
         daemon.beat();
-        daemon.resign().await;
         loop {
             let passed = daemon.now().since(began);
             if passed >= IDLE_KEPT && !daemon.closing_idle.get() {
@@ -155,6 +159,7 @@
             }
             actix_rt::time::sleep(STOP_LOOK).await;
         }
+        let _ = actix_rt::time::timeout(RESIGN, daemon.resign()).await;
         let left = daemon.in_flight.get();
         log::info!(left = left, took_ms = daemon.now().since(began).as_millis() as u64; "stop");
         left
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -44,7 +44,7 @@
     pub stop_within_s: f64,
     /// Between the last order of one holder and the first of the next, in milliseconds.
     pub order_quiet_ms: u64,
-    /// The shortest lease that the store grants, in milliseconds.
+    /// The lease that the right to order servers hangs on, in milliseconds.
     pub lease_ttl_ms: u64,
 }
 
@@ -56,7 +56,7 @@
             retry_window_s: 10.0,
             stop_within_s: 8.0,
             order_quiet_ms: 3_000,
-            lease_ttl_ms: 1_000,
+            lease_ttl_ms: 6_000,
         }
     }
 }
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -83,7 +83,7 @@
         }
     }
 
-    async fn read_all(&self, prefix: &str) -> Result<u64, FeedError> {
+    async fn read_all(self: &Rc<Self>, prefix: &str) -> Result<u64, FeedError> {
         let list = self.store.read_all(prefix).await?;
         let revision = list.revision;
         let changes = self.mirror.borrow_mut().apply_all(prefix, list);
@@ -91,7 +91,7 @@
         Ok(revision)
     }
 
-    async fn follow_once(&self, prefix: &str, after: u64) -> Result<u64, FeedError> {
+    async fn follow_once(self: &Rc<Self>, prefix: &str, after: u64) -> Result<u64, FeedError> {
         let changes = self.store.changes(prefix, after, WATCH).await?;
         let newer: Vec<_> = {
             let mut mirror = self.mirror.borrow_mut();
--- a/crates/portrack/src/store/feed.rs
+++ b/crates/portrack/src/store/feed.rs
@@ -1,7 +1,7 @@
 //! What a follower of the store needs beyond single calls: changes with removals, and why a call
 //! failed.
 
-use super::kv::{Kv, KvHeld, LocalFuture};
+use super::kv::{Kv, KvError, KvHeld, KvPut, LocalFuture};
 use snafu::Snafu;
 use std::time::Duration;
 
@@ -51,8 +51,34 @@
     Forgotten,
 }
 
-/// Reads whole prefixes and follows their changes.
+/// Several writes that happen together or not at all.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KvTransaction {
+    /// Keys with the revision of their last change, 0 for keys that must not be there.
+    pub expected: Vec<(String, u64)>,
+    /// Keys to write, with a lease or without.
+    pub puts: Vec<(KvPut, Option<u64>)>,
+}
+
+/// How a transaction went.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KvOutcome {
+    /// It was carried out, at this revision.
+    Committed(u64),
+    /// A key has changed; these are the expected keys as they stand.
+    Conflict(Vec<KvHeld>),
+    /// A lease that it names is over.
+    NoLease,
+}
+
+/// Reads whole prefixes, follows their changes, and writes several keys together.
 pub trait KvFeed: Kv {
+    /// Carries a transaction out.
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a KvTransaction,
+    ) -> LocalFuture<'a, Result<KvOutcome, KvError>>;
+
     /// All keys under a prefix, page by page.
     fn read_all<'a>(&'a self, prefix: &'a str)
     -> LocalFuture<'a, Result<super::KvList, FeedError>>;
--- a/crates/portrack/src/store/mod.rs
+++ b/crates/portrack/src/store/mod.rs
@@ -6,6 +6,6 @@
 mod nodes;
 
 pub use etcd::Etcd;
-pub use feed::{FeedError, KvChange, KvChanges, KvFeed};
+pub use feed::{FeedError, KvChange, KvChanges, KvFeed, KvOutcome, KvTransaction};
 pub use kv::{Kv, KvError, KvHeld, KvList, KvPut, LocalFuture};
 pub use nodes::{NodeList, NodeListClient, NodeListError};
