Reports before orders, counted orders, no late streams in a stop

Cause: LIMIT after restarts: the list lags behind pending loads, and an unload that waits for its runs (202) was taken for done. LOST: a stream begun 4 s after SIGTERM was cut at the end of grace.

--- a/crates/portrack/src/gateway/caller.rs
+++ b/crates/portrack/src/gateway/caller.rs
@@ -95,6 +95,8 @@
     TimedOut,
     /// The headers cannot be read.
     BadRequest,
+    /// The daemon is being stopped and could not finish it.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -111,6 +113,7 @@
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
             Self::BadRequest => "bad_request",
+            Self::Stopping => "stopping",
         }
     }
 
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -50,6 +50,8 @@
     pub in_flight: Cell<usize>,
     /// A stop was asked for.
     pub stopping: Cell<bool>,
+    /// When it was asked for.
+    pub stopping_since: Cell<Option<Time>>,
     /// Servers that nobody orders.
     pub vacancies: RefCell<Vacancies>,
     /// Idle connections are to be closed.
@@ -128,6 +130,7 @@
             store_seen: Cell::new(None),
             in_flight: Cell::new(0),
             stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             vacancies: RefCell::default(),
             closing: Rc::new(Notify::new()),
             closing_idle: Cell::new(false),
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -123,10 +123,16 @@
 }
 
 /// What a server reports of itself, as it stood a moment ago.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerReport {
     /// Orders taken.
     pub orders_taken: u64,
+    /// The base models it holds.
+    pub models: Vec<Rc<str>>,
+    /// The adapters it holds, with their versions.
+    pub held: Vec<(AdapterKey, u64)>,
+    /// The adapters on their way, with their versions.
+    pub pending: Vec<(AdapterKey, u64)>,
 }
 
 /// How a server answers an order.
--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -1,6 +1,6 @@
 //! The daemon as its callers' connections see it.
 
-use super::caller::{CallerRequest, Refused};
+use super::caller::{CallerRequest, RefusalReason, Refused};
 use super::config::{CallerLimits, RouteKind};
 use super::daemon::GatewayDaemon;
 use super::dialect::Dialect;
@@ -14,6 +14,14 @@
 /// A listener that cannot accept waits this long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// A stream that comes later than this after a stop was asked for is refused: it may not end in
+/// time.
+const LAST_STREAM: Duration = Duration::from_millis(2_700);
+/// The same for other requests, before the end of the time to stop.
+const LAST_SHORT: Duration = Duration::from_millis(2_500);
+/// When to come back to another daemon.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
 /// Counts and logs a request, also one whose caller leaves in the middle.
 struct Account<'a> {
     daemon: &'a GatewayDaemon,
@@ -36,6 +44,20 @@
     }
 }
 
+impl GatewayDaemon {
+    /// True if a request came so late in a stop that it may not be finished.
+    fn is_too_late_for(&self, request: &CallerRequest) -> bool {
+        let Some(since) = self.stopping_since.get() else { return false };
+        let passed = self.now().since(since);
+        let within = Duration::from_secs_f64(self.settings.bounds.stop_within_s);
+        let last = match request.meta.model {
+            Some(_) => LAST_STREAM,
+            None => within.saturating_sub(LAST_SHORT),
+        };
+        passed >= last
+    }
+}
+
 impl Host for GatewayDaemon {
     fn limits(&self) -> CallerLimits {
         let view = self.path.view.borrow();
@@ -63,7 +85,10 @@
     async fn serve(&self, request: CallerRequest, sink: &mut Writer<'_>) {
         let mut account = Account { daemon: self, request: &request, served: None };
         self.in_flight.set(self.in_flight.get() + 1);
-        let served = self.path.serve(&request, sink).await;
+        let served = match self.is_too_late_for(&request) {
+            true => Served::refused(Refused::new(RefusalReason::Stopping, Some(STOPPING_RETRY))),
+            false => self.path.serve(&request, sink).await,
+        };
         if let RequestEnd::Refused(refused) = &served.end {
             let _ = sink.refuse(refused).await;
         }
--- a/crates/portrack/src/gateway/ingress.rs
+++ b/crates/portrack/src/gateway/ingress.rs
@@ -82,7 +82,6 @@
         self.finish().await
     }
 
-
     async fn flush(&mut self) -> Result<(), CallerGone> {
         let writing = self.write.write_all(&self.buffer);
         let written = actix_rt::time::timeout(WRITE_PATIENCE, writing).await;
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -29,8 +29,6 @@
 const COLD_GUESS: Duration = Duration::from_millis(240);
 /// A load of what the server has at hand is asked about after this.
 const WARM_GUESS: Duration = Duration::from_millis(20);
-/// Tries of an order whose expected count of orders was out of date.
-const COUNT_TRIES: usize = 3;
 
 /// What became of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +50,7 @@
 struct ServerLine {
     turn: tokio::sync::Mutex<()>,
     orders_taken: Cell<Option<u64>>,
+    surveying: Cell<bool>,
 }
 
 /// Sends orders.
@@ -101,6 +100,9 @@
     pub fn begin_due(self: &Rc<Self>, sink: &Rc<impl NoticeSink + 'static>) {
         let now = self.clock.now();
         let orderable = self.claims.borrow().orderable(now);
+        for (server, address) in self.planner.borrow().unsurveyed(&orderable) {
+            self.begin_survey(server, address);
+        }
         let (plans, given_up) = self.planner.borrow_mut().plan(now, &orderable);
         for plan in plans {
             let (ordering, sink) = (self.clone(), sink.clone());
@@ -115,6 +117,20 @@
         sink.notices(refused.collect());
     }
 
+    fn begin_survey(self: &Rc<Self>, server: Rc<str>, address: SocketAddr) {
+        let line = self.line(&server);
+        if line.surveying.replace(true) {
+            return;
+        }
+        let ordering = self.clone();
+        actix_rt::spawn(async move {
+            let _turn = line.turn.lock().await;
+            line.orders_taken.set(None);
+            ordering.orders_taken(&server, address, &line).await;
+            line.surveying.set(false);
+        });
+    }
+
     fn line(&self, server: &Rc<str>) -> Rc<ServerLine> {
         self.lines.borrow_mut().entry(server.clone()).or_default().clone()
     }
@@ -147,9 +163,10 @@
             sink.notices(vec![notice(plan, victim, NoticeState::Absent)]);
             let order = self.adapter_order(OrderKind::Unload, victim, None);
             match self.order(plan, order).await {
-                Ordered::Answer(OrderAnswer::Holds | OrderAnswer::Accepted) => {
+                Ordered::Answer(OrderAnswer::Holds) => {
                     self.planner.borrow_mut().evicted(self.clock.now(), &plan.server, victim);
                 }
+                Ordered::Answer(OrderAnswer::Accepted) => return PlanEnd::Busy,
                 other => return end_of(other),
             }
         }
@@ -222,11 +239,12 @@
     async fn confirm(&self, plan: &Plan, mut order: Order) -> Ordered {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        let Some(count) = self.orders_taken(plan, &line).await else { return Ordered::NotSent };
+        let count = self.orders_taken(&plan.server, plan.address, &line).await;
+        let Some(count) = count else { return Ordered::NotSent };
         order.expected = Some(count);
         let ordered = self.send(plan, &mut order).await;
         if !matches!(ordered, Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Holds)) {
-            line.orders_taken.set(None);
+            self.unsure(&plan.server, &line);
         }
         ordered
     }
@@ -235,42 +253,46 @@
     async fn order(&self, plan: &Plan, mut order: Order) -> Ordered {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        for _ in 0..COUNT_TRIES {
-            let Some(count) = self.orders_taken(plan, &line).await else {
-                return Ordered::NotSent;
-            };
-            order.expected = Some(count);
-            let ordered = self.send(plan, &mut order).await;
-            match ordered {
-                Ordered::Answer(OrderAnswer::Accepted) => line.orders_taken.set(Some(count + 1)),
-                Ordered::Answer(OrderAnswer::Holds) if order.kind == OrderKind::Unload => {
-                    line.orders_taken.set(Some(count + 1));
-                }
-                Ordered::Answer(OrderAnswer::Holds) => {}
-                Ordered::Answer(OrderAnswer::Busy) => {
-                    line.orders_taken.set(None);
-                    continue;
-                }
-                Ordered::Answer(_) | Ordered::Unknown => line.orders_taken.set(None),
-                Ordered::NotSent => {}
+        let count = self.orders_taken(&plan.server, plan.address, &line).await;
+        let Some(count) = count else { return Ordered::NotSent };
+        order.expected = Some(count);
+        let ordered = self.send(plan, &mut order).await;
+        match ordered {
+            Ordered::Answer(OrderAnswer::Accepted) => line.orders_taken.set(Some(count + 1)),
+            Ordered::Answer(OrderAnswer::Holds) if order.kind == OrderKind::Unload => {
+                line.orders_taken.set(Some(count + 1));
             }
-            return ordered;
+            Ordered::Answer(OrderAnswer::Holds) | Ordered::NotSent => {}
+            Ordered::Answer(_) | Ordered::Unknown => self.unsure(&plan.server, &line),
         }
-        Ordered::Answer(OrderAnswer::Busy)
+        ordered
     }
 
-    async fn orders_taken(&self, plan: &Plan, line: &ServerLine) -> Option<u64> {
+    /// The server's state is not known any more: its report is read before the next order.
+    fn unsure(&self, server: &str, line: &ServerLine) {
+        line.orders_taken.set(None);
+        self.planner.borrow_mut().unsure(server);
+    }
+
+    /// The number of orders that the server has taken; asks it if that is not known.
+    async fn orders_taken(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+        line: &ServerLine,
+    ) -> Option<u64> {
         if let Some(count) = line.orders_taken.get() {
             return Some(count);
         }
         let path = self.dialect.report_path();
-        let answer = self.call(&plan.server, plan.address, "GET", path, &[], || true).await;
+        let answer = self.call(server, address, "GET", path, &[], || true).await;
         let Called::Answer(head, body) = answer else { return None };
         if !head.status.is_success() {
             return None;
         }
         let report = self.dialect.report(&body).ok()?;
         line.orders_taken.set(Some(report.orders_taken));
+        self.planner.borrow_mut().reported(self.clock.now(), server, &report);
         Some(report.orders_taken)
     }
 
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -3,7 +3,7 @@
 use super::adapter_demand::AdapterDemand;
 use super::backend::Backend;
 use super::config::EngineSpec;
-use super::dialect::AdapterKey;
+use super::dialect::{AdapterKey, ServerReport};
 use crate::types::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,6 +12,8 @@
 
 /// The store's list catches up with an order within this.
 const LIST_LAG: Duration = Duration::from_millis(4_000);
+/// A report is older than an order by this at most.
+const REPORT_LAG: Duration = Duration::from_millis(700);
 /// A server that did not answer an order is left alone for this long.
 const REST_AFTER_SILENCE: Duration = Duration::from_millis(1_500);
 /// A server that is busy with another order is left alone for this long.
@@ -66,6 +68,8 @@
     pub slots: HashMap<AdapterKey, Slot>,
     /// A base model was ordered then.
     pub base_ordered_at: Option<Time>,
+    /// A report was read since this daemon began to order it.
+    pub surveyed: bool,
     gone: HashMap<AdapterKey, Time>,
     held_once: Vec<(AdapterKey, u64)>,
     resting_until: Time,
@@ -81,6 +85,7 @@
             models: Vec::new(),
             slots: HashMap::new(),
             base_ordered_at: None,
+            surveyed: false,
             gone: HashMap::new(),
             held_once: Vec::new(),
             resting_until: Time(0),
@@ -111,6 +116,26 @@
         }
     }
 
+    /// Takes a report in, which is newer than the list but may be older than the last orders.
+    pub fn reported(&mut self, now: Time, report: &ServerReport) {
+        self.surveyed = true;
+        self.models = report.models.clone();
+        let told = |key: &AdapterKey| {
+            report.held.iter().chain(&report.pending).any(|(told, _)| told == key)
+        };
+        self.slots.retain(|key, slot| told(key) || now.since(slot.changed_at) < REPORT_LAG);
+        for (key, version) in &report.held {
+            self.remember(key, *version);
+            let fresh = Slot::new(*version, SlotState::Held, now);
+            let slot = self.slots.entry(key.clone()).or_insert(fresh);
+            slot.version = slot.version.max(*version);
+        }
+        for (key, version) in &report.pending {
+            let fresh = Slot::new(*version, SlotState::Loading, now);
+            self.slots.entry(key.clone()).or_insert(fresh);
+        }
+    }
+
     fn listed_adapter(&mut self, now: Time, key: AdapterKey, version: u64) {
         if self.gone.contains_key(&key) {
             return;
@@ -156,6 +181,15 @@
         self.gone.insert(key.clone(), now);
     }
 
+    /// A load of this version did not begin: whatever was there before is told by the next report.
+    pub fn unsettle(&mut self, key: &AdapterKey, version: u64) {
+        let begun = |slot: &Slot| slot.state == SlotState::Loading && slot.version == version;
+        if self.slots.get(key).is_some_and(begun) {
+            self.slots.remove(key);
+        }
+        self.surveyed = false;
+    }
+
     /// Notes that requests used an adapter.
     pub fn used(&mut self, now: Time, key: &AdapterKey, times: u16) {
         if let Some(slot) = self.slots.get_mut(key) {
@@ -176,7 +210,7 @@
 
     /// True if it takes orders at all.
     pub fn takes_orders(&self, now: Time) -> bool {
-        !self.draining && now >= self.resting_until
+        self.surveyed && !self.draining && now >= self.resting_until
     }
 
     /// True if it takes a further adapter of a model now.
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -3,7 +3,7 @@
 
 use super::backend::Backend;
 use super::config::{EngineSpec, FleetConfig};
-use super::dialect::AdapterKey;
+use super::dialect::{AdapterKey, ServerReport};
 use super::load_budget::LoadBudget;
 use super::planned_server::{PlannedServer, SlotState};
 use crate::types::Time;
@@ -120,6 +120,27 @@
         self.wishes.retain(|(server, _), _| &**server != id);
     }
 
+    /// Takes a server's report in.
+    pub fn reported(&mut self, now: Time, id: &str, report: &ServerReport) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.reported(now, report);
+        }
+    }
+
+    /// What a server holds has to be asked before it is ordered again.
+    pub fn unsure(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.surveyed = false;
+        }
+    }
+
+    /// The servers, of these, whose report has to be read first, with their addresses.
+    pub fn unsurveyed(&self, orderable: &[Rc<str>]) -> Vec<(Rc<str>, SocketAddr)> {
+        let servers = orderable.iter().filter_map(|id| self.servers.get_key_value(id));
+        let unsurveyed = servers.filter(|(_, server)| !server.surveyed && !server.draining);
+        unsurveyed.map(|(id, server)| (id.clone(), server.address)).collect()
+    }
+
     /// A newer version of an adapter is named.
     pub fn named(&mut self, key: &AdapterKey, version: u64) {
         let named = self.versions.entry(key.clone()).or_insert(version);
@@ -283,6 +304,7 @@
         if let Some(victim) = &plan.evict
             && let Some(slot) = server.slots.get_mut(victim)
             && slot.state == SlotState::Leaving
+            && end != PlanEnd::Busy
         {
             slot.state = SlotState::Held;
         }
@@ -294,9 +316,9 @@
         };
         match end {
             PlanEnd::Done => server.set(now, key, *version, SlotState::Held),
-            PlanEnd::Refused | PlanEnd::NotSent => server.unset(now, key),
+            PlanEnd::Refused | PlanEnd::NotSent => server.unsettle(key, *version),
             PlanEnd::Busy => {
-                server.unset(now, key);
+                server.unsettle(key, *version);
                 let wish = Wish { version: *version, since: now - plan.waited };
                 self.wishes.entry((plan.server.clone(), key.clone())).or_insert(wish);
             }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -145,6 +145,7 @@
         let within = Duration::from_secs_f64(daemon.settings.bounds.stop_within_s);
         let within = within.saturating_sub(STOP_RESERVE);
         daemon.stopping.set(true);
+        daemon.stopping_since.set(Some(began));
         log::info!(in_flight = daemon.in_flight.get(); "stop_begun");
         daemon.beat();
         loop {
