--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -26,17 +26,24 @@
 #[derive(Debug, Default)]
 pub struct DemandLog {
     uses: RefCell<HashMap<(Rc<str>, AdapterKey), u16>>,
+    running: RefCell<HashMap<(Rc<str>, AdapterKey), u16>>,
     wishes: RefCell<Vec<Wish>>,
     wished_at: RefCell<HashMap<(AdapterKey, Rc<str>), Time>>,
     wished: Notify,
 }
 
 impl DemandLog {
-    /// Counts a request that uses an adapter at a server.
-    pub fn used(&self, server: &Rc<str>, key: &AdapterKey) {
+    /// Counts a request that uses an adapter at a server, and runs there until the guard is
+    /// dropped.
+    pub fn begin(self: &Rc<Self>, server: &Rc<str>, key: &AdapterKey) -> UseGuard {
+        let place = (server.clone(), key.clone());
         let mut uses = self.uses.borrow_mut();
-        let times = uses.entry((server.clone(), key.clone())).or_default();
+        let times = uses.entry(place.clone()).or_default();
         *times = times.saturating_add(1);
+        let mut running = self.running.borrow_mut();
+        let count = running.entry(place.clone()).or_default();
+        *count = count.saturating_add(1);
+        UseGuard { log: self.clone(), place }
     }
 
     /// Wishes for an adapter at a server, unless that was just done.
@@ -62,9 +69,12 @@
         self.wishes.take()
     }
 
-    /// Takes the uses not told yet.
+    /// Takes the uses not told yet; what still runs is told each time, with 0 further uses.
     pub fn take_uses(&self) -> Vec<(Rc<str>, AdapterKey, u16)> {
-        let uses = self.uses.take();
+        let mut uses = self.uses.take();
+        for place in self.running.borrow().keys() {
+            uses.entry(place.clone()).or_default();
+        }
         uses.into_iter().map(|((server, key), times)| (server, key, times)).collect()
     }
 
@@ -73,3 +83,21 @@
         self.wished_at.borrow_mut().retain(|_, at| now.since(*at) < WISH_AGAIN);
     }
 }
+
+/// A request that runs at a server with an adapter.
+#[derive(Debug)]
+pub struct UseGuard {
+    log: Rc<DemandLog>,
+    place: (Rc<str>, AdapterKey),
+}
+
+impl Drop for UseGuard {
+    fn drop(&mut self) {
+        let mut running = self.log.running.borrow_mut();
+        let Some(count) = running.get_mut(&self.place) else { return };
+        *count -= 1;
+        if *count == 0 {
+            running.remove(&self.place);
+        }
+    }
+}
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -20,7 +20,7 @@
 /// Between heartbeats.
 const BEAT: Duration = Duration::from_millis(300);
 /// Uses are told this often.
-const USES_TOLD: Duration = Duration::from_millis(1_000);
+const USES_TOLD: Duration = Duration::from_millis(600);
 /// Wishes and uses in one datagram.
 const DEMAND_CHUNK: usize = 20;
 /// Notices in one datagram.
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -231,6 +231,7 @@
         let bytes = request_bytes(&*self.dialect, job.request, &self.forward_meta(job, choice));
         let tokens = job.model().map_or(0, |model| model.prompt_tokens as u32);
         let mut guard = self.loads.begin(&backend.id, tokens);
+        let _using = job.adapter().map(|key| self.demand.begin(&backend.id, &key));
         let most = self.connections_share(&job.service);
         let id = &job.request.meta.id;
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -73,7 +73,6 @@
         let give_up = arrived + patience(&job.route);
         loop {
             if let Some(choice) = self.holder(job, key) {
-                self.demand.used(&choice.backend.id, key);
                 return Ok(choice);
             }
             self.wish(job, key);
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -22,10 +22,9 @@
 const MOST_PENDING: usize = 4;
 /// Adapters that a server once held and may still have at hand.
 const REMEMBERED: usize = 100;
-/// An adapter used this lately is not evicted if another one can be.
-const JUST_USED: Duration = Duration::from_millis(2_500);
-/// What a victim that was used a moment ago costs besides its rate.
-const JUST_USED_COST: f64 = 50.0;
+/// An adapter whose use was told this lately may be in use and is not evicted: an unload that waits
+/// for its runs holds up every other order.
+const JUST_USED: Duration = Duration::from_millis(1_500);
 
 /// How far an adapter at a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -226,14 +225,16 @@
         room.saturating_sub(1).saturating_sub(self.slots.len())
     }
 
-    /// The adapter that is missed least if it goes. `newest` tells the newest version of each.
+    /// The adapter that is missed least if it goes; none that may be in use. `newest` tells the
+    /// newest version of each.
     pub fn victim(&self, now: Time, newest: impl Fn(&AdapterKey) -> u64) -> Option<AdapterKey> {
-        let held = self.slots.iter().filter(|(_, slot)| slot.state == SlotState::Held);
-        let costed = held.map(|(key, slot)| {
+        let idle = self.slots.iter().filter(|(_, slot)| {
+            slot.state == SlotState::Held && now.since(slot.used_at) >= JUST_USED
+        });
+        let costed = idle.map(|(key, slot)| {
             let outdated = slot.version < newest(key);
             let rate = if outdated { 0.0 } else { slot.demand.rate(now) };
-            let just_used = now.since(slot.used_at) < JUST_USED;
-            (rate + if just_used { JUST_USED_COST } else { 0.0 }, key)
+            (rate, key)
         });
         let least = costed.min_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| x.cmp(y)));
         least.map(|(_, key)| key.clone())
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -174,6 +174,13 @@
                 SlotState::Leaving => {}
             }
         }
+        let room = self.config.as_ref().and_then(|config| {
+            let spec = config.services.get(&server.service)?.engine.as_ref()?;
+            Some(server.free(spec, &key.model))
+        });
+        if room == Some(0) && server.victim(now, |_| 0).is_none() {
+            return WishAnswer::Refused;
+        }
         let fresh = Wish { version, since: now };
         let wish = self.wishes.entry((id.clone(), key.clone())).or_insert(fresh);
         wish.version = wish.version.max(version);
