--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -66,12 +66,15 @@
 pub use load::{LoadTable, Work};
 pub use load_budget::LoadBudget;
 pub use logging::LogSink;
-pub use message::{Heartbeat, NoticeState, PeerMessage, PlacementNotice};
+pub use message::{
+    AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
+    decode as decode_message, encode as encode_message,
+};
 pub use metrics::GatewayMetrics;
 pub use mirror::{Mirror, MirrorItem, Mirrored};
 pub use ordering::{NoticeSink, Ordering};
 pub use path::{RequestEnd, RequestPath, Served};
-pub use peers::{PeerChange, Peers};
+pub use peers::{Peer, PeerChange, Peers};
 pub use planner::{Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use pool::Pool;
 pub use retries::{RetryBounds, ServiceRetries};
--- /dev/null
+++ b/crates/portrack/tests/gateway/answers.rs
@@ -0,0 +1,184 @@
+//! Heads, bodies and events of answers, in pieces of any size.
+
+use actix_http::header::HeaderMap;
+use bytes::{Bytes, BytesMut};
+use portrack::gateway::{
+    AnswerHead, AnswerMeta, BodyDecoder, Dialect, DialectError, EventSplitter, ForwardMeta,
+    Framing, Item, ItemKey, Order, OrderAnswer, RequestMeta, ServerReport, Step, take_head,
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// A dialect whose answers name their request in `id`.
+struct Plain;
+
+impl Dialect for Plain {
+    fn prefixes(&self) -> &'static [&'static str] {
+        &[]
+    }
+    fn key(&self, _: &str) -> ItemKey {
+        ItemKey::Unknown
+    }
+    fn item(&self, _: &str, _: &[u8]) -> Result<Option<Item>, DialectError> {
+        Ok(None)
+    }
+    fn request(&self, _: &HeaderMap) -> Result<RequestMeta, DialectError> {
+        Ok(RequestMeta::default())
+    }
+    fn is_set_by_us(&self, _: &str) -> bool {
+        false
+    }
+    fn write_forward(&self, _: &ForwardMeta<'_>, _: &mut Vec<u8>) {}
+    fn answer_header(&self, name: &str, value: &str, meta: &mut AnswerMeta) {
+        if name == "id" {
+            meta.request_id = Some(value.to_owned());
+        }
+    }
+    fn last_event(&self, _: &HeaderMap) -> Option<String> {
+        None
+    }
+    fn readiness_path(&self) -> &'static str {
+        "/"
+    }
+    fn order(&self, _: &Order) -> (&'static str, Vec<u8>) {
+        ("/", Vec::new())
+    }
+    fn order_target(&self, _: &str) -> (&'static str, String) {
+        ("x", String::new())
+    }
+    fn report_path(&self) -> &'static str {
+        "/"
+    }
+    fn report(&self, _: &[u8]) -> Result<ServerReport, DialectError> {
+        Ok(ServerReport::default())
+    }
+    fn order_answer(&self, _: u16) -> OrderAnswer {
+        OrderAnswer::Refused
+    }
+}
+
+fn head(text: &str) -> AnswerHead {
+    take_head(&Plain, &mut BytesMut::from(text)).expect("an answer").expect("whole")
+}
+
+fn refused(text: &str) -> bool {
+    take_head(&Plain, &mut BytesMut::from(text)).is_err()
+}
+
+#[test]
+fn framing_connection_and_owner_are_read() {
+    let sized = head("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 5\r\n\r\n");
+    assert_eq!(sized.framing, Framing::Length(5));
+    assert_eq!(sized.meta.request_id.as_deref(), Some("r1"));
+    assert!(!sized.close);
+    let chunked =
+        head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+    assert_eq!(chunked.framing, Framing::Chunked);
+    assert!(chunked.close);
+    let endless = head("HTTP/1.1 200 OK\r\n\r\n");
+    assert_eq!(endless.framing, Framing::UntilClose);
+    assert!(endless.close, "nothing can follow it");
+    let idle = head("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=4, max=9\r\n\r\n");
+    assert_eq!(idle.keep_alive, Some(Duration::from_secs(4)));
+    assert_eq!(head("HTTP/1.1 204 No Content\r\n\r\n").framing, Framing::Length(0));
+}
+
+#[test]
+fn headers_of_one_connection_are_not_handed_on() {
+    let head = head(
+        "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nKeep-Alive: timeout=4\r\nX-Own: 1\r\n\
+         Transfer-Encoding: chunked\r\n\r\n",
+    );
+    let names: Vec<&str> = head.headers.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["x-own"]);
+}
+
+#[test]
+fn bytes_that_are_no_answer_are_refused() {
+    assert!(refused("GARBAGE \0\r\n\r\n"));
+    assert!(refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"));
+    assert!(refused("HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\n"));
+    assert!(refused(&format!("HTTP/1.1 200 OK\r\nX: {}", "y".repeat(40_000))));
+}
+
+fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, bool), String> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        loop {
+            match decoder.step(&mut buffer).map_err(|error| error.to_string())? {
+                Step::Part(part) => body.extend_from_slice(&part),
+                Step::End => return Ok((body, true)),
+                Step::More => break,
+            }
+        }
+    }
+    Ok((body, decoder.ends_with_connection()))
+}
+
+#[test]
+fn a_body_that_is_not_whole_does_not_look_whole() {
+    assert_eq!(decode(Framing::Length(5), &[b"abc"]), Ok((b"abc".to_vec(), false)));
+    assert_eq!(decode(Framing::Chunked, &[b"3\r\nabc\r\n"]), Ok((b"abc".to_vec(), false)));
+    assert_eq!(decode(Framing::UntilClose, &[b"abc"]), Ok((b"abc".to_vec(), true)));
+    assert!(decode(Framing::Chunked, &[b"zz\r\nabc\r\n"]).is_err());
+    assert!(decode(Framing::Chunked, &[b"3\r\nabcXX"]).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_chunked_body_survives_any_split(
+        chunks in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..40), 0..6),
+        cut in 1_usize..9,
+    ) {
+        let mut wire = Vec::new();
+        for chunk in &chunks {
+            wire.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            wire.extend_from_slice(chunk);
+            wire.extend_from_slice(b"\r\n");
+        }
+        wire.extend_from_slice(b"0\r\n\r\n");
+        let pieces: Vec<&[u8]> = wire.chunks(cut).collect();
+        prop_assert_eq!(decode(Framing::Chunked, &pieces), Ok((chunks.concat(), true)));
+    }
+
+    #[test]
+    fn a_head_is_read_whole_or_not_at_all(cut in 0_usize..60) {
+        let text = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 5\r\n\r\n";
+        let cut = cut.min(text.len());
+        let mut buffer = BytesMut::from(&text[..cut]);
+        let first = take_head(&Plain, &mut buffer).expect("no error");
+        prop_assert_eq!(first.is_some(), cut == text.len());
+        if first.is_none() {
+            buffer.extend_from_slice(&text.as_bytes()[cut..]);
+            prop_assert!(take_head(&Plain, &mut buffer).expect("no error").is_some());
+        }
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = take_head(&Plain, &mut BytesMut::from(&bytes[..]));
+        let _ = decode(Framing::Chunked, &[&bytes]);
+    }
+
+    #[test]
+    fn events_are_handed_on_whole(cut in 1_usize..12) {
+        let wire = b"id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c";
+        let mut events = EventSplitter::default();
+        let mut out = Vec::new();
+        for piece in wire.chunks(cut) {
+            if let Some(whole) = events.push(piece) {
+                out.extend_from_slice(&whole);
+                prop_assert!(whole.ends_with(b"\n\n"));
+            }
+        }
+        prop_assert_eq!(&out[..], &wire[..31]);
+        prop_assert_eq!(events.last_id(), Some("2"));
+        events.drop_partial();
+        prop_assert_eq!(events.rest(), Bytes::new());
+    }
+}
--- /dev/null
+++ b/crates/portrack/tests/gateway/holdings.rs
@@ -0,0 +1,45 @@
+//! What a daemon believes of servers, versions and configurations.
+
+use crate::support::{backend, key, ms};
+use portrack::Time;
+use portrack::gateway::{Holdings, Presence};
+
+#[test]
+fn the_list_is_replaced_entry_by_entry() {
+    let mut holdings = Holdings::default();
+    let before = backend("s1", &[("a1", 1), ("a2", 1)]);
+    let after = backend("s1", &[("a2", 2)]);
+    holdings.list(None, Some(&before));
+    assert_eq!(holdings.holders(Time(0), &key("a1")), [("s1".into(), 1)]);
+    holdings.list(Some(&before), Some(&after));
+    assert!(holdings.holders(Time(0), &key("a1")).is_empty());
+    assert_eq!(holdings.holders(Time(0), &key("a2")), [("s1".into(), 2)]);
+    holdings.list(Some(&after), None);
+    assert!(holdings.holders(Time(0), &key("a2")).is_empty());
+}
+
+#[test]
+fn a_fresh_notice_outweighs_the_list() {
+    let mut holdings = Holdings::default();
+    holdings.list(None, Some(&backend("s1", &[("a1", 1)])));
+    holdings.notice(&key("a1"), &"s1".into(), Presence::Absent, Time(500));
+    assert!(holdings.holders(Time(499), &key("a1")).is_empty());
+    assert_eq!(holdings.holders(Time(500), &key("a1")).len(), 1, "the list counts again");
+    holdings.notice(&key("a2"), &"s2".into(), Presence::Held(3), Time(500));
+    assert_eq!(holdings.holders(Time(100), &key("a2")), [("s2".into(), 3)]);
+    holdings.forget_old(Time(600));
+    assert!(holdings.holders(Time(600), &key("a2")).is_empty());
+}
+
+#[test]
+fn what_is_coming_is_expected_and_cannot_be_used_yet() {
+    let mut holdings = Holdings::default();
+    let at = Time(0) + ms(300);
+    holdings.notice(&key("a1"), &"s1".into(), Presence::Coming(1, at), Time(4_000));
+    assert!(holdings.holders(Time(10), &key("a1")).is_empty());
+    assert_eq!(holdings.expected(Time(10), &key("a1")), Some(at));
+    holdings.notice(&key("a1"), &"s1".into(), Presence::Refused, Time(900));
+    assert_eq!(holdings.expected(Time(10), &key("a1")), None);
+    assert!(holdings.is_refused(Time(10), &key("a1"), "s1"));
+    assert!(!holdings.is_refused(Time(900), &key("a1"), "s1"));
+}
--- /dev/null
+++ b/crates/portrack/tests/gateway/homes.rs
@@ -0,0 +1,42 @@
+//! Where an adapter is loaded.
+
+use crate::support::key;
+use portrack::gateway::{Home, home};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+fn open(costs: &[f64]) -> Vec<Home> {
+    let named = costs.iter().enumerate();
+    named.map(|(n, cost)| Home { server: format!("s{n}").into(), cost: *cost }).collect()
+}
+
+#[test]
+fn everybody_chooses_the_same_home_and_homes_are_spread() {
+    let servers = open(&[0.0; 6]);
+    let mut counts: HashMap<Rc<str>, usize> = HashMap::new();
+    for n in 0..600 {
+        let key = key(&format!("a{n}"));
+        let chosen = home(&key, &servers).expect("a home");
+        let mut reversed = servers.clone();
+        reversed.reverse();
+        assert_eq!(home(&key, &reversed), Some(chosen.clone()));
+        *counts.entry(chosen).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| (60..150).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn a_home_stays_unless_it_is_much_busier_or_gone() {
+    let quiet = open(&[0.0; 6]);
+    let first = home(&key("a1"), &quiet).expect("a home");
+    let with_cost = |cost: f64| {
+        let mut servers = quiet.clone();
+        servers.iter_mut().filter(|home| home.server == first).for_each(|home| home.cost = cost);
+        home(&key("a1"), &servers).expect("a home")
+    };
+    assert_eq!(with_cost(5.0), first);
+    assert_ne!(with_cost(50.0), first);
+    let others: Vec<Home> = quiet.into_iter().filter(|home| home.server != first).collect();
+    assert_ne!(home(&key("a1"), &others).expect("a home"), first);
+    assert_eq!(home(&key("a1"), &[]), None);
+}
--- /dev/null
+++ b/crates/portrack/tests/gateway/main.rs
@@ -0,0 +1,17 @@
+//! The gateway's decisions, without sockets, clocks or the platform.
+
+mod answers;
+mod claims;
+mod history;
+mod holdings;
+mod homes;
+mod logs;
+mod messages;
+mod mirror;
+mod peers;
+mod planner;
+mod retries;
+mod routes;
+mod settings;
+mod support;
+mod vacancies;
--- /dev/null
+++ b/crates/portrack/tests/gateway/messages.rs
@@ -0,0 +1,60 @@
+//! Datagrams between daemons.
+
+use portrack::gateway::{
+    Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice, decode_message,
+    encode_message,
+};
+use proptest::prelude::*;
+
+fn heartbeat(servers: u32) -> PeerMessage {
+    PeerMessage::Heartbeat(Heartbeat {
+        node: "front-sala-centro-1".into(),
+        hall: "sala-centro".into(),
+        address: "10.1.0.38:7380".parse().expect("an address"),
+        incarnation: 1_772_255_030_017,
+        revision: 9_999_999,
+        leaving: false,
+        sees_store: true,
+        orders: (0..servers.min(20)).collect(),
+        work: (0..servers).map(|mark| (mark | 0xff00_0000, Default::default())).collect(),
+        known: vec!["10.1.0.39:7380".parse().expect("an address"); 8],
+    })
+}
+
+#[test]
+fn messages_come_back_as_they_were() {
+    let notice = PlacementNotice {
+        server: "i-1".into(),
+        model: "m".into(),
+        adapter: "a1".into(),
+        state: NoticeState::Coming(3, 250),
+    };
+    for message in [heartbeat(12), PeerMessage::Placement(vec![notice])] {
+        let bytes = encode_message(&message).expect("short enough");
+        assert_eq!(decode_message(&bytes), Some(message));
+    }
+}
+
+#[test]
+fn a_message_that_does_not_fit_is_not_sent() {
+    assert!(encode_message(&heartbeat(140)).is_some(), "140 busy servers fit");
+    assert!(encode_message(&heartbeat(1_000)).is_none());
+}
+
+#[test]
+fn other_versions_and_foreign_bytes_are_dropped() {
+    let mut bytes = encode_message(&heartbeat(3)).expect("short enough");
+    bytes[0] = 9;
+    assert_eq!(decode_message(&bytes), None);
+    assert_eq!(decode_message(&[]), None);
+    assert_eq!(decode_message(&vec![1; MAX_DATAGRAM + 1]), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode_message(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/portrack/tests/gateway/mirror.rs
@@ -0,0 +1,80 @@
+//! The copy of the store never goes back.
+
+use portrack::gateway::{Mirror, MirrorItem, Mirrored};
+use portrack::store::{KvChange, KvHeld, KvList};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn held(key: &str, revision: u64) -> KvHeld {
+    KvHeld { key: key.into(), revision, value: revision.to_be_bytes().to_vec() }
+}
+
+fn gone(key: &str, revision: u64) -> KvChange {
+    KvChange::Gone { key: key.into(), revision }
+}
+
+#[test]
+fn an_older_value_never_replaces_a_newer_one() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.apply(KvChange::Put(held("a", 5))).is_some());
+    assert_eq!(mirror.apply(KvChange::Put(held("a", 4))), None);
+    assert_eq!(mirror.apply(KvChange::Put(held("a", 5))), None);
+    assert_eq!(mirror.apply(gone("a", 4)), None);
+    assert_eq!(mirror.apply(gone("a", 6)), Some(Mirrored::Gone("a".into())));
+    assert_eq!(mirror.apply(KvChange::Put(held("a", 5))), None, "a removed key stays removed");
+    assert!(mirror.apply(KvChange::Put(held("a", 7))).is_some());
+}
+
+#[test]
+fn a_whole_reading_removes_what_it_does_not_list() {
+    let mut mirror = Mirror::default();
+    for (key, revision) in [("p/a", 2), ("p/b", 3), ("q/c", 4), ("p/new", 9)] {
+        mirror.apply(KvChange::Put(held(key, revision)));
+    }
+    let list = KvList { revision: 8, entries: vec![held("p/b", 3), held("p/d", 7)] };
+    let changes = mirror.apply_all("p/", list);
+    assert_eq!(changes, [Mirrored::Gone("p/a".into()), Mirrored::Put(held("p/d", 7))]);
+    let left: Vec<String> =
+        mirror.items_after(0).into_iter().filter(|i| i.value.is_some()).map(|i| i.key).collect();
+    assert_eq!(left, ["p/b", "p/d", "p/new", "q/c"], "what is newer than the reading stays");
+}
+
+#[test]
+fn a_peer_with_an_old_copy_brings_nothing_back() {
+    let mut mirror = Mirror::default();
+    mirror.apply(KvChange::Put(held("a", 5)));
+    mirror.apply(gone("a", 8));
+    let old = MirrorItem { key: "a".into(), revision: 5, value: Some(vec![1]) };
+    assert!(mirror.apply_items(vec![old]).is_empty());
+    let mut other = Mirror::default();
+    other.apply(KvChange::Put(held("a", 5)));
+    let changes = other.apply_items(mirror.items_after(5));
+    assert_eq!(changes, [Mirrored::Gone("a".into())], "removals reach a peer that catches up");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_order_of_changes_ends_in_the_newest(
+        changes in proptest::collection::vec((0_u8..4, 1_u64..40, any::<bool>()), 0..40)
+    ) {
+        let mut newest: BTreeMap<String, (u64, bool)> = BTreeMap::new();
+        let mut mirror = Mirror::default();
+        for (key, revision, put) in changes {
+            let key = format!("k{key}");
+            let before = newest.get(&key).copied();
+            if before.is_none_or(|(held, _)| held < revision) {
+                newest.insert(key.clone(), (revision, put));
+            }
+            let change = if put { KvChange::Put(held(&key, revision)) } else { gone(&key, revision) };
+            mirror.apply(change);
+        }
+        let items: BTreeMap<String, (u64, bool)> = mirror
+            .items_after(0)
+            .into_iter()
+            .map(|item| (item.key, (item.revision, item.value.is_some())))
+            .collect();
+        prop_assert_eq!(items, newest);
+    }
+}
--- /dev/null
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -0,0 +1,190 @@
+//! What is loaded where, and what makes way.
+
+use crate::support::{MODEL, backend, config, key, ms};
+use portrack::Time;
+use portrack::gateway::{Plan, PlanEnd, PlannedLoad, Planner, ServerReport, WishAnswer};
+use std::rc::Rc;
+
+fn report(held: &[(&str, u64)]) -> ServerReport {
+    ServerReport {
+        orders_taken: 0,
+        models: vec![MODEL.into()],
+        held: held.iter().map(|(name, version)| (key(name), *version)).collect(),
+        pending: Vec::new(),
+    }
+}
+
+/// A planner with one surveyed server of five places.
+fn planner(held: &[(&str, u64)]) -> (Planner, Rc<str>) {
+    let server: Rc<str> = "s1".into();
+    let mut planner = Planner::default();
+    planner.config(Time(0), config(5, 3.0));
+    planner.server(Time(0), &backend("s1", held));
+    planner.reported(Time(0), "s1", &report(held));
+    (planner, server)
+}
+
+fn plans(planner: &mut Planner, now: u64, server: &Rc<str>) -> Vec<Plan> {
+    planner.plan(Time(now), std::slice::from_ref(server)).0
+}
+
+#[test]
+fn a_wish_becomes_one_load_and_then_a_holding() {
+    let (mut planner, server) = planner(&[]);
+    assert_eq!(planner.wish(Time(10), &server, &key("a1"), 1), WishAnswer::Coming);
+    assert_eq!(planner.wish(Time(11), &server, &key("a1"), 1), WishAnswer::Coming);
+    let begun = plans(&mut planner, 12, &server);
+    let [plan] = &begun[..] else { panic!("one plan: {begun:?}") };
+    assert_eq!(plan.load, PlannedLoad::Adapter(key("a1"), 1));
+    assert!(plan.cold && plan.evict.is_none());
+    assert!(plans(&mut planner, 13, &server).is_empty(), "not twice");
+    planner.ended(Time(300), plan, PlanEnd::Done);
+    assert_eq!(planner.wish(Time(310), &server, &key("a1"), 1), WishAnswer::Held(1));
+}
+
+#[test]
+fn a_server_is_not_ordered_before_its_report_was_read() {
+    let server: Rc<str> = "s1".into();
+    let mut planner = Planner::default();
+    planner.config(Time(0), config(5, 3.0));
+    planner.server(Time(0), &backend("s1", &[]));
+    planner.wish(Time(10), &server, &key("a1"), 1);
+    assert!(plans(&mut planner, 20, &server).is_empty());
+    assert_eq!(planner.unsurveyed(std::slice::from_ref(&server)).len(), 1);
+    planner.reported(Time(30), "s1", &report(&[]));
+    assert_eq!(plans(&mut planner, 40, &server).len(), 1);
+}
+
+#[test]
+fn one_place_always_stays_free_and_pending_loads_count() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1)]);
+    for name in ["b1", "b2", "b3", "b4"] {
+        planner.wish(Time(10_000), &server, &key(name), 1);
+    }
+    let begun = plans(&mut planner, 10_001, &server);
+    let evicting = begun.iter().filter(|plan| plan.evict.is_some()).count();
+    assert_eq!(begun.len() - evicting, 2, "two of five places were free besides the spare one");
+    assert!(begun.len() <= 4);
+}
+
+#[test]
+fn loads_of_a_report_count_as_pending() {
+    let (mut planner, server) = planner(&[]);
+    let mut told = report(&[]);
+    told.pending = ["p1", "p2", "p3", "p4"].iter().map(|name| (key(name), 1)).collect();
+    planner.reported(Time(100), "s1", &told);
+    planner.wish(Time(110), &server, &key("a1"), 1);
+    assert!(plans(&mut planner, 120, &server).is_empty());
+}
+
+#[test]
+fn the_least_used_idle_adapter_makes_way() {
+    let held = [("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)];
+    let (mut planner, server) = planner(&held);
+    planner.used(Time(1_000), "s1", &key("a1"), 9);
+    planner.used(Time(1_000), "s1", &key("a2"), 1);
+    planner.used(Time(1_000), "s1", &key("a3"), 5);
+    planner.used(Time(9_900), "s1", &key("a4"), 1);
+    planner.wish(Time(10_000), &server, &key("b1"), 1);
+    let begun = plans(&mut planner, 10_001, &server);
+    assert_eq!(begun[0].evict, Some(key("a2")), "a4 is asked for less but may be in use");
+}
+
+#[test]
+fn a_server_whose_adapters_are_all_in_use_refuses() {
+    let held = [("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)];
+    let (mut planner, server) = planner(&held);
+    for (name, _) in held {
+        planner.used(Time(9_900), "s1", &key(name), 0);
+    }
+    assert_eq!(planner.wish(Time(10_000), &server, &key("b1"), 1), WishAnswer::Refused);
+}
+
+#[test]
+fn an_outdated_adapter_makes_way_first() {
+    let held = [("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)];
+    let (mut planner, server) = planner(&held);
+    planner.used(Time(1_000), "s1", &key("a1"), 50);
+    planner.named(&key("a1"), 2);
+    planner.wish(Time(10_000), &server, &key("b1"), 1);
+    assert_eq!(plans(&mut planner, 10_001, &server)[0].evict, Some(key("a1")));
+}
+
+#[test]
+fn a_wish_gets_the_newest_version_that_is_named() {
+    let (mut planner, server) = planner(&[("a1", 1)]);
+    planner.named(&key("a1"), 3);
+    assert_eq!(planner.wish(Time(10), &server, &key("a1"), 1), WishAnswer::Coming);
+    let begun = plans(&mut planner, 11, &server);
+    assert_eq!(begun[0].load, PlannedLoad::Adapter(key("a1"), 3));
+}
+
+#[test]
+fn after_an_order_without_an_answer_the_server_is_asked_first() {
+    let (mut planner, server) = planner(&[]);
+    planner.wish(Time(10), &server, &key("a1"), 1);
+    let begun = plans(&mut planner, 11, &server);
+    planner.ended(Time(700), &begun[0], PlanEnd::Unknown);
+    planner.unsure("s1");
+    planner.wish(Time(710), &server, &key("a2"), 1);
+    assert!(plans(&mut planner, 5_000, &server).is_empty());
+    planner.reported(Time(5_010), "s1", &report(&[]));
+    let (begun, _) = planner.plan(Time(5_020), std::slice::from_ref(&server));
+    assert!(begun.is_empty(), "the wish is too old by now");
+}
+
+#[test]
+fn wishes_that_cannot_be_met_are_given_up() {
+    let (mut planner, server) = planner(&[]);
+    planner.wish(Time(10), &server, &key("a1"), 1);
+    let (begun, given_up) = planner.plan(Time(2_100), &[]);
+    assert!(begun.is_empty());
+    assert_eq!(given_up, [(server, key("a1"))]);
+}
+
+#[test]
+fn a_busy_server_keeps_the_wish() {
+    let (mut planner, server) = planner(&[]);
+    planner.wish(Time(10), &server, &key("a1"), 1);
+    let begun = plans(&mut planner, 11, &server);
+    planner.ended(Time(20), &begun[0], PlanEnd::Busy);
+    planner.reported(Time(30), "s1", &report(&[]));
+    assert!(plans(&mut planner, 40, &server).is_empty(), "left alone for a moment");
+    assert_eq!(plans(&mut planner, 200, &server).len(), 1);
+}
+
+#[test]
+fn base_models_go_to_empty_servers_within_the_stores_rate() {
+    let mut planner = Planner::default();
+    planner.config(Time(0), config(5, 1.0));
+    let servers: Vec<Rc<str>> = (0..8).map(|n| format!("s{n}").into()).collect();
+    for id in &servers {
+        let mut empty = backend(id, &[]);
+        empty.models.clear();
+        planner.server(Time(0), &empty);
+        planner.reported(Time(0), id, &ServerReport::default());
+    }
+    let mut loads = 0;
+    for now in (0..5_000).step_by(50) {
+        loads += planner.plan(Time(now), &servers).0.len();
+    }
+    assert!((5..=7).contains(&loads), "a burst of 2 and 1 a second for 5 s: {loads}");
+}
+
+#[test]
+fn a_draining_server_is_not_ordered() {
+    let (mut planner, server) = planner(&[]);
+    let mut leaving = backend("s1", &[]);
+    leaving.draining = true;
+    planner.server(Time(5), &leaving);
+    assert_eq!(planner.wish(Time(10), &server, &key("a1"), 1), WishAnswer::Refused);
+}
+
+#[test]
+fn what_a_server_once_held_is_at_hand() {
+    let (mut planner, server) = planner(&[("a1", 1)]);
+    planner.evicted(Time(10), "s1", &key("a1"));
+    planner.wish(Time(20), &server, &key("a1"), 1);
+    let begun = plans(&mut planner, 20 + ms(5).as_millis() as u64, &server);
+    assert!(!begun[0].cold);
+}
--- /dev/null
+++ b/crates/portrack/tests/gateway/retries.rs
@@ -0,0 +1,54 @@
+//! The retry budget.
+
+use crate::support::ms;
+use portrack::Time;
+use portrack::gateway::{RetryBounds, ServiceRetries};
+use std::rc::Rc;
+
+const WINDOW_MS: u64 = 10_000;
+
+fn retries() -> ServiceRetries {
+    ServiceRetries::new(RetryBounds { ratio: 0.2, slack: 50.0, window: ms(WINDOW_MS) })
+}
+
+fn taken(retries: &mut ServiceRetries, now: u64, service: &Rc<str>, daemons: usize) -> usize {
+    (0..1_000).filter(|_| retries.take(Time(now), service, daemons)).count()
+}
+
+#[test]
+fn the_slack_is_shared_between_daemons() {
+    let service: Rc<str> = "s".into();
+    assert_eq!(taken(&mut retries(), 0, &service, 1), 40);
+    let all: usize = (0..5).map(|_| taken(&mut retries(), 0, &service, 5)).sum();
+    assert!(all <= 50, "{all}");
+}
+
+#[test]
+fn requests_add_their_share_and_services_do_not_share() {
+    let mut retries = retries();
+    let (busy, idle): (Rc<str>, Rc<str>) = ("busy".into(), "idle".into());
+    for _ in 0..100 {
+        retries.note_request(Time(5), &busy);
+    }
+    assert_eq!(taken(&mut retries, 10, &busy, 10), 20);
+    assert_eq!(taken(&mut retries, 10, &idle, 10), 4);
+}
+
+#[test]
+fn in_no_window_more_is_taken_than_allowed() {
+    let mut retries = retries();
+    let service: Rc<str> = "s".into();
+    let mut times = Vec::new();
+    for now in (0..60_000).step_by(20) {
+        if now % 100 == 0 {
+            retries.note_request(Time(now), &service);
+        }
+        if retries.take(Time(now), &service, 1) {
+            times.push(now);
+        }
+    }
+    for start in &times {
+        let within = times.iter().filter(|at| (*start..*start + WINDOW_MS).contains(at)).count();
+        assert!(within <= 20 + 50, "{within} from {start}");
+    }
+}
