--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -8,7 +8,7 @@
 use super::message::{NoticeState, PlacementNotice};
 use super::planner::{Plan, PlanEnd, PlannedLoad, Planner};
 use super::pool::{Lent, Pool};
-use crate::types::Clock;
+use crate::types::{Clock, Time};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,6 +21,8 @@
 const ORDER_PATIENCE: Duration = Duration::from_millis(700);
 /// Connections to one server for orders.
 const ORDER_CONNECTIONS: usize = 2;
+/// A report is this much older than the server's state.
+const REPORT_LAG: Duration = Duration::from_millis(260);
 /// An order is asked about again after this while it is carried out.
 const CONFIRM_EVERY: Duration = Duration::from_millis(25);
 /// A load that is not confirmed after this is left to the store's list.
@@ -51,6 +53,15 @@
     turn: tokio::sync::Mutex<()>,
     orders_taken: Cell<Option<u64>>,
     surveying: Cell<bool>,
+    ordered_at: Cell<Time>,
+}
+
+impl ServerLine {
+    /// The server has taken an order after `count` others.
+    fn took(&self, now: Time, count: u64) {
+        self.orders_taken.set(Some(count + 1));
+        self.ordered_at.set(now);
+    }
 }
 
 /// Sends orders.
@@ -124,9 +135,7 @@
         }
         let ordering = self.clone();
         actix_rt::spawn(async move {
-            let _turn = line.turn.lock().await;
-            line.orders_taken.set(None);
-            ordering.orders_taken(&server, address, &line).await;
+            ordering.survey(&server, address, &line).await;
             line.surveying.set(false);
         });
     }
@@ -147,7 +156,7 @@
                 PlanEnd::Refused | PlanEnd::NotSent | PlanEnd::Unknown => {
                     Some(NoticeState::Refused)
                 }
-                PlanEnd::Busy => None,
+                PlanEnd::InUse | PlanEnd::Busy => None,
             };
             sink.notices(state.map(|state| notice(&plan, key, state)).into_iter().collect());
         }
@@ -166,7 +175,7 @@
                 Ordered::Answer(OrderAnswer::Holds) => {
                     self.planner.borrow_mut().evicted(self.clock.now(), &plan.server, victim);
                 }
-                Ordered::Answer(OrderAnswer::Accepted) => return PlanEnd::Busy,
+                Ordered::Answer(OrderAnswer::Accepted) => return PlanEnd::InUse,
                 other => return end_of(other),
             }
         }
@@ -239,8 +248,7 @@
     async fn confirm(&self, plan: &Plan, mut order: Order) -> Ordered {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        let count = self.orders_taken(&plan.server, plan.address, &line).await;
-        let Some(count) = count else { return Ordered::NotSent };
+        let Some(count) = line.orders_taken.get() else { return Ordered::NotSent };
         order.expected = Some(count);
         let ordered = self.send(plan, &mut order).await;
         if !matches!(ordered, Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Holds)) {
@@ -253,14 +261,13 @@
     async fn order(&self, plan: &Plan, mut order: Order) -> Ordered {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        let count = self.orders_taken(&plan.server, plan.address, &line).await;
-        let Some(count) = count else { return Ordered::NotSent };
+        let Some(count) = line.orders_taken.get() else { return Ordered::NotSent };
         order.expected = Some(count);
         let ordered = self.send(plan, &mut order).await;
         match ordered {
-            Ordered::Answer(OrderAnswer::Accepted) => line.orders_taken.set(Some(count + 1)),
+            Ordered::Answer(OrderAnswer::Accepted) => line.took(self.clock.now(), count),
             Ordered::Answer(OrderAnswer::Holds) if order.kind == OrderKind::Unload => {
-                line.orders_taken.set(Some(count + 1));
+                line.took(self.clock.now(), count);
             }
             Ordered::Answer(OrderAnswer::Holds) | Ordered::NotSent => {}
             Ordered::Answer(_) | Ordered::Unknown => self.unsure(&plan.server, &line),
@@ -271,29 +278,24 @@
     /// The server's state is not known any more: its report is read before the next order.
     fn unsure(&self, server: &str, line: &ServerLine) {
         line.orders_taken.set(None);
+        line.ordered_at.set(self.clock.now());
         self.planner.borrow_mut().unsure(server);
     }
 
-    /// The number of orders that the server has taken; asks it if that is not known.
-    async fn orders_taken(
-        &self,
-        server: &Rc<str>,
-        address: SocketAddr,
-        line: &ServerLine,
-    ) -> Option<u64> {
-        if let Some(count) = line.orders_taken.get() {
-            return Some(count);
-        }
+    /// Reads a server's report, once it can no longer be older than this daemon's last orders.
+    async fn survey(&self, server: &Rc<str>, address: SocketAddr, line: &ServerLine) {
+        let age = self.clock.now().since(line.ordered_at.get());
+        actix_rt::time::sleep(REPORT_LAG.saturating_sub(age)).await;
+        let _turn = line.turn.lock().await;
         let path = self.dialect.report_path();
         let answer = self.call(server, address, "GET", path, &[], || true).await;
-        let Called::Answer(head, body) = answer else { return None };
+        let Called::Answer(head, body) = answer else { return };
         if !head.status.is_success() {
-            return None;
+            return;
         }
-        let report = self.dialect.report(&body).ok()?;
+        let Ok(report) = self.dialect.report(&body) else { return };
         line.orders_taken.set(Some(report.orders_taken));
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
-        Some(report.orders_taken)
     }
 
     async fn send(&self, plan: &Plan, order: &mut Order) -> Ordered {
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -180,12 +180,17 @@
         self.gone.insert(key.clone(), now);
     }
 
-    /// A load of this version did not begin: whatever was there before is told by the next report.
-    pub fn unsettle(&mut self, key: &AdapterKey, version: u64) {
+    /// A load of this version was not ordered after all.
+    pub fn not_begun(&mut self, key: &AdapterKey, version: u64) {
         let begun = |slot: &Slot| slot.state == SlotState::Loading && slot.version == version;
         if self.slots.get(key).is_some_and(begun) {
             self.slots.remove(key);
         }
+    }
+
+    /// A load of this version was refused: what is there now is told by the next report.
+    pub fn unsettle(&mut self, key: &AdapterKey, version: u64) {
+        self.not_begun(key, version);
         self.surveyed = false;
     }
 
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -48,7 +48,9 @@
 pub enum PlanEnd {
     /// It is loaded.
     Done,
-    /// The server is busy with another order.
+    /// What was to make way is still in use; the load did not begin.
+    InUse,
+    /// The server is busy with another order, or has taken orders that are not known here.
     Busy,
     /// The server refused.
     Refused,
@@ -306,12 +308,12 @@
         match end {
             PlanEnd::Unknown => server.silent(now),
             PlanEnd::Busy => server.busy(now),
-            PlanEnd::Done | PlanEnd::Refused | PlanEnd::NotSent => {}
+            PlanEnd::Done | PlanEnd::InUse | PlanEnd::Refused | PlanEnd::NotSent => {}
         }
         if let Some(victim) = &plan.evict
             && let Some(slot) = server.slots.get_mut(victim)
             && slot.state == SlotState::Leaving
-            && end != PlanEnd::Busy
+            && end != PlanEnd::InUse
         {
             slot.state = SlotState::Held;
         }
@@ -324,8 +326,11 @@
         match end {
             PlanEnd::Done => server.set(now, key, *version, SlotState::Held),
             PlanEnd::Refused | PlanEnd::NotSent => server.unsettle(key, *version),
-            PlanEnd::Busy => {
-                server.unsettle(key, *version);
+            PlanEnd::InUse | PlanEnd::Busy => {
+                match end {
+                    PlanEnd::InUse => server.not_begun(key, *version),
+                    _ => server.unsettle(key, *version),
+                }
                 let wish = Wish { version: *version, since: now - plan.waited };
                 self.wishes.entry((plan.server.clone(), key.clone())).or_insert(wish);
             }
