--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -20,6 +20,8 @@
     pub key: AdapterKey,
     /// The oldest version that will do.
     pub version: u64,
+    /// Requests that missed it since the last wish.
+    pub requests: u16,
 }
 
 /// Uses and wishes that were not told yet.
@@ -29,6 +31,7 @@
     running: RefCell<HashMap<(Rc<str>, AdapterKey), u16>>,
     wishes: RefCell<Vec<Wish>>,
     wished_at: RefCell<HashMap<(AdapterKey, Rc<str>), Time>>,
+    missed: RefCell<HashMap<AdapterKey, u16>>,
     wished: Notify,
 }
 
@@ -46,8 +49,15 @@
         UseGuard { log: self.clone(), place }
     }
 
+    /// Counts a request that does not find its adapter.
+    pub fn missed(&self, key: &AdapterKey) {
+        let mut missed = self.missed.borrow_mut();
+        let count = missed.entry(key.clone()).or_default();
+        *count = count.saturating_add(1);
+    }
+
     /// Wishes for an adapter at a server, unless that was just done.
-    pub fn wish(&self, now: Time, wish: Wish) {
+    pub fn wish(&self, now: Time, mut wish: Wish) {
         let mut wished_at = self.wished_at.borrow_mut();
         let place = (wish.key.clone(), wish.server.clone());
         let last = wished_at.insert(place.clone(), now);
@@ -55,6 +65,7 @@
             wished_at.insert(place, last);
             return;
         }
+        wish.requests = self.missed.borrow_mut().remove(&wish.key).unwrap_or(0);
         self.wishes.borrow_mut().push(wish);
         self.wished.notify_one();
     }
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -27,8 +27,6 @@
 const NOTICE_CHUNK: usize = 12;
 /// Up to so many daemons all hear every notice; in larger fleets only those that asked do.
 const NOTICE_ALL: usize = 24;
-/// What a load takes from the wish to the use, in milliseconds, as first told.
-const WISH_TAKES_MS: u32 = 320;
 /// A datagram could not be received; the pause before the next try.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -127,12 +125,17 @@
             let key = key_of(&wish.model, &wish.adapter);
             let ours = self.ordering.claims.borrow().may_order(now, &server).is_some();
             let answer = match ours {
-                true => self.ordering.planner.borrow_mut().wish(now, &server, &key, wish.version),
+                true => {
+                    let mut planner = self.ordering.planner.borrow_mut();
+                    planner.wish(now, &server, &key, wish.version, wish.requests)
+                }
                 false => WishAnswer::Refused,
             };
             let state = match answer {
                 WishAnswer::Held(version) => NoticeState::Held(version),
-                WishAnswer::Coming => NoticeState::Coming(wish.version, WISH_TAKES_MS),
+                WishAnswer::Coming(after) => {
+                    NoticeState::Coming(wish.version, after.as_millis() as u32)
+                }
                 WishAnswer::Refused => NoticeState::Refused,
             };
             answers.push(PlacementNotice {
@@ -213,6 +216,7 @@
                     model: wish.key.model.to_string(),
                     adapter: wish.key.adapter.to_string(),
                     version: wish.version,
+                    requests: wish.requests,
                 });
             }
             for (address, wishes) in by_address {
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/message.rs
@@ -58,6 +58,8 @@
     pub adapter: String,
     /// The oldest version that will do.
     pub version: u64,
+    /// Requests that missed it since the last wish.
+    pub requests: u16,
 }
 
 /// How often an adapter was used at a server.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod dialect;
 mod events;
 mod exchange;
+mod fetch_limit;
 mod gossip;
 mod holdings;
 mod homes;
@@ -61,6 +62,7 @@
     ModelRequest, Order, OrderAnswer, OrderKind, RequestMeta, ServerReport,
 };
 pub use events::EventSplitter;
+pub use fetch_limit::FetchLimit;
 pub use holdings::{Holdings, Presence};
 pub use homes::{Home, home};
 pub use load::{LoadTable, Work};
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -146,9 +146,9 @@
 
     async fn carry_out(&self, plan: Plan, sink: &impl NoticeSink) {
         let began = self.clock.now();
-        let end = self.steps(&plan, sink).await;
+        let (end, fetch) = self.steps(&plan, sink).await;
         let now = self.clock.now();
-        self.planner.borrow_mut().ended(now, &plan, end);
+        self.planner.borrow_mut().ended(now, &plan, end, fetch);
         let took_ms = now.since(began).as_millis() as u64;
         if let PlannedLoad::Adapter(key, version) = &plan.load {
             let state = match end {
@@ -167,7 +167,7 @@
         );
     }
 
-    async fn steps(&self, plan: &Plan, sink: &impl NoticeSink) -> PlanEnd {
+    async fn steps(&self, plan: &Plan, sink: &impl NoticeSink) -> (PlanEnd, Option<Duration>) {
         if let Some(victim) = &plan.evict {
             sink.notices(vec![notice(plan, victim, NoticeState::Absent)]);
             let order = self.adapter_order(OrderKind::Unload, victim, None);
@@ -175,16 +175,20 @@
                 Ordered::Answer(OrderAnswer::Holds) => {
                     self.planner.borrow_mut().evicted(self.clock.now(), &plan.server, victim);
                 }
-                Ordered::Answer(OrderAnswer::Accepted) => return PlanEnd::InUse,
-                other => return end_of(other),
+                Ordered::Answer(OrderAnswer::Accepted) => return (PlanEnd::InUse, None),
+                other => return (end_of(other), None),
             }
         }
         match &plan.load {
             PlannedLoad::Base(model) => {
                 let order = self.base_order(model);
-                end_of(self.order(plan, order).await)
+                (end_of(self.order(plan, order).await), None)
+            }
+            PlannedLoad::Adapter(key, version) => {
+                let began = self.clock.now();
+                let end = self.load(plan, key, *version, sink).await;
+                (end, Some(self.clock.now().since(began)))
             }
-            PlannedLoad::Adapter(key, version) => self.load(plan, key, *version, sink).await,
         }
     }
 
@@ -227,7 +231,8 @@
             other => return end_of(other),
         }
         let guess = if plan.cold { COLD_GUESS } else { WARM_GUESS };
-        let coming = NoticeState::Coming(version, guess.as_millis() as u32);
+        let typical = self.planner.borrow().fetch_takes(plan.cold);
+        let coming = NoticeState::Coming(version, typical.as_millis() as u32);
         sink.notices(vec![notice(plan, key, coming)]);
         actix_rt::time::sleep(guess).await;
         while self.clock.now().since(began) < CONFIRM_FOR {
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -23,8 +23,12 @@
 const SILENCE_FLOOR: Duration = Duration::from_secs(2);
 /// Of the time after which a caller gives up, this share is used for waiting.
 const SILENCE_SHARE: f64 = 0.7;
-/// Added to the time at which an adapter is expected.
-const EXPECTED_SLACK: Duration = Duration::from_millis(250);
+/// Added to the time at which an adapter is expected, before a request is given up.
+const EXPECTED_SLACK: Duration = Duration::from_millis(700);
+/// From the start at a server to the first event, roughly.
+const FIRST_EVENT: Duration = Duration::from_millis(120);
+/// Added to the time at which a refused caller may come back for an adapter on its way.
+const COME_BACK_SLACK: Duration = Duration::from_millis(150);
 /// When to come back for an adapter that nobody is loading.
 const NOT_LOADED_RETRY: Duration = Duration::from_millis(1_500);
 /// When to come back while no server takes work.
@@ -70,20 +74,30 @@
     async fn choose_adapter(&self, job: &Job<'_>, key: &AdapterKey) -> Result<Choice, Refused> {
         let arrived = job.request.arrived;
         let sign_by = arrived + job.route.objective.mul_f64(SIGN_SHARE);
+        let in_time = arrived + job.route.objective.saturating_sub(FIRST_EVENT);
         let give_up = arrived + patience(&job.route);
+        let mut missed = false;
         loop {
             if let Some(choice) = self.holder(job, key) {
                 return Ok(choice);
             }
+            if !missed {
+                missed = true;
+                self.demand.missed(key);
+            }
             self.wish(job, key);
-            let expected = self.view.borrow().holdings.expected(self.clock.now(), key);
+            let now = self.clock.now();
+            let expected = self.view.borrow().holdings.expected(now, key);
+            let fast = now < sign_by && job.sends == 0;
             let until = match expected {
+                Some(at) if at > in_time && fast => {
+                    return Err(not_loaded(at.since(now) + COME_BACK_SLACK));
+                }
                 Some(at) => (at + EXPECTED_SLACK).min(give_up),
                 None => sign_by.min(give_up),
             };
-            let now = self.clock.now();
             if now >= until {
-                return Err(Refused::new(RefusalReason::NotLoaded, Some(NOT_LOADED_RETRY)));
+                return Err(not_loaded(NOT_LOADED_RETRY));
             }
             let changed = self.changed.notified();
             let _ = actix_rt::time::timeout(until.since(now), changed).await;
@@ -113,7 +127,7 @@
             .collect();
         let server = home(key, &homes).or_else(|| self.replaceable(&outdated));
         if let Some(server) = server {
-            self.demand.wish(now, Wish { server, key: key.clone(), version });
+            self.demand.wish(now, Wish { server, key: key.clone(), version, requests: 0 });
         }
     }
 
@@ -194,6 +208,10 @@
     silence.mul_f64(SILENCE_SHARE).min(route.timeout / 2)
 }
 
+fn not_loaded(retry_after: Duration) -> Refused {
+    Refused::new(RefusalReason::NotLoaded, Some(retry_after))
+}
+
 fn no_server() -> Refused {
     Refused::new(RefusalReason::NoServer, Some(NO_SERVER_RETRY))
 }
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -19,7 +19,7 @@
 /// A server that is busy with another order is left alone for this long.
 const REST_AFTER_BUSY: Duration = Duration::from_millis(120);
 /// Adapters on the way to one server at the same time.
-const MOST_PENDING: usize = 4;
+const MOST_PENDING: usize = 3;
 /// Adapters that a server once held and may still have at hand.
 const REMEMBERED: usize = 100;
 /// An adapter whose use was told this lately may be in use and is not evicted: an unload that waits
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -1,9 +1,11 @@
 //! Decides what the servers that this daemon orders load and drop. A state machine without sockets
 //! or clocks.
 
+use super::adapter_demand::AdapterDemand;
 use super::backend::Backend;
 use super::config::{EngineSpec, FleetConfig};
 use super::dialect::{AdapterKey, ServerReport};
+use super::fetch_limit::FetchLimit;
 use super::load_budget::LoadBudget;
 use super::planned_server::{PlannedServer, SlotState};
 use crate::types::Time;
@@ -17,6 +19,11 @@
 /// A base model that was ordered and is not there after this is ordered again.
 const BASE_PATIENCE: Duration = Duration::from_secs(8);
 
+/// The least that is told of how long a load will last.
+const LEAST_LEFT: Duration = Duration::from_millis(40);
+/// Missed adapters asked for less than this are forgotten.
+const FORGET_RATE: f64 = 0.02;
+
 /// What is to be loaded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlannedLoad {
@@ -65,8 +72,8 @@
 pub enum WishAnswer {
     /// It is there, at this version.
     Held(u64),
-    /// It is ordered, or will be.
-    Coming,
+    /// It is ordered or will be, and expected after this.
+    Coming(Duration),
     /// This server will not have it.
     Refused,
 }
@@ -77,6 +84,14 @@
     since: Time,
 }
 
+/// A wish that is to be met, the most asked for first.
+struct Wanted {
+    server: Rc<str>,
+    key: AdapterKey,
+    wish: Wish,
+    worth: f64,
+}
+
 /// The planner.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -85,6 +100,9 @@
     versions: HashMap<AdapterKey, u64>,
     budgets: HashMap<Rc<str>, LoadBudget>,
     wishes: BTreeMap<(Rc<str>, AdapterKey), Wish>,
+    missed: HashMap<AdapterKey, AdapterDemand>,
+    servers_ordered: usize,
+    fetches: FetchLimit,
 }
 
 impl Planner {
@@ -156,8 +174,15 @@
         }
     }
 
-    /// A daemon wishes for an adapter at a server, at this version or a newer one.
-    pub fn wish(&mut self, now: Time, id: &Rc<str>, key: &AdapterKey, version: u64) -> WishAnswer {
+    /// Requests wish for an adapter at a server, at this version or a newer one.
+    pub fn wish(
+        &mut self,
+        now: Time,
+        id: &Rc<str>,
+        key: &AdapterKey,
+        version: u64,
+        requests: u16,
+    ) -> WishAnswer {
         let Some(server) = self.servers.get_mut(id) else { return WishAnswer::Refused };
         if server.draining || server.models.is_empty() {
             return WishAnswer::Refused;
@@ -169,10 +194,14 @@
             match slot.state {
                 SlotState::Held => {
                     let version = slot.version;
-                    server.used(now, key, 1);
+                    server.used(now, key, requests);
                     return WishAnswer::Held(version);
                 }
-                SlotState::Loading => return WishAnswer::Coming,
+                SlotState::Loading => {
+                    let passed = now.since(slot.changed_at);
+                    let left = self.fetches.typical().saturating_sub(passed);
+                    return WishAnswer::Coming(left.max(LEAST_LEFT));
+                }
                 SlotState::Leaving => {}
             }
         }
@@ -183,10 +212,37 @@
         if room == Some(0) && server.victim(now, |_| 0).is_none() {
             return WishAnswer::Refused;
         }
+        let at_hand = server.at_hand(key, version);
+        self.missed.entry(key.clone()).or_default().used(now, requests);
         let fresh = Wish { version, since: now };
         let wish = self.wishes.entry((id.clone(), key.clone())).or_insert(fresh);
         wish.version = wish.version.max(version);
-        WishAnswer::Coming
+        WishAnswer::Coming(match at_hand {
+            true => LEAST_LEFT,
+            false => self.fetches.expected(self.ahead(now, key)),
+        })
+    }
+
+    /// Wishes for other adapters that are met before this one's.
+    fn ahead(&self, now: Time, key: &AdapterKey) -> usize {
+        let worth = self.worth(now, key);
+        let others = self.wishes.keys().filter(|(_, other)| other != key);
+        others.filter(|(_, other)| self.worth(now, other) >= worth).count()
+    }
+
+    /// How much an adapter was asked for and missed lately.
+    fn worth(&self, now: Time, key: &AdapterKey) -> f64 {
+        self.missed.get(key).map_or(0.0, |missed| missed.rate(now))
+    }
+
+    /// What a load will last.
+    pub fn fetch_takes(&self, cold: bool) -> Duration {
+        if cold { self.fetches.typical() } else { LEAST_LEFT }
+    }
+
+    /// Forgets what nobody asks for any more.
+    pub fn sweep(&mut self, now: Time) {
+        self.missed.retain(|_, missed| missed.rate(now) > FORGET_RATE);
     }
 
     /// The next steps at the servers that may be ordered now, and the wishes given up.
@@ -196,17 +252,42 @@
         orderable: &[Rc<str>],
     ) -> (Vec<Plan>, Vec<(Rc<str>, AdapterKey)>) {
         let Some(config) = self.config.clone() else { return (Vec::new(), Vec::new()) };
+        self.servers_ordered = orderable.len();
         let mut plans = Vec::new();
         for id in orderable {
-            let Some(server) = self.servers.get(id) else { continue };
-            let Some(service) = config.services.get(&server.service) else { continue };
-            let Some(spec) = &service.engine else { continue };
+            let Some(spec) = self.spec(&config, id) else { continue };
             plans.extend(self.base_load(now, id, spec));
-            plans.extend(self.adapter_loads(now, id, spec));
+        }
+        for wanted in self.wanted(now, orderable) {
+            let Some(spec) = self.spec(&config, &wanted.server) else { continue };
+            if let Some(plan) = self.adapter_load(now, spec, &wanted) {
+                self.wishes.remove(&(wanted.server, wanted.key));
+                plans.push(plan);
+            }
         }
         (plans, self.give_up(now))
     }
 
+    fn spec<'a>(&self, config: &'a FleetConfig, server: &str) -> Option<&'a EngineSpec> {
+        let service = &self.servers.get(server)?.service;
+        config.services.get(service)?.engine.as_ref()
+    }
+
+    /// The wishes at these servers, the most asked for first.
+    fn wanted(&self, now: Time, orderable: &[Rc<str>]) -> Vec<Wanted> {
+        let here = self.wishes.iter().filter(|((server, _), _)| orderable.contains(server));
+        let mut wanted: Vec<Wanted> = here
+            .map(|((server, key), wish)| Wanted {
+                server: server.clone(),
+                key: key.clone(),
+                wish: *wish,
+                worth: self.worth(now, key),
+            })
+            .collect();
+        wanted.sort_by(|a, b| b.worth.total_cmp(&a.worth).then(a.wish.since.cmp(&b.wish.since)));
+        wanted
+    }
+
     fn give_up(&mut self, now: Time) -> Vec<(Rc<str>, AdapterKey)> {
         let old = |wish: &Wish| now.since(wish.since) >= WISH_PATIENCE;
         let given_up: Vec<_> =
@@ -237,37 +318,11 @@
         })
     }
 
-    fn adapter_loads(&mut self, now: Time, id: &Rc<str>, spec: &EngineSpec) -> Vec<Plan> {
-        let mut wished: Vec<(Time, AdapterKey, u64)> = self
-            .wishes
-            .iter()
-            .filter(|((server, _), _)| server == id)
-            .map(|((_, key), wish)| (wish.since, key.clone(), wish.version))
-            .collect();
-        wished.sort();
-        let mut plans = Vec::new();
-        for (since, key, version) in wished {
-            let Some(plan) = self.adapter_load(now, id, spec, &key, version, since) else {
-                continue;
-            };
-            self.wishes.remove(&(id.clone(), key));
-            plans.push(plan);
-        }
-        plans
-    }
-
-    fn adapter_load(
-        &mut self,
-        now: Time,
-        id: &Rc<str>,
-        spec: &EngineSpec,
-        key: &AdapterKey,
-        version: u64,
-        since: Time,
-    ) -> Option<Plan> {
+    fn adapter_load(&mut self, now: Time, spec: &EngineSpec, wanted: &Wanted) -> Option<Plan> {
+        let Wanted { server: id, key, wish, .. } = wanted;
         let versions = &self.versions;
         let newest = |key: &AdapterKey| versions.get(key).copied().unwrap_or(1);
-        let version = version.max(newest(key));
+        let version = wish.version.max(newest(key));
         let server = self.servers.get_mut(id)?;
         if !server.takes_adapters(now, &key.model) {
             return None;
@@ -279,11 +334,14 @@
             0 => Some(server.victim(now, newest).filter(|victim| victim != key)?),
             _ => None,
         };
+        let cold = !server.at_hand(key, version);
+        if cold && !self.fetches.take() {
+            return None;
+        }
         if let Some(victim) = &evict {
             let held = server.slots.get(victim)?.version;
             server.set(now, victim, held, SlotState::Leaving);
         }
-        let cold = !server.at_hand(key, version);
         server.set(now, key, version, SlotState::Loading);
         Some(Plan {
             server: id.clone(),
@@ -291,7 +349,7 @@
             evict,
             load: PlannedLoad::Adapter(key.clone(), version),
             cold,
-            waited: now.since(since),
+            waited: now.since(wish.since),
         })
     }
 
@@ -302,8 +360,14 @@
         }
     }
 
-    /// A step is over.
-    pub fn ended(&mut self, now: Time, plan: &Plan, end: PlanEnd) {
+    /// A step is over. `fetch` is how long the load took, if there was one.
+    pub fn ended(&mut self, now: Time, plan: &Plan, end: PlanEnd, fetch: Option<Duration>) {
+        if plan.cold && matches!(plan.load, PlannedLoad::Adapter(..)) {
+            match fetch.filter(|_| end == PlanEnd::Done) {
+                Some(took) => self.fetches.fetched(took, self.servers_ordered),
+                None => self.fetches.give_back(),
+            }
+        }
         let Some(server) = self.servers.get_mut(&plan.server) else { return };
         match end {
             PlanEnd::Unknown => server.silent(now),
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -130,6 +130,7 @@
             let now: Time = self.now();
             self.path.pool.sweep();
             self.ordering.sweep();
+            self.ordering.planner.borrow_mut().sweep(now);
             self.path.view.borrow_mut().holdings.forget_old(now);
             self.metrics.in_flight.set(self.in_flight.get() as i64);
         }
