--- a/crates/portrack/src/gateway/load.rs
+++ b/crates/portrack/src/gateway/load.rs
@@ -33,11 +33,18 @@
     unreachable_until: Time,
 }
 
+/// What a peer has at servers, by their marks.
+#[derive(Debug, Default)]
+struct PeerWork {
+    told_at: Time,
+    servers: HashMap<u32, Work>,
+}
+
 /// Load and health of the servers.
 #[derive(Debug, Default)]
 pub struct LoadTable {
     servers: RefCell<HashMap<Rc<str>, Server>>,
-    peers: RefCell<HashMap<Rc<str>, (Time, HashMap<u32, Work>)>>,
+    peers: RefCell<HashMap<Rc<str>, PeerWork>>,
 }
 
 /// The short name of a server in messages between daemons.
@@ -88,8 +95,8 @@
         let own = self.servers.borrow().get(server).map(|entry| entry.own).unwrap_or_default();
         let mark = server_mark(server);
         let peers = self.peers.borrow();
-        let fresh = peers.values().filter(|(at, _)| now.since(*at) < PEER_FRESH);
-        fresh.filter_map(|(_, works)| works.get(&mark)).fold(own, |sum, work| Work {
+        let fresh = peers.values().filter(|peer| now.since(peer.told_at) < PEER_FRESH);
+        fresh.filter_map(|peer| peer.servers.get(&mark)).fold(own, |sum, work| Work {
             requests: sum.requests + work.requests,
             waiting_tokens: sum.waiting_tokens + work.waiting_tokens,
         })
@@ -104,7 +111,8 @@
 
     /// Takes a peer's work in.
     pub fn peer(&self, now: Time, peer: &Rc<str>, works: Vec<(u32, Work)>) {
-        self.peers.borrow_mut().insert(peer.clone(), (now, works.into_iter().collect()));
+        let work = PeerWork { told_at: now, servers: works.into_iter().collect() };
+        self.peers.borrow_mut().insert(peer.clone(), work);
     }
 
     /// Forgets a server that is gone.
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -15,6 +15,8 @@
 const ORDERS_FRESH: Duration = Duration::from_millis(1_400);
 /// Daemons that one heartbeat goes to; in small fleets that is all of them.
 const FAN_OUT: usize = 12;
+/// Heartbeats that a daemon gets that was only heard of.
+const GREETINGS: u8 = 4;
 /// Addresses of others that a heartbeat carries.
 const KNOWN_CARRIED: usize = 8;
 
@@ -36,12 +38,19 @@
     Leaving,
 }
 
+/// A daemon that others know; datagrams to it may be lost.
+#[derive(Debug, Clone, Copy)]
+struct HeardOf {
+    address: SocketAddr,
+    greetings_left: u8,
+}
+
 /// The daemons known.
 #[derive(Debug, Clone)]
 pub struct Peers {
     me: SocketAddr,
     seeds: Vec<SocketAddr>,
-    heard_of: Vec<SocketAddr>,
+    heard_of: Vec<HeardOf>,
     peers: BTreeMap<Rc<str>, Peer>,
     turn: usize,
 }
@@ -60,7 +69,7 @@
         for address in &heartbeat.known {
             self.hear_of(*address);
         }
-        self.heard_of.retain(|address| *address != heartbeat.address);
+        self.heard_of.retain(|other| other.address != heartbeat.address);
         let name: Rc<str> = heartbeat.node.as_str().into();
         let before = self.peers.get(&name);
         if before.is_some_and(|peer| peer.heartbeat.incarnation > heartbeat.incarnation) {
@@ -77,12 +86,13 @@
         }
     }
 
-    fn hear_of(&mut self, address: SocketAddr) {
+    /// Takes note of a daemon that was only heard of.
+    pub fn hear_of(&mut self, address: SocketAddr) {
         let known = address == self.me
-            || self.heard_of.contains(&address)
+            || self.heard_of.iter().any(|other| other.address == address)
             || self.peers.values().any(|peer| peer.heartbeat.address == address);
         if !known && self.heard_of.len() < FAN_OUT {
-            self.heard_of.push(address);
+            self.heard_of.push(HeardOf { address, greetings_left: GREETINGS });
         }
     }
 
@@ -117,7 +127,9 @@
             all.truncate(FAN_OUT);
             self.turn += FAN_OUT;
         }
-        all.append(&mut self.heard_of);
+        all.extend(self.heard_of.iter().map(|other| other.address));
+        self.heard_of.iter_mut().for_each(|other| other.greetings_left -= 1);
+        self.heard_of.retain(|other| other.greetings_left > 0);
         let few = self.up(now).next().is_none();
         let unheard = self.seeds.iter().filter(|seed| **seed != self.me && !all.contains(seed));
         let unheard: Vec<SocketAddr> = unheard.copied().collect();
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -48,16 +48,19 @@
 
 /// Starts a daemon.
 pub async fn start_gateway(
-    settings: GatewaySettings,
+    mut settings: GatewaySettings,
     clock: Rc<dyn Clock>,
     dialect: Rc<dyn Dialect>,
     store: Rc<dyn KvFeed>,
 ) -> Result<RunningGateway, GatewayError> {
-    let callers = listen("callers", settings.callers).await?;
-    let readiness = listen("readiness", settings.readiness).await?;
-    let members = listen("members", settings.members).await?;
+    let (callers, bound) = listen("callers", settings.callers).await?;
+    settings.callers = bound;
+    let (readiness, bound) = listen("readiness", settings.readiness).await?;
+    settings.readiness = bound;
+    let (members, bound) = listen("members", settings.members).await?;
+    settings.members = bound;
     let metrics = match settings.metrics {
-        Some(address) => Some(listen("metrics", address).await?),
+        Some(address) => Some(listen("metrics", address).await?.0),
         None => None,
     };
     let address = settings.members;
@@ -90,8 +93,14 @@
     Ok(RunningGateway { daemon })
 }
 
-async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address).await.context(ListenSnafu { what, address })
+/// Listens, and tells the address with its port if that was left to the system.
+async fn listen(
+    what: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), GatewayError> {
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { what, address })?;
+    let bound = listener.local_addr().context(ListenSnafu { what, address })?;
+    Ok((listener, bound))
 }
 
 async fn answer_readiness(daemon: Rc<GatewayDaemon>, listener: TcpListener) {
@@ -138,6 +147,26 @@
 }
 
 impl RunningGateway {
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.daemon.settings.callers
+    }
+
+    /// Where readiness is asked.
+    pub fn readiness(&self) -> SocketAddr {
+        self.daemon.settings.readiness
+    }
+
+    /// Where other daemons reach it.
+    pub fn members(&self) -> SocketAddr {
+        self.daemon.settings.members
+    }
+
+    /// Tells the daemon of another one.
+    pub fn introduce(&self, peer: SocketAddr) {
+        self.daemon.peers.borrow_mut().hear_of(peer);
+    }
+
     /// Stops: refuses readiness at once, finishes what runs, and returns what could not be
     /// finished in time.
     pub async fn stop(self) -> usize {
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -36,6 +36,14 @@
     assert!(targets.contains(&address(3)) && targets.contains(&address(103)), "{targets:?}");
 }
 
+#[test]
+fn a_daemon_that_was_only_heard_of_is_greeted_more_than_once() {
+    let mut peers = peers();
+    peers.hear_of(address(9));
+    let greeted = (0..10).filter(|_| peers.targets(Time(0)).contains(&address(9))).count();
+    assert_eq!(greeted, 4, "one datagram may be lost");
+}
+
 #[test]
 fn a_daemon_does_not_count_itself() {
     let mut peers = peers();
