A stale list takes nothing off a server that is ordered here

Ruled out: late orders (expected counts), pending loads (in the report). The list now says nothing of adapters once a report was read; only own orders and reports do. Two tests first.

--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures portrack.
 
 mod capacity;
+mod days;
 mod fleet;
 mod policy;
 
@@ -24,6 +25,7 @@
     Capacity(Capacity),
     Policy(Policy),
     Fleet(FleetArgs),
+    Days(Days),
 }
 
 /// one hall of real daemon processes on loopback, measured from outside
@@ -68,6 +70,24 @@
     picture: Option<std::path::PathBuf>,
 }
 
+/// days for the users' bench: every kind of trouble, alone, twice, and overlapping with others
+#[derive(FromArgs)]
+#[argh(subcommand, name = "days")]
+struct Days {
+    /// the folder to write to
+    #[argh(positional)]
+    folder: std::path::PathBuf,
+    /// the service with engines, as the site file names it
+    #[argh(option)]
+    engines: String,
+    /// a plain service
+    #[argh(option)]
+    plain: String,
+    /// a kind of request
+    #[argh(option)]
+    class: String,
+}
+
 /// slopes of bytes, processor time and memory, and what they come to at the users' size
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
@@ -81,6 +101,10 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Fleet(args) => return actix_rt::System::new().block_on(fleet::run(&args)),
+        Command::Days(args) => {
+            let written = days::write(&args.folder, &args.engines, &args.plain, &args.class)?;
+            println!("{written} days");
+        }
         Command::Capacity(args) if args.bytes => print!("{}", capacity::bytes_table()),
         Command::Capacity(_) => print!("{}", capacity::all()),
         Command::Policy(args) => {
--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -177,6 +177,8 @@
                 let now = self.now();
                 let mut claims = self.ordering.claims.borrow_mut();
                 claims.claimed(now, &attempt.server, fence, attempt.before);
+                drop(claims);
+                self.ordering.claimed(&attempt.server);
                 log::info!(server = &*attempt.server, fence = fence, before:? = attempt.before; "server_claimed");
             }
             Ok(KvOutcome::Conflict(held)) => {
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -102,6 +102,12 @@
         self.pool.forget(server);
     }
 
+    /// A server's claim is new: what it holds is asked before it is ordered.
+    pub fn claimed(&self, server: &Rc<str>) {
+        let line = self.line(server);
+        self.unsure(server, &line);
+    }
+
     /// Closes connections that can no longer be used.
     pub fn sweep(&self) {
         self.pool.sweep();
@@ -173,7 +179,7 @@
             let order = self.adapter_order(OrderKind::Unload, victim, None);
             match self.order(plan, order).await {
                 Ordered::Answer(OrderAnswer::Holds) => {
-                    self.planner.borrow_mut().evicted(self.clock.now(), &plan.server, victim);
+                    self.planner.borrow_mut().evicted(&plan.server, victim);
                 }
                 Ordered::Answer(OrderAnswer::Accepted) => return (PlanEnd::InUse, None),
                 other => return (end_of(other), None),
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The store's list catches up with an order within this.
-const LIST_LAG: Duration = Duration::from_millis(4_000);
+/// A server is asked about an unload that is not over after this.
+const LEAVES_WITHIN: Duration = Duration::from_millis(1_200);
 /// A report is older than an order by this at most.
 const REPORT_LAG: Duration = Duration::from_millis(700);
 /// A server that did not answer an order is left alone for this long.
@@ -69,7 +69,6 @@
     pub base_ordered_at: Option<Time>,
     /// A report was read since this daemon began to order it.
     pub surveyed: bool,
-    gone: HashMap<AdapterKey, Time>,
     held_once: Vec<(AdapterKey, u64)>,
     resting_until: Time,
 }
@@ -85,7 +84,6 @@
             slots: HashMap::new(),
             base_ordered_at: None,
             surveyed: false,
-            gone: HashMap::new(),
             held_once: Vec::new(),
             resting_until: Time(0),
         };
@@ -93,26 +91,31 @@
         server
     }
 
-    /// Takes the store's list in, where it is newer than what is known from orders.
+    /// Takes the store's list in. It may be older than any order, so it says nothing of the
+    /// adapters at a server whose report was read: only this daemon's orders change those.
     pub fn listed(&mut self, now: Time, backend: &Backend) {
         self.draining = backend.draining;
         self.models = backend.models.iter().map(|model| model.name.clone()).collect();
         if !self.models.is_empty() {
             self.base_ordered_at = None;
         }
-        let mut listed: HashMap<AdapterKey, u64> = HashMap::new();
+        if self.surveyed || !self.slots.is_empty() {
+            return;
+        }
         for model in &backend.models {
             for held in &model.adapters {
                 let key = AdapterKey { model: model.name.clone(), adapter: held.name.clone() };
-                listed.insert(key, held.version);
+                self.remember(&key, held.version);
+                self.slots.insert(key, Slot::new(held.version, SlotState::Held, now));
             }
         }
-        let old = |at: Time| now.since(at) >= LIST_LAG;
-        self.gone.retain(|_, at| !old(*at));
-        self.slots.retain(|key, slot| listed.contains_key(key) || !old(slot.changed_at));
-        for (key, version) in listed {
-            self.listed_adapter(now, key, version);
-        }
+    }
+
+    /// True if an unload has waited so long for its runs that the server is to be asked about it.
+    pub fn waits_for_runs(&self, now: Time) -> bool {
+        self.slots.values().any(|slot| {
+            slot.state == SlotState::Leaving && now.since(slot.changed_at) >= LEAVES_WITHIN
+        })
     }
 
     /// Takes a report in, which is newer than the list but may be older than the last orders.
@@ -128,6 +131,9 @@
             let fresh = Slot::new(*version, SlotState::Held, now);
             let slot = self.slots.entry(key.clone()).or_insert(fresh);
             slot.version = slot.version.max(*version);
+            if slot.state == SlotState::Leaving {
+                slot.changed_at = now;
+            }
         }
         for (key, version) in &report.pending {
             let fresh = Slot::new(*version, SlotState::Loading, now);
@@ -135,20 +141,6 @@
         }
     }
 
-    fn listed_adapter(&mut self, now: Time, key: AdapterKey, version: u64) {
-        if self.gone.contains_key(&key) {
-            return;
-        }
-        self.remember(&key, version);
-        let slot = self.slots.entry(key).or_insert(Slot::new(version, SlotState::Held, Time(0)));
-        let settled = now.since(slot.changed_at) >= LIST_LAG;
-        if slot.version < version || (settled && slot.state != SlotState::Held) {
-            slot.version = version;
-            slot.state = SlotState::Held;
-            slot.changed_at = now;
-        }
-    }
-
     fn remember(&mut self, key: &AdapterKey, version: u64) {
         self.held_once.retain(|(held, _)| held != key);
         self.held_once.push((key.clone(), version));
@@ -167,7 +159,6 @@
         if state == SlotState::Held {
             self.remember(key, version);
         }
-        self.gone.remove(key);
         let slot = self.slots.entry(key.clone()).or_insert(Slot::new(version, state, now));
         slot.version = version;
         slot.state = state;
@@ -175,9 +166,8 @@
     }
 
     /// Notes that an adapter is not there.
-    pub fn unset(&mut self, now: Time, key: &AdapterKey) {
+    pub fn unset(&mut self, key: &AdapterKey) {
         self.slots.remove(key);
-        self.gone.insert(key.clone(), now);
     }
 
     /// A load of this version was not ordered after all.
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -253,6 +253,9 @@
     ) -> (Vec<Plan>, Vec<(Rc<str>, AdapterKey)>) {
         let Some(config) = self.config.clone() else { return (Vec::new(), Vec::new()) };
         self.servers_ordered = orderable.len();
+        for server in self.servers.values_mut().filter(|server| server.waits_for_runs(now)) {
+            server.surveyed = false;
+        }
         let mut plans = Vec::new();
         for id in orderable {
             let Some(spec) = self.spec(&config, id) else { continue };
@@ -354,9 +357,9 @@
     }
 
     /// A server dropped what made way.
-    pub fn evicted(&mut self, now: Time, server: &str, key: &AdapterKey) {
+    pub fn evicted(&mut self, server: &str, key: &AdapterKey) {
         if let Some(server) = self.servers.get_mut(server) {
-            server.unset(now, key);
+            server.unset(key);
         }
     }
 
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -188,7 +188,7 @@
 #[test]
 fn what_a_server_once_held_is_at_hand() {
     let (mut planner, server) = planner(&[("a1", 1)]);
-    planner.evicted(Time(10), "s1", &key("a1"));
+    planner.evicted("s1", &key("a1"));
     planner.wish(Time(20), &server, &key("a1"), 1, 1);
     let begun = plans(&mut planner, 20 + ms(5).as_millis() as u64, &server);
     assert!(!begun[0].cold);
@@ -223,3 +223,36 @@
     assert_ne!(next[0].evict, begun[0].evict, "another one makes way");
     assert!(next[0].evict.is_some(), "the place is not free yet");
 }
+
+#[test]
+fn a_list_from_before_an_outage_takes_nothing_off_a_server_that_is_ordered_here() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1)]);
+    for (now, name) in [(10, "a3"), (20, "a4")] {
+        planner.wish(Time(now), &server, &key(name), 1, 1);
+        let begun = plans(&mut planner, now, &server);
+        planner.ended(Time(now + 5), &begun[0], PlanEnd::Done, Some(ms(280)));
+    }
+    planner.server(Time(12_000), &backend("s1", &[("a1", 1)]));
+    planner.wish(Time(12_010), &server, &key("b1"), 1, 1);
+    let begun = plans(&mut planner, 12_011, &server);
+    assert!(begun[0].evict.is_some(), "all places are taken, whatever the list says");
+}
+
+#[test]
+fn a_place_that_waits_for_its_runs_is_free_once_a_report_says_so() {
+    let held = [("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)];
+    let (mut planner, server) = planner(&held);
+    planner.wish(Time(10_000), &server, &key("b1"), 1, 1);
+    let begun = plans(&mut planner, 10_001, &server);
+    let victim = begun[0].evict.clone().expect("one makes way");
+    planner.ended(Time(10_010), &begun[0], PlanEnd::InUse, None);
+    assert!(planner.unsurveyed(std::slice::from_ref(&server)).is_empty());
+    planner.plan(Time(12_000), std::slice::from_ref(&server));
+    assert_eq!(planner.unsurveyed(std::slice::from_ref(&server)).len(), 1, "it is asked again");
+    let left: Vec<(&str, u64)> =
+        held.iter().copied().filter(|(n, _)| *n != &*victim.adapter).collect();
+    planner.reported(Time(12_100), "s1", &report(&left));
+    planner.wish(Time(12_110), &server, &key("b2"), 1, 1);
+    let begun = plans(&mut planner, 12_120, &server);
+    assert!(begun.iter().any(|plan| plan.evict.is_none()));
+}
