--- a/crates/portrack-cli/src/args.rs
+++ b/crates/portrack-cli/src/args.rs
@@ -34,6 +34,7 @@
     Audit(Audit),
     Status(Status),
     Drain(Drain),
+    Trace(Trace),
 }
 
 /// bring up stand-ins and three daemons on loopback, send load, and judge the promises
@@ -54,6 +55,18 @@
     pub serve: bool,
 }
 
+/// join the log lines that explain one request, from the logs of several daemons
+#[derive(FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct Trace {
+    /// the request's id
+    #[argh(positional)]
+    pub id: String,
+    /// log files, one a daemon; standard input if left out
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// show what a node of the settings tree sets
 #[derive(FromArgs)]
 #[argh(subcommand, name = "get")]
--- /dev/null
+++ b/crates/portrack-cli/src/commands/trace.rs
@@ -0,0 +1,128 @@
+//! Joins the log lines that explain one request.
+//!
+//! Clocks of daemons disagree, so lines of different daemons are not put into one order: the
+//! request's own daemon comes first, the others after it, each by its own clock.
+
+use crate::args::Trace;
+use crate::failure::Failure;
+use std::io::Read;
+use std::path::Path;
+
+/// Lines of other events are shown if they lie this close to the request, in milliseconds.
+const AROUND_MS: u64 = 6_000;
+/// Events that concern a whole daemon.
+const DAEMON_EVENTS: [&str; 9] = [
+    "start",
+    "stop_begun",
+    "stop",
+    "store_trouble",
+    "store_regained",
+    "lease_lost",
+    "lease_not_renewed",
+    "peer_silent",
+    "config_in_force",
+];
+
+/// One log line.
+#[derive(Debug, Clone, Copy)]
+struct Line<'a> {
+    text: &'a str,
+    time_ms: u64,
+}
+
+/// What a request's line names.
+#[derive(Debug, Default, Clone)]
+struct Subject {
+    time_ms: u64,
+    took_ms: u64,
+    server: String,
+    adapter: String,
+}
+
+/// Prints the lines.
+pub fn trace(arguments: &Trace) -> Result<(), Failure> {
+    let mut logs = Vec::new();
+    for file in &arguments.files {
+        logs.push((file.display().to_string(), read(file)?));
+    }
+    if logs.is_empty() {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text)?;
+        logs.push(("standard input".to_owned(), text));
+    }
+    match explain(&arguments.id, &logs) {
+        Some(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        None => Err(Failure::Input(format!("no line has request={}", arguments.id))),
+    }
+}
+
+fn read(file: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(file)
+        .map_err(|error| Failure::Input(format!("{}: {error}", file.display())))
+}
+
+/// The lines that explain a request; `None` if no line is about it.
+fn explain(id: &str, logs: &[(String, String)]) -> Option<String> {
+    let own = logs.iter().position(|(_, text)| lines(text).any(|line| is_about(line, id)))?;
+    let subject = lines(&logs[own].1).find(|line| is_about(*line, id)).map(subject)?;
+    let mut order: Vec<usize> = vec![own];
+    order.extend((0..logs.len()).filter(|index| *index != own));
+    let mut out = String::new();
+    for index in order {
+        let (name, text) = &logs[index];
+        let shown: Vec<Line<'_>> = lines(text)
+            .filter(|line| is_about(*line, id) || belongs(*line, &subject, index == own))
+            .collect();
+        if !shown.is_empty() {
+            out.push_str(&format!("== {name}\n"));
+            shown.iter().for_each(|line| out.push_str(&format!("{}\n", line.text)));
+        }
+    }
+    Some(out)
+}
+
+/// The lines of a log; what stands before the time is left out.
+fn lines(text: &str) -> impl Iterator<Item = Line<'_>> {
+    text.lines().filter_map(|line| {
+        let text = &line[line.find("time_ms=")?..];
+        let time_ms = field(text, "time_ms")?.parse().ok()?;
+        Some(Line { text, time_ms })
+    })
+}
+
+fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    line.split(' ').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn is_about(line: Line<'_>, id: &str) -> bool {
+    field(line.text, "request") == Some(id)
+}
+
+fn subject(line: Line<'_>) -> Subject {
+    let text = |key| field(line.text, key).map(|value| value.trim_matches('"')).unwrap_or_default();
+    Subject {
+        time_ms: line.time_ms,
+        took_ms: text("took_ms").parse().unwrap_or(0),
+        server: text("server").to_owned(),
+        adapter: text("adapter").to_owned(),
+    }
+}
+
+/// True if a line is about the request's server or adapter, or its daemon, around its time.
+fn belongs(line: Line<'_>, subject: &Subject, own: bool) -> bool {
+    let from = subject.time_ms.saturating_sub(subject.took_ms + AROUND_MS);
+    if !(from..=subject.time_ms + AROUND_MS).contains(&line.time_ms) {
+        return false;
+    }
+    let event = field(line.text, "event").unwrap_or_default();
+    if event == "request" {
+        return false;
+    }
+    let same = |key: &str, value: &str| !value.is_empty() && field(line.text, key) == Some(value);
+    let about_adapter = same("adapter", &subject.adapter) || same("evicted", &subject.adapter);
+    let about_server = event != "order" && same("server", &subject.server);
+    about_adapter || about_server || (own && DAEMON_EVENTS.contains(&event))
+}
--- a/crates/portrack-cli/src/main.rs
+++ b/crates/portrack-cli/src/main.rs
@@ -27,6 +27,9 @@
     if let Command::Demo(demo) = &args.command {
         return demo::run(demo).await;
     }
+    if let Command::Trace(trace) = &args.command {
+        return commands::trace(trace);
+    }
     let client = Client::new(&args.node, args.token_file.as_deref())?;
     let output = args.output;
     match args.command {
@@ -39,6 +42,6 @@
         Command::Audit(audit) => commands::audit(&client, output, &audit).await,
         Command::Status(_) => commands::status(&client, output).await,
         Command::Drain(_) => commands::drain(&client, output).await,
-        Command::Demo(_) => Ok(()),
+        Command::Demo(_) | Command::Trace(_) => Ok(()),
     }
 }
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -148,6 +148,12 @@
         self.store_seen.get().is_some_and(|at| self.now().since(at) < STORE_SEEN_WITHIN)
     }
 
+    /// How long ago the store answered last, in milliseconds; -1 if it never did.
+    pub fn store_age_ms(&self) -> i64 {
+        let age = self.store_seen.get().map(|at| self.now().since(at).as_millis());
+        age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1)
+    }
+
     /// Takes changes of the mirror in; `source` is for logs.
     pub fn apply(self: &Rc<Self>, changes: Vec<Mirrored>, source: &str) {
         let now = self.now();
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -166,10 +166,20 @@
             };
             sink.notices(state.map(|state| notice(&plan, key, state)).into_iter().collect());
         }
+        self.log(&plan, end, took_ms);
+    }
+
+    fn log(&self, plan: &Plan, end: PlanEnd, took_ms: u64) {
+        let (adapter, version) = match &plan.load {
+            PlannedLoad::Base(_) => ("", 0),
+            PlannedLoad::Adapter(key, version) => (&*key.adapter, *version),
+        };
+        let evicted = plan.evict.as_ref().map_or("", |key| &*key.adapter);
+        let fence = self.claims.borrow().may_order(self.clock.now(), &plan.server).unwrap_or(0);
         log::info!(
-            server = &*plan.server, load:? = plan.load, evict:? = plan.evict,
+            server = &*plan.server, adapter = adapter, version = version, evicted = evicted,
             cold = plan.cold, waited_ms = plan.waited.as_millis() as u64, took_ms = took_ms,
-            end:? = end; "order"
+            fence = fence, end:? = end; "order"
         );
     }
 
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -88,6 +88,8 @@
     pub last_event: Option<String>,
     /// What the last try came to.
     pub last_failure: String,
+    /// What was known of its adapter when it had to wait or was refused.
+    pub adapter_note: RefCell<String>,
 }
 
 /// A server chosen for a request.
@@ -156,6 +158,7 @@
             server: job.server.clone(),
             sends: job.sends,
             last_failure: std::mem::take(&mut job.last_failure),
+            adapter_note: job.adapter_note.take(),
             begun: relay.begun(),
         }
     }
@@ -184,6 +187,7 @@
             server: None,
             last_event: request.last_event.clone(),
             last_failure: String::new(),
+            adapter_note: RefCell::default(),
         })
     }
 
@@ -381,6 +385,8 @@
     pub sends: u32,
     /// What the last failed try came to.
     pub last_failure: String,
+    /// What was known of its adapter when it had to wait or was refused.
+    pub adapter_note: String,
     /// The caller has the head of the answer.
     pub begun: bool,
 }
@@ -394,6 +400,7 @@
             server: None,
             sends: 0,
             last_failure: String::new(),
+            adapter_note: String::new(),
             begun: false,
         }
     }
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -88,6 +88,7 @@
             self.wish(job, key);
             let now = self.clock.now();
             let expected = self.view.borrow().holdings.expected(now, key);
+            self.note_adapter(job, now, expected);
             let fast = now < sign_by && job.sends == 0;
             let until = match expected {
                 Some(at) if at > in_time && fast => {
@@ -104,6 +105,15 @@
         }
     }
 
+    /// Keeps what is known of a missing adapter for the request's log line.
+    fn note_adapter(&self, job: &Job<'_>, now: Time, expected: Option<Time>) {
+        let waited = now.since(job.request.arrived).as_millis();
+        *job.adapter_note.borrow_mut() = match expected {
+            Some(at) => format!("expected_in_{}ms_after_{waited}ms", at.since(now).as_millis()),
+            None => format!("nobody_loads_it_after_{waited}ms"),
+        };
+    }
+
     /// Wishes for an adapter at its home, if some daemon may order a server for it.
     fn wish(&self, job: &Job<'_>, key: &AdapterKey) {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/portrackd/tests/logs.rs
@@ -0,0 +1,44 @@
+//! docs/LOGS.md names every event of a gateway daemon, and no other.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+fn sources() -> Vec<String> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut files = vec![root.join("src/gateway.rs")];
+    let gateway = root.join("../portrack/src/gateway");
+    let entries = std::fs::read_dir(gateway).expect("the gateway's sources");
+    files.extend(entries.map(|entry| entry.expect("a file").path()));
+    files.iter().map(|file| std::fs::read_to_string(file).expect("readable")).collect()
+}
+
+/// Event names are the literals that end a log call, or stand after `event=` in a line written by
+/// hand.
+fn events_in(source: &str) -> BTreeSet<String> {
+    let mut events = BTreeSet::new();
+    for rest in source.split(';').skip(1) {
+        let Some(literal) = rest.trim_start().strip_prefix('"') else { continue };
+        let Some((name, after)) = literal.split_once('"') else { continue };
+        let named = name.chars().all(|c| c.is_ascii_lowercase() || c == '_');
+        if named && after.trim_start().starts_with(')') {
+            events.insert(name.to_owned());
+        }
+    }
+    for line in source.split("event=").skip(1) {
+        events.insert(line.chars().take_while(|c| c.is_ascii_lowercase() || *c == '_').collect());
+    }
+    events
+}
+
+#[test]
+fn the_page_names_the_events_of_the_code() {
+    let code: BTreeSet<String> = sources().iter().flat_map(|text| events_in(text)).collect();
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/LOGS.md");
+    let page = std::fs::read_to_string(page).expect("the page");
+    let rows = page.lines().filter(|line| line.starts_with("| `"));
+    let cells = rows.filter_map(|line| line.split('|').nth(1));
+    let told: BTreeSet<String> = cells
+        .flat_map(|cell| cell.split(',').map(|name| name.trim().trim_matches('`').to_owned()))
+        .collect();
+    assert_eq!(told, code);
+}
