Servers that fall silent while they are asked are avoided

Ruled out: connects (250 ms, then another server). A server that was asked and said nothing for 450 ms now costs 80 waiting requests; streams count as speech.

--- a/crates/portrack/src/gateway/choose.rs
+++ b/crates/portrack/src/gateway/choose.rs
@@ -11,6 +11,8 @@
 const ALL_FAIL: f64 = 40.0;
 /// Prompt tokens that weigh as much as one running request.
 const TOKENS_A_REQUEST: f64 = 600.0;
+/// What a server that says nothing although it was asked costs.
+const SILENT: f64 = 80.0;
 /// What a server found unreachable a moment ago costs.
 const UNREACHABLE: f64 = 10_000.0;
 
@@ -23,6 +25,9 @@
     if &*backend.hall != hall {
         cost += OTHER_HALL;
     }
+    if loads.is_silent(now, &backend.id) {
+        cost += SILENT;
+    }
     if loads.is_unreachable(now, &backend.id) {
         cost += UNREACHABLE;
     }
--- a/crates/portrack/src/gateway/load.rs
+++ b/crates/portrack/src/gateway/load.rs
@@ -13,6 +13,8 @@
 const OUTCOME_WEIGHT: f64 = 0.3;
 /// A server that could not be reached is left alone for this long.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(700);
+/// A server that says nothing for this long although it was asked is taken for cut off.
+const SILENT_AFTER: Duration = Duration::from_millis(450);
 /// What peers said of their own load counts for this long.
 const PEER_FRESH: Duration = Duration::from_millis(2_500);
 
@@ -28,6 +30,8 @@
 #[derive(Debug, Clone, Default)]
 struct Server {
     own: Work,
+    /// Since when nothing was heard of it although it was asked.
+    silent_since: Option<Time>,
     failure_rate: f64,
     rated_at: Time,
     unreachable_until: Time,
@@ -54,9 +58,10 @@
 
 impl LoadTable {
     /// Counts a request at a server until the guard is dropped.
-    pub fn begin(self: &Rc<Self>, server: &Rc<str>, tokens: u32) -> WorkGuard {
+    pub fn begin(self: &Rc<Self>, now: Time, server: &Rc<str>, tokens: u32) -> WorkGuard {
         let mut servers = self.servers.borrow_mut();
         let entry = servers.entry(server.clone()).or_default();
+        entry.silent_since.get_or_insert(now);
         entry.own.requests += 1;
         entry.own.waiting_tokens += tokens;
         WorkGuard { table: self.clone(), server: server.clone(), tokens }
@@ -85,6 +90,13 @@
         self.servers.borrow().get(server).is_some_and(|entry| now < entry.unreachable_until)
     }
 
+    /// True if nothing was heard of a server for a while although it was asked.
+    pub fn is_silent(&self, now: Time, server: &str) -> bool {
+        let servers = self.servers.borrow();
+        let since = servers.get(server).and_then(|entry| entry.silent_since);
+        since.is_some_and(|since| now.since(since) >= SILENT_AFTER)
+    }
+
     /// The share of recent requests that failed, fading with time.
     pub fn failure_rate(&self, now: Time, server: &str) -> f64 {
         self.servers.borrow().get(server).map_or(0.0, |entry| entry.rate(now))
@@ -140,6 +152,13 @@
 }
 
 impl WorkGuard {
+    /// The server said something.
+    pub fn heard(&self, now: Time) {
+        if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
+            entry.silent_since = Some(now);
+        }
+    }
+
     /// The server has begun to answer: the prompt is read.
     pub fn begun(&mut self) {
         let tokens = std::mem::take(&mut self.tokens);
@@ -154,6 +173,9 @@
         self.begun();
         if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
             entry.own.requests = entry.own.requests.saturating_sub(1);
+            if entry.own.requests == 0 {
+                entry.silent_since = None;
+            }
         }
     }
 }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub use backend::{Backend, HeldAdapter, HeldModel};
 pub use body::{BodyDecoder, Step};
 pub use caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
+pub use choose::cheapest;
 pub use claim_record::ClaimRecord;
 pub use claims::{Claim, Claims, Predecessor};
 pub use config::{
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -234,7 +234,7 @@
         let now = self.clock.now();
         let bytes = request_bytes(&*self.dialect, job.request, &self.forward_meta(job, choice));
         let tokens = job.model().map_or(0, |model| model.prompt_tokens as u32);
-        let mut guard = self.loads.begin(&backend.id, tokens);
+        let mut guard = self.loads.begin(now, &backend.id, tokens);
         let _using = job.adapter().map(|key| self.demand.begin(&backend.id, &key));
         let most = self.connections_share(&job.service);
         let id = &job.request.meta.id;
@@ -260,7 +260,9 @@
                 job.sends += 1;
                 job.runs += 1;
                 guard.begun();
-                let end = relay.answer(job, *answer, sink).await;
+                let heard = || guard.heard(self.clock.now());
+                heard();
+                let end = relay.answer(job, *answer, sink, heard).await;
                 drop(guard);
                 self.after_relay(job, &backend.id, end, relay)
             }
--- a/crates/portrack/src/gateway/relay.rs
+++ b/crates/portrack/src/gateway/relay.rs
@@ -45,12 +45,13 @@
         self.events.as_ref().and_then(EventSplitter::last_id)
     }
 
-    /// Hands an answer on.
+    /// Hands an answer on; `heard` is told of each part that comes.
     pub async fn answer(
         &mut self,
         job: &Job<'_>,
         mut exchange: Exchange,
         sink: &mut impl ReplySink,
+        heard: impl Fn(),
     ) -> RelayEnd {
         let status = exchange.head.status;
         if status.is_success() && !exchange.head.meta.signed {
@@ -70,7 +71,7 @@
             return RelayEnd::Failed(status.as_u16());
         }
         if job.route.kind == RouteKind::Stream && status.is_success() {
-            return self.stream(exchange, sink).await;
+            return self.stream(exchange, sink, heard).await;
         }
         self.whole(exchange, sink).await
     }
@@ -95,7 +96,12 @@
         }
     }
 
-    async fn stream(&mut self, mut exchange: Exchange, sink: &mut impl ReplySink) -> RelayEnd {
+    async fn stream(
+        &mut self,
+        mut exchange: Exchange,
+        sink: &mut impl ReplySink,
+        heard: impl Fn(),
+    ) -> RelayEnd {
         let status = exchange.head.status.as_u16();
         if !self.begun {
             let head = reply_head(&exchange.head, None);
@@ -113,6 +119,7 @@
                     return RelayEnd::Lost(error.to_string());
                 }
             };
+            heard();
             let whole = match self.events.as_mut() {
                 Some(events) => events.push(&part),
                 None => Some(part),
--- /dev/null
+++ b/crates/portrack/tests/gateway/loads.rs
@@ -0,0 +1,57 @@
+//! Load and health of servers.
+
+use crate::support::backend;
+use portrack::Time;
+use portrack::gateway::{LoadTable, cheapest};
+use std::rc::Rc;
+
+fn chosen(loads: &LoadTable, now: u64) -> String {
+    let servers = [Rc::new(backend("s1", &[])), Rc::new(backend("s2", &[]))];
+    let best = cheapest(Time(now), loads, "a", &[], servers.iter()).expect("one of them");
+    best.id.to_string()
+}
+
+#[test]
+fn the_idler_server_is_chosen() {
+    let loads = Rc::new(LoadTable::default());
+    let _busy = loads.begin(Time(0), &"s1".into(), 0);
+    assert_eq!(chosen(&loads, 10), "s2");
+}
+
+#[test]
+fn a_server_that_says_nothing_while_it_is_asked_is_avoided() {
+    let loads = Rc::new(LoadTable::default());
+    let silent = loads.begin(Time(0), &"s1".into(), 0);
+    let _busy: Vec<_> = (0..6).map(|_| loads.begin(Time(0), &"s2".into(), 0)).collect();
+    assert_eq!(chosen(&loads, 100), "s1", "it has had little time so far");
+    assert!(loads.is_silent(Time(500), "s1"));
+    for guard in &_busy {
+        guard.heard(Time(450));
+    }
+    assert_eq!(chosen(&loads, 500), "s2");
+    silent.heard(Time(510));
+    assert_eq!(chosen(&loads, 520), "s1", "it speaks again");
+}
+
+#[test]
+fn silence_without_a_question_means_nothing() {
+    let loads = Rc::new(LoadTable::default());
+    drop(loads.begin(Time(0), &"s1".into(), 0));
+    assert!(!loads.is_silent(Time(60_000), "s1"));
+    let later = loads.begin(Time(60_000), &"s1".into(), 0);
+    assert!(!loads.is_silent(Time(60_100), "s1"), "counted from the question");
+    drop(later);
+}
+
+#[test]
+fn failures_are_remembered_and_fade() {
+    let loads = Rc::new(LoadTable::default());
+    for _ in 0..5 {
+        loads.outcome(Time(0), &"s1".into(), true);
+    }
+    assert!(loads.failure_rate(Time(0), "s1") > 0.7);
+    assert!(loads.failure_rate(Time(10_000), "s1") < 0.1);
+    loads.unreachable(Time(20_000), &"s1".into());
+    assert!(loads.is_unreachable(Time(20_100), "s1"));
+    assert!(!loads.is_unreachable(Time(21_000), "s1"));
+}
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod history;
 mod holdings;
 mod homes;
+mod loads;
 mod logs;
 mod messages;
 mod mirror;
