--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -5,7 +5,7 @@
 use super::daemon::GatewayDaemon;
 use super::dialect::Dialect;
 use super::ingress::{Host, Writer, serve_connection};
-use super::path::{RequestEnd, Served};
+use super::path::{Progress, RequestEnd, Served};
 use crate::types::Clock;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,7 @@
 struct Account<'a> {
     daemon: &'a GatewayDaemon,
     request: &'a CallerRequest,
+    progress: Progress,
     served: Option<Served>,
 }
 
@@ -83,11 +84,16 @@
     }
 
     async fn serve(&self, request: CallerRequest, sink: &mut Writer<'_>) {
-        let mut account = Account { daemon: self, request: &request, served: None };
+        let mut account = Account {
+            daemon: self,
+            request: &request,
+            progress: Progress::default(),
+            served: None,
+        };
         self.in_flight.set(self.in_flight.get() + 1);
         let served = match self.is_too_late_for(&request) {
             true => Served::refused(Refused::new(RefusalReason::Stopping, Some(STOPPING_RETRY))),
-            false => self.path.serve(&request, sink).await,
+            false => self.path.serve(&request, sink, &account.progress).await,
         };
         if let RequestEnd::Refused(refused) = &served.end {
             let _ = sink.refuse(refused).await;
@@ -106,7 +112,7 @@
         daemon.metrics.requests.with_label_values(&[kind, end]).inc();
         daemon.metrics.duration.with_label_values(&[kind]).observe(took.as_secs_f64());
         let Some(served) = &self.served else {
-            log::info!(request = &*self.request.meta.id, end = end, took_ms = took.as_millis() as u64; "request");
+            self.log_left(took);
             return;
         };
         daemon.metrics.resends.inc_by(served.sends.saturating_sub(1).into());
@@ -115,9 +121,25 @@
 }
 
 impl Account<'_> {
+    /// The caller left in the middle.
+    fn log_left(&self, took: Duration) {
+        let route = self.progress.route.borrow();
+        let server = self.progress.server.borrow();
+        log::info!(
+            request = &*self.request.meta.id,
+            route = route.as_ref().map_or("", |route| &*route.name),
+            end = "caller_gone",
+            server = server.as_deref().unwrap_or_default(),
+            begun = self.progress.begun.get(),
+            store_age_ms = self.daemon.store_age_ms(),
+            took_ms = took.as_millis() as u64;
+            "request"
+        );
+    }
+
     fn kind(&self) -> &'static str {
-        let route = self.served.as_ref().and_then(|served| served.route.as_ref());
-        match route.map(|route| route.kind) {
+        let route = self.progress.route.borrow();
+        match route.as_ref().map(|route| route.kind) {
             Some(RouteKind::Repeatable) => "repeatable",
             Some(RouteKind::Once) => "once",
             Some(RouteKind::Stream) => "stream",
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -76,7 +76,7 @@
 pub use metrics::GatewayMetrics;
 pub use mirror::{Mirror, MirrorItem, Mirrored};
 pub use ordering::{NoticeSink, Ordering};
-pub use path::{RequestEnd, RequestPath, Served};
+pub use path::{Progress, RequestEnd, RequestPath, Served};
 pub use peers::{Peer, PeerChange, Peers};
 pub use planner::{Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use pool::Pool;
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -53,6 +53,17 @@
     pub daemons: Cell<usize>,
 }
 
+/// How far a request has come, for the log line of one whose caller leaves in the middle.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Its route.
+    pub route: RefCell<Option<Rc<Route>>>,
+    /// The server of the last try.
+    pub server: RefCell<Option<Rc<str>>>,
+    /// The server has begun to answer.
+    pub begun: Cell<bool>,
+}
+
 /// How a request ended, for logs and metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RequestEnd {
@@ -70,6 +81,8 @@
 pub struct Job<'a> {
     /// The request.
     pub request: &'a CallerRequest,
+    /// Told how far it has come.
+    pub progress: &'a Progress,
     /// Its route.
     pub route: Rc<Route>,
     /// Its service.
@@ -137,11 +150,17 @@
 
 impl RequestPath {
     /// Serves a request to its end.
-    pub async fn serve(&self, request: &CallerRequest, sink: &mut impl ReplySink) -> Served {
-        let mut job = match self.job(request) {
+    pub async fn serve(
+        &self,
+        request: &CallerRequest,
+        sink: &mut impl ReplySink,
+        progress: &Progress,
+    ) -> Served {
+        let mut job = match self.job(request, progress) {
             Ok(job) => job,
             Err(refused) => return Served::refused(refused),
         };
+        *progress.route.borrow_mut() = Some(job.route.clone());
         let now = self.clock.now();
         self.retries.borrow_mut().note_request(now, &job.service.name);
         let mut relay = Relay::new(&job.route);
@@ -163,7 +182,11 @@
         }
     }
 
-    fn job<'a>(&self, request: &'a CallerRequest) -> Result<Job<'a>, Refused> {
+    fn job<'a>(
+        &self,
+        request: &'a CallerRequest,
+        progress: &'a Progress,
+    ) -> Result<Job<'a>, Refused> {
         let view = self.view.borrow();
         if view.config().is_none() {
             return Err(Refused::new(RefusalReason::NoConfig, Some(UNKNOWN_RETRY)));
@@ -178,6 +201,7 @@
         let deadline = request.arrived + patience;
         Ok(Job {
             request,
+            progress,
             route,
             service,
             deadline,
@@ -230,6 +254,7 @@
         }
         let backend = &choice.backend;
         job.server = Some(backend.id.clone());
+        *job.progress.server.borrow_mut() = Some(backend.id.clone());
         job.tried.push(backend.id.clone());
         let now = self.clock.now();
         let bytes = request_bytes(&*self.dialect, job.request, &self.forward_meta(job, choice));
@@ -260,6 +285,7 @@
                 job.sends += 1;
                 job.runs += 1;
                 guard.begun();
+                job.progress.begun.set(true);
                 let heard = || guard.heard(self.clock.now());
                 heard();
                 let end = relay.answer(job, *answer, sink, heard).await;
