--- a/crates/portrack/src/daemon/leases.rs
+++ b/crates/portrack/src/daemon/leases.rs
@@ -43,6 +43,7 @@
 }
 
 impl Leases {
+    /// No lease yet. Keys begin with `prefix`; `owner` names this daemon in them.
     pub fn new(kv: Rc<dyn Kv>, prefix: String, owner: String) -> Self {
         Self {
             kv,
