--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -262,6 +262,7 @@
         let mut guard = self.loads.begin(now, &backend.id, tokens);
         let _using = job.adapter().map(|key| self.demand.begin(&backend.id, &key));
         let most = self.connections_share(&job.service);
+        job.sends += 1;
         let id = &job.request.meta.id;
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
         let sent = match self.slow_after(job, now) {
@@ -275,14 +276,12 @@
         match sent {
             Sent::NotRun(why) => self.after_not_run(job, choice, &why, relay),
             Sent::MayHaveRun(error) => {
-                job.sends += 1;
                 job.runs += 1;
                 self.loads.outcome(self.clock.now(), &backend.id, true);
                 job.last_failure = error.to_string();
                 self.after_loss(job, relay)
             }
             Sent::Answer(answer) => {
-                job.sends += 1;
                 job.runs += 1;
                 guard.begun();
                 job.progress.begun.set(true);
@@ -336,12 +335,12 @@
         let (now, id) = (self.clock.now(), &choice.backend.id);
         job.last_failure = format!("{why:?}");
         match why {
-            NotRun::NoConnection => {}
-            NotRun::Unreachable(_) => self.loads.unreachable(now, id),
-            NotRun::TurnedAway(status) => {
-                job.sends += 1;
-                self.note_turned_away(job, id, *status);
+            NotRun::NoConnection => job.sends -= 1,
+            NotRun::Unreachable(_) => {
+                job.sends -= 1;
+                self.loads.unreachable(now, id);
             }
+            NotRun::TurnedAway(status) => self.note_turned_away(job, id, *status),
         }
         let others = self.has_untried(job);
         if others {
