--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -9,7 +9,7 @@
     decode, encode,
 };
 use super::ordering::NoticeSink;
-use super::peers::PeerChange;
+use super::peers::{BEAT, PeerChange};
 use super::planner::WishAnswer;
 use crate::types::Time;
 use std::collections::HashMap;
@@ -17,8 +17,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Between heartbeats.
-const BEAT: Duration = Duration::from_millis(300);
 /// Uses are told this often.
 const USES_TOLD: Duration = Duration::from_millis(600);
 /// Wishes and uses in one datagram.
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -7,11 +7,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A daemon not heard for this long counts as gone.
+/// Between heartbeats.
+pub const BEAT: Duration = Duration::from_millis(300);
+/// Turns of heartbeats that may be lost before what a daemon said of its orders is not believed.
+const TURNS_FRESH: u32 = 3;
+/// Turns of heartbeats that may be lost before a daemon counts as gone.
+const TURNS_GONE: u32 = 5;
+/// A daemon not heard for this long counts as gone, in a fleet where all hear every heartbeat.
 const GONE_AFTER: Duration = Duration::from_millis(3_000);
 /// A daemon not heard for this long is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
-/// What a daemon said of its orders counts for this long.
+/// What a daemon said of its orders counts for this long, in such a fleet.
 const ORDERS_FRESH: Duration = Duration::from_millis(1_400);
 /// Daemons that one heartbeat goes to; in small fleets that is all of them.
 const FAN_OUT: usize = 12;
@@ -61,6 +67,24 @@
         Self { me, seeds, heard_of: Vec::new(), peers: BTreeMap::new(), turn: 0 }
     }
 
+    /// How long each daemon takes until its heartbeats have reached all others once.
+    fn round(&self) -> Duration {
+        let turns = self.peers.len().div_ceil(FAN_OUT).max(1);
+        BEAT * u32::try_from(turns).unwrap_or(u32::MAX)
+    }
+
+    fn orders_fresh(&self) -> Duration {
+        ORDERS_FRESH.max(self.round() * TURNS_FRESH)
+    }
+
+    fn gone_after(&self) -> Duration {
+        GONE_AFTER.max(self.round() * TURNS_GONE)
+    }
+
+    fn is_up(&self, now: Time, peer: &Peer) -> bool {
+        now.since(peer.heard_at) < self.gone_after()
+    }
+
     /// Takes a heartbeat in.
     pub fn heard(&mut self, now: Time, heartbeat: Heartbeat) -> Option<PeerChange> {
         if heartbeat.address == self.me {
@@ -75,7 +99,7 @@
         if before.is_some_and(|peer| peer.heartbeat.incarnation > heartbeat.incarnation) {
             return None;
         }
-        let was_up = before.is_some_and(|peer| peer.is_up(now));
+        let was_up = before.is_some_and(|peer| self.is_up(now, peer));
         let was_leaving = before.is_some_and(|peer| peer.heartbeat.leaving);
         let leaving = heartbeat.leaving;
         self.peers.insert(name, Peer { heartbeat, heard_at: now });
@@ -98,10 +122,9 @@
 
     /// Forgets daemons not heard for long. Returns those that have just gone silent.
     pub fn sweep(&mut self, now: Time, since: Time) -> Vec<Rc<str>> {
-        let silent = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| !peer.is_up(now) && since.since(peer.heard_at) < GONE_AFTER);
+        let silent = self.peers.iter().filter(|(_, peer)| {
+            !self.is_up(now, peer) && since.since(peer.heard_at) < self.gone_after()
+        });
         let silent: Vec<Rc<str>> = silent.map(|(name, _)| name.clone()).collect();
         self.peers.retain(|_, peer| now.since(peer.heard_at) < FORGOTTEN_AFTER);
         silent
@@ -109,7 +132,7 @@
 
     /// The daemons that are up.
     pub fn up(&self, now: Time) -> impl Iterator<Item = (&Rc<str>, &Peer)> {
-        self.peers.iter().filter(move |(_, peer)| peer.is_up(now))
+        self.peers.iter().filter(move |(_, peer)| self.is_up(now, peer))
     }
 
     /// Where all daemons that are up hear datagrams.
@@ -151,8 +174,9 @@
 
     /// The daemon that may order a server, as far as heard lately.
     pub fn orderer(&self, now: Time, mark: u32) -> Option<(&Rc<str>, &Peer)> {
+        let fresh_for = self.orders_fresh();
         self.peers.iter().find(|(_, peer)| {
-            let fresh = now.since(peer.heard_at) < ORDERS_FRESH;
+            let fresh = now.since(peer.heard_at) < fresh_for;
             fresh && !peer.heartbeat.leaving && peer.heartbeat.orders.contains(&mark)
         })
     }
@@ -192,9 +216,3 @@
 pub fn machine_name(heartbeat: &Heartbeat) -> String {
     format!("{}|{}", heartbeat.node, heartbeat.address)
 }
-
-impl Peer {
-    fn is_up(&self, now: Time) -> bool {
-        now.since(self.heard_at) < GONE_AFTER
-    }
-}
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -110,3 +110,16 @@
     }
     assert!((10..60).all(|last| reached.contains(&address(last))), "all are reached in 8 rounds");
 }
+
+#[test]
+fn in_a_large_fleet_daemons_are_believed_until_their_turn_comes_again() {
+    let mut peers = peers();
+    for last in 10..130 {
+        peers.heard(Time(0), beat(last, 1));
+    }
+    let round = 120 / 12 * 300;
+    assert!(peers.orderer(Time(2 * round), 50).is_some(), "two turns may be lost");
+    assert!(peers.orderer(Time(3 * round), 50).is_none());
+    assert_eq!(peers.up(Time(4 * round)).count(), 120);
+    assert_eq!(peers.up(Time(5 * round)).count(), 0);
+}
