--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -13,8 +13,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A newer version may still be missing at a server for this long after it became known.
-const VERSION_GRACE: Duration = Duration::from_millis(2_500);
+/// An older version may still be asked for this long after a newer one became known. A request may
+/// then wait at its server for seconds before it begins.
+const VERSION_GRACE: Duration = Duration::from_millis(1_200);
 /// A server with so many requests waiting is crowded; the same more than the idlest one is unfair.
 const CROWDED: f64 = 14.0;
 /// Of its objective, a request waits this share for a sign that its adapter is coming.
@@ -152,7 +153,7 @@
         let now = self.clock.now();
         let view = self.view.borrow();
         let named = view.named_version(key);
-        let in_grace = named.is_some_and(|named| now.since(named.learned_at) < VERSION_GRACE);
+        let in_grace = named.is_some_and(|named| named.is_fresh(now, VERSION_GRACE));
         let newest = named.map_or(1, |named| named.version);
         let holders = view.holdings.holders(now, key);
         let usable = holders.into_iter().filter(|(_, v)| *v >= newest || in_grace);
@@ -178,7 +179,9 @@
     /// Wishes for the newest version, or for a further copy where a much idler server is.
     fn wish_beside(&self, job: &Job<'_>, key: &AdapterKey, old: bool, crowded: f64) {
         let now = self.clock.now();
-        if !old {
+        if old {
+            self.demand.missed(key);
+        } else {
             let view = self.view.borrow();
             let open = view.open_backends(&job.service.name);
             let costs = open.map(|backend| cost(now, &self.loads, &self.hall, backend));
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -71,6 +71,9 @@
                     progress.borrow_mut()[index] = revision;
                     let whole = progress.borrow().iter().min().copied().unwrap_or(0);
                     self.mirror.borrow_mut().whole_up_to(whole);
+                    if whole > 0 {
+                        self.path.view.borrow_mut().was_read();
+                    }
                     actix_rt::time::sleep(GATHER).await;
                 }
                 Err(error) => {
@@ -137,6 +140,7 @@
                     };
                     log::info!(peer:% = peer, revision = reply.revision, changes = changes.len(); "caught_up_from_peer");
                     self.apply(changes, "peer");
+                    self.path.view.borrow_mut().was_read();
                 }
                 Ok(None) | Err(_) => log::warn!(peer:% = peer; "peer_did_not_answer"),
             }
--- a/crates/portrack/src/gateway/view.rs
+++ b/crates/portrack/src/gateway/view.rs
@@ -9,14 +9,22 @@
 use crate::types::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The newest version named for an adapter, and since when it is known here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NamedVersion {
     /// The version.
     pub version: u64,
-    /// When this daemon learned of it.
-    pub learned_at: Time,
+    /// When this daemon learned of it; `None` if it was named before this daemon knew anything.
+    pub learned_at: Option<Time>,
+}
+
+impl NamedVersion {
+    /// True while an older version may still be used, `grace` after this one became known.
+    pub fn is_fresh(&self, now: Time, grace: Duration) -> bool {
+        self.learned_at.is_some_and(|at| now.since(at) < grace)
+    }
 }
 
 /// What a change of the store changed in the view.
@@ -41,6 +49,7 @@
     routes: RouteTable,
     backends: BTreeMap<Rc<str>, Rc<Backend>>,
     versions: HashMap<AdapterKey, NamedVersion>,
+    read_once: bool,
     /// Which server holds which adapter.
     pub holdings: Holdings,
 }
@@ -89,6 +98,11 @@
         self.versions.iter().map(|(key, named)| (key, *named))
     }
 
+    /// Everything was read once: what comes from now on is news.
+    pub fn was_read(&mut self) {
+        self.read_once = true;
+    }
+
     /// Takes a change of the mirror in.
     pub fn apply(
         &mut self,
@@ -148,7 +162,8 @@
         if self.versions.get(&key).is_some_and(|named| named.version >= version) {
             return None;
         }
-        self.versions.insert(key.clone(), NamedVersion { version, learned_at: now });
+        let learned_at = self.read_once.then_some(now);
+        self.versions.insert(key.clone(), NamedVersion { version, learned_at });
         Some(ViewChange::Version(key, version))
     }
 }
