--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -29,7 +29,7 @@
 
     /// Claims servers that nobody orders, for ever.
     pub async fn claim_servers(self: Rc<Self>) {
-        while !self.stopping.get() {
+        while !self.stopping() {
             actix_rt::time::sleep(LOOK).await;
             if !self.has_lease().await {
                 continue;
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -48,9 +48,7 @@
     pub store_seen: Cell<Option<Time>>,
     /// Requests being served.
     pub in_flight: Cell<usize>,
-    /// A stop was asked for.
-    pub stopping: Cell<bool>,
-    /// When it was asked for.
+    /// When a stop was asked for.
     pub stopping_since: Cell<Option<Time>>,
     /// Servers that nobody orders.
     pub vacancies: RefCell<Vacancies>,
@@ -129,7 +127,6 @@
             incarnation,
             store_seen: Cell::new(None),
             in_flight: Cell::new(0),
-            stopping: Cell::new(false),
             stopping_since: Cell::new(None),
             vacancies: RefCell::default(),
             closing: Rc::new(Notify::new()),
@@ -143,6 +140,11 @@
         self.clock.now()
     }
 
+    /// True once a stop was asked for.
+    pub fn stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
+    }
+
     /// True if the store answered a moment ago.
     pub fn sees_store(&self) -> bool {
         self.store_seen.get().is_some_and(|at| self.now().since(at) < STORE_SEEN_WITHIN)
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -77,7 +77,7 @@
             address: self.settings.members,
             incarnation: self.incarnation,
             revision: self.mirror.borrow().revision(),
-            leaving: self.stopping.get(),
+            leaving: self.stopping(),
             sees_store: self.sees_store(),
             orders: self.orderable_marks(now),
             work: self.path.loads.own(),
--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -74,7 +74,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping()
     }
 
     async fn idle_connections_end(&self) {
--- a/crates/portrack/src/gateway/ingress.rs
+++ b/crates/portrack/src/gateway/ingress.rs
@@ -62,7 +62,6 @@
     codec: Codec,
     buffer: BytesMut,
     close: bool,
-    begun: bool,
     finished: bool,
 }
 
@@ -107,7 +106,6 @@
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         let size = head.length.map_or(BodySize::Stream, BodySize::Sized);
-        self.begun = true;
         self.encode(Message::Item((response, size)))?;
         match size {
             BodySize::Stream => self.flush().await,
@@ -185,7 +183,6 @@
         codec: Codec::new(config),
         buffer: BytesMut::new(),
         close: false,
-        begun: false,
         finished: false,
     };
     loop {
@@ -201,7 +198,6 @@
             }
         };
         writer.close = host.is_stopping() || !writer.codec.keep_alive();
-        writer.begun = false;
         writer.finished = false;
         let gone = tokio::select! {
             biased;
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -31,8 +31,6 @@
     pub datagrams_dropped: IntCounter,
     /// Servers that this daemon orders.
     pub servers_ordered: IntGauge,
-    /// Log lines dropped because the reader was too slow.
-    pub log_lines_dropped: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -51,7 +49,6 @@
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
-            log_lines_dropped: made.gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
         }
     }
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -178,7 +178,6 @@
             sends: job.sends,
             last_failure: std::mem::take(&mut job.last_failure),
             adapter_note: job.adapter_note.take(),
-            begun: relay.begun(),
         }
     }
 
@@ -414,8 +413,6 @@
     pub last_failure: String,
     /// What was known of its adapter when it had to wait or was refused.
     pub adapter_note: String,
-    /// The caller has the head of the answer.
-    pub begun: bool,
 }
 
 impl Served {
@@ -428,7 +425,6 @@
             sends: 0,
             last_failure: String::new(),
             adapter_note: String::new(),
-            begun: false,
         }
     }
 }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -130,7 +130,7 @@
 impl GatewayDaemon {
     /// True while new callers are wanted.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.path.view.borrow().config().is_some()
+        !self.stopping() && self.path.view.borrow().config().is_some()
     }
 
     async fn sweep(self: Rc<Self>) {
@@ -174,7 +174,6 @@
         let began = daemon.now();
         let within = Duration::from_secs_f64(daemon.settings.bounds.stop_within_s);
         let within = within.saturating_sub(STOP_RESERVE);
-        daemon.stopping.set(true);
         daemon.stopping_since.set(Some(began));
         log::info!(in_flight = daemon.in_flight.get(); "stop_begun");
         daemon.beat();
