Loads that a report tells as held no longer count as on the way

Cause: an order without an answer leaves its place "loading". When the load had been carried out, the next report told it as held, but the place stayed "loading" for ever; after three such orders (MOST_PENDING) a server took no further adapter until its orderer restarted.

Ruled out: claims (all servers were ordered), the fetch limit (the four servers that went on fetched at 280 ms each, 12 in 4 s a server), surveys (they were read).

Two tests fail without it.

--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -128,12 +128,9 @@
         self.slots.retain(|key, slot| told(key) || now.since(slot.changed_at) < REPORT_LAG);
         for (key, version) in &report.held {
             self.remember(key, *version);
+            let pending = report.pending.iter().any(|(told, _)| told == key);
             let fresh = Slot::new(*version, SlotState::Held, now);
-            let slot = self.slots.entry(key.clone()).or_insert(fresh);
-            slot.version = slot.version.max(*version);
-            if slot.state == SlotState::Leaving {
-                slot.changed_at = now;
-            }
+            self.slots.entry(key.clone()).or_insert(fresh).told_held(now, *version, pending);
         }
         for (key, version) in &report.pending {
             let fresh = Slot::new(*version, SlotState::Loading, now);
@@ -237,6 +234,28 @@
 }
 
 impl Slot {
+    /// Takes in that a report tells it as held at this version; `pending` is true if it tells a
+    /// load of it as well.
+    fn told_held(&mut self, now: Time, version: u64, pending: bool) {
+        match self.state {
+            SlotState::Held => self.version = self.version.max(version),
+            SlotState::Leaving => self.changed_at = now,
+            SlotState::Loading if version >= self.version => self.settle(now, version),
+            SlotState::Loading => {
+                let ordered_before_report = now.since(self.changed_at) >= REPORT_LAG;
+                if ordered_before_report && !pending {
+                    self.settle(now, version);
+                }
+            }
+        }
+    }
+
+    fn settle(&mut self, now: Time, version: u64) {
+        self.version = version;
+        self.state = SlotState::Held;
+        self.changed_at = now;
+    }
+
     fn new(version: u64, state: SlotState, changed_at: Time) -> Self {
         let demand = AdapterDemand::default();
         Self { version, state, changed_at, demand, used_at: changed_at }
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -256,3 +256,35 @@
     let begun = plans(&mut planner, 12_120, &server);
     assert!(begun.iter().any(|plan| plan.evict.is_none()));
 }
+
+#[test]
+fn loads_without_an_answer_that_a_report_tells_as_held_are_no_longer_pending() {
+    let (mut planner, server) = planner(&[]);
+    for (now, name) in [(10_000, "b1"), (13_000, "b2"), (16_000, "b3")] {
+        planner.wish(Time(now), &server, &key(name), 1, 1);
+        let begun = plans(&mut planner, now, &server);
+        planner.ended(Time(now + 700), &begun[0], PlanEnd::Unknown, None);
+    }
+    planner.unsure("s1");
+    let told = report(&[("b1", 1), ("b2", 1), ("b3", 1)]);
+    planner.reported(Time(20_000), "s1", &told);
+    planner.wish(Time(20_010), &server, &key("c1"), 1, 1);
+    assert_eq!(plans(&mut planner, 20_020, &server).len(), 1, "nothing is on the way there");
+}
+
+#[test]
+fn a_replacement_that_never_began_leaves_the_old_version_held() {
+    let (mut planner, server) = planner(&[("a1", 1)]);
+    planner.wish(Time(10), &server, &key("a1"), 2, 1);
+    let begun = plans(&mut planner, 11, &server);
+    assert_eq!(begun[0].load, PlannedLoad::Adapter(key("a1"), 2));
+    planner.ended(Time(700), &begun[0], PlanEnd::Unknown, None);
+    let mut told = report(&[("a1", 1)]);
+    told.pending = vec![(key("a1"), 2)];
+    planner.reported(Time(3_000), "s1", &told);
+    planner.wish(Time(3_010), &server, &key("a1"), 2, 1);
+    assert!(plans(&mut planner, 3_020, &server).is_empty(), "it is on the way");
+    planner.reported(Time(4_000), "s1", &report(&[("a1", 1)]));
+    planner.wish(Time(4_010), &server, &key("a1"), 2, 1);
+    assert_eq!(plans(&mut planner, 4_020, &server).len(), 1, "it is not: it is ordered again");
+}
