Orders and confirmations without an answer are sent again at once, with the same count

Cause: while workers leave three orders in ten unanswered (applied_late), every lost answer, that of a mere confirmation included, put the whole server in doubt: 700 ms of patience, 1.5 s of rest, 260 ms for a report, and all other steps there ended "NotSent", which dropped their wishes. Every order carries the count of orders before it, so of several tries at most one is carried out, however late; a confirmation changes nothing. So an order is tried three times within the same 700 ms, a confirmation is asked again, and a step at a server in doubt keeps its wish (Uncounted).

Ruled out: the store (its outage ended at 5.3 s), the fetch limit.

The calls have a file of their own.

--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod message;
 mod metrics;
 mod mirror;
+mod order_call;
 mod ordering;
 mod path;
 mod peers;
--- /dev/null
+++ b/crates/portrack/src/gateway/order_call.rs
@@ -0,0 +1,123 @@
+//! Calls to servers about what they hold, on connections of their own.
+
+use super::answer::AnswerHead;
+use super::body::BodyDecoder;
+use super::dialect::Dialect;
+use super::pool::{Lent, Pool};
+use actix_http::StatusCode;
+use bytes::{Bytes, BytesMut};
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Connections to one server for such calls.
+const CONNECTIONS: usize = 2;
+
+/// One call.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OrderCall<'a> {
+    /// The server that is meant; another one at its address refuses.
+    pub server: &'a Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The method.
+    pub method: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// A JSON body.
+    pub body: &'a [u8],
+    /// The longest wait for the answer.
+    pub patience: Duration,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub(super) struct CallAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone)]
+pub(super) enum Called {
+    /// It was answered.
+    Answer(CallAnswer),
+    /// It was sent, at least in part.
+    NoAnswer,
+    /// Nothing of it was sent.
+    NotSent,
+}
+
+/// Makes calls.
+pub(super) struct OrderCalls {
+    dialect: Rc<dyn Dialect>,
+    pool: Rc<Pool>,
+}
+
+impl OrderCalls {
+    /// No connections yet.
+    pub fn new(dialect: Rc<dyn Dialect>) -> Self {
+        Self { dialect, pool: Rc::default() }
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&self, server: &str) {
+        self.pool.forget(server);
+    }
+
+    /// Closes connections that can no longer be used.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// Makes one call; `still` is asked right before the first byte leaves.
+    pub async fn call(&self, call: &OrderCall<'_>, still: impl Fn() -> bool) -> Called {
+        let Ok(lent) = self.pool.lend(call.server, call.address, CONNECTIONS).await else {
+            return Called::NotSent;
+        };
+        let bytes = self.bytes(call);
+        if !still() {
+            lent.keep();
+            return Called::NotSent;
+        }
+        let answering = self.answer(lent, &bytes);
+        match actix_rt::time::timeout(call.patience, answering).await {
+            Ok(Some(answer)) => Called::Answer(answer),
+            Ok(None) | Err(_) => Called::NoAnswer,
+        }
+    }
+
+    fn bytes(&self, call: &OrderCall<'_>) -> Vec<u8> {
+        let OrderCall { server, address, method, path, body, .. } = call;
+        let (name, value) = self.dialect.order_target(server);
+        let mut bytes = Vec::with_capacity(256 + body.len());
+        write!(
+            bytes,
+            "{method} {path} HTTP/1.1\r\nhost: {address}\r\n{name}: {value}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        )
+        .expect("writing to memory does not fail");
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    async fn answer(&self, mut lent: Lent, bytes: &[u8]) -> Option<CallAnswer> {
+        let connection = lent.connection();
+        connection.send(bytes).await.ok()?;
+        let head: AnswerHead = connection.head(&*self.dialect).await.ok()?;
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut body = BytesMut::new();
+        while let Some(part) = connection.part(&mut decoder).await.ok()? {
+            body.extend_from_slice(&part);
+        }
+        if !head.close && !connection.has_leftover() {
+            connection.rest(head.keep_alive);
+            lent.keep();
+        }
+        Some(CallAnswer { status: head.status, body: body.freeze() })
+    }
+}
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -1,26 +1,26 @@
 //! Carries the planner's steps out: sends orders, one at a time to each server, and tells the
 //! other daemons what came of them.
 
-use super::answer::AnswerHead;
-use super::body::BodyDecoder;
 use super::claims::Claims;
 use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind};
 use super::message::{NoticeState, PlacementNotice};
+use super::order_call::{Called, OrderCall, OrderCalls};
 use super::planner::{Plan, PlanEnd, PlannedLoad, Planner};
-use super::pool::{Lent, Pool};
 use crate::types::{Clock, Time};
-use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The longest wait for the answer to an order.
-const ORDER_PATIENCE: Duration = Duration::from_millis(700);
-/// Connections to one server for orders.
-const ORDER_CONNECTIONS: usize = 2;
+/// How long each try of one order waits for its answer. Every try carries the same count of orders,
+/// so at most one of them is carried out, however late.
+const ORDER_PATIENCE: [Duration; 3] =
+    [Duration::from_millis(150), Duration::from_millis(250), Duration::from_millis(300)];
+/// The longest wait for the answer to a question whether a load is done.
+const CONFIRM_PATIENCE: Duration = Duration::from_millis(120);
+/// The longest wait for a report.
+const REPORT_PATIENCE: Duration = Duration::from_millis(700);
 /// A report is this much older than the server's state.
 const REPORT_LAG: Duration = Duration::from_millis(260);
 /// An order is asked about again after this while it is carried out.
@@ -40,6 +40,8 @@
     Unknown,
     /// Not sent: no right to order, or no connection.
     NotSent,
+    /// Not sent: how many orders the server has taken is not known at the moment.
+    Uncounted,
 }
 
 /// Who hears of what was ordered.
@@ -69,7 +71,7 @@
     clock: Rc<dyn Clock>,
     dialect: Rc<dyn Dialect>,
     node: Rc<str>,
-    pool: Rc<Pool>,
+    calls: OrderCalls,
     lines: RefCell<HashMap<Rc<str>, Rc<ServerLine>>>,
     /// The right to order.
     pub claims: RefCell<Claims>,
@@ -87,9 +89,9 @@
     ) -> Self {
         Self {
             clock,
+            calls: OrderCalls::new(dialect.clone()),
             dialect,
             node,
-            pool: Rc::default(),
             lines: RefCell::default(),
             claims: RefCell::new(claims),
             planner: RefCell::default(),
@@ -99,7 +101,7 @@
     /// Forgets a server that is gone.
     pub fn forget(&self, server: &str) {
         self.lines.borrow_mut().remove(server);
-        self.pool.forget(server);
+        self.calls.forget(server);
     }
 
     /// A server's claim is new: what it holds is asked before it is ordered.
@@ -110,7 +112,7 @@
 
     /// Closes connections that can no longer be used.
     pub fn sweep(&self) {
-        self.pool.sweep();
+        self.calls.sweep();
     }
 
     /// Begins every step that is due.
@@ -162,7 +164,7 @@
                 PlanEnd::Refused | PlanEnd::NotSent | PlanEnd::Unknown => {
                     Some(NoticeState::Refused)
                 }
-                PlanEnd::InUse | PlanEnd::Busy => None,
+                PlanEnd::InUse | PlanEnd::Busy | PlanEnd::Uncounted => None,
             };
             sink.notices(state.map(|state| notice(&plan, key, state)).into_iter().collect());
         }
@@ -257,7 +259,8 @@
                 Ordered::Answer(OrderAnswer::Holds) => return PlanEnd::Done,
                 Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy) => {}
                 Ordered::Answer(_) => return PlanEnd::Refused,
-                Ordered::NotSent | Ordered::Unknown => return PlanEnd::Unknown,
+                Ordered::Unknown | Ordered::Uncounted => {}
+                Ordered::NotSent => return PlanEnd::Unknown,
             }
             actix_rt::time::sleep(CONFIRM_EVERY).await;
         }
@@ -269,10 +272,10 @@
     async fn confirm(&self, plan: &Plan, mut order: Order) -> Ordered {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        let Some(count) = line.orders_taken.get() else { return Ordered::NotSent };
+        let Some(count) = line.orders_taken.get() else { return Ordered::Uncounted };
         order.expected = Some(count);
-        let ordered = self.send(plan, &mut order).await;
-        if !matches!(ordered, Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Holds)) {
+        let ordered = self.send(plan, &mut order, CONFIRM_PATIENCE).await;
+        if matches!(ordered, Ordered::Answer(OrderAnswer::Busy | OrderAnswer::Refused)) {
             self.unsure(&plan.server, &line);
         }
         ordered
@@ -282,15 +285,21 @@
     async fn order(&self, plan: &Plan, mut order: Order) -> Ordered {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        let Some(count) = line.orders_taken.get() else { return Ordered::NotSent };
+        let Some(count) = line.orders_taken.get() else { return Ordered::Uncounted };
         order.expected = Some(count);
-        let ordered = self.send(plan, &mut order).await;
+        let mut ordered = Ordered::Unknown;
+        for patience in ORDER_PATIENCE {
+            ordered = self.send(plan, &mut order, patience).await;
+            if ordered != Ordered::Unknown {
+                break;
+            }
+        }
         match ordered {
             Ordered::Answer(OrderAnswer::Accepted) => line.took(self.clock.now(), count),
             Ordered::Answer(OrderAnswer::Holds) if order.kind == OrderKind::Unload => {
                 line.took(self.clock.now(), count);
             }
-            Ordered::Answer(OrderAnswer::Holds) | Ordered::NotSent => {}
+            Ordered::Answer(OrderAnswer::Holds) | Ordered::NotSent | Ordered::Uncounted => {}
             Ordered::Answer(_) | Ordered::Unknown => self.unsure(&plan.server, &line),
         }
         ordered
@@ -309,90 +318,45 @@
         actix_rt::time::sleep(REPORT_LAG.saturating_sub(age)).await;
         let _turn = line.turn.lock().await;
         let path = self.dialect.report_path();
-        let answer = self.call(server, address, "GET", path, &[], || true).await;
-        let Called::Answer(head, body) = answer else { return };
-        if !head.status.is_success() {
+        let call = OrderCall {
+            server,
+            address,
+            method: "GET",
+            path,
+            body: &[],
+            patience: REPORT_PATIENCE,
+        };
+        let Called::Answer(answer) = self.calls.call(&call, || true).await else { return };
+        if !answer.status.is_success() {
             return;
         }
-        let Ok(report) = self.dialect.report(&body) else { return };
+        let Ok(report) = self.dialect.report(&answer.body) else { return };
         line.orders_taken.set(Some(report.orders_taken));
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
     }
 
-    async fn send(&self, plan: &Plan, order: &mut Order) -> Ordered {
+    async fn send(&self, plan: &Plan, order: &mut Order, patience: Duration) -> Ordered {
         let may_order = || self.claims.borrow().may_order(self.clock.now(), &plan.server);
         let Some(fence) = may_order() else { return Ordered::NotSent };
         order.fence = fence;
         let (path, body) = self.dialect.order(order);
         let still = || may_order() == Some(fence);
-        match self.call(&plan.server, plan.address, "POST", path, &body, still).await {
-            Called::Answer(head, _) => {
-                Ordered::Answer(self.dialect.order_answer(head.status.as_u16()))
+        let call = OrderCall {
+            server: &plan.server,
+            address: plan.address,
+            method: "POST",
+            path,
+            body: &body,
+            patience,
+        };
+        match self.calls.call(&call, still).await {
+            Called::Answer(answer) => {
+                Ordered::Answer(self.dialect.order_answer(answer.status.as_u16()))
             }
             Called::NoAnswer => Ordered::Unknown,
             Called::NotSent => Ordered::NotSent,
         }
     }
-
-    /// One call to a server; `still` is asked right before the first byte leaves.
-    async fn call(
-        &self,
-        server: &Rc<str>,
-        address: SocketAddr,
-        method: &str,
-        path: &str,
-        body: &[u8],
-        still: impl Fn() -> bool,
-    ) -> Called {
-        let Ok(lent) = self.pool.lend(server, address, ORDER_CONNECTIONS).await else {
-            return Called::NotSent;
-        };
-        let (name, value) = self.dialect.order_target(server);
-        let mut bytes = Vec::with_capacity(256 + body.len());
-        write!(
-            bytes,
-            "{method} {path} HTTP/1.1\r\nhost: {address}\r\n{name}: {value}\r\n\
-             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
-            body.len()
-        )
-        .expect("writing to memory does not fail");
-        bytes.extend_from_slice(body);
-        if !still() {
-            lent.keep();
-            return Called::NotSent;
-        }
-        let answer = answer(&*self.dialect, lent, &bytes);
-        match actix_rt::time::timeout(ORDER_PATIENCE, answer).await {
-            Ok(Some((head, body))) => Called::Answer(Box::new(head), body),
-            Ok(None) | Err(_) => Called::NoAnswer,
-        }
-    }
-}
-
-enum Called {
-    Answer(Box<AnswerHead>, Bytes),
-    NoAnswer,
-    NotSent,
-}
-
-async fn answer(
-    dialect: &dyn Dialect,
-    mut lent: Lent,
-    bytes: &[u8],
-) -> Option<(AnswerHead, Bytes)> {
-    let connection = lent.connection();
-    connection.send(bytes).await.ok()?;
-    let head = connection.head(dialect).await.ok()?;
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = bytes::BytesMut::new();
-    while let Some(part) = connection.part(&mut decoder).await.ok()? {
-        body.extend_from_slice(&part);
-    }
-    if !head.close && !connection.has_leftover() {
-        connection.rest(head.keep_alive);
-        lent.keep();
-    }
-    Some((head, body.freeze()))
 }
 
 fn end_of(ordered: Ordered) -> PlanEnd {
@@ -402,6 +366,7 @@
         Ordered::Answer(_) => PlanEnd::Refused,
         Ordered::Unknown => PlanEnd::Unknown,
         Ordered::NotSent => PlanEnd::NotSent,
+        Ordered::Uncounted => PlanEnd::Uncounted,
     }
 }
 
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -65,6 +65,8 @@
     Unknown,
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent, since the server has to be asked first what it has taken.
+    Uncounted,
 }
 
 /// What a wish comes to at once.
@@ -375,7 +377,11 @@
         match end {
             PlanEnd::Unknown => server.silent(now),
             PlanEnd::Busy => server.busy(now),
-            PlanEnd::Done | PlanEnd::InUse | PlanEnd::Refused | PlanEnd::NotSent => {}
+            PlanEnd::Done
+            | PlanEnd::InUse
+            | PlanEnd::Refused
+            | PlanEnd::NotSent
+            | PlanEnd::Uncounted => {}
         }
         if let Some(victim) = &plan.evict
             && let Some(slot) = server.slots.get_mut(victim)
@@ -393,10 +399,10 @@
         match end {
             PlanEnd::Done => server.set(now, key, *version, SlotState::Held),
             PlanEnd::Refused | PlanEnd::NotSent => server.unsettle(key, *version),
-            PlanEnd::InUse | PlanEnd::Busy => {
+            PlanEnd::InUse | PlanEnd::Busy | PlanEnd::Uncounted => {
                 match end {
-                    PlanEnd::InUse => server.not_begun(key, *version),
-                    _ => server.unsettle(key, *version),
+                    PlanEnd::Busy => server.unsettle(key, *version),
+                    _ => server.not_begun(key, *version),
                 }
                 let wish = Wish { version: *version, since: now - plan.waited };
                 self.wishes.entry((plan.server.clone(), key.clone())).or_insert(wish);
