Copies of adapters only where a server runs out of slots, and only of what is asked for often

Cause: a server counted as crowded from 14 requests on, a fifth of its 64 slots, and each request sent there then wished for a copy elsewhere, of whatever adapter it had. A batch hardly slows its requests down (0.007 ms a step for each) until the slots run out. Homes changed by the same kind of threshold (12 requests): 176 and 107 loads followed a moved home.

Now: crowded is half of the slots, idler is 0.3 of them, a home gives way at 0.4 of them, and a copy needs 2.5 asks of the last seconds at this daemon.

Ruled out: lost servers (the copies were beside living holders), versions (4 and 2 loads).

Shares of slots also fit servers of 12 slots, where 14 requests never were reached.

--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -1,5 +1,6 @@
 //! What requests use and wish for, until the daemons that order the servers are told.
 
+use super::adapter_demand::AdapterDemand;
 use super::dialect::AdapterKey;
 use crate::types::Time;
 use std::cell::RefCell;
@@ -11,6 +12,9 @@
 /// The same wish is told again after this if nothing came of it.
 const WISH_AGAIN: Duration = Duration::from_millis(400);
 
+/// Adapters asked for less than this are forgotten.
+const FORGET_ASKS: f64 = 0.1;
+
 /// An adapter wished for at a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Wish {
@@ -32,6 +36,7 @@
     wishes: RefCell<Vec<Wish>>,
     wished_at: RefCell<HashMap<(AdapterKey, Rc<str>), Time>>,
     missed: RefCell<HashMap<AdapterKey, u16>>,
+    asked: RefCell<HashMap<AdapterKey, AdapterDemand>>,
     wished: Notify,
 }
 
@@ -49,6 +54,16 @@
         UseGuard { log: self.clone(), place }
     }
 
+    /// Counts a request for an adapter, whether it is there or not.
+    pub fn asked(&self, now: Time, key: &AdapterKey) {
+        self.asked.borrow_mut().entry(key.clone()).or_default().used(now, 1);
+    }
+
+    /// Requests for an adapter that came to this daemon in the last seconds, fading.
+    pub fn asks(&self, now: Time, key: &AdapterKey) -> f64 {
+        self.asked.borrow().get(key).map_or(0.0, |demand| demand.rate(now))
+    }
+
     /// Counts a request that does not find its adapter.
     pub fn missed(&self, key: &AdapterKey) {
         let mut missed = self.missed.borrow_mut();
@@ -89,8 +104,9 @@
         uses.into_iter().map(|((server, key), times)| (server, key, times)).collect()
     }
 
-    /// Forgets old wishes.
+    /// Forgets old wishes, and adapters that nobody asks for any more.
     pub fn sweep(&self, now: Time) {
+        self.asked.borrow_mut().retain(|_, demand| demand.rate(now) > FORGET_ASKS);
         self.wished_at.borrow_mut().retain(|_, at| now.since(*at) < WISH_AGAIN);
     }
 }
--- a/crates/portrack/src/gateway/homes.rs
+++ b/crates/portrack/src/gateway/homes.rs
@@ -1,19 +1,19 @@
 //! Which server an adapter is to be loaded at.
 
+use super::crowding::home_margin;
 use super::dialect::AdapterKey;
 use crate::membership::ranked;
 use std::rc::Rc;
 
 /// Servers in rendezvous order among which the cheapest is taken.
 const CHOICES: usize = 2;
-/// A later home is taken only if it is cheaper by this much, in requests waiting.
-const CHEAPER_BY: f64 = 12.0;
-
 /// A server that takes orders.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Home {
     /// Its id.
     pub server: Rc<str>,
+    /// Requests at once there.
+    pub slots: usize,
     /// What a request would cost there.
     pub cost: f64,
 }
@@ -22,14 +22,13 @@
 /// next one.
 pub fn home(key: &AdapterKey, open: &[Home]) -> Option<Rc<str>> {
     let order = ranked(&key.adapter, open.iter().map(|home| &*home.server));
-    let cost =
-        |id: &str| open.iter().find(|home| &*home.server == id).map_or(f64::MAX, |home| home.cost);
-    let mut best: Option<(&str, f64)> = None;
-    for id in order.into_iter().take(CHOICES) {
-        let cost = cost(id);
-        if best.is_none_or(|(_, least)| cost + CHEAPER_BY < least) {
-            best = Some((id, cost));
+    let named = |id: &str| open.iter().find(|home| &*home.server == id);
+    let mut best: Option<&Home> = None;
+    for home in order.into_iter().take(CHOICES).filter_map(named) {
+        let margin = home_margin(home.slots);
+        if best.is_none_or(|best| home.cost + margin < best.cost) {
+            best = Some(home);
         }
     }
-    best.map(|(id, _)| id.into())
+    best.map(|home| home.server.clone())
 }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod claims;
 mod config;
 mod connection;
+mod crowding;
 mod daemon;
 mod decay;
 mod demand;
@@ -57,6 +58,7 @@
     CallerLimits, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
 };
 pub use connection::{Connection, ExchangeError};
+pub use crowding::copy_pays;
 pub use daemon::GatewayDaemon;
 pub use demand::{DemandLog, Wish};
 pub use dialect::{
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -4,6 +4,7 @@
 use super::caller::{RefusalReason, Refused};
 use super::choose::{cheapest, cost};
 use super::config::Route;
+use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
 use super::dialect::AdapterKey;
 use super::holdings::Presence;
@@ -16,8 +17,6 @@
 /// An older version may still be asked for this long after a newer one became known. A request may
 /// then wait at its server for seconds before it begins.
 const VERSION_GRACE: Duration = Duration::from_millis(1_200);
-/// A server with so many requests waiting is crowded; the same more than the idlest one is unfair.
-const CROWDED: f64 = 14.0;
 /// Of its objective, a request waits this share for a sign that its adapter is coming.
 const SIGN_SHARE: f64 = 0.22;
 /// Callers give a silent stream up after this at the earliest.
@@ -78,6 +77,9 @@
         let in_time = arrived + job.route.objective.saturating_sub(FIRST_EVENT);
         let give_up = arrived + patience(&job.route);
         let mut missed = false;
+        if job.sends == 0 {
+            self.demand.asked(self.clock.now(), key);
+        }
         loop {
             if let Some(choice) = self.holder(job, key) {
                 return Ok(choice);
@@ -133,6 +135,7 @@
         let homes: Vec<Home> = open
             .map(|backend| Home {
                 server: backend.id.clone(),
+                slots: backend.slots,
                 cost: cost(now, &self.loads, &self.hall, backend),
             })
             .collect();
@@ -169,28 +172,27 @@
         candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         drop(view);
         let (old, cost, backend, version) = candidates.into_iter().next()?;
-        if old || cost > CROWDED {
-            self.wish_beside(job, key, old, cost);
+        if old {
+            self.demand.missed(key);
+            self.wish(job, key);
+        } else if self.needs_copy(job, key, backend.slots, cost) {
+            self.wish(job, key);
         }
         let current = named.is_some() && !old;
         Some(Choice { backend, adapter_version: current.then_some(version) })
     }
 
-    /// Wishes for the newest version, or for a further copy where a much idler server is.
-    fn wish_beside(&self, job: &Job<'_>, key: &AdapterKey, old: bool, crowded: f64) {
-        let now = self.clock.now();
-        if old {
-            self.demand.missed(key);
-        } else {
-            let view = self.view.borrow();
-            let open = view.open_backends(&job.service.name);
-            let costs = open.map(|backend| cost(now, &self.loads, &self.hall, backend));
-            let idlest = costs.fold(f64::MAX, f64::min);
-            if crowded < idlest + CROWDED {
-                return;
-            }
+    /// True if an adapter is asked for so much that a much idler server should have it as well.
+    fn needs_copy(&self, job: &Job<'_>, key: &AdapterKey, slots: usize, cost_here: f64) -> bool {
+        if !is_crowded(slots, cost_here) {
+            return false;
         }
-        self.wish(job, key);
+        let now = self.clock.now();
+        let view = self.view.borrow();
+        let open = view.open_backends(&job.service.name);
+        let costs = open.map(|backend| cost(now, &self.loads, &self.hall, backend));
+        let idlest = costs.fold(f64::MAX, f64::min);
+        copy_pays(slots, cost_here, idlest, self.demand.asks(now, key))
     }
 
     /// True if a server is left that was not tried.
--- a/crates/portrack/tests/gateway/homes.rs
+++ b/crates/portrack/tests/gateway/homes.rs
@@ -7,7 +7,7 @@
 
 fn open(costs: &[f64]) -> Vec<Home> {
     let named = costs.iter().enumerate();
-    named.map(|(n, cost)| Home { server: format!("s{n}").into(), cost: *cost }).collect()
+    named.map(|(n, cost)| Home { server: format!("s{n}").into(), slots: 64, cost: *cost }).collect()
 }
 
 #[test]
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod claims;
+mod crowding;
 mod fetches;
 mod history;
 mod holdings;
