What begins to be used is told at once to the daemon that orders the server

Cause: uses were told every 600 ms, so an adapter idle so far could be chosen to make way in the very moment a request reached it. Now a use that begins (no run of that adapter at that server from here before) is told at once, one datagram a batch; the rest as before.

Test: demand.rs.

--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -38,6 +38,8 @@
     missed: RefCell<HashMap<AdapterKey, u16>>,
     asked: RefCell<HashMap<AdapterKey, AdapterDemand>>,
     wished: Notify,
+    begun: RefCell<Vec<(Rc<str>, AdapterKey)>>,
+    used: Notify,
 }
 
 impl DemandLog {
@@ -50,6 +52,10 @@
         *times = times.saturating_add(1);
         let mut running = self.running.borrow_mut();
         let count = running.entry(place.clone()).or_default();
+        if *count == 0 {
+            self.begun.borrow_mut().push(place.clone());
+            self.used.notify_one();
+        }
         *count = count.saturating_add(1);
         UseGuard { log: self.clone(), place }
     }
@@ -95,6 +101,24 @@
         self.wishes.take()
     }
 
+    /// Waits until an adapter that did not run at a server begins to be used there.
+    pub async fn used(&self) {
+        self.used.notified().await;
+    }
+
+    /// Takes the uses of adapters that began to run since the last look. They are told at once:
+    /// an idle adapter may be dropped, and an unload of one in use holds up its server.
+    pub fn take_begun(&self) -> Vec<(Rc<str>, AdapterKey, u16)> {
+        let mut uses = self.uses.borrow_mut();
+        let begun = self.begun.take().into_iter();
+        begun
+            .map(|(server, key)| {
+                let times = uses.remove(&(server.clone(), key.clone())).unwrap_or_default();
+                (server, key, times)
+            })
+            .collect()
+    }
+
     /// Takes the uses not told yet; what still runs is told each time, with 0 further uses.
     pub fn take_uses(&self) -> Vec<(Rc<str>, AdapterKey, u16)> {
         let mut uses = self.uses.take();
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -234,28 +234,39 @@
     pub async fn tell_uses(self: Rc<Self>) {
         loop {
             actix_rt::time::sleep(USES_TOLD).await;
-            let now = self.now();
-            let mut by_address: HashMap<Option<SocketAddr>, Vec<AdapterUse>> = HashMap::new();
-            for (server, key, times) in self.path.demand.take_uses() {
-                let Some(address) = self.orderer(now, &server) else { continue };
-                by_address.entry(address).or_default().push(AdapterUse {
-                    server: server_mark(&server),
-                    model: key.model.to_string(),
-                    adapter: key.adapter.to_string(),
-                    times,
-                });
-            }
-            for (address, uses) in by_address {
-                match address {
-                    None => self.on_uses(&uses),
-                    Some(address) => {
-                        for chunk in uses.chunks(DEMAND_CHUNK) {
-                            self.tell(&PeerMessage::Uses(chunk.to_vec()), address);
-                        }
-                    }
-                }
+            self.send_uses(self.path.demand.take_uses());
+            self.path.demand.sweep(self.now());
+        }
+    }
+
+    /// Tells them at once what begins to be used, for ever.
+    pub async fn tell_first_uses(self: Rc<Self>) {
+        loop {
+            self.path.demand.used().await;
+            self.send_uses(self.path.demand.take_begun());
+        }
+    }
+
+    fn send_uses(&self, uses: Vec<(Rc<str>, AdapterKey, u16)>) {
+        let now = self.now();
+        let mut by_address: HashMap<Option<SocketAddr>, Vec<AdapterUse>> = HashMap::new();
+        for (server, key, times) in uses {
+            let Some(address) = self.orderer(now, &server) else { continue };
+            by_address.entry(address).or_default().push(AdapterUse {
+                server: server_mark(&server),
+                model: key.model.to_string(),
+                adapter: key.adapter.to_string(),
+                times,
+            });
+        }
+        for (address, uses) in by_address {
+            let Some(address) = address else {
+                self.on_uses(&uses);
+                continue;
+            };
+            for chunk in uses.chunks(DEMAND_CHUNK) {
+                self.tell(&PeerMessage::Uses(chunk.to_vec()), address);
             }
-            self.path.demand.sweep(now);
         }
     }
 
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod claims;
 mod crowding;
+mod demand;
 mod fetches;
 mod history;
 mod holdings;
