A prefix of the store that changes all the time is watched once a second

Holdings are told faster by notices; what must be heard from the list is that a server leaves, within 2 s. After three watches in a row that were answered at once, changes are gathered for 1 s; a prefix that changes now and then (the configuration) keeps 400 ms.

Ruled out: one watch for both prefixes (the configuration would wait for the servers' pace); relays in a hall (another way to be late in a cut; left for the large sizes).

Tests: pacing.rs.

--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod mirror;
 mod order_call;
 mod ordering;
+mod pacing;
 mod path;
 mod peers;
 mod placing;
@@ -79,6 +80,7 @@
 pub use metrics::GatewayMetrics;
 pub use mirror::{Mirror, MirrorItem, Mirrored};
 pub use ordering::{NoticeSink, Ordering};
+pub use pacing::WatchPacing;
 pub use path::{Progress, RequestEnd, RequestPath, Served};
 pub use peers::{Peer, PeerChange, Peers};
 pub use planner::{Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -2,6 +2,7 @@
 
 use super::daemon::GatewayDaemon;
 use super::mirror::MirrorItem;
+use super::pacing::WatchPacing;
 use crate::store::FeedError;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -13,8 +14,6 @@
 
 /// How long one watch waits; a lost one is noticed this late at most.
 const WATCH: Duration = Duration::from_millis(2_500);
-/// Changes are gathered for this long between watches.
-const GATHER: Duration = Duration::from_millis(400);
 /// First pause after a failed call; doubles up to the cap.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failed calls.
@@ -58,11 +57,14 @@
     async fn follow_prefix(self: Rc<Self>, index: usize, prefix: &str, progress: Progress) {
         let mut after = None;
         let mut pause = PAUSE;
+        let mut pacing = WatchPacing::default();
         loop {
+            let asked_at = self.now();
             let result = match after {
                 None => self.read_all(prefix).await,
                 Some(revision) => self.follow_once(prefix, revision).await,
             };
+            let waited = after.map(|_| self.now().since(asked_at));
             match result {
                 Ok(revision) => {
                     self.store_answered(prefix);
@@ -74,7 +76,7 @@
                     if whole > 0 {
                         self.path.view.borrow_mut().was_read();
                     }
-                    actix_rt::time::sleep(GATHER).await;
+                    actix_rt::time::sleep(pacing.after(waited)).await;
                 }
                 Err(error) => {
                     self.store_failed(prefix, error);
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod logs;
 mod messages;
 mod mirror;
+mod pacing;
 mod peers;
 mod planner;
 mod retries;
