Test of the stuck log reader writes more than can be held, whenever the writer's thread starts

It failed once (of about 20 runs) while other test programs ran: 396 KB fit into the writer's chunk, the inlet's and the sink's (256 KiB each) if the thread took its first chunk late, so that nothing was dropped. It writes 990 KB now, more than the three hold together. As strict as before; the sink is unchanged.

--- a/crates/portrack/tests/gateway/logs.rs
+++ b/crates/portrack/tests/gateway/logs.rs
@@ -25,7 +25,9 @@
     let inlet = LogSink::start_writer(Stuck(gate, written));
     let mut sink = LogSink::default();
     let line = [b'x'; 99];
-    for round in 0..40 {
+    // 990 KB: more than the writer, the inlet and the sink can hold together, whenever the writer's
+    // thread takes its first lines.
+    for round in 0..100 {
         for _ in 0..100 {
             sink.write_all(&line).expect("never fails");
         }
