Claims: an even share each, daemons of the server's own hall first, records read once at the start

(2) Every daemon counted itself among the candidates of every hall, so a server could be ordered from another hall, which loses its orders in a cut. (3) After a restart each record was learned by a transaction that failed, and the claim followed 0.7 s later.

Now a daemon that has its even share waits a turn for each server more; candidates are those of the server's hall in rendezvous order, then the others; all records are read once at the start.

Tests: three in vacancies.rs; each fails on the code before.

--- a/crates/portrack/src/gateway/claim_record.rs
+++ b/crates/portrack/src/gateway/claim_record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Before each server's id.
-const RECORD_PREFIX: &str = "portrack/orders/";
+pub(super) const RECORD_PREFIX: &str = "portrack/orders/";
 /// Before each machine's name.
 const LIVE_PREFIX: &str = "portrack/live/";
 
--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -1,10 +1,12 @@
 //! Takes, keeps and gives up the right to order servers.
 
-use super::claim_record::ClaimRecord;
+use super::backend::Backend;
+use super::claim_record::{ClaimRecord, RECORD_PREFIX};
 use super::claims::{Claim, Predecessor};
 use super::daemon::GatewayDaemon;
 use super::load::server_mark;
-use super::vacancies::{ClaimTry, SeenRecord};
+use super::vacancies::{Candidates, ClaimTry, Claimant, SeenRecord};
+use super::view::FleetView;
 use crate::store::{KvError, KvOutcome, KvPut, KvTransaction};
 use crate::types::Time;
 use std::rc::Rc;
@@ -29,6 +31,7 @@
 
     /// Claims servers that nobody orders, for ever.
     pub async fn claim_servers(self: Rc<Self>) {
+        self.read_records().await;
         while !self.stopping() {
             actix_rt::time::sleep(LOOK).await;
             if !self.has_lease().await {
@@ -136,30 +139,44 @@
         let view = self.path.view.borrow();
         let peers = self.peers.borrow();
         let claims = self.ordering.claims.borrow();
-        let engines = view.backends().filter(|backend| {
-            let service = view.service(&backend.service);
-            !backend.draining && service.is_some_and(|service| service.engine.is_some())
-        });
+        let engines = view.backends().filter(|backend| is_engine(&view, backend));
         let vacant = engines.filter(|backend| {
-            !claims.has(&backend.id) && peers.orderer(now, server_mark(&backend.id)).is_none()
+            !backend.draining
+                && !claims.has(&backend.id)
+                && peers.orderer(now, server_mark(&backend.id)).is_none()
         });
         let vacant: Vec<Rc<str>> = vacant.map(|backend| backend.id.clone()).collect();
-        let me = &self.settings.node;
-        let able = |server: &str| {
+        let total = view.backends().filter(|backend| is_engine(&view, backend)).count();
+        let machine = self.machine();
+        let me = Claimant {
+            name: &self.settings.node,
+            machine: &machine,
+            held: claims.all().count(),
+            share: total.div_ceil(peers.able(now).len() + 1),
+        };
+        let candidates = |server: &str| {
             let hall = view.backend(server).map(|backend| backend.hall.clone());
-            let near = hall.as_deref().unwrap_or_default();
-            let mut able = peers.able_in(now, near);
-            let mine = self.settings.hall == near;
-            if able.is_empty() && !mine {
-                able = peers.able(now);
-            }
-            able.push(me.as_str().into());
-            able
+            let hall = hall.as_deref().unwrap_or_default();
+            let (mut near, mut far) = peers.able_by_hall(now, hall);
+            let list = if self.settings.hall == hall { &mut near } else { &mut far };
+            list.push(self.settings.node.as_str().into());
+            Candidates { near, far }
         };
         let heard = |machine: &str| peers.heard_within(now, machine, HEARD_WITHIN);
         let mut vacancies = self.vacancies.borrow_mut();
         vacancies.update(now, &vacant);
-        vacancies.due(now, me, &self.machine(), able, heard)
+        vacancies.due(now, me, candidates, heard)
+    }
+
+    /// Reads once who ordered which server before this daemon started.
+    async fn read_records(&self) {
+        let Ok(list) = self.store.read_all(RECORD_PREFIX).await else { return };
+        let records = list.entries.into_iter().filter_map(|held| {
+            let server: Rc<str> = held.key.strip_prefix(RECORD_PREFIX)?.into();
+            let record = ClaimRecord::read(&held.value)?;
+            Some((server, SeenRecord { revision: held.revision, record }))
+        });
+        self.vacancies.borrow_mut().read(records);
     }
 
     async fn claim(&self, attempt: ClaimTry) {
@@ -265,3 +282,8 @@
         }
     }
 }
+
+/// True if a server's service has models.
+fn is_engine(view: &FleetView, backend: &Backend) -> bool {
+    view.service(&backend.service).is_some_and(|service| service.engine.is_some())
+}
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -89,5 +89,5 @@
 pub use routes::{RouteTable, pick_target};
 pub use run::{GatewayError, RunningGateway, start_gateway};
 pub use settings::{Bounds, GatewaySettings};
-pub use vacancies::{ClaimTry, SeenRecord, Vacancies};
+pub use vacancies::{Candidates, ClaimTry, Claimant, SeenRecord, Vacancies};
 pub use view::{FleetView, NamedVersion, ViewChange};
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -195,20 +195,23 @@
         best.map(|(_, peer)| peer.heartbeat.address)
     }
 
-    /// The daemons of a hall that could order servers: up, seeing the store and not leaving.
-    pub fn able_in(&self, now: Time, hall: &str) -> Vec<Rc<str>> {
-        let able = self.up(now).filter(|(_, peer)| {
-            let heartbeat = &peer.heartbeat;
-            heartbeat.sees_store && !heartbeat.leaving && heartbeat.hall == hall
-        });
-        able.map(|(name, _)| name.clone()).collect()
+    /// All daemons that could order servers: up, seeing the store and not leaving.
+    pub fn able(&self, now: Time) -> Vec<Rc<str>> {
+        self.able_peers(now).map(|(name, _)| name.clone()).collect()
     }
 
-    /// All daemons that could order servers.
-    pub fn able(&self, now: Time) -> Vec<Rc<str>> {
-        let able =
-            self.up(now).filter(|(_, peer)| peer.heartbeat.sees_store && !peer.heartbeat.leaving);
-        able.map(|(name, _)| name.clone()).collect()
+    /// The same, those of a hall and those of all others.
+    pub fn able_by_hall(&self, now: Time, hall: &str) -> (Vec<Rc<str>>, Vec<Rc<str>>) {
+        let (near, far): (Vec<_>, Vec<_>) =
+            self.able_peers(now).partition(|(_, peer)| peer.heartbeat.hall == hall);
+        let names = |peers: Vec<(&Rc<str>, &Peer)>| {
+            peers.into_iter().map(|(name, _)| name.clone()).collect()
+        };
+        (names(near), names(far))
+    }
+
+    fn able_peers(&self, now: Time) -> impl Iterator<Item = (&Rc<str>, &Peer)> {
+        self.up(now).filter(|(_, peer)| peer.heartbeat.sees_store && !peer.heartbeat.leaving)
     }
 }
 
--- a/crates/portrack/src/gateway/vacancies.rs
+++ b/crates/portrack/src/gateway/vacancies.rs
@@ -46,10 +46,42 @@
     pub before: Predecessor,
 }
 
+/// Who could claim a server, this daemon included.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Candidates {
+    /// In the server's data hall; they come first, since a cut hall must go on by itself.
+    pub near: Vec<Rc<str>>,
+    /// In other halls.
+    pub far: Vec<Rc<str>>,
+}
+
+impl Candidates {
+    /// The place of a daemon in the order of a server, from 0.
+    fn rank(&self, server: &str, daemon: &str) -> Option<usize> {
+        let near = ranked(server, self.near.iter().map(|name| &**name));
+        let far = ranked(server, self.far.iter().map(|name| &**name));
+        near.into_iter().chain(far).position(|name| name == daemon)
+    }
+}
+
+/// This daemon, as a claimant.
+#[derive(Debug, Clone, Copy)]
+pub struct Claimant<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its machine, as claims name it.
+    pub machine: &'a str,
+    /// Servers that it orders already.
+    pub held: usize,
+    /// Its even share of all servers.
+    pub share: usize,
+}
+
 /// The servers that nobody is known to order.
 #[derive(Debug, Clone, Default)]
 pub struct Vacancies {
     servers: BTreeMap<Rc<str>, Vacancy>,
+    records: BTreeMap<Rc<str>, SeenRecord>,
 }
 
 impl Vacancies {
@@ -57,10 +89,18 @@
     pub fn update(&mut self, now: Time, vacant: &[Rc<str>]) {
         self.servers.retain(|id, _| vacant.contains(id));
         for id in vacant {
-            self.servers.entry(id.clone()).or_insert(Vacancy { since: now, ..Vacancy::default() });
+            if !self.servers.contains_key(id) {
+                let seen = self.records.remove(id);
+                self.servers.insert(id.clone(), Vacancy { since: now, seen, tried_at: None });
+            }
         }
     }
 
+    /// Takes in what all records said when they were read at the start.
+    pub fn read(&mut self, records: impl IntoIterator<Item = (Rc<str>, SeenRecord)>) {
+        self.records.extend(records);
+    }
+
     /// A try found this record.
     pub fn saw(&mut self, server: &str, seen: Option<SeenRecord>) {
         if let Some(vacancy) = self.servers.get_mut(server) {
@@ -68,34 +108,26 @@
         }
     }
 
-    /// The tries that are due. `able` are the daemons that could claim, this one included, for
-    /// each server; `is_heard` tells whether a machine was heard lately.
+    /// The tries that are due. `candidates` could claim each server; `is_heard` tells whether a
+    /// machine was heard lately. A daemon that has its share already leaves others a turn.
     pub fn due(
         &mut self,
         now: Time,
-        me: &str,
-        machine: &str,
-        able: impl Fn(&str) -> Vec<Rc<str>>,
+        me: Claimant<'_>,
+        candidates: impl Fn(&str) -> Candidates,
         is_heard: impl Fn(&str) -> bool,
     ) -> Vec<ClaimTry> {
         let mut tries = Vec::new();
         for (server, vacancy) in &mut self.servers {
-            let resting = vacancy.tried_at.is_some_and(|at| now.since(at) < TRY_AGAIN);
-            let names = able(server);
-            let order = ranked(server, names.iter().map(|name| &**name));
-            let Some(rank) = order.iter().position(|name| *name == me) else { continue };
-            let seen = vacancy.seen.as_ref();
-            let own = seen.is_some_and(|seen| seen.record.machine == machine);
-            let patience = match (seen, own) {
-                (None, _) | (_, true) => FIRST_CLAIM,
-                (Some(_), false) => COMES_BACK,
-            };
-            let rank = if own { 0 } else { rank as u32 };
-            let due = now.since(vacancy.since) >= patience + RANK_STEP * rank;
-            if resting || !due {
+            if vacancy.tried_at.is_some_and(|at| now.since(at) < TRY_AGAIN) {
+                continue;
+            }
+            let Some(rank) = candidates(server).rank(server, me.name) else { continue };
+            let excess = (me.held + tries.len() + 1).saturating_sub(me.share);
+            if now.since(vacancy.since) < vacancy.patience(me.machine, rank + excess) {
                 continue;
             }
-            if let Some(attempt) = attempt(server, seen, machine, &is_heard) {
+            if let Some(attempt) = attempt(server, vacancy.seen.as_ref(), me.machine, &is_heard) {
                 vacancy.tried_at = Some(now);
                 tries.push(attempt);
             }
@@ -104,6 +136,19 @@
     }
 }
 
+impl Vacancy {
+    /// How long a machine leaves the server to others that come before it by `turns`. Its own
+    /// server it takes back at once.
+    fn patience(&self, machine: &str, turns: usize) -> Duration {
+        let turns = RANK_STEP * u32::try_from(turns).unwrap_or(u32::MAX);
+        match &self.seen {
+            Some(seen) if seen.record.machine == machine => FIRST_CLAIM,
+            Some(_) => COMES_BACK + turns,
+            None => FIRST_CLAIM + turns,
+        }
+    }
+}
+
 fn attempt(
     server: &Rc<str>,
     seen: Option<&SeenRecord>,
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -91,9 +91,10 @@
     peers.heard(Time(10), blind);
     assert_eq!(peers.heard(Time(10), leaving), Some(PeerChange::Leaving));
     peers.heard(Time(10), beat(5, 1));
-    let able: Vec<String> = peers.able_in(Time(20), "a").iter().map(|n| n.to_string()).collect();
+    let able: Vec<String> =
+        peers.able_by_hall(Time(20), "a").0.iter().map(|n| n.to_string()).collect();
     assert_eq!(able, ["n5"]);
-    assert!(peers.able_in(Time(20), "b").is_empty());
+    assert!(peers.able_by_hall(Time(20), "b").0.is_empty());
 }
 
 #[test]
--- a/crates/portrack/tests/gateway/vacancies.rs
+++ b/crates/portrack/tests/gateway/vacancies.rs
@@ -1,15 +1,25 @@
 //! Whose turn it is to claim a server.
 
 use portrack::Time;
-use portrack::gateway::{ClaimRecord, ClaimTry, Predecessor, SeenRecord, Vacancies};
+use portrack::gateway::{
+    Candidates, ClaimRecord, ClaimTry, Claimant, Predecessor, SeenRecord, Vacancies,
+};
 use std::rc::Rc;
 
 const ME: &str = "n1";
 const MACHINE: &str = "n1|10.0.0.1:7000";
 
+fn names(names: &[&str]) -> Vec<Rc<str>> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+fn claimant(held: usize) -> Claimant<'static> {
+    Claimant { name: ME, machine: MACHINE, held, share: 2 }
+}
+
 fn due(vacancies: &mut Vacancies, now: u64, able: &[&str], heard: &str) -> Vec<ClaimTry> {
-    let able: Vec<Rc<str>> = able.iter().map(|name| (*name).into()).collect();
-    vacancies.due(Time(now), ME, MACHINE, |_| able.clone(), |machine| machine == heard)
+    let candidates = Candidates { near: names(able), far: Vec::new() };
+    vacancies.due(Time(now), claimant(0), |_| candidates.clone(), |machine| machine == heard)
 }
 
 fn vacant() -> Vacancies {
@@ -90,3 +100,39 @@
     vacancies.update(Time(1_100), &[]);
     assert!(due(&mut vacancies, 9_000, &[ME], "").is_empty());
 }
+
+#[test]
+fn daemons_of_other_halls_come_after_those_of_the_servers_own() {
+    let candidates = Candidates { near: names(&["n7", "n8"]), far: names(&[ME]) };
+    let mut vacancies = vacant();
+    let mut tries =
+        |now| vacancies.due(Time(now), claimant(0), |_| candidates.clone(), |_| false).len();
+    assert_eq!(tries(1_150 + 2 * 1_200 - 1), 0, "two are given their turns");
+    assert_eq!(tries(1_150 + 2 * 1_200), 1);
+}
+
+#[test]
+fn a_daemon_that_has_its_share_leaves_others_a_turn() {
+    let alone = || Candidates { near: names(&[ME]), far: Vec::new() };
+    let mut vacancies = Vacancies::default();
+    vacancies.update(Time(1_000), &names(&["s1", "s2", "s3", "s4"]));
+    let mut tries = |now, held| vacancies.due(Time(now), claimant(held), |_| alone(), |_| false);
+    assert_eq!(tries(1_200, 0).len(), 2, "its share of two");
+    assert_eq!(tries(1_300, 2).len(), 0);
+    assert_eq!(tries(2_400, 2).len(), 1, "nobody else came: one more a turn");
+}
+
+#[test]
+fn a_restarted_machine_that_has_read_the_records_needs_no_try_to_learn_them() {
+    let mut vacancies = Vacancies::default();
+    vacancies.read(seen(MACHINE, true, false).map(|seen| ("s1".into(), seen)));
+    vacancies.update(Time(1_000), &names(&["s1"]));
+    let tries = vacancies.due(
+        Time(1_150),
+        claimant(9),
+        |_| Candidates { near: names(&["n0", "n2", ME]), far: Vec::new() },
+        |_| false,
+    );
+    let [attempt] = &tries[..] else { panic!("one try") };
+    assert_eq!((attempt.revision, attempt.before), (9, Predecessor::None));
+}
