--- /dev/null
+++ b/crates/portrack-bench/src/credit/refusals.rs
@@ -0,0 +1,52 @@
+//! Why requests ended badly, by the daemons' own lines.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Requests that were not answered, by cause.
+#[derive(Debug, Clone, Default)]
+pub struct Refusals {
+    causes: BTreeMap<String, u64>,
+}
+
+/// The value of a key in a line of `key=value` pairs.
+fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let pairs = line.split_whitespace();
+    let mut values = pairs.filter_map(|pair| pair.split_once('='));
+    values.find(|(name, _)| *name == key).map(|(_, value)| value.trim_matches('"'))
+}
+
+/// What was known of the adapter, without the times.
+fn adapter_state(line: &str) -> &str {
+    let state = value(line, "adapter_state").unwrap_or_default();
+    let end = state.find(|c: char| c.is_ascii_digit()).unwrap_or(state.len());
+    state[..end].trim_end_matches('_')
+}
+
+impl Refusals {
+    /// Reads the lines that daemons wrote.
+    pub fn read(path: &Path) -> std::io::Result<Self> {
+        let bytes = std::fs::read(path)?;
+        let mut refusals = Self::default();
+        String::from_utf8_lossy(&bytes).lines().for_each(|line| refusals.take(line));
+        Ok(refusals)
+    }
+
+    fn take(&mut self, line: &str) {
+        if value(line, "event") != Some("request") {
+            return;
+        }
+        let Some(end) = value(line, "end").filter(|end| *end != "answered") else { return };
+        let state = adapter_state(line);
+        let cause = if state.is_empty() { end.to_owned() } else { format!("{end}, {state}") };
+        *self.causes.entry(cause).or_default() += 1;
+    }
+
+    /// The causes with their numbers, the most frequent first.
+    pub fn sorted(&self) -> Vec<(&str, u64)> {
+        let mut causes: Vec<(&str, u64)> =
+            self.causes.iter().map(|(cause, count)| (cause.as_str(), *count)).collect();
+        causes.sort_by(|a, b| b.1.cmp(&a.1));
+        causes
+    }
+}
--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures portrack.
 
 mod capacity;
+mod credit;
 mod days;
 mod fleet;
 mod policy;
@@ -26,6 +27,7 @@
     Policy(Policy),
     Fleet(FleetArgs),
     Days(Days),
+    Credit(Credit),
 }
 
 /// one hall of real daemon processes on loopback, measured from outside
@@ -88,6 +90,18 @@
     class: String,
 }
 
+/// where the credit of a day on the users' bench went, by cause
+#[derive(FromArgs)]
+#[argh(subcommand, name = "credit")]
+struct Credit {
+    /// the report that the bench wrote
+    #[argh(positional)]
+    report: std::path::PathBuf,
+    /// what the daemons logged on that day
+    #[argh(option)]
+    log: Option<std::path::PathBuf>,
+}
+
 /// slopes of bytes, processor time and memory, and what they come to at the users' size
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
@@ -105,6 +119,9 @@
             let written = days::write(&args.folder, &args.engines, &args.plain, &args.class)?;
             println!("{written} days");
         }
+        Command::Credit(args) => {
+            print!("{}", credit::text(&args.report, args.log.as_deref())?);
+        }
         Command::Capacity(args) if args.bytes => print!("{}", capacity::bytes_table()),
         Command::Capacity(_) => print!("{}", capacity::all()),
         Command::Policy(args) => {
