--- a/crates/portrack-bench/src/credit/refusals.rs
+++ b/crates/portrack-bench/src/credit/refusals.rs
@@ -46,7 +46,7 @@
     pub fn sorted(&self) -> Vec<(&str, u64)> {
         let mut causes: Vec<(&str, u64)> =
             self.causes.iter().map(|(cause, count)| (cause.as_str(), *count)).collect();
-        causes.sort_by(|a, b| b.1.cmp(&a.1));
+        causes.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
         causes
     }
 }
