--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -199,7 +199,14 @@
                 log::info!(server = &*attempt.server, fence = fence, before:? = attempt.before; "server_claimed");
             }
             Ok(KvOutcome::Conflict(held)) => {
+                let alive = held.iter().any(|held| held.key != key);
                 let held = held.into_iter().find(|held| held.key == key);
+                let revision = held.as_ref().map_or(0, |held| held.revision);
+                log::info!(
+                    server = &*attempt.server, record = revision,
+                    holder = attempt.gone.as_deref().unwrap_or_default(), holder_alive = alive;
+                    "claim_refused"
+                );
                 self.saw(&attempt.server, held);
             }
             Ok(KvOutcome::NoLease) => {}
