--- /dev/null
+++ b/crates/portrack-bench/src/adapters/gateway.rs
@@ -0,0 +1,171 @@
+//! The gateway's own planner and homes.
+
+use super::Policy;
+use super::baseline::server_name;
+use super::servers::{PLACES, SERVERS, SLOTS, Servers};
+use super::trace::Request;
+use portrack::Time;
+use portrack::gateway::{
+    AdapterKey, Backend, EngineSpec, FleetConfig, HeldModel, Home, ModelSpec, Plan, PlanEnd,
+    PlannedLoad, Planner, ServerReport, Service, home,
+};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Daemons of the fleet.
+const DAEMONS: usize = 7;
+const MODEL: &str = "m";
+const SERVICE: &str = "llm";
+/// What runs is told this often.
+const USES_TOLD_MS: u64 = 600;
+/// A wish is told again after this.
+const WISH_AGAIN_MS: u64 = 400;
+
+/// The planners of daemons that order the servers in even shares.
+pub struct Gateway {
+    planners: Vec<Planner>,
+    servers: Vec<Rc<str>>,
+    running: Vec<(u64, u64, Plan)>,
+    wished: BTreeMap<usize, u64>,
+}
+
+fn key(adapter: usize) -> AdapterKey {
+    AdapterKey { model: MODEL.into(), adapter: format!("a{adapter}").as_str().into() }
+}
+
+fn number(key: &AdapterKey) -> usize {
+    key.adapter[1..].parse().unwrap_or_default()
+}
+
+fn config() -> Rc<FleetConfig> {
+    let model = ModelSpec {
+        name: MODEL.into(),
+        weights_mb: 42_700.0,
+        load_time: Duration::from_millis(600),
+        adapters: 3_000,
+        adapter_mb: 66.0,
+    };
+    let engine = EngineSpec {
+        slots: SLOTS,
+        memory_tokens: 131_025,
+        weights_mb: 45_000.0,
+        adapter_slots: PLACES + 1,
+        loads_per_second: 3.3,
+        models: vec![model],
+    };
+    let service = Service { name: SERVICE.into(), max_connections: 360, engine: Some(engine) };
+    let services = BTreeMap::from([(service.name.clone(), Rc::new(service))]);
+    Rc::new(FleetConfig { version: 1, services, ..FleetConfig::default() })
+}
+
+impl Default for Gateway {
+    fn default() -> Self {
+        let mut planners: Vec<Planner> = (0..DAEMONS).map(|_| Planner::default()).collect();
+        planners.iter_mut().for_each(|planner| planner.config(Time(0), config()));
+        let servers: Vec<Rc<str>> =
+            (0..SERVERS).map(|server| server_name(server).as_str().into()).collect();
+        for (n, id) in servers.iter().enumerate() {
+            let planner = &mut planners[n % DAEMONS];
+            planner.server(Time(0), &backend(id));
+            let report = ServerReport { models: vec![MODEL.into()], ..ServerReport::default() };
+            planner.reported(Time(0), id, &report);
+        }
+        Self { planners, servers, running: Vec::new(), wished: BTreeMap::new() }
+    }
+}
+
+fn backend(id: &Rc<str>) -> Backend {
+    Backend {
+        id: id.clone(),
+        service: SERVICE.into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        hall: "a".into(),
+        slots: SLOTS,
+        draining: false,
+        leaves_in: None,
+        models: vec![HeldModel { name: MODEL.into(), adapters: Vec::new() }],
+    }
+}
+
+impl Gateway {
+    fn index(&self, id: &str) -> usize {
+        self.servers.iter().position(|server| &**server == id).unwrap_or_default()
+    }
+
+    fn end_loads(&mut self, now: u64) {
+        let (over, on): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.running).into_iter().partition(|(until, ..)| *until <= now);
+        self.running = on;
+        for (_, took, plan) in over {
+            let took = Some(Duration::from_millis(took));
+            let daemon = self.index(&plan.server) % DAEMONS;
+            self.planners[daemon].ended(Time(now), &plan, PlanEnd::Done, took);
+        }
+    }
+
+    fn begin_loads(&mut self, now: u64, daemon: usize, servers: &mut Servers) {
+        let orderable: Vec<Rc<str>> =
+            self.servers.iter().skip(daemon).step_by(DAEMONS).cloned().collect();
+        let (plans, _) = self.planners[daemon].plan(Time(now), &orderable);
+        for plan in plans {
+            let PlannedLoad::Adapter(key, _) = &plan.load else { continue };
+            let server = self.index(&plan.server);
+            if let Some(victim) = &plan.evict {
+                if !servers.evict(server, number(victim)) {
+                    self.planners[daemon].ended(Time(now), &plan, PlanEnd::InUse, None);
+                    continue;
+                }
+                self.planners[daemon].evicted(&plan.server, victim);
+            }
+            let took = servers.load(now, server, number(key));
+            self.running.push((now + took, took, plan));
+        }
+    }
+}
+
+impl Policy for Gateway {
+    fn name(&self) -> &'static str {
+        "portrack's gateway"
+    }
+
+    fn missed(&mut self, now: u64, request: &Request, servers: &Servers) {
+        let last = self.wished.insert(request.adapter, now);
+        if let Some(last) = last.filter(|last| now < last + WISH_AGAIN_MS) {
+            self.wished.insert(request.adapter, last);
+            return;
+        }
+        let homes: Vec<Home> = self
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(n, id)| Home {
+                server: id.clone(),
+                slots: SLOTS,
+                cost: servers.running(n) as f64,
+            })
+            .collect();
+        if let Some(server) = home(&key(request.adapter), &homes) {
+            let daemon = self.index(&server) % DAEMONS;
+            self.planners[daemon].wish(Time(now), &server, &key(request.adapter), 1, 1);
+        }
+    }
+
+    fn used(&mut self, now: u64, server: usize, request: &Request) {
+        let id = self.servers[server].clone();
+        self.planners[server % DAEMONS].used(Time(now), &id, &key(request.adapter), 1);
+    }
+
+    fn step(&mut self, now: u64, servers: &mut Servers) {
+        self.end_loads(now);
+        if now.is_multiple_of(USES_TOLD_MS) {
+            for (server, adapter) in servers.in_use() {
+                let id = &self.servers[server];
+                self.planners[server % DAEMONS].used(Time(now), id, &key(adapter), 0);
+            }
+        }
+        for daemon in 0..DAEMONS {
+            self.begin_loads(now, daemon, servers);
+        }
+    }
+}
--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures portrack.
 
+mod adapters;
 mod capacity;
 mod credit;
 mod days;
@@ -28,6 +29,7 @@
     Fleet(FleetArgs),
     Days(Days),
     Credit(Credit),
+    Adapters(Adapters),
 }
 
 /// one hall of real daemon processes on loopback, measured from outside
@@ -90,6 +92,18 @@
     class: String,
 }
 
+/// the gateway's placement of adapters against baselines, on traces shaped like the users' bench
+#[derive(FromArgs)]
+#[argh(subcommand, name = "adapters")]
+struct Adapters {
+    /// traces of each shape (default 3)
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// seconds of each trace (default 34)
+    #[argh(option, default = "34")]
+    seconds: u64,
+}
+
 /// where the credit of a day on the users' bench went, by cause
 #[derive(FromArgs)]
 #[argh(subcommand, name = "credit")]
@@ -119,6 +133,7 @@
             let written = days::write(&args.folder, &args.engines, &args.plain, &args.class)?;
             println!("{written} days");
         }
+        Command::Adapters(args) => print!("{}", adapters::report(args.seeds, args.seconds)),
         Command::Credit(args) => {
             print!("{}", credit::text(&args.report, args.log.as_deref())?);
         }
