Last reading: one metric maker, one reader of log fields, one way to the orderer; dead parts go

Left: placement::Demand fades by its own formula in whole milliseconds; joining it changes last digits of the policy tables. The store's trait is written out twice (etcd, platform) over different wires.

--- a/crates/portrack-bench/src/credit/refusals.rs
+++ b/crates/portrack-bench/src/credit/refusals.rs
@@ -1,5 +1,6 @@
 //! Why requests ended badly, by the daemons' own lines.
 
+use portrack::gateway::log_field;
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -9,16 +10,9 @@
     causes: BTreeMap<String, u64>,
 }
 
-/// The value of a key in a line of `key=value` pairs.
-fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    let pairs = line.split_whitespace();
-    let mut values = pairs.filter_map(|pair| pair.split_once('='));
-    values.find(|(name, _)| *name == key).map(|(_, value)| value.trim_matches('"'))
-}
-
 /// What was known of the adapter, without the times.
 fn adapter_state(line: &str) -> &str {
-    let state = value(line, "adapter_state").unwrap_or_default();
+    let state = log_field(line, "adapter_state").unwrap_or_default().trim_matches('"');
     let end = state.find(|c: char| c.is_ascii_digit()).unwrap_or(state.len());
     state[..end].trim_end_matches('_')
 }
@@ -33,10 +27,10 @@
     }
 
     fn take(&mut self, line: &str) {
-        if value(line, "event") != Some("request") {
+        if log_field(line, "event") != Some("request") {
             return;
         }
-        let Some(end) = value(line, "end").filter(|end| *end != "answered") else { return };
+        let Some(end) = log_field(line, "end").filter(|end| *end != "answered") else { return };
         let state = adapter_state(line);
         let cause = if state.is_empty() { end.to_owned() } else { format!("{end}, {state}") };
         *self.causes.entry(cause).or_default() += 1;
--- a/crates/portrack-cli/src/commands/trace.rs
+++ b/crates/portrack-cli/src/commands/trace.rs
@@ -5,6 +5,7 @@
 
 use crate::args::Trace;
 use crate::failure::Failure;
+use portrack::gateway::log_field;
 use std::io::Read;
 use std::path::Path;
 
@@ -88,21 +89,18 @@
 fn lines(text: &str) -> impl Iterator<Item = Line<'_>> {
     text.lines().filter_map(|line| {
         let text = &line[line.find("time_ms=")?..];
-        let time_ms = field(text, "time_ms")?.parse().ok()?;
+        let time_ms = log_field(text, "time_ms")?.parse().ok()?;
         Some(Line { text, time_ms })
     })
 }
 
-fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    line.split(' ').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
-}
-
 fn is_about(line: Line<'_>, id: &str) -> bool {
-    field(line.text, "request") == Some(id)
+    log_field(line.text, "request") == Some(id)
 }
 
 fn subject(line: Line<'_>) -> Subject {
-    let text = |key| field(line.text, key).map(|value| value.trim_matches('"')).unwrap_or_default();
+    let text =
+        |key| log_field(line.text, key).map(|value| value.trim_matches('"')).unwrap_or_default();
     Subject {
         time_ms: line.time_ms,
         took_ms: text("took_ms").parse().unwrap_or(0),
@@ -117,11 +115,12 @@
     if !(from..=subject.time_ms + AROUND_MS).contains(&line.time_ms) {
         return false;
     }
-    let event = field(line.text, "event").unwrap_or_default();
+    let event = log_field(line.text, "event").unwrap_or_default();
     if event == "request" {
         return false;
     }
-    let same = |key: &str, value: &str| !value.is_empty() && field(line.text, key) == Some(value);
+    let same =
+        |key: &str, value: &str| !value.is_empty() && log_field(line.text, key) == Some(value);
     let about_adapter = same("adapter", &subject.adapter) || same("evicted", &subject.adapter);
     let about_server = event != "order" && same("server", &subject.server);
     about_adapter || about_server || (own && DAEMON_EVENTS.contains(&event))
--- a/crates/portrack/src/daemon/metrics.rs
+++ b/crates/portrack/src/daemon/metrics.rs
@@ -1,10 +1,10 @@
 //! Everything the daemon counts.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use crate::metrics::{self, MetricMaker};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
 
+/// What all names begin with.
+const PREFIX: &str = "portrack_";
 /// Buckets of waiting times, in seconds.
 const WAIT_BUCKETS: [f64; 12] =
     [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -56,7 +56,7 @@
     /// Metrics that are all zero.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let made = Maker { registry: &registry };
+        let made = MetricMaker { registry: &registry, prefix: PREFIX, buckets: &WAIT_BUCKETS };
         Self {
             requests: made.counters("requests_total", "Requests by end", &["end"]),
             refusals: made.counters("refusals_total", "Refusals", &["reason", "run"]),
@@ -87,46 +87,6 @@
 
     /// All metrics in the text format.
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
-        encoded.expect("writing to memory does not fail");
-        String::from_utf8(buffer).expect("the text format is UTF-8")
-    }
-}
-
-struct Maker<'a> {
-    registry: &'a Registry,
-}
-
-impl Maker<'_> {
-    fn register(&self, collector: Box<dyn prometheus::core::Collector>) {
-        self.registry.register(collector).expect("every metric has its own name");
-    }
-
-    fn counter(&self, name: &str, help: &str) -> IntCounter {
-        let counter = IntCounter::new(format!("portrack_{name}"), help).expect("a valid name");
-        self.register(Box::new(counter.clone()));
-        counter
-    }
-
-    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-        let opts = Opts::new(format!("portrack_{name}"), help);
-        let counters = IntCounterVec::new(opts, labels).expect("a valid name");
-        self.register(Box::new(counters.clone()));
-        counters
-    }
-
-    fn gauge(&self, name: &str, help: &str) -> IntGauge {
-        let gauge = IntGauge::new(format!("portrack_{name}"), help).expect("a valid name");
-        self.register(Box::new(gauge.clone()));
-        gauge
-    }
-
-    fn histogram(&self, name: &str, help: &str) -> Histogram {
-        let opts = HistogramOpts::new(format!("portrack_{name}"), help);
-        let histogram =
-            Histogram::with_opts(opts.buckets(WAIT_BUCKETS.to_vec())).expect("a valid name");
-        self.register(Box::new(histogram.clone()));
-        histogram
+        metrics::text(&self.registry)
     }
 }
--- a/crates/portrack/src/gateway/connection.rs
+++ b/crates/portrack/src/gateway/connection.rs
@@ -54,7 +54,6 @@
     buffer: BytesMut,
     idle_for: Duration,
     idle_since: Instant,
-    reused: bool,
 }
 
 impl Connection {
@@ -75,15 +74,9 @@
             buffer: BytesMut::new(),
             idle_for: IDLE_DEFAULT,
             idle_since: Instant::now(),
-            reused: false,
         })
     }
 
-    /// True if an earlier request was sent on it.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// True if it can carry another request: open, silent, and not idle for too long.
     pub fn is_clean(&self) -> bool {
         if !self.buffer.is_empty() || self.idle_since.elapsed() >= self.idle_for {
@@ -96,7 +89,6 @@
 
     /// Notes that an answer is over and the connection is idle from now on.
     pub fn rest(&mut self, keep_alive: Option<Duration>) {
-        self.reused = true;
         self.idle_since = Instant::now();
         self.buffer = BytesMut::new();
         if let Some(named) = keep_alive {
--- a/crates/portrack/src/gateway/decay.rs
+++ b/crates/portrack/src/gateway/decay.rs
@@ -13,8 +13,12 @@
 impl Decayed {
     /// Adds to the sum.
     pub fn add(&mut self, now: Time, half_life: Duration, amount: f64) {
-        self.value = self.get(now, half_life) + amount;
-        self.at = now;
+        self.set(now, self.get(now, half_life) + amount);
+    }
+
+    /// Takes a value in place of the sum.
+    pub fn set(&mut self, now: Time, value: f64) {
+        *self = Self { value, at: now };
     }
 
     /// The sum now.
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -206,25 +206,20 @@
         loop {
             self.path.demand.wished().await;
             let now = self.now();
-            let mut by_address: HashMap<Option<SocketAddr>, Vec<AdapterWish>> = HashMap::new();
-            for wish in self.path.demand.take_wishes() {
-                let Some(address) = self.orderer(now, &wish.server) else { continue };
-                by_address.entry(address).or_default().push(AdapterWish {
+            let wishes = self.path.demand.take_wishes().into_iter().map(|wish| {
+                let told = AdapterWish {
                     server: wish.server.to_string(),
                     model: wish.key.model.to_string(),
                     adapter: wish.key.adapter.to_string(),
                     version: wish.version,
                     requests: wish.requests,
-                });
-            }
-            for (address, wishes) in by_address {
+                };
+                (wish.server, told)
+            });
+            for (address, wishes) in self.by_orderer(now, wishes) {
                 match address {
                     None => self.on_wishes(&wishes, None),
-                    Some(address) => {
-                        for chunk in wishes.chunks(DEMAND_CHUNK) {
-                            self.tell(&PeerMessage::Wishes(chunk.to_vec()), address);
-                        }
-                    }
+                    Some(address) => self.tell_chunks(&wishes, address, PeerMessage::Wishes),
                 }
             }
         }
@@ -249,27 +244,50 @@
 
     fn send_uses(&self, uses: Vec<(Rc<str>, AdapterKey, u16)>) {
         let now = self.now();
-        let mut by_address: HashMap<Option<SocketAddr>, Vec<AdapterUse>> = HashMap::new();
-        for (server, key, times) in uses {
-            let Some(address) = self.orderer(now, &server) else { continue };
-            by_address.entry(address).or_default().push(AdapterUse {
+        let uses = uses.into_iter().map(|(server, key, times)| {
+            let told = AdapterUse {
                 server: server_mark(&server),
                 model: key.model.to_string(),
                 adapter: key.adapter.to_string(),
                 times,
-            });
-        }
-        for (address, uses) in by_address {
-            let Some(address) = address else {
-                self.on_uses(&uses);
-                continue;
             };
-            for chunk in uses.chunks(DEMAND_CHUNK) {
-                self.tell(&PeerMessage::Uses(chunk.to_vec()), address);
+            (server, told)
+        });
+        for (address, uses) in self.by_orderer(now, uses) {
+            match address {
+                None => self.on_uses(&uses),
+                Some(address) => self.tell_chunks(&uses, address, PeerMessage::Uses),
             }
         }
     }
 
+    /// What concerns servers, by the daemon that may order each: `None` for this one. What nobody
+    /// may order is left out.
+    fn by_orderer<T>(
+        &self,
+        now: Time,
+        items: impl Iterator<Item = (Rc<str>, T)>,
+    ) -> HashMap<Option<SocketAddr>, Vec<T>> {
+        let mut by_address: HashMap<Option<SocketAddr>, Vec<T>> = HashMap::new();
+        for (server, item) in items {
+            if let Some(address) = self.orderer(now, &server) {
+                by_address.entry(address).or_default().push(item);
+            }
+        }
+        by_address
+    }
+
+    fn tell_chunks<T: Clone>(
+        &self,
+        items: &[T],
+        to: SocketAddr,
+        message: impl Fn(Vec<T>) -> PeerMessage,
+    ) {
+        for chunk in items.chunks(DEMAND_CHUNK) {
+            self.tell(&message(chunk.to_vec()), to);
+        }
+    }
+
     /// Where the daemon that may order a server is: `Some(None)` for this one.
     fn orderer(&self, now: Time, server: &str) -> Option<Option<SocketAddr>> {
         if self.ordering.claims.borrow().may_order(now, server).is_some() {
--- a/crates/portrack/src/gateway/load.rs
+++ b/crates/portrack/src/gateway/load.rs
@@ -1,5 +1,6 @@
 //! How busy and how reliable each backend server is, as this daemon knows it.
 
+use super::decay::Decayed;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -32,8 +33,7 @@
     own: Work,
     /// Since when nothing was heard of it although it was asked.
     silent_since: Option<Time>,
-    failure_rate: f64,
-    rated_at: Time,
+    failure_rate: Decayed,
     unreachable_until: Time,
 }
 
@@ -73,8 +73,7 @@
         let entry = servers.entry(server.clone()).or_default();
         let rate = entry.rate(now);
         let outcome = if failed { 1.0 } else { 0.0 };
-        entry.failure_rate = rate + (outcome - rate) * OUTCOME_WEIGHT;
-        entry.rated_at = now;
+        entry.failure_rate.set(now, rate + (outcome - rate) * OUTCOME_WEIGHT);
     }
 
     /// Notes that a server could not be reached.
@@ -138,8 +137,7 @@
 
 impl Server {
     fn rate(&self, now: Time) -> f64 {
-        let halves = now.since(self.rated_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
-        self.failure_rate * 0.5_f64.powf(halves)
+        self.failure_rate.get(now, FAILURE_HALF_LIFE)
     }
 }
 
--- a/crates/portrack/src/gateway/logging.rs
+++ b/crates/portrack/src/gateway/logging.rs
@@ -89,3 +89,8 @@
         Ok(())
     }
 }
+
+/// The value of a key in a log line, quotes included.
+pub fn log_field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    line.split(' ').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+}
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -1,10 +1,10 @@
 //! Everything a gateway daemon counts.
 
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use crate::metrics::{self, MetricMaker};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
+/// What all names begin with.
+const PREFIX: &str = "portrack_gateway_";
 /// Buckets of times, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 3.0, 15.0];
 
@@ -37,10 +37,14 @@
     /// Metrics that are all zero.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let made = Maker { registry: &registry };
+        let made = MetricMaker { registry: &registry, prefix: PREFIX, buckets: &TIME_BUCKETS };
         Self {
             requests: made.counters("requests_total", "Requests by end", &["kind", "end"]),
-            duration: made.histograms("request_seconds", "Arrival to the end of the answer"),
+            duration: made.histograms(
+                "request_seconds",
+                "Arrival to the end of the answer",
+                &["kind"],
+            ),
             in_flight: made.gauge("requests_in_flight", "Requests being served"),
             resends: made.counter("resends_total", "Sends beyond the first"),
             store_failures: made.counters("store_failures_total", "Failed calls", &["trouble"]),
@@ -55,10 +59,7 @@
 
     /// All metrics in the text format.
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
-        encoded.expect("writing to memory does not fail");
-        String::from_utf8(buffer).expect("the text format is UTF-8")
+        metrics::text(&self.registry)
     }
 }
 
@@ -67,43 +68,3 @@
         Self::new()
     }
 }
-
-struct Maker<'a> {
-    registry: &'a Registry,
-}
-
-impl Maker<'_> {
-    fn register(&self, collector: Box<dyn prometheus::core::Collector>) {
-        self.registry.register(collector).expect("every metric has its own name");
-    }
-
-    fn counter(&self, name: &str, help: &str) -> IntCounter {
-        let counter = IntCounter::new(full(name), help).expect("a valid name");
-        self.register(Box::new(counter.clone()));
-        counter
-    }
-
-    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-        let counters = IntCounterVec::new(Opts::new(full(name), help), labels);
-        let counters = counters.expect("a valid name");
-        self.register(Box::new(counters.clone()));
-        counters
-    }
-
-    fn gauge(&self, name: &str, help: &str) -> IntGauge {
-        let gauge = IntGauge::new(full(name), help).expect("a valid name");
-        self.register(Box::new(gauge.clone()));
-        gauge
-    }
-
-    fn histograms(&self, name: &str, help: &str) -> HistogramVec {
-        let opts = HistogramOpts::new(full(name), help).buckets(TIME_BUCKETS.to_vec());
-        let histogram = HistogramVec::new(opts, &["kind"]).expect("a valid name");
-        self.register(Box::new(histogram.clone()));
-        histogram
-    }
-}
-
-fn full(name: &str) -> String {
-    format!("portrack_gateway_{name}")
-}
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -72,7 +72,7 @@
 pub use homes::{Home, home};
 pub use load::{LoadTable, Work};
 pub use load_budget::LoadBudget;
-pub use logging::LogSink;
+pub use logging::{LogSink, log_field};
 pub use message::{
     AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
     decode as decode_message, encode as encode_message,
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -400,9 +400,10 @@
             PlanEnd::Done => server.set(now, key, *version, SlotState::Held),
             PlanEnd::Refused | PlanEnd::NotSent => server.unsettle(key, *version),
             PlanEnd::InUse | PlanEnd::Busy | PlanEnd::Uncounted => {
-                match end {
-                    PlanEnd::Busy => server.unsettle(key, *version),
-                    _ => server.not_begun(key, *version),
+                if end == PlanEnd::Busy {
+                    server.unsettle(key, *version);
+                } else {
+                    server.not_begun(key, *version);
                 }
                 let wish = Wish { version: *version, since: now - plan.waited };
                 self.wishes.entry((plan.server.clone(), key.clone())).or_insert(wish);
--- a/crates/portrack/src/lib.rs
+++ b/crates/portrack/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod limits;
 pub mod loads;
 pub mod membership;
+mod metrics;
 pub mod node;
 pub mod once;
 pub mod owner;
