--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -170,6 +170,7 @@
         };
         let route = served.route.as_ref().map_or("", |route| &*route.name);
         let model = request.meta.model.as_ref();
+        let timings = &self.progress.timings;
         let adapter = model.and_then(|model| model.adapter.as_deref()).unwrap_or_default();
         log::info!(
             request = &*request.meta.id,
@@ -184,6 +185,10 @@
             sends = served.sends,
             failure = served.last_failure.as_str(),
             broken = broken,
+            prompt_tokens = model.map_or(0, |model| model.prompt_tokens),
+            sent_ms = timings.sent_ms(request.arrived),
+            first_ms = timings.first_ms(request.arrived),
+            pause_ms = timings.longest_pause().as_millis() as u64,
             took_ms = took.as_millis() as u64;
             "request"
         );
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 mod run;
 mod settings;
 mod sync;
+mod timings;
 mod vacancies;
 mod view;
 
@@ -89,5 +90,6 @@
 pub use routes::{RouteTable, pick_target};
 pub use run::{GatewayError, RunningGateway, start_gateway};
 pub use settings::{Bounds, GatewaySettings};
+pub use timings::Timings;
 pub use vacancies::{Candidates, ClaimTry, Claimant, SeenRecord, Vacancies};
 pub use view::{FleetView, NamedVersion, ViewChange};
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -11,6 +11,7 @@
 use super::relay::{Relay, RelayEnd};
 use super::retries::ServiceRetries;
 use super::routes::pick_target;
+use super::timings::Timings;
 use super::view::FleetView;
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
@@ -62,6 +63,8 @@
     pub server: RefCell<Option<Rc<str>>>,
     /// The server has begun to answer.
     pub begun: Cell<bool>,
+    /// When it was sent and answered.
+    pub timings: Timings,
 }
 
 /// How a request ended, for logs and metrics.
@@ -262,6 +265,7 @@
         let _using = job.adapter().map(|key| self.demand.begin(&backend.id, &key));
         let most = self.connections_share(&job.service);
         job.sends += 1;
+        job.progress.timings.sent(now);
         let id = &job.request.meta.id;
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
         let sent = match self.slow_after(job, now) {
@@ -284,8 +288,13 @@
                 job.runs += 1;
                 guard.begun();
                 job.progress.begun.set(true);
-                let heard = || guard.heard(self.clock.now());
-                heard();
+                guard.heard(self.clock.now());
+                let timings = &job.progress.timings;
+                let heard = || {
+                    let now = self.clock.now();
+                    guard.heard(now);
+                    timings.part(now);
+                };
                 let end = relay.answer(job, *answer, sink, heard).await;
                 drop(guard);
                 self.after_relay(job, &backend.id, end, relay)
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -19,4 +19,5 @@
 mod routes;
 mod settings;
 mod support;
+mod timings;
 mod vacancies;
