The end of a use is told at once, so that a place is free again when its last run ends

Daemons told the beginning of a use at once and its end 0.6 s later at the most, and the planner kept the place for 1.5 s.

Two tests replace those that said that a use is believed for 1.5 s; three are new.

--- a/crates/portrack-bench/src/adapters/gateway.rs
+++ b/crates/portrack-bench/src/adapters/gateway.rs
@@ -9,7 +9,8 @@
     AdapterKey, Backend, EngineSpec, FleetConfig, HeldModel, Home, ModelSpec, Plan, PlanEnd,
     PlannedLoad, Planner, ServerReport, Service, home,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 const DAEMONS: usize = 7;
 const MODEL: &str = "m";
 const SERVICE: &str = "llm";
+/// All uses are told in the name of one daemon.
+const ANY_DAEMON: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 /// What runs is told this often.
 const USES_TOLD_MS: u64 = 600;
 /// A wish is told again after this.
@@ -27,6 +30,8 @@
     planners: Vec<Planner>,
     servers: Vec<Rc<str>>,
     running: Vec<(u64, u64, Plan)>,
+    /// Servers and adapters in use when that was last told.
+    told: BTreeSet<(usize, usize)>,
     wished: BTreeMap<usize, u64>,
 }
 
@@ -71,7 +76,13 @@
             let report = ServerReport { models: vec![MODEL.into()], ..ServerReport::default() };
             planner.reported(Time(0), id, &report);
         }
-        Self { planners, servers, running: Vec::new(), wished: BTreeMap::new() }
+        Self {
+            planners,
+            servers,
+            running: Vec::new(),
+            told: BTreeSet::new(),
+            wished: BTreeMap::new(),
+        }
     }
 }
 
@@ -104,6 +115,20 @@
         }
     }
 
+    /// Tells the planners what ceased to be used, and now and then what still is.
+    fn tell_uses(&mut self, now: u64, servers: &Servers) {
+        let in_use: BTreeSet<(usize, usize)> = servers.in_use().collect();
+        let ended = self.told.difference(&in_use).map(|place| (*place, false));
+        let told_again = now.is_multiple_of(USES_TOLD_MS);
+        let runs = in_use.iter().filter(|_| told_again).map(|place| (*place, true));
+        for ((server, adapter), running) in ended.chain(runs) {
+            let planner = &mut self.planners[server % DAEMONS];
+            let id = &self.servers[server];
+            planner.running(Time(now), id, &key(adapter), ANY_DAEMON, running);
+        }
+        self.told = in_use;
+    }
+
     fn begin_loads(&mut self, now: u64, daemon: usize, servers: &mut Servers) {
         let orderable: Vec<Rc<str>> =
             self.servers.iter().skip(daemon).step_by(DAEMONS).cloned().collect();
@@ -153,17 +178,14 @@
 
     fn used(&mut self, now: u64, server: usize, request: &Request) {
         let id = self.servers[server].clone();
-        self.planners[server % DAEMONS].used(Time(now), &id, &key(request.adapter), 1);
+        let planner = &mut self.planners[server % DAEMONS];
+        planner.used(Time(now), &id, &key(request.adapter), 1);
+        planner.running(Time(now), &id, &key(request.adapter), ANY_DAEMON, true);
     }
 
     fn step(&mut self, now: u64, servers: &mut Servers) {
         self.end_loads(now);
-        if now.is_multiple_of(USES_TOLD_MS) {
-            for (server, adapter) in servers.in_use() {
-                let id = &self.servers[server];
-                self.planners[server % DAEMONS].used(Time(now), id, &key(adapter), 0);
-            }
-        }
+        self.tell_uses(now, servers);
         for daemon in 0..DAEMONS {
             self.begin_loads(now, daemon, servers);
         }
--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -4,7 +4,7 @@
 use super::dialect::AdapterKey;
 use crate::types::Time;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -28,6 +28,19 @@
     pub requests: u16,
 }
 
+/// What this daemon's requests do with an adapter at a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Use {
+    /// The server.
+    pub server: Rc<str>,
+    /// The adapter.
+    pub key: AdapterKey,
+    /// Requests that began since this was last told.
+    pub times: u16,
+    /// A request runs there now.
+    pub running: bool,
+}
+
 /// Uses and wishes that were not told yet.
 #[derive(Debug, Default)]
 pub struct DemandLog {
@@ -38,8 +51,8 @@
     missed: RefCell<HashMap<AdapterKey, u16>>,
     asked: RefCell<HashMap<AdapterKey, AdapterDemand>>,
     wished: Notify,
-    begun: RefCell<Vec<(Rc<str>, AdapterKey)>>,
-    used: Notify,
+    turned: RefCell<HashSet<(Rc<str>, AdapterKey)>>,
+    use_turned: Notify,
 }
 
 impl DemandLog {
@@ -53,8 +66,8 @@
         let mut running = self.running.borrow_mut();
         let count = running.entry(place.clone()).or_default();
         if *count == 0 {
-            self.begun.borrow_mut().push(place.clone());
-            self.used.notify_one();
+            self.turned.borrow_mut().insert(place.clone());
+            self.use_turned.notify_one();
         }
         *count = count.saturating_add(1);
         UseGuard { log: self.clone(), place }
@@ -101,31 +114,33 @@
         self.wishes.take()
     }
 
-    /// Waits until an adapter that did not run at a server begins to be used there.
-    pub async fn used(&self) {
-        self.used.notified().await;
+    /// Waits until an adapter begins to be used at a server, or is no longer.
+    pub async fn use_turned(&self) {
+        self.use_turned.notified().await;
     }
 
-    /// Takes the uses of adapters that began to run since the last look. They are told at once:
-    /// an idle adapter may be dropped, and an unload of one in use holds up its server.
-    pub fn take_begun(&self) -> Vec<(Rc<str>, AdapterKey, u16)> {
-        let mut uses = self.uses.borrow_mut();
-        let begun = self.begun.take().into_iter();
-        begun
-            .map(|(server, key)| {
-                let times = uses.remove(&(server.clone(), key.clone())).unwrap_or_default();
-                (server, key, times)
-            })
-            .collect()
+    /// Takes the adapters that began or ceased to be used since the last look. Both are told at
+    /// once: what is idle may be dropped, an unload of what is in use holds up its server, and a
+    /// place that is thought to be in use is wasted.
+    pub fn take_turned(&self) -> Vec<Use> {
+        let turned = self.turned.take().into_iter();
+        turned.map(|place| self.use_of(place)).collect()
+    }
+
+    fn use_of(&self, place: (Rc<str>, AdapterKey)) -> Use {
+        let times = self.uses.borrow_mut().remove(&place).unwrap_or_default();
+        let running = self.running.borrow().contains_key(&place);
+        Use { server: place.0, key: place.1, times, running }
     }
 
     /// Takes the uses not told yet; what still runs is told each time, with 0 further uses.
-    pub fn take_uses(&self) -> Vec<(Rc<str>, AdapterKey, u16)> {
-        let mut uses = self.uses.take();
-        for place in self.running.borrow().keys() {
-            uses.entry(place.clone()).or_default();
-        }
-        uses.into_iter().map(|((server, key), times)| (server, key, times)).collect()
+    pub fn take_uses(&self) -> Vec<Use> {
+        let mut places: Vec<_> = self.running.borrow().keys().cloned().collect();
+        let uses = self.uses.borrow();
+        let ended = uses.keys().filter(|place| !self.running.borrow().contains_key(place));
+        places.extend(ended.cloned());
+        drop(uses);
+        places.into_iter().map(|place| self.use_of(place)).collect()
     }
 
     /// Forgets old wishes, and adapters that nobody asks for any more.
@@ -149,6 +164,8 @@
         *count -= 1;
         if *count == 0 {
             running.remove(&self.place);
+            self.log.turned.borrow_mut().insert(self.place.clone());
+            self.log.use_turned.notify_one();
         }
     }
 }
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -1,6 +1,7 @@
 //! Datagrams between daemons: heartbeats, demand, notices of placement.
 
 use super::daemon::GatewayDaemon;
+use super::demand::Use;
 use super::dialect::AdapterKey;
 use super::holdings::{NOTICE_HOLDS, Presence, REFUSAL_HOLDS};
 use super::load::server_mark;
@@ -109,7 +110,7 @@
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(heartbeat),
             PeerMessage::Wishes(wishes) => self.on_wishes(&wishes, Some(from)),
-            PeerMessage::Uses(uses) => self.on_uses(&uses),
+            PeerMessage::Uses(uses) => self.on_uses(&uses, from),
             PeerMessage::Placement(notices) => self.on_notices(&notices),
         }
     }
@@ -150,7 +151,7 @@
         self.ordering.begin_due(self);
     }
 
-    fn on_uses(&self, uses: &[AdapterUse]) {
+    fn on_uses(&self, uses: &[AdapterUse], from: SocketAddr) {
         let now = self.now();
         let claims = self.ordering.claims.borrow();
         let marks: HashMap<u32, Rc<str>> =
@@ -158,7 +159,11 @@
         let mut planner = self.ordering.planner.borrow_mut();
         for used in uses {
             let Some(server) = marks.get(&used.server) else { continue };
-            planner.used(now, server, &key_of(&used.model, &used.adapter), used.times);
+            let key = key_of(&used.model, &used.adapter);
+            if used.running || used.times > 0 {
+                planner.used(now, server, &key, used.times);
+            }
+            planner.running(now, server, &key, from, used.running);
         }
     }
 
@@ -234,28 +239,29 @@
         }
     }
 
-    /// Tells them at once what begins to be used, for ever.
-    pub async fn tell_first_uses(self: Rc<Self>) {
+    /// Tells them at once what begins and ceases to be used, for ever.
+    pub async fn tell_turned_uses(self: Rc<Self>) {
         loop {
-            self.path.demand.used().await;
-            self.send_uses(self.path.demand.take_begun());
+            self.path.demand.use_turned().await;
+            self.send_uses(self.path.demand.take_turned());
         }
     }
 
-    fn send_uses(&self, uses: Vec<(Rc<str>, AdapterKey, u16)>) {
+    fn send_uses(&self, uses: Vec<Use>) {
         let now = self.now();
-        let uses = uses.into_iter().map(|(server, key, times)| {
+        let uses = uses.into_iter().map(|used| {
             let told = AdapterUse {
-                server: server_mark(&server),
-                model: key.model.to_string(),
-                adapter: key.adapter.to_string(),
-                times,
+                server: server_mark(&used.server),
+                model: used.key.model.to_string(),
+                adapter: used.key.adapter.to_string(),
+                times: used.times,
+                running: used.running,
             };
-            (server, told)
+            (used.server, told)
         });
         for (address, uses) in self.by_orderer(now, uses) {
             match address {
-                None => self.on_uses(&uses),
+                None => self.on_uses(&uses, self.settings.members),
                 Some(address) => self.tell_chunks(&uses, address, PeerMessage::Uses),
             }
         }
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/message.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// The version of the messages; others are dropped.
-pub const MESSAGE_VERSION: u8 = 1;
+pub const MESSAGE_VERSION: u8 = 2;
 /// The longest datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 1_400;
 
@@ -73,6 +73,8 @@
     pub adapter: String,
     /// Requests since the last report.
     pub times: u16,
+    /// A request of the sender runs there now.
+    pub running: bool,
 }
 
 /// A change at a server.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -62,7 +62,7 @@
 pub use connection::{Connection, ExchangeError};
 pub use crowding::copy_pays;
 pub use daemon::GatewayDaemon;
-pub use demand::{DemandLog, Wish};
+pub use demand::{DemandLog, Use, Wish};
 pub use dialect::{
     AdapterKey, AnswerMeta, Dialect, DialectError, ForwardMeta, Item, ItemKey, MalformedSnafu,
     ModelRequest, Order, OrderAnswer, OrderKind, RequestMeta, ServerReport,
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -22,9 +22,12 @@
 const MOST_PENDING: usize = 3;
 /// Adapters that a server once held and may still have at hand.
 const REMEMBERED: usize = 100;
-/// An adapter whose use was told this lately may be in use and is not evicted: an unload that waits
-/// for its runs holds up every other order.
-const JUST_USED: Duration = Duration::from_millis(1_500);
+/// A daemon that said that it uses an adapter is believed for this long; what runs is told again
+/// every 600 ms. An unload that waits for its runs holds up every other order.
+const RUNNING_HOLDS: Duration = Duration::from_millis(1_500);
+/// An adapter that was loaded or asked for a moment ago is about to be used: the word of it needs
+/// some milliseconds, and the daemons that wait for it are told after the load is confirmed.
+const JUST_USED: Duration = Duration::from_millis(250);
 
 /// How far an adapter at a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +41,7 @@
 }
 
 /// An adapter at a server.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Slot {
     /// Its version.
     pub version: u64,
@@ -50,6 +53,8 @@
     pub demand: AdapterDemand,
     /// When it was used last, as far as told.
     pub used_at: Time,
+    /// The daemons whose requests run with it, and when each said so last.
+    pub users: Vec<(SocketAddr, Time)>,
 }
 
 /// One server.
@@ -189,6 +194,15 @@
         }
     }
 
+    /// A daemon tells whether its requests run with an adapter.
+    pub fn running(&mut self, now: Time, key: &AdapterKey, daemon: SocketAddr, running: bool) {
+        let Some(slot) = self.slots.get_mut(key) else { return };
+        slot.users.retain(|(user, _)| *user != daemon);
+        if running {
+            slot.users.push((daemon, now));
+        }
+    }
+
     /// The server did not answer an order.
     pub fn silent(&mut self, now: Time) {
         self.resting_until = self.resting_until.max(now + REST_AFTER_SILENCE);
@@ -220,9 +234,10 @@
     /// The adapter that is missed least if it goes; none that may be in use. `newest` tells the
     /// newest version of each.
     pub fn victim(&self, now: Time, newest: impl Fn(&AdapterKey) -> u64) -> Option<AdapterKey> {
-        let idle = self.slots.iter().filter(|(_, slot)| {
-            slot.state == SlotState::Held && now.since(slot.used_at) >= JUST_USED
-        });
+        let idle = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| slot.state == SlotState::Held && !slot.may_be_in_use(now));
         let costed = idle.map(|(key, slot)| {
             let outdated = slot.version < newest(key);
             let rate = if outdated { 0.0 } else { slot.demand.rate(now) };
@@ -250,6 +265,12 @@
         }
     }
 
+    fn may_be_in_use(&self, now: Time) -> bool {
+        let told = |at: &Time| now.since(*at) < RUNNING_HOLDS;
+        let last = self.used_at.max(self.changed_at);
+        now.since(last) < JUST_USED || self.users.iter().any(|(_, at)| told(at))
+    }
+
     fn settle(&mut self, now: Time, version: u64) {
         self.version = version;
         self.state = SlotState::Held;
@@ -258,6 +279,6 @@
 
     fn new(version: u64, state: SlotState, changed_at: Time) -> Self {
         let demand = AdapterDemand::default();
-        Self { version, state, changed_at, demand, used_at: changed_at }
+        Self { version, state, changed_at, demand, used_at: changed_at, users: Vec::new() }
     }
 }
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -176,6 +176,20 @@
         }
     }
 
+    /// A daemon tells whether its requests run with an adapter at a server.
+    pub fn running(
+        &mut self,
+        now: Time,
+        server: &str,
+        key: &AdapterKey,
+        daemon: SocketAddr,
+        running: bool,
+    ) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.running(now, key, daemon, running);
+        }
+    }
+
     /// Requests wish for an adapter at a server, at this version or a newer one.
     pub fn wish(
         &mut self,
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -81,7 +81,7 @@
     actix_rt::spawn(daemon.clone().send_heartbeats());
     actix_rt::spawn(daemon.clone().tell_wishes());
     actix_rt::spawn(daemon.clone().tell_uses());
-    actix_rt::spawn(daemon.clone().tell_first_uses());
+    actix_rt::spawn(daemon.clone().tell_turned_uses());
     actix_rt::spawn(daemon.clone().claim_servers());
     actix_rt::spawn(daemon.clone().renew_lease());
     actix_rt::spawn(daemon.clone().plan_steps());
--- a/crates/portrack/tests/gateway/demand.rs
+++ b/crates/portrack/tests/gateway/demand.rs
@@ -1,23 +1,31 @@
 //! What requests use, until the daemons that order the servers are told.
 
 use crate::support::key;
-use portrack::gateway::DemandLog;
+use portrack::gateway::{DemandLog, Use};
 use std::rc::Rc;
 
+fn used(server: &Rc<str>, times: u16, running: bool) -> Use {
+    Use { server: server.clone(), key: key("a1"), times, running }
+}
+
 #[test]
-fn what_begins_to_be_used_is_told_at_once_and_the_rest_in_turn() {
+fn what_begins_or_ceases_to_be_used_is_told_at_once_and_the_rest_in_turn() {
     let log = Rc::new(DemandLog::default());
     let server: Rc<str> = "s1".into();
     let first = log.begin(&server, &key("a1"));
     let second = log.begin(&server, &key("a1"));
-    assert_eq!(log.take_begun(), [(server.clone(), key("a1"), 2)]);
+    assert_eq!(log.take_turned(), [used(&server, 2, true)]);
     let third = log.begin(&server, &key("a1"));
-    assert!(log.take_begun().is_empty(), "it ran already");
-    assert_eq!(log.take_uses(), [(server.clone(), key("a1"), 1)]);
+    assert!(log.take_turned().is_empty(), "it ran already");
+    assert_eq!(log.take_uses(), [used(&server, 1, true)]);
     drop((first, second));
-    assert_eq!(log.take_uses(), [(server.clone(), key("a1"), 0)], "it runs still");
+    assert_eq!(log.take_uses(), [used(&server, 0, true)], "it runs still");
+    assert!(log.take_turned().is_empty());
     drop(third);
+    assert_eq!(log.take_turned(), [used(&server, 0, false)]);
     assert!(log.take_uses().is_empty());
+    drop(log.begin(&server, &key("a1")));
+    assert_eq!(log.take_uses(), [used(&server, 1, false)], "it began and ended");
     let _again = log.begin(&server, &key("a1"));
-    assert_eq!(log.take_begun().len(), 1, "it was idle");
+    assert_eq!(log.take_turned().last(), Some(&used(&server, 1, true)), "it was idle");
 }
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -3,6 +3,7 @@
 use crate::support::{MODEL, backend, config, key, ms};
 use portrack::Time;
 use portrack::gateway::{Plan, PlanEnd, PlannedLoad, Planner, ServerReport, WishAnswer};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +29,11 @@
     (planner, server)
 }
 
+/// Where the daemon with a number hears datagrams.
+fn daemon(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], number).into()
+}
+
 fn plans(planner: &mut Planner, now: u64, server: &Rc<str>) -> Vec<Plan> {
     planner.plan(Time(now), std::slice::from_ref(server)).0
 }
@@ -89,18 +95,60 @@
     planner.used(Time(1_000), "s1", &key("a1"), 9);
     planner.used(Time(1_000), "s1", &key("a2"), 1);
     planner.used(Time(1_000), "s1", &key("a3"), 5);
-    planner.used(Time(9_900), "s1", &key("a4"), 1);
+    planner.running(Time(9_900), "s1", &key("a4"), daemon(1), true);
     planner.wish(Time(10_000), &server, &key("b1"), 1, 1);
     let begun = plans(&mut planner, 10_001, &server);
     assert_eq!(begun[0].evict, Some(key("a2")), "a4 is asked for less but may be in use");
 }
 
+#[test]
+fn a_place_is_free_once_the_last_daemon_that_uses_it_said_that_it_does_no_longer() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)]);
+    for (name, at) in [("a1", 9_900), ("a2", 9_900), ("a3", 9_900), ("a4", 9_900)] {
+        planner.running(Time(at), "s1", &key(name), daemon(1), true);
+    }
+    planner.running(Time(9_910), "s1", &key("a2"), daemon(2), true);
+    planner.running(Time(10_000), "s1", &key("a2"), daemon(1), false);
+    let wished = planner.wish(Time(10_001), &server, &key("b1"), 1, 1);
+    assert_eq!(wished, WishAnswer::Refused, "another daemon uses a2 still");
+    planner.running(Time(10_002), "s1", &key("a2"), daemon(2), false);
+    planner.wish(Time(10_003), &server, &key("b1"), 1, 1);
+    assert_eq!(plans(&mut planner, 10_004, &server)[0].evict, Some(key("a2")));
+}
+
+#[test]
+fn a_daemon_that_falls_silent_holds_no_place_for_ever() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)]);
+    for name in ["a1", "a2", "a3", "a4"] {
+        planner.running(Time(10_000), "s1", &key(name), daemon(1), true);
+    }
+    let wished = planner.wish(Time(11_400), &server, &key("b1"), 1, 1);
+    assert_eq!(wished, WishAnswer::Refused);
+    planner.wish(Time(11_500), &server, &key("b1"), 1, 1);
+    assert_eq!(plans(&mut planner, 11_501, &server).len(), 1);
+}
+
+#[test]
+fn what_was_loaded_or_asked_for_a_moment_ago_does_not_make_way() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1)]);
+    planner.wish(Time(10_000), &server, &key("a4"), 1, 1);
+    let begun = plans(&mut planner, 10_001, &server);
+    planner.ended(Time(10_300), &begun[0], PlanEnd::Done, Some(ms(280)));
+    for name in ["a1", "a2", "a3"] {
+        planner.running(Time(10_300), "s1", &key(name), daemon(1), true);
+    }
+    let soon = planner.wish(Time(10_400), &server, &key("b1"), 1, 1);
+    assert_eq!(soon, WishAnswer::Refused, "the requests for a4 are on their way");
+    planner.wish(Time(10_550), &server, &key("b1"), 1, 1);
+    assert_eq!(plans(&mut planner, 10_551, &server)[0].evict, Some(key("a4")));
+}
+
 #[test]
 fn a_server_whose_adapters_are_all_in_use_refuses() {
     let held = [("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)];
     let (mut planner, server) = planner(&held);
     for (name, _) in held {
-        planner.used(Time(9_900), "s1", &key(name), 0);
+        planner.running(Time(9_900), "s1", &key(name), daemon(1), true);
     }
     assert_eq!(planner.wish(Time(10_000), &server, &key("b1"), 1, 1), WishAnswer::Refused);
 }
