No place of a server is kept free for late orders; a newer version makes another adapter go

Cause: with uses told at once, 79 of the 96 places in use ran something, at 8 of 9 places a server; one was kept for orders carried out late. Each order names the number of orders before it, so a late one is carried out only if no other was accepted since, and then this daemon's next order is refused until the report was read again. What needs care is a version being replaced: both may count, so it takes a place of its own. Its test found that at a full server where the outdated adapter is the least used one nothing was loaded at all: the victim was the adapter itself. The victim is another one now.

--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -53,6 +53,8 @@
     pub demand: AdapterDemand,
     /// When it was used last, as far as told.
     pub used_at: Time,
+    /// It is being loaded in place of an older version that is still there.
+    pub replaces: bool,
     /// The daemons whose requests run with it, and when each said so last.
     pub users: Vec<(SocketAddr, Time)>,
 }
@@ -162,6 +164,7 @@
             self.remember(key, version);
         }
         let slot = self.slots.entry(key.clone()).or_insert(Slot::new(version, state, now));
+        slot.replaces = state == SlotState::Loading && slot.version != version;
         slot.version = version;
         slot.state = state;
         slot.changed_at = now;
@@ -225,19 +228,26 @@
         holds && self.takes_orders(now) && pending < MOST_PENDING
     }
 
-    /// Free places; one always stays free for an order that is carried out late.
+    /// Free places. A version that is being replaced may need a place beside the newer one. No
+    /// place is kept for orders that are carried out late: each order names the number of orders
+    /// before it, so a late one is carried out only if none was accepted since.
     pub fn free(&self, spec: &EngineSpec, model: &str) -> usize {
         let room = spec.model(model).map_or(0, |model| spec.adapter_room(model));
-        room.saturating_sub(1).saturating_sub(self.slots.len())
+        let replacing = self.slots.values().filter(|slot| slot.replaces).count();
+        room.saturating_sub(self.slots.len() + replacing)
     }
 
-    /// The adapter that is missed least if it goes; none that may be in use. `newest` tells the
-    /// newest version of each.
-    pub fn victim(&self, now: Time, newest: impl Fn(&AdapterKey) -> u64) -> Option<AdapterKey> {
-        let idle = self
-            .slots
-            .iter()
-            .filter(|(_, slot)| slot.state == SlotState::Held && !slot.may_be_in_use(now));
+    /// The adapter that is missed least if it goes for `wanted`; none that may be in use. `newest`
+    /// tells the newest version of each.
+    pub fn victim(
+        &self,
+        now: Time,
+        wanted: &AdapterKey,
+        newest: impl Fn(&AdapterKey) -> u64,
+    ) -> Option<AdapterKey> {
+        let idle = self.slots.iter().filter(|(key, slot)| {
+            slot.state == SlotState::Held && !slot.may_be_in_use(now) && *key != wanted
+        });
         let costed = idle.map(|(key, slot)| {
             let outdated = slot.version < newest(key);
             let rate = if outdated { 0.0 } else { slot.demand.rate(now) };
@@ -275,10 +285,19 @@
         self.version = version;
         self.state = SlotState::Held;
         self.changed_at = now;
+        self.replaces = false;
     }
 
     fn new(version: u64, state: SlotState, changed_at: Time) -> Self {
         let demand = AdapterDemand::default();
-        Self { version, state, changed_at, demand, used_at: changed_at, users: Vec::new() }
+        Self {
+            version,
+            state,
+            changed_at,
+            demand,
+            used_at: changed_at,
+            replaces: false,
+            users: Vec::new(),
+        }
     }
 }
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -225,7 +225,7 @@
             let spec = config.services.get(&server.service)?.engine.as_ref()?;
             Some(server.free(spec, &key.model))
         });
-        if room == Some(0) && server.victim(now, |_| 0).is_none() {
+        if room == Some(0) && server.victim(now, key, |_| 0).is_none() {
             return WishAnswer::Refused;
         }
         let at_hand = server.at_hand(key, version);
@@ -350,7 +350,7 @@
             return None;
         }
         let evict = match server.free(spec, &key.model) {
-            0 => Some(server.victim(now, newest).filter(|victim| victim != key)?),
+            0 => Some(server.victim(now, key, newest)?),
             _ => None,
         };
         let cold = !server.at_hand(key, version);
