A load that a report or a later step has settled is not asked about again

While its server was busy with an unload that waited, a report told the load as held, the adapter made way for another, and the next confirmation loaded it once more, into a full server. Confirmations are now sent only while the planner, under the server's turn, has the load as under way; a load that a report tells as held counts as done at once.

--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -84,7 +84,7 @@
 pub use pacing::WatchPacing;
 pub use path::{Progress, RequestEnd, RequestPath, Served};
 pub use peers::{Peer, PeerChange, Peers};
-pub use planner::{Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
+pub use planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use pool::Pool;
 pub use retries::{RetryBounds, ServiceRetries};
 pub use routes::{RouteTable, pick_target};
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -5,7 +5,7 @@
 use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind};
 use super::message::{NoticeState, PlacementNotice};
 use super::order_call::{Called, OrderCall, OrderCalls};
-use super::planner::{Plan, PlanEnd, PlannedLoad, Planner};
+use super::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner};
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -164,7 +164,7 @@
                 PlanEnd::Refused | PlanEnd::NotSent | PlanEnd::Unknown => {
                     Some(NoticeState::Refused)
                 }
-                PlanEnd::InUse | PlanEnd::Busy | PlanEnd::Uncounted => None,
+                PlanEnd::InUse | PlanEnd::Busy | PlanEnd::Uncounted | PlanEnd::Overtaken => None,
             };
             sink.notices(state.map(|state| notice(&plan, key, state)).into_iter().collect());
         }
@@ -255,12 +255,17 @@
         actix_rt::time::sleep(guess).await;
         while self.clock.now().since(began) < CONFIRM_FOR {
             let order = self.adapter_order(OrderKind::Load, key, Some(version));
-            match self.confirm(plan, order).await {
-                Ordered::Answer(OrderAnswer::Holds) => return PlanEnd::Done,
-                Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy) => {}
-                Ordered::Answer(_) => return PlanEnd::Refused,
-                Ordered::Unknown | Ordered::Uncounted => {}
-                Ordered::NotSent => return PlanEnd::Unknown,
+            match self.confirm(plan, order, key, version).await {
+                Err(LoadProgress::Held) | Ok(Ordered::Answer(OrderAnswer::Holds)) => {
+                    return PlanEnd::Done;
+                }
+                Err(_) => return PlanEnd::Overtaken,
+                Ok(ordered) => match ordered {
+                    Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy) => {}
+                    Ordered::Answer(_) => return PlanEnd::Refused,
+                    Ordered::Unknown | Ordered::Uncounted => {}
+                    Ordered::NotSent => return PlanEnd::Unknown,
+                },
             }
             actix_rt::time::sleep(CONFIRM_EVERY).await;
         }
@@ -268,17 +273,28 @@
     }
 
     /// Sends an order again that the server has taken: it answers whether it holds by now, and
-    /// does not count it again.
-    async fn confirm(&self, plan: &Plan, mut order: Order) -> Ordered {
+    /// does not count it again. Not sent if a report or a later step has settled the load: the
+    /// adapter may have made way since, and the same order would load it once more.
+    async fn confirm(
+        &self,
+        plan: &Plan,
+        mut order: Order,
+        key: &AdapterKey,
+        version: u64,
+    ) -> Result<Ordered, LoadProgress> {
         let line = self.line(&plan.server);
         let _turn = line.turn.lock().await;
-        let Some(count) = line.orders_taken.get() else { return Ordered::Uncounted };
+        let progress = self.planner.borrow().load_progress(&plan.server, key, version);
+        if progress != LoadProgress::Loading {
+            return Err(progress);
+        }
+        let Some(count) = line.orders_taken.get() else { return Ok(Ordered::Uncounted) };
         order.expected = Some(count);
         let ordered = self.send(plan, &mut order, CONFIRM_PATIENCE).await;
         if matches!(ordered, Ordered::Answer(OrderAnswer::Busy | OrderAnswer::Refused)) {
             self.unsure(&plan.server, &line);
         }
-        ordered
+        Ok(ordered)
     }
 
     /// Sends one order, with the number of orders that the server must have taken before.
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -67,6 +67,19 @@
     NotSent,
     /// Nothing was sent, since the server has to be asked first what it has taken.
     Uncounted,
+    /// A later step has changed what became of the load.
+    Overtaken,
+}
+
+/// How far a load is, by what the planner knows of its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadProgress {
+    /// Ordered, and not known to be done.
+    Loading,
+    /// Done.
+    Held,
+    /// The adapter is not there, is about to go, or another version is being loaded.
+    Over,
 }
 
 /// What a wish comes to at once.
@@ -379,6 +392,16 @@
         }
     }
 
+    /// How far the load of a version is that was ordered.
+    pub fn load_progress(&self, server: &str, key: &AdapterKey, version: u64) -> LoadProgress {
+        let slot = self.servers.get(server).and_then(|server| server.slots.get(key));
+        match slot.filter(|slot| slot.version >= version).map(|slot| slot.state) {
+            Some(SlotState::Loading) => LoadProgress::Loading,
+            Some(SlotState::Held) => LoadProgress::Held,
+            Some(SlotState::Leaving) | None => LoadProgress::Over,
+        }
+    }
+
     /// A step is over. `fetch` is how long the load took, if there was one.
     pub fn ended(&mut self, now: Time, plan: &Plan, end: PlanEnd, fetch: Option<Duration>) {
         if plan.cold && matches!(plan.load, PlannedLoad::Adapter(..)) {
@@ -395,7 +418,8 @@
             | PlanEnd::InUse
             | PlanEnd::Refused
             | PlanEnd::NotSent
-            | PlanEnd::Uncounted => {}
+            | PlanEnd::Uncounted
+            | PlanEnd::Overtaken => {}
         }
         if let Some(victim) = &plan.evict
             && let Some(slot) = server.slots.get_mut(victim)
@@ -422,7 +446,7 @@
                 let wish = Wish { version: *version, since: now - plan.waited };
                 self.wishes.entry((plan.server.clone(), key.clone())).or_insert(wish);
             }
-            PlanEnd::Unknown => {}
+            PlanEnd::Unknown | PlanEnd::Overtaken => {}
         }
     }
 }
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -2,7 +2,9 @@
 
 use crate::support::{MODEL, backend, config, key, ms};
 use portrack::Time;
-use portrack::gateway::{Plan, PlanEnd, PlannedLoad, Planner, ServerReport, WishAnswer};
+use portrack::gateway::{
+    LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, ServerReport, WishAnswer,
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -183,6 +185,29 @@
     assert_eq!(plans(&mut planner, 11_601, &server)[0].evict, None, "one version, one place");
 }
 
+#[test]
+fn a_load_that_made_way_again_before_it_was_confirmed_is_over() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1)]);
+    planner.wish(Time(10_000), &server, &key("a4"), 1, 1);
+    let begun = plans(&mut planner, 10_001, &server);
+    let progress = |planner: &Planner| planner.load_progress("s1", &key("a4"), 1);
+    assert_eq!(progress(&planner), LoadProgress::Loading);
+    let held = [("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)];
+    planner.reported(Time(11_000), "s1", &report(&held));
+    assert_eq!(progress(&planner), LoadProgress::Held, "a report tells it");
+    for name in ["a1", "a2", "a3"] {
+        planner.running(Time(11_900), "s1", &key(name), daemon(1), true);
+    }
+    planner.wish(Time(12_000), &server, &key("b1"), 1, 1);
+    let next = plans(&mut planner, 12_001, &server);
+    assert_eq!(next[0].evict, Some(key("a4")));
+    assert_eq!(progress(&planner), LoadProgress::Over, "it is about to go");
+    planner.evicted("s1", &key("a4"));
+    assert_eq!(progress(&planner), LoadProgress::Over);
+    planner.ended(Time(12_100), &begun[0], PlanEnd::Overtaken, None);
+    assert_eq!(progress(&planner), LoadProgress::Over, "the first step changes nothing any more");
+}
+
 #[test]
 fn a_wish_gets_the_newest_version_that_is_named() {
     let (mut planner, server) = planner(&[("a1", 1)]);
