An adapter is loaded where it is at hand, unless that server is much busier

A home was chosen by rendezvous alone. A load of what is at hand takes 27 ms instead of 277 and has no price. Daemons remember the last four servers of each adapter.

--- a/crates/portrack-bench/src/adapters/gateway.rs
+++ b/crates/portrack-bench/src/adapters/gateway.rs
@@ -168,6 +168,7 @@
                 server: id.clone(),
                 slots: SLOTS,
                 cost: servers.running(n) as f64,
+                at_hand: false,
             })
             .collect();
         if let Some(server) = home(&key(request.adapter), &homes) {
--- a/crates/portrack/src/gateway/holdings.rs
+++ b/crates/portrack/src/gateway/holdings.rs
@@ -12,6 +12,9 @@
 /// That an adapter could not be loaded at a server counts for this long.
 pub const REFUSAL_HOLDS: Duration = Duration::from_millis(900);
 
+/// Servers remembered for each adapter: a copy is made for what is asked for often, so a few.
+const REMEMBERED: usize = 4;
+
 /// What a notice says of an adapter at a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Presence {
@@ -41,6 +44,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Holdings {
     adapters: HashMap<AdapterKey, Holders>,
+    /// Where each adapter was held last, the latest first, with its version there.
+    held_once: HashMap<AdapterKey, Vec<(Rc<str>, u64)>>,
 }
 
 impl Holdings {
@@ -51,8 +56,14 @@
                 self.unlist(&key.0, &before.id);
             }
         }
-        let Some(backend) = now else { return };
+        let Some(backend) = now else {
+            if let Some(before) = before {
+                self.forget_server(&before.id);
+            }
+            return;
+        };
         for (key, version) in keys(backend) {
+            self.remember(&key, &backend.id, version);
             let holders = self.adapters.entry(key).or_default();
             holders.listed.insert(backend.id.clone(), version);
         }
@@ -66,8 +77,31 @@
         }
     }
 
+    fn remember(&mut self, key: &AdapterKey, id: &Rc<str>, version: u64) {
+        let servers = self.held_once.entry(key.clone()).or_default();
+        servers.retain(|(server, _)| server != id);
+        servers.insert(0, (id.clone(), version));
+        servers.truncate(REMEMBERED);
+    }
+
+    fn forget_server(&mut self, id: &str) {
+        self.held_once.retain(|_, servers| {
+            servers.retain(|(server, _)| &**server != id);
+            !servers.is_empty()
+        });
+    }
+
+    /// True if a server held this version of an adapter and probably has a copy of it at hand.
+    pub fn is_at_hand(&self, key: &AdapterKey, id: &str, version: u64) -> bool {
+        let servers = self.held_once.get(key).into_iter().flatten();
+        servers.into_iter().any(|(server, held)| &**server == id && *held == version)
+    }
+
     /// Takes a notice in that outweighs the list until a time.
     pub fn notice(&mut self, key: &AdapterKey, id: &Rc<str>, presence: Presence, until: Time) {
+        if let Presence::Held(version) = presence {
+            self.remember(key, id, version);
+        }
         let holders = self.adapters.entry(key.clone()).or_default();
         holders.noticed.insert(id.clone(), Notice { presence, until });
     }
--- a/crates/portrack/src/gateway/homes.rs
+++ b/crates/portrack/src/gateway/homes.rs
@@ -7,6 +7,10 @@
 
 /// Servers in rendezvous order among which the cheapest is taken.
 const CHOICES: usize = 2;
+/// What a fetch from the weight store costs, in requests waiting: some 280 ms, at about 20 ms each,
+/// and the store serves few at once.
+const FETCH_COST: f64 = 13.0;
+
 /// A server that takes orders.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Home {
@@ -16,19 +20,32 @@
     pub slots: usize,
     /// What a request would cost there.
     pub cost: f64,
+    /// It held the adapter before and has it at hand: no fetch is needed.
+    pub at_hand: bool,
+}
+
+impl Home {
+    /// What loading an adapter here costs if this is the server of a rank in its rendezvous order;
+    /// `None` if it is not to be loaded here.
+    fn load_cost(&self, rank: usize) -> Option<f64> {
+        if self.at_hand {
+            return Some(self.cost - FETCH_COST);
+        }
+        match rank {
+            0 => Some(self.cost),
+            _ if rank < CHOICES => Some(self.cost + home_margin(self.slots)),
+            _ => None,
+        }
+    }
 }
 
 /// The home of an adapter: the first in its rendezvous order, unless that is much busier than the
-/// next one.
+/// next one, or a server that has the adapter at hand is not much busier.
 pub fn home(key: &AdapterKey, open: &[Home]) -> Option<Rc<str>> {
     let order = ranked(&key.adapter, open.iter().map(|home| &*home.server));
     let named = |id: &str| open.iter().find(|home| &*home.server == id);
-    let mut best: Option<&Home> = None;
-    for home in order.into_iter().take(CHOICES).filter_map(named) {
-        let margin = home_margin(home.slots);
-        if best.is_none_or(|best| home.cost + margin < best.cost) {
-            best = Some(home);
-        }
-    }
-    best.map(|home| home.server.clone())
+    let ranked = order.into_iter().filter_map(named).enumerate();
+    let costed = ranked.filter_map(|(rank, home)| Some((home.load_cost(rank)?, home)));
+    let best = costed.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, home)| home.server.clone())
 }
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -137,6 +137,7 @@
                 server: backend.id.clone(),
                 slots: backend.slots,
                 cost: cost(now, &self.loads, &self.hall, backend),
+                at_hand: view.holdings.is_at_hand(key, &backend.id, version),
             })
             .collect();
         let server = home(key, &homes).or_else(|| self.replaceable(&outdated));
--- a/crates/portrack/tests/gateway/holdings.rs
+++ b/crates/portrack/tests/gateway/holdings.rs
@@ -43,3 +43,18 @@
     assert!(holdings.is_refused(Time(10), &key("a1"), "s1"));
     assert!(!holdings.is_refused(Time(900), &key("a1"), "s1"));
 }
+
+#[test]
+fn what_a_server_held_stays_at_hand_there_until_the_server_is_gone() {
+    let mut holdings = Holdings::default();
+    let before = backend("s1", &[("a1", 2)]);
+    holdings.list(None, Some(&before));
+    holdings.notice(&key("a1"), &"s2".into(), Presence::Held(1), Time(500));
+    let emptied = backend("s1", &[]);
+    holdings.list(Some(&before), Some(&emptied));
+    assert!(holdings.is_at_hand(&key("a1"), "s1", 2));
+    assert!(!holdings.is_at_hand(&key("a1"), "s1", 1), "another version has to be fetched");
+    assert!(holdings.is_at_hand(&key("a1"), "s2", 1));
+    holdings.list(Some(&emptied), None);
+    assert!(!holdings.is_at_hand(&key("a1"), "s1", 2));
+}
--- a/crates/portrack/tests/gateway/homes.rs
+++ b/crates/portrack/tests/gateway/homes.rs
@@ -7,7 +7,14 @@
 
 fn open(costs: &[f64]) -> Vec<Home> {
     let named = costs.iter().enumerate();
-    named.map(|(n, cost)| Home { server: format!("s{n}").into(), slots: 64, cost: *cost }).collect()
+    named
+        .map(|(n, cost)| Home {
+            server: format!("s{n}").into(),
+            slots: 64,
+            cost: *cost,
+            at_hand: false,
+        })
+        .collect()
 }
 
 #[test]
@@ -40,3 +47,18 @@
     assert_ne!(home(&key("a1"), &others).expect("a home"), first);
     assert_eq!(home(&key("a1"), &[]), None);
 }
+
+#[test]
+fn a_server_that_has_the_adapter_at_hand_is_its_home_unless_it_is_much_busier() {
+    let cold = open(&[0.0; 6]);
+    let first = home(&key("a1"), &cold).expect("a home");
+    let mut servers = cold.clone();
+    let warm = servers.iter_mut().find(|home| home.server != first).expect("another one");
+    warm.at_hand = true;
+    let server = warm.server.clone();
+    assert_eq!(home(&key("a1"), &servers), Some(server.clone()));
+    servers.iter_mut().filter(|home| home.at_hand).for_each(|home| home.cost = 10.0);
+    assert_eq!(home(&key("a1"), &servers), Some(server), "a fetch would take longer");
+    servers.iter_mut().filter(|home| home.at_hand).for_each(|home| home.cost = 20.0);
+    assert_eq!(home(&key("a1"), &servers), Some(first));
+}
