One watch of the whole store for each daemon, paced by the time within which news must be known

Each daemon held two watches: the servers' prefix, which changes all the time there, once a second, and the operator's, which ended every 2.5 s. Now one watch follows both; the daemons' own records are left out of the mirror. While the store changes all the time, changes are gathered for half of the shorter of the drain time and the time for a configuration, both from the settings (bounds.drain_ms, bounds.config_within_ms): 1 s where these are 2 s as before, 1.5 s where they are 3 s.

Tests: the pace follows the bounds, the two settings are checked.

--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -166,8 +166,8 @@
 
 /// Translates between the platform's messages and the gateway's types.
 pub trait Dialect {
-    /// The prefixes of the store to follow.
-    fn prefixes(&self) -> &'static [&'static str];
+    /// The prefix of the store to follow, with everything that [`Dialect::key`] knows.
+    fn prefix(&self) -> &'static str;
     /// What a key stands for.
     fn key(&self, key: &str) -> ItemKey;
     /// Reads a value of the store; `None` for what the gateway does not use.
--- a/crates/portrack/src/gateway/pacing.rs
+++ b/crates/portrack/src/gateway/pacing.rs
@@ -2,29 +2,36 @@
 
 use std::time::Duration;
 
-/// Between watches of a prefix that changes now and then.
+/// Between watches of a store that changes now and then; in 0.4 s a change of the configuration is
+/// still in force well within the two seconds that deployments set.
 const GATHER: Duration = Duration::from_millis(400);
-/// Between watches of a prefix that changes all the time. Half of the time within which a leaving
-/// server must get no more work.
-const GATHER_BUSY: Duration = Duration::from_millis(1_000);
+/// Between watches of a store that changes all the time, as a share of the time within which news
+/// must have come: half, so that one slow answer does no harm.
+const BUSY_SHARE: f64 = 0.5;
 /// A watch that is answered sooner than this had changes waiting for it.
 const AT_ONCE: Duration = Duration::from_millis(60);
-/// A prefix changes all the time once this many watches in a row were answered at once.
+/// The store changes all the time once this many watches in a row were answered at once.
 const BUSY_AFTER: u32 = 3;
 
-/// The pace of the watches of one prefix.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// The pace of the watches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchPacing {
+    gather_busy: Duration,
     at_once: u32,
 }
 
 impl WatchPacing {
+    /// The pace where news must be known `within` a time.
+    pub fn new(within: Duration) -> Self {
+        Self { gather_busy: within.mul_f64(BUSY_SHARE).max(GATHER), at_once: 0 }
+    }
+
     /// The pause after a watch that `waited` for a change; `None` after a whole reading.
     pub fn after(&mut self, waited: Option<Duration>) -> Duration {
         self.at_once = match waited {
             Some(waited) if waited < AT_ONCE => self.at_once + 1,
             Some(_) | None => 0,
         };
-        if self.at_once >= BUSY_AFTER { GATHER_BUSY } else { GATHER }
+        if self.at_once >= BUSY_AFTER { self.gather_busy } else { GATHER }
     }
 }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -74,7 +74,7 @@
     );
     let daemon = GatewayDaemon::new(settings, clock, dialect, store, socket, incarnation);
     let daemon = Rc::new(daemon);
-    daemon.follow_store();
+    actix_rt::spawn(daemon.clone().follow_store());
     actix_rt::spawn(daemon.clone().follow_peers());
     actix_rt::spawn(daemon.clone().answer_peers(members));
     actix_rt::spawn(daemon.clone().receive());
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 /// What a gateway daemon must know before it can reach anybody. Unknown keys are ignored.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -46,6 +47,10 @@
     pub order_quiet_ms: u64,
     /// The lease that the right to order servers hangs on, in milliseconds.
     pub lease_ttl_ms: u64,
+    /// A server that says it is leaving gets no new work after this, in milliseconds.
+    pub drain_ms: u64,
+    /// An accepted configuration is in force everywhere after this, in milliseconds.
+    pub config_within_ms: u64,
 }
 
 impl Default for Bounds {
@@ -57,10 +62,19 @@
             stop_within_s: 8.0,
             order_quiet_ms: 3_000,
             lease_ttl_ms: 6_000,
+            drain_ms: 2_000,
+            config_within_ms: 2_000,
         }
     }
 }
 
+impl Bounds {
+    /// How soon news from the store must be known.
+    pub fn news_within(&self) -> Duration {
+        Duration::from_millis(self.drain_ms.min(self.config_within_ms))
+    }
+}
+
 impl GatewaySettings {
     /// Reads and checks a file.
     pub fn read(file: &Path) -> Result<Self, SettingsError> {
@@ -106,6 +120,13 @@
         if !(500..=600_000).contains(&bounds.lease_ttl_ms) {
             return Some(("lease_ttl_ms", "is not between 500 and 600000"));
         }
+        let sensible = 500..=60_000;
+        if !sensible.contains(&bounds.drain_ms) {
+            return Some(("drain_ms", "is not between 500 and 60000"));
+        }
+        if !sensible.contains(&bounds.config_within_ms) {
+            return Some(("config_within_ms", "is not between 500 and 60000"));
+        }
         None
     }
 }
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -1,11 +1,11 @@
 //! Follows the store, and catches up from peers while it is away.
 
 use super::daemon::GatewayDaemon;
+use super::dialect::ItemKey;
 use super::mirror::MirrorItem;
 use super::pacing::WatchPacing;
 use crate::store::FeedError;
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,24 +40,13 @@
     items: Vec<MirrorItem>,
 }
 
-/// Up to which revision each followed prefix is known.
-type Progress = Rc<RefCell<Vec<u64>>>;
-
 impl GatewayDaemon {
-    /// Follows every prefix of the store, for ever.
-    pub fn follow_store(self: &Rc<Self>) {
-        let prefixes = self.dialect.prefixes();
-        let progress: Progress = Rc::new(RefCell::new(vec![0; prefixes.len()]));
-        for (index, prefix) in prefixes.iter().enumerate() {
-            let (daemon, progress) = (self.clone(), progress.clone());
-            actix_rt::spawn(async move { daemon.follow_prefix(index, prefix, progress).await });
-        }
-    }
-
-    async fn follow_prefix(self: Rc<Self>, index: usize, prefix: &str, progress: Progress) {
+    /// Follows the store, for ever.
+    pub async fn follow_store(self: Rc<Self>) {
+        let prefix = self.dialect.prefix();
         let mut after = None;
         let mut pause = PAUSE;
-        let mut pacing = WatchPacing::default();
+        let mut pacing = WatchPacing::new(self.settings.bounds.news_within());
         loop {
             let asked_at = self.now();
             let result = match after {
@@ -70,12 +59,8 @@
                     self.store_answered(prefix);
                     after = Some(revision);
                     pause = PAUSE;
-                    progress.borrow_mut()[index] = revision;
-                    let whole = progress.borrow().iter().min().copied().unwrap_or(0);
-                    self.mirror.borrow_mut().whole_up_to(whole);
-                    if whole > 0 {
-                        self.path.view.borrow_mut().was_read();
-                    }
+                    self.mirror.borrow_mut().whole_up_to(revision);
+                    self.path.view.borrow_mut().was_read();
                     actix_rt::time::sleep(pacing.after(waited)).await;
                 }
                 Err(error) => {
@@ -89,7 +74,8 @@
     }
 
     async fn read_all(self: &Rc<Self>, prefix: &str) -> Result<u64, FeedError> {
-        let list = self.store.read_all(prefix).await?;
+        let mut list = self.store.read_all(prefix).await?;
+        list.entries.retain(|held| self.is_known(&held.key));
         let revision = list.revision;
         let changes = self.mirror.borrow_mut().apply_all(prefix, list);
         self.apply(changes, "store");
@@ -98,14 +84,20 @@
 
     async fn follow_once(self: &Rc<Self>, prefix: &str, after: u64) -> Result<u64, FeedError> {
         let changes = self.store.changes(prefix, after, WATCH).await?;
+        let known = changes.changes.into_iter().filter(|change| self.is_known(change.key()));
         let newer: Vec<_> = {
             let mut mirror = self.mirror.borrow_mut();
-            changes.changes.into_iter().filter_map(|change| mirror.apply(change)).collect()
+            known.filter_map(|change| mirror.apply(change)).collect()
         };
         self.apply(newer, "store");
         Ok(changes.revision.max(after))
     }
 
+    /// True for what the gateway follows; its own records in the store are none of it.
+    fn is_known(&self, key: &str) -> bool {
+        self.dialect.key(key) != ItemKey::Unknown
+    }
+
     fn store_answered(&self, prefix: &str) {
         let before = self.store_seen.replace(Some(self.now()));
         let away = before.map_or(Duration::MAX, |at| self.now().since(at));
--- a/crates/portrack/src/store/feed.rs
+++ b/crates/portrack/src/store/feed.rs
@@ -19,6 +19,16 @@
     },
 }
 
+impl KvChange {
+    /// The key that was written or removed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(held) => &held.key,
+            Self::Gone { key, .. } => key,
+        }
+    }
+}
+
 /// Changes after a revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct KvChanges {
--- a/crates/portrack/tests/gateway/answers.rs
+++ b/crates/portrack/tests/gateway/answers.rs
@@ -13,8 +13,8 @@
 struct Plain;
 
 impl Dialect for Plain {
-    fn prefixes(&self) -> &'static [&'static str] {
-        &[]
+    fn prefix(&self) -> &'static str {
+        ""
     }
     fn key(&self, _: &str) -> ItemKey {
         ItemKey::Unknown
--- a/crates/portrack/tests/gateway/settings.rs
+++ b/crates/portrack/tests/gateway/settings.rs
@@ -30,12 +30,29 @@
     assert_eq!(settings.metrics, None);
 }
 
+#[test]
+fn news_must_be_known_within_the_shorter_of_the_two_bounds() {
+    let within = |bounds: &str| {
+        let settings = parse(&GOOD.replace("retry_slack = 54", bounds)).expect("usable");
+        settings.bounds.news_within().as_millis()
+    };
+    assert_eq!(within("retry_slack = 54"), 2_000);
+    assert_eq!(within("drain_ms = 3000"), 2_000);
+    assert_eq!(within("drain_ms = 3000\nconfig_within_ms = 3000"), 3_000);
+}
+
 #[test]
 fn bad_settings_are_refused_with_file_line_and_key() {
     let refused = [
         (GOOD.replace("\"10.0.0.1:8000\"", "\"somewhere\""), "local.toml:3", "callers"),
         (GOOD.replace("stop_within_s = 8", "stop_within_s = 0"), "local.toml:12", "stop_within_s"),
         (GOOD.replace("retry_slack = 54", "retry_slack = -1"), "local.toml:11", "retry_slack"),
+        (GOOD.replace("retry_slack = 54", "drain_ms = 0"), "local.toml:11", "drain_ms"),
+        (
+            GOOD.replace("stop_within_s = 8", "config_within_ms = 1"),
+            "local.toml:12",
+            "config_within_ms",
+        ),
         (GOOD.replace("store = \"10.0.0.9:8142\"", "store = \"x\""), "local.toml:7", "store"),
         (GOOD.replace("node = \"n1\"\n", ""), "local.toml", "node"),
         (GOOD.replace("hall = \"a\"", "hall = 3"), "local.toml:2", "hall"),
