A place is promised to one wish; after a break a request waits for its adapter anew

It counts from the break now, as the caller's patience does; - a server with one place to give promised it to every wish, and all but one waited until they were refused. A wish beyond the places that are free or idle is refused at once and goes to the next home.

--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -73,9 +73,11 @@
 
     async fn choose_adapter(&self, job: &Job<'_>, key: &AdapterKey) -> Result<Choice, Refused> {
         let arrived = job.request.arrived;
-        let sign_by = arrived + job.route.objective.mul_f64(SIGN_SHARE);
+        // After a failed try the caller's patience counts from what it heard last, about now.
+        let since = if job.sends == 0 { arrived } else { self.clock.now() };
+        let sign_by = since + job.route.objective.mul_f64(SIGN_SHARE);
         let in_time = arrived + job.route.objective.saturating_sub(FIRST_EVENT);
-        let give_up = arrived + patience(&job.route);
+        let give_up = since + patience(&job.route);
         let mut missed = false;
         if job.sends == 0 {
             self.demand.asked(self.clock.now(), key);
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -237,6 +237,12 @@
         room.saturating_sub(self.slots.len() + replacing)
     }
 
+    /// How many adapters could make way for `wanted`.
+    pub fn idle(&self, now: Time, wanted: &AdapterKey) -> usize {
+        let may_go = |(key, slot): &(&AdapterKey, &Slot)| slot.may_make_way(now) && *key != wanted;
+        self.slots.iter().filter(may_go).count()
+    }
+
     /// The adapter that is missed least if it goes for `wanted`; none that may be in use. `newest`
     /// tells the newest version of each.
     pub fn victim(
@@ -245,9 +251,7 @@
         wanted: &AdapterKey,
         newest: impl Fn(&AdapterKey) -> u64,
     ) -> Option<AdapterKey> {
-        let idle = self.slots.iter().filter(|(key, slot)| {
-            slot.state == SlotState::Held && !slot.may_be_in_use(now) && *key != wanted
-        });
+        let idle = self.slots.iter().filter(|(key, slot)| slot.may_make_way(now) && *key != wanted);
         let costed = idle.map(|(key, slot)| {
             let outdated = slot.version < newest(key);
             let rate = if outdated { 0.0 } else { slot.demand.rate(now) };
@@ -275,6 +279,10 @@
         }
     }
 
+    fn may_make_way(&self, now: Time) -> bool {
+        self.state == SlotState::Held && !self.may_be_in_use(now)
+    }
+
     fn may_be_in_use(&self, now: Time) -> bool {
         let told = |at: &Time| now.since(*at) < RUNNING_HOLDS;
         let last = self.used_at.max(self.changed_at);
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -236,9 +236,10 @@
         }
         let room = self.config.as_ref().and_then(|config| {
             let spec = config.services.get(&server.service)?.engine.as_ref()?;
-            Some(server.free(spec, &key.model))
+            Some(server.free(spec, &key.model) + server.idle(now, key))
         });
-        if room == Some(0) && server.victim(now, key, |_| 0).is_none() {
+        let promised = self.wishes.keys().filter(|(at, other)| at == id && other != key).count();
+        if room.is_some_and(|room| room <= promised) {
             return WishAnswer::Refused;
         }
         let at_hand = server.at_hand(key, version);
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -185,6 +185,20 @@
     assert_eq!(plans(&mut planner, 11_601, &server)[0].evict, None, "one version, one place");
 }
 
+#[test]
+fn a_place_is_promised_to_one_wish() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)]);
+    for name in ["a1", "a2", "a3"] {
+        planner.running(Time(10_000), "s1", &key(name), daemon(1), true);
+    }
+    let first = planner.wish(Time(10_001), &server, &key("b1"), 1, 1);
+    assert_eq!(first, WishAnswer::Coming(FETCH));
+    let second = planner.wish(Time(10_002), &server, &key("b2"), 1, 1);
+    assert_eq!(second, WishAnswer::Refused, "the only place that can be had is promised");
+    let again = planner.wish(Time(10_003), &server, &key("b1"), 1, 1);
+    assert_eq!(again, WishAnswer::Coming(FETCH), "the same wish keeps its promise");
+}
+
 #[test]
 fn a_load_that_made_way_again_before_it_was_confirmed_is_over() {
     let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1)]);
