An older version keeps its place in the count if the newer one was not ordered after all

Found while reading: a load that was to replace a version and was not ordered (its victim still ran) took the older version off the planner's count although the server has it still. Since no place is kept free that is one adapter too many on the next order; the server's busy answer hid it. The older version is remembered and comes back. The test fails on the code before (the older version was gone).

--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/planned_server.rs
@@ -53,8 +53,8 @@
     pub demand: AdapterDemand,
     /// When it was used last, as far as told.
     pub used_at: Time,
-    /// It is being loaded in place of an older version that is still there.
-    pub replaces: bool,
+    /// The older version that is still there while this one is being loaded in its place.
+    pub replaces: Option<u64>,
     /// The daemons whose requests run with it, and when each said so last.
     pub users: Vec<(SocketAddr, Time)>,
 }
@@ -164,7 +164,8 @@
             self.remember(key, version);
         }
         let slot = self.slots.entry(key.clone()).or_insert(Slot::new(version, state, now));
-        slot.replaces = state == SlotState::Loading && slot.version != version;
+        let replaces = state == SlotState::Loading && slot.version != version;
+        slot.replaces = replaces.then_some(slot.version);
         slot.version = version;
         slot.state = state;
         slot.changed_at = now;
@@ -175,11 +176,18 @@
         self.slots.remove(key);
     }
 
-    /// A load of this version was not ordered after all.
+    /// A load of this version was not ordered after all: what it was to replace is still there.
     pub fn not_begun(&mut self, key: &AdapterKey, version: u64) {
-        let begun = |slot: &Slot| slot.state == SlotState::Loading && slot.version == version;
-        if self.slots.get(key).is_some_and(begun) {
-            self.slots.remove(key);
+        let Some(slot) = self.slots.get_mut(key) else { return };
+        if slot.state != SlotState::Loading || slot.version != version {
+            return;
+        }
+        match slot.replaces.take() {
+            Some(older) => {
+                slot.version = older;
+                slot.state = SlotState::Held;
+            }
+            None => self.unset(key),
         }
     }
 
@@ -233,7 +241,7 @@
     /// before it, so a late one is carried out only if none was accepted since.
     pub fn free(&self, spec: &EngineSpec, model: &str) -> usize {
         let room = spec.model(model).map_or(0, |model| spec.adapter_room(model));
-        let replacing = self.slots.values().filter(|slot| slot.replaces).count();
+        let replacing = self.slots.values().filter(|slot| slot.replaces.is_some()).count();
         room.saturating_sub(self.slots.len() + replacing)
     }
 
@@ -293,7 +301,7 @@
         self.version = version;
         self.state = SlotState::Held;
         self.changed_at = now;
-        self.replaces = false;
+        self.replaces = None;
     }
 
     fn new(version: u64, state: SlotState, changed_at: Time) -> Self {
@@ -304,7 +312,7 @@
             changed_at,
             demand,
             used_at: changed_at,
-            replaces: false,
+            replaces: None,
             users: Vec::new(),
         }
     }
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -185,6 +185,21 @@
     assert_eq!(plans(&mut planner, 11_601, &server)[0].evict, None, "one version, one place");
 }
 
+#[test]
+fn an_older_version_keeps_its_place_if_the_newer_one_was_not_ordered_after_all() {
+    let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)]);
+    planner.wish(Time(10_000), &server, &key("a1"), 2, 1);
+    let begun = plans(&mut planner, 10_001, &server);
+    assert_eq!(begun[0].evict, Some(key("a2")));
+    planner.ended(Time(10_005), &begun[0], PlanEnd::InUse, None);
+    assert_eq!(planner.load_progress("s1", &key("a1"), 1), LoadProgress::Held);
+    for name in ["a1", "a3", "a4"] {
+        planner.running(Time(10_006), "s1", &key(name), daemon(1), true);
+    }
+    let wished = planner.wish(Time(10_007), &server, &key("b1"), 1, 1);
+    assert_eq!(wished, WishAnswer::Refused, "four places, four adapters, one about to go");
+}
+
 #[test]
 fn a_place_is_promised_to_one_wish() {
     let (mut planner, server) = planner(&[("a1", 1), ("a2", 1), ("a3", 1), ("a4", 1)]);
