--- a/crates/portrack-bench/tests/credit.rs
+++ b/crates/portrack-bench/tests/credit.rs
@@ -1,6 +1,6 @@
 //! The credit of a day by cause.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 
 const REPORT: &str = r#"{"G": 0.8, "parts": [["whole day", 0.44, 0.9], ["worst zone", 0.2, 0.99]],
@@ -21,17 +21,22 @@
     path
 }
 
-#[test]
-fn losses_come_the_largest_first_and_refusals_are_counted_by_cause() {
-    let (report, log) = (file("report.json", REPORT), file("day.log", LOG));
+/// What the program prints of a report and a log.
+fn credit(report: &Path, log: &Path) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_portrack-bench"))
         .arg("credit")
-        .arg(&report)
+        .arg(report)
         .arg("--log")
-        .arg(&log)
+        .arg(log)
         .output()
         .expect("it runs");
-    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn losses_come_the_largest_first_and_refusals_are_counted_by_cause() {
+    let (report, log) = (file("report.json", REPORT), file("day.log", LOG));
+    let text = credit(&report, &log);
     let expected = "\
 worth 0.8000; broken rules: none
   0.0440  not earned: whole day (0.900)
@@ -87,14 +92,7 @@
 #[test]
 fn the_log_tells_delays_places_and_which_loads_were_needed() {
     let (report, log) = (file("busy.json", REPORT), file("busy.log", &busy_log()));
-    let output = Command::new(env!("CARGO_BIN_EXE_portrack-bench"))
-        .arg("credit")
-        .arg(&report)
-        .arg("--log")
-        .arg(&log)
-        .output()
-        .expect("it runs");
-    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let text = credit(&report, &log);
     let expected = "\
 route chat: 30 answered; p50/p90 ms: sent after 50/50, first part 65/77 later, longest pause 40/40
      1.0  requests at servers on average, 1 at most
--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/demand.rs
@@ -135,11 +135,8 @@
 
     /// Takes the uses not told yet; what still runs is told each time, with 0 further uses.
     pub fn take_uses(&self) -> Vec<Use> {
-        let mut places: Vec<_> = self.running.borrow().keys().cloned().collect();
-        let uses = self.uses.borrow();
-        let ended = uses.keys().filter(|place| !self.running.borrow().contains_key(place));
-        places.extend(ended.cloned());
-        drop(uses);
+        let places: HashSet<_> =
+            self.running.borrow().keys().chain(self.uses.borrow().keys()).cloned().collect();
         places.into_iter().map(|place| self.use_of(place)).collect()
     }
 
--- a/crates/portrack/src/gateway/homes.rs
+++ b/crates/portrack/src/gateway/homes.rs
@@ -3,6 +3,7 @@
 use super::crowding::home_margin;
 use super::dialect::AdapterKey;
 use crate::membership::ranked;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// Servers in rendezvous order among which the cheapest is taken.
@@ -43,9 +44,12 @@
 /// next one, or a server that has the adapter at hand is not much busier.
 pub fn home(key: &AdapterKey, open: &[Home]) -> Option<Rc<str>> {
     let order = ranked(&key.adapter, open.iter().map(|home| &*home.server));
-    let named = |id: &str| open.iter().find(|home| &*home.server == id);
-    let ranked = order.into_iter().filter_map(named).enumerate();
-    let costed = ranked.filter_map(|(rank, home)| Some((home.load_cost(rank)?, home)));
-    let best = costed.min_by(|(a, _), (b, _)| a.total_cmp(b));
-    best.map(|(_, home)| home.server.clone())
+    let ranks: HashMap<&str, usize> =
+        order.into_iter().enumerate().map(|(rank, server)| (server, rank)).collect();
+    let costed = open.iter().filter_map(|home| {
+        let rank = *ranks.get(&*home.server)?;
+        Some((home.load_cost(rank)?, rank, home))
+    });
+    let best = costed.min_by(|(a, x, _), (b, y, _)| a.total_cmp(b).then(x.cmp(y)));
+    best.map(|(_, _, home)| home.server.clone())
 }
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -260,12 +260,10 @@
                     return PlanEnd::Done;
                 }
                 Err(_) => return PlanEnd::Overtaken,
-                Ok(ordered) => match ordered {
-                    Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy) => {}
-                    Ordered::Answer(_) => return PlanEnd::Refused,
-                    Ordered::Unknown | Ordered::Uncounted => {}
-                    Ordered::NotSent => return PlanEnd::Unknown,
-                },
+                Ok(Ordered::Answer(OrderAnswer::Accepted | OrderAnswer::Busy)) => {}
+                Ok(Ordered::Answer(_)) => return PlanEnd::Refused,
+                Ok(Ordered::Unknown | Ordered::Uncounted) => {}
+                Ok(Ordered::NotSent) => return PlanEnd::Unknown,
             }
             actix_rt::time::sleep(CONFIRM_EVERY).await;
         }
