--- a/crates/portrack-bench/tests/credit.rs
+++ b/crates/portrack-bench/tests/credit.rs
@@ -57,3 +57,54 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("bad.json"));
     let _ = std::fs::remove_file(report);
 }
+
+/// A day of one route: 30 streams of two adapters at two servers, and the loads for them.
+fn busy_log() -> String {
+    let mut log = String::new();
+    for n in 0..30 {
+        let (adapter, server) = if n < 20 { ("a1", "s1") } else { ("a2", "s2") };
+        let ended = 1_000 + n * 10;
+        log.push_str(&format!(
+            " 2.0 n1 time_ms={ended} level=info event=request request=r{n} route=chat end=answered \
+             server={server} adapter={adapter} adapter_state=\"\" sent_ms=50 first_ms={} \
+             pause_ms=40 took_ms=500\n",
+            100 + n
+        ));
+    }
+    let order = |at: u64, server: &str, adapter: &str, evicted: &str, cold: bool| {
+        format!(
+            " 1.0 n2 time_ms={at} level=info event=order server={server} adapter={adapter} \
+             version=1 evicted={evicted} cold={cold} end=Done\n"
+        )
+    };
+    log.push_str(&order(400, "s1", "a1", "\"\"", true));
+    log.push_str(&order(450, "s2", "a1", "\"\"", true));
+    log.push_str(&order(460, "s2", "a2", "a1", true));
+    log.push_str(&order(470, "s2", "a1", "a2", false));
+    log
+}
+
+#[test]
+fn the_log_tells_delays_places_and_which_loads_were_needed() {
+    let (report, log) = (file("busy.json", REPORT), file("busy.log", &busy_log()));
+    let output = Command::new(env!("CARGO_BIN_EXE_portrack-bench"))
+        .arg("credit")
+        .arg(&report)
+        .arg("--log")
+        .arg(&log)
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let expected = "\
+route chat: 30 answered; p50/p90 ms: sent after 50/50, first part 65/77 later, longest pause 40/40
+     1.0  requests at servers on average, 1 at most
+     1.0  places in use on average, 1 at most
+     1.0  different adapters in use on average, 1 at most
+       2  loads fetched: the first of this version
+       1  loads fetched: a copy beside another server's
+       1  loads from what the server has at hand
+       2  adapters asked for: the least fetches
+";
+    assert!(text.ends_with(expected), "{text}");
+    let _ = (std::fs::remove_file(report), std::fs::remove_file(log));
+}
