Orderers report the load of servers and make replicas by the pace of requests; older versions only where they begin at once

Cause: on the large site a heartbeat reaches each of 195 nodes once in 5 s, and what it says of load counts for 2.5 s: nodes knew half of the load, late, and all took the same server. A hot adapter got a copy only where one node had seen 2.5 requests for it, which hardly any node does.

Changed: in fleets where not every heartbeat reaches all, the daemon that orders a server reads its report every 300 ms, tells the watchers of the halls, and they their followers; a request goes to the better of two random holders. An older version is used only where nothing waits, and only while the newest is missing or crowded. Peers of large fleets are logged as a number (a start wrote 37,661 lines).

--- a/crates/portrack/src/gateway/choose.rs
+++ b/crates/portrack/src/gateway/choose.rs
@@ -12,7 +12,7 @@
 /// Prompt tokens that weigh as much as one running request.
 const TOKENS_A_REQUEST: f64 = 600.0;
 /// What a server that says nothing although it was asked costs.
-const SILENT: f64 = 80.0;
+pub(super) const SILENT: f64 = 80.0;
 /// What a server found unreachable a moment ago costs.
 const UNREACHABLE: f64 = 10_000.0;
 
@@ -34,6 +34,21 @@
     cost
 }
 
+/// Two of `count` candidates, chosen by a request's id.
+///
+/// With loads known some hundred milliseconds late, requests that all went to the idlest server
+/// would go there together; the better of two random ones spreads them.
+pub fn two_of(id: &str, count: usize) -> Option<[usize; 2]> {
+    let count = u64::try_from(count).ok().filter(|count| *count > 0)?;
+    let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+    let first = hash % count;
+    let second = match count {
+        1 => 0,
+        _ => (first + 1 + (hash >> 32) % (count - 1)) % count,
+    };
+    Some([first as usize, second as usize])
+}
+
 /// The cheapest server of those not tried yet.
 pub fn cheapest<'a>(
     now: Time,
--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -30,14 +30,13 @@
 /// The next try for a lease after one that failed. In a fleet of 195 nodes of which a third cannot
 /// reach the store, tries each 200 ms were 300 refused calls a second.
 const LEASE_AGAIN: Duration = Duration::from_millis(1_000);
-/// A daemon that has just started learns within this who else is there. Tries before that were
-/// 6,031 refused transactions of 195 nodes in the 14 s before traffic.
-const KNOWS_FLEET_AFTER: Duration = Duration::from_millis(2_500);
-/// In a large fleet a daemon knows some of its peers by then only, and many take themselves for the
-/// first of their hall. So each waits longer by a share of this for each daemon it knows, and reads
-/// of the claims of those before it: with all at once, 134 of 195 nodes took a lease and lost 480
-/// transactions.
-const SPREAD_A_PEER: Duration = Duration::from_millis(16);
+/// A daemon that has just started leaves servers that nobody ordered alone for so long. Of 195 nodes
+/// that start together each knows 20 others by then; without it they made 6,031 refused claims in the
+/// 14 s before traffic.
+const KNOWS_FLEET_AFTER: Duration = Duration::from_millis(3_000);
+/// Each daemon waits longer by a share of this and reads meanwhile what those before it claimed. With
+/// all at once 134 of 195 nodes took a lease, and 480 transactions were refused.
+const FIRST_CLAIMS_SPREAD: Duration = Duration::from_millis(3_000);
 /// A holder has at least so many servers to order before a hall takes another one, so that a hall
 /// of 40 daemons and 16 servers has 4 leases to renew in place of 40.
 const SERVERS_A_HOLDER: usize = 4;
@@ -187,7 +186,7 @@
             machine: &machine,
             held: claims.all().count(),
             share: total.div_ceil(holders.min(peers.able(now).len() + 1)),
-            knows_fleet_from: self.knows_fleet_from(peers.up(now).count()),
+            knows_fleet_from: self.knows_fleet_from(),
         };
         let mut by_hall: HashMap<Rc<str>, Candidates> = HashMap::new();
         for backend in vacant.iter().filter_map(|id| view.backend(id)) {
@@ -204,11 +203,10 @@
         vacancies.due(now, me, &records, candidates, heard)
     }
 
-    /// From when on this daemon claims servers that nobody ordered yet, if it knows `peers`.
-    fn knows_fleet_from(&self, peers: usize) -> Time {
-        let spread = SPREAD_A_PEER * u32::try_from(peers).unwrap_or(u32::MAX);
+    /// From when on this daemon claims servers that nobody ordered yet.
+    fn knows_fleet_from(&self) -> Time {
         let share = f64::from(server_mark(&self.settings.node)) / f64::from(u32::MAX);
-        self.started_at + KNOWS_FLEET_AFTER + spread.mul_f64(share)
+        self.started_at + KNOWS_FLEET_AFTER + FIRST_CLAIMS_SPREAD.mul_f64(share)
     }
 
     /// Who could claim the servers of a hall.
--- a/crates/portrack/src/gateway/crowding.rs
+++ b/crates/portrack/src/gateway/crowding.rs
@@ -9,6 +9,10 @@
 const IDLER_SHARE: f64 = 0.3;
 /// Requests of the last seconds, fading, that this daemon must have seen for the adapter.
 const LEAST_ASKS: f64 = 2.5;
+/// A server with this share of its slots taken is overloaded: requests begin to wait.
+const OVERLOADED_SHARE: f64 = 0.85;
+/// A server with at most this share of its slots taken may be given replicas.
+const IDLE_SHARE: f64 = 0.4;
 /// A later home is taken only if it is idler by this share of the slots.
 const HOME_IDLER_SHARE: f64 = 0.4;
 
@@ -17,6 +21,16 @@
     cost > slots as f64 * CROWDED_SHARE
 }
 
+/// True if requests begin to wait at a server with so many of them.
+pub fn is_overloaded(slots: usize, requests: u32) -> bool {
+    f64::from(requests) > slots as f64 * OVERLOADED_SHARE
+}
+
+/// True if a server with so many requests may be given adapters with much demand.
+pub fn is_idle(slots: usize, requests: u32) -> bool {
+    f64::from(requests) <= slots as f64 * IDLE_SHARE
+}
+
 /// True if a crowded server, where a request costs `cost`, should get help from the `idlest` one
 /// for an adapter that was asked for `asks` times lately.
 pub fn copy_pays(slots: usize, cost: f64, idlest: f64, asks: f64) -> bool {
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -134,6 +134,7 @@
             demand: Rc::new(DemandLog::default()),
             hall: settings.hall.clone(),
             daemons: Cell::new(1),
+            loads_lag: Cell::new(false),
             is_ordered: is_ordered(clock.clone(), ordering.clone(), orderers.clone()),
         };
         Self {
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -133,6 +133,8 @@
     pub held: Vec<(AdapterKey, u64)>,
     /// The adapters on their way, with their versions.
     pub pending: Vec<(AdapterKey, u64)>,
+    /// Requests that run there or wait to run.
+    pub requests: u32,
 }
 
 /// How a server answers an order.
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -123,6 +123,7 @@
         let now = self.now();
         let seen_at = Time(now.0.saturating_sub(frame.store_age_ms.into()));
         self.store_seen.set(Some(self.store_seen.get().map_or(seen_at, |at| at.max(seen_at))));
+        self.path.loads.report(now, &frame.loads);
         if !frame.notices.is_empty() {
             self.on_notices(&frame.notices);
         }
@@ -152,7 +153,8 @@
                 continue;
             }
             let notices = self.feed.take_notices();
-            let nothing_new = notices.is_empty() && revision <= told;
+            let loads = self.feed.take_loads();
+            let nothing_new = notices.is_empty() && loads.is_empty() && revision <= told;
             if nothing_new && now.since(sent_at) < IDLE_FRAME_EVERY {
                 continue;
             }
@@ -163,6 +165,7 @@
                 whole: false,
                 items,
                 notices,
+                loads,
             };
             if let Some(bytes) = frame(&news) {
                 self.feed.send(&bytes.into());
@@ -181,7 +184,8 @@
         let mut frames = self.feed.subscribe();
         let MirrorNews { revision, whole, items } = self.mirror.borrow().news_after(after);
         let store_age_ms = self.store_age();
-        let first = FeedFrame { revision, store_age_ms, whole, items, notices: Vec::new() };
+        let (notices, loads) = (Vec::new(), Vec::new());
+        let first = FeedFrame { revision, store_age_ms, whole, items, notices, loads };
         actix_rt::time::timeout(FRAME_TAKEN, write_frame(&mut stream, &first)).await.ok()??;
         while let Some(frame) = frames.recv().await {
             actix_rt::time::timeout(FRAME_TAKEN, stream.write_all(&frame)).await.ok()?.ok()?;
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -7,7 +7,7 @@
 use super::load::server_mark;
 use super::message::{
     AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
-    decode, encode,
+    ServerLoad, decode, encode,
 };
 use super::ordering::NoticeSink;
 use super::peers::{BEAT, PeerChange};
@@ -24,6 +24,8 @@
 const DEMAND_CHUNK: usize = 20;
 /// Notices in one datagram.
 const NOTICE_CHUNK: usize = 12;
+/// Between log lines of how many peers are up.
+const PEERS_LOGGED: Duration = Duration::from_secs(2);
 /// A datagram could not be received; the pause before the next try.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -46,10 +48,35 @@
             actix_rt::time::sleep(BEAT).await;
             let now = self.now();
             let silent = self.peers.borrow_mut().sweep(now, before);
+            self.log_silent(&silent);
+            before = now;
+        }
+    }
+
+    /// A line for each peer that comes or falls silent is written in small fleets only: a start of
+    /// 195 nodes wrote 37,661 of them. In larger ones the number of peers is logged as it changes.
+    fn logs_each_peer(&self) -> bool {
+        self.peers.borrow().all_hear_each_beat()
+    }
+
+    fn log_silent(&self, silent: &[Rc<str>]) {
+        if self.logs_each_peer() {
             for peer in silent {
-                log::warn!(peer = &*peer; "peer_silent");
+                log::warn!(peer = &**peer; "peer_silent");
             }
-            before = now;
+        }
+    }
+
+    /// Logs how many peers are up, if that has changed, for ever.
+    pub async fn log_peers(self: Rc<Self>) {
+        let mut logged = 0;
+        loop {
+            actix_rt::time::sleep(PEERS_LOGGED).await;
+            let up = self.peers.borrow().up(self.now()).count();
+            if up != logged && !self.logs_each_peer() {
+                log::info!(up = up, before = logged; "peers");
+            }
+            logged = up;
         }
     }
 
@@ -64,6 +91,7 @@
         }
         let up = self.peers.borrow().up(now).count();
         self.path.daemons.set(up + 1);
+        self.path.loads_lag.set(!self.peers.borrow().all_hear_each_beat());
         self.ordering.planner.borrow_mut().daemons(up + 1);
         self.metrics.peers_up.set(up as i64);
     }
@@ -114,6 +142,7 @@
                 self.on_notices(&notices);
                 self.feed.push(&notices);
             }
+            PeerMessage::Loads(loads) => self.on_loads(&loads),
         }
     }
 
@@ -178,12 +207,18 @@
         self.path.loads.peer(now, &node, heartbeat.work.clone());
         let change = self.peers.borrow_mut().heard(now, heartbeat);
         match change {
-            Some(PeerChange::Up) => log::info!(peer = &*node; "peer_up"),
+            Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
             Some(PeerChange::Leaving) => log::info!(peer = &*node; "peer_leaving"),
-            None => {}
+            Some(PeerChange::Up) | None => {}
         }
     }
 
+    /// Applies what servers report of their load, and passes it on to this daemon's followers.
+    pub(super) fn on_loads(&self, loads: &[ServerLoad]) {
+        self.path.loads.report(self.now(), loads);
+        self.feed.push_loads(loads);
+    }
+
     /// Applies what other daemons have changed at servers.
     pub(super) fn on_notices(&self, notices: &[PlacementNotice]) {
         let now = self.now();
--- a/crates/portrack/src/gateway/hall_feed.rs
+++ b/crates/portrack/src/gateway/hall_feed.rs
@@ -3,10 +3,11 @@
 //! Every watch of the store is a call with a price: 195 nodes that each watched made 6,000 calls in
 //! 48 s. Two daemons of each hall watch; the others follow one of them over a connection.
 
-use super::message::PlacementNotice;
+use super::message::{PlacementNotice, ServerLoad};
 use super::mirror::MirrorItem;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -43,6 +44,8 @@
     pub items: Vec<MirrorItem>,
     /// What changed at servers.
     pub notices: Vec<PlacementNotice>,
+    /// How busy servers are.
+    pub loads: Vec<ServerLoad>,
 }
 
 /// The followers of this daemon, and what is to be told to them next.
@@ -50,6 +53,7 @@
 pub(super) struct HallFeed {
     followers: RefCell<Vec<mpsc::Sender<Rc<[u8]>>>>,
     notices: RefCell<Vec<PlacementNotice>>,
+    loads: RefCell<BTreeMap<u32, ServerLoad>>,
 }
 
 impl HallFeed {
@@ -78,6 +82,19 @@
         self.notices.take()
     }
 
+    /// Keeps the loads of servers for the next frame, if anybody follows.
+    pub fn push_loads(&self, loads: &[ServerLoad]) {
+        if self.followers() > 0 {
+            let loads = loads.iter().map(|load| (load.server, *load));
+            self.loads.borrow_mut().extend(loads);
+        }
+    }
+
+    /// The loads for the next frame.
+    pub fn take_loads(&self) -> Vec<ServerLoad> {
+        self.loads.take().into_values().collect()
+    }
+
     /// Sends a frame to all; who is too far behind or gone is dropped.
     pub fn send(&self, frame: &Rc<[u8]>) {
         self.followers.borrow_mut().retain(|follower| follower.try_send(frame.clone()).is_ok());
@@ -87,5 +104,6 @@
     pub fn close(&self) {
         self.followers.borrow_mut().clear();
         self.notices.borrow_mut().clear();
+        self.loads.borrow_mut().clear();
     }
 }
--- a/crates/portrack/src/gateway/holdings.rs
+++ b/crates/portrack/src/gateway/holdings.rs
@@ -134,6 +134,13 @@
         notice.is_some_and(|notice| notice.fresh(now) && notice.presence == Presence::Refused)
     }
 
+    /// To how many servers an adapter is on its way at this version or a newer one.
+    pub fn coming(&self, now: Time, key: &AdapterKey, least: u64) -> usize {
+        let notices = self.adapters.get(key).into_iter().flat_map(|held| held.noticed.values());
+        let coming = |notice: &&Notice| matches!(notice.presence, Presence::Coming(version, _) if version >= least);
+        notices.filter(|notice| notice.fresh(now)).filter(coming).count()
+    }
+
     /// When the adapter is expected at some server, if it is on its way.
     pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
         let holders = self.adapters.get(key)?;
--- a/crates/portrack/src/gateway/load.rs
+++ b/crates/portrack/src/gateway/load.rs
@@ -1,6 +1,7 @@
 //! How busy and how reliable each backend server is, as this daemon knows it.
 
 use super::decay::Decayed;
+use super::message::ServerLoad;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -19,6 +20,9 @@
 /// What peers said of their own load counts for this long.
 const PEER_FRESH: Duration = Duration::from_millis(2_500);
 
+/// What a server reported of its load counts for this long: four reports.
+const REPORT_FRESH: Duration = Duration::from_millis(1_300);
+
 /// Requests at one server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -44,9 +48,19 @@
     servers: HashMap<u32, Work>,
 }
 
+/// What a server reported of its load.
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    requests: u32,
+    told_at: Time,
+    /// Requests of this daemon that began since.
+    own_since: u32,
+}
+
 /// Load and health of the servers.
 #[derive(Debug, Default)]
 pub struct LoadTable {
+    reported: RefCell<HashMap<u32, Reported>>,
     servers: RefCell<HashMap<Rc<str>, Server>>,
     peers: RefCell<HashMap<Rc<str>, PeerWork>>,
 }
@@ -64,6 +78,9 @@
         entry.silent_since.get_or_insert(now);
         entry.own.requests += 1;
         entry.own.waiting_tokens += tokens;
+        if let Some(reported) = self.reported.borrow_mut().get_mut(&server_mark(server)) {
+            reported.own_since += 1;
+        }
         WorkGuard { table: self.clone(), server: server.clone(), tokens }
     }
 
@@ -105,6 +122,10 @@
     pub fn work(&self, now: Time, server: &str) -> Work {
         let own = self.servers.borrow().get(server).map(|entry| entry.own).unwrap_or_default();
         let mark = server_mark(server);
+        if let Some(reported) = self.reported(now, mark) {
+            let requests = (reported.requests + reported.own_since).max(own.requests);
+            return Work { requests, ..own };
+        }
         let peers = self.peers.borrow();
         let fresh = peers.values().filter(|peer| now.since(peer.told_at) < PEER_FRESH);
         fresh.filter_map(|peer| peer.servers.get(&mark)).fold(own, |sum, work| Work {
@@ -113,6 +134,20 @@
         })
     }
 
+    fn reported(&self, now: Time, mark: u32) -> Option<Reported> {
+        let reported = self.reported.borrow().get(&mark).copied();
+        reported.filter(|reported| now.since(reported.told_at) < REPORT_FRESH)
+    }
+
+    /// Updates what servers reported of their load, which outweighs what peers tell of their own.
+    pub fn report(&self, now: Time, loads: &[ServerLoad]) {
+        let mut reported = self.reported.borrow_mut();
+        for load in loads {
+            let requests = load.requests.into();
+            reported.insert(load.server, Reported { requests, told_at: now, own_since: 0 });
+        }
+    }
+
     /// This daemon's own work, for its peers.
     pub fn own(&self) -> Vec<(u32, Work)> {
         let servers = self.servers.borrow();
@@ -128,6 +163,7 @@
 
     /// Forgets a server that is gone.
     pub fn forget(&self, server: &str) {
+        self.reported.borrow_mut().remove(&server_mark(server));
         let mut servers = self.servers.borrow_mut();
         if servers.get(server).is_some_and(|entry| entry.own.requests == 0) {
             servers.remove(server);
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/message.rs
@@ -20,6 +20,8 @@
     Uses(Vec<AdapterUse>),
     /// What the sender has changed at servers that it orders.
     Placement(Vec<PlacementNotice>),
+    /// What servers that the sender orders report of their load.
+    Loads(Vec<ServerLoad>),
 }
 
 /// A sign of life.
@@ -79,6 +81,15 @@
     pub running: bool,
 }
 
+/// How busy a server says it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoad {
+    /// The server, by its mark.
+    pub server: u32,
+    /// Requests that run there or wait to run.
+    pub requests: u16,
+}
+
 /// A change at a server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacementNotice {
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod ingress;
 mod load;
 mod load_budget;
+mod load_reports;
 mod logging;
 mod message;
 mod metrics;
@@ -45,6 +46,7 @@
 mod planner;
 mod pool;
 mod relay;
+mod replicas;
 mod retries;
 mod routes;
 mod run;
@@ -58,7 +60,7 @@
 pub use backend::{Backend, HeldAdapter, HeldModel};
 pub use body::{BodyDecoder, Step};
 pub use caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
-pub use choose::cheapest;
+pub use choose::{cheapest, two_of};
 pub use claim_record::{ClaimKey, ClaimRecord};
 pub use claim_records::{ClaimRecords, SeenRecord};
 pub use claims::{Claim, Claims, Predecessor};
@@ -78,12 +80,12 @@
 pub use following::{NewsSource, news_source};
 pub use holdings::{Holdings, Presence};
 pub use homes::{Home, home};
-pub use load::{LoadTable, Work};
+pub use load::{LoadTable, Work, server_mark};
 pub use load_budget::LoadBudget;
 pub use logging::{LogSink, log_field};
 pub use message::{
     AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
-    decode as decode_message, encode as encode_message,
+    ServerLoad, decode as decode_message, encode as encode_message,
 };
 pub use metrics::GatewayMetrics;
 pub use mirror::{Mirror, MirrorItem, MirrorNews, Mirrored};
@@ -94,6 +96,7 @@
 pub use peers::{Peer, PeerChange, Peers};
 pub use planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use pool::Pool;
+pub use replicas::{ReplicaDemand, run_time};
 pub use retries::{RetryBounds, ServiceRetries};
 pub use routes::{RouteTable, pick_target};
 pub use run::{GatewayError, RunningGateway, start_gateway};
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -2,7 +2,7 @@
 //! other daemons what came of them.
 
 use super::claims::Claims;
-use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind};
+use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind, ServerReport};
 use super::message::{NoticeState, PlacementNotice};
 use super::order_call::{Called, OrderCall, OrderCalls};
 use super::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner};
@@ -21,6 +21,8 @@
 const CONFIRM_PATIENCE: Duration = Duration::from_millis(120);
 /// The longest wait for a report.
 const REPORT_PATIENCE: Duration = Duration::from_millis(700);
+/// The longest wait for a report that is asked for again soon.
+const LOAD_PATIENCE: Duration = Duration::from_millis(200);
 /// A report is this much older than the server's state.
 const REPORT_LAG: Duration = Duration::from_millis(260);
 /// An order is asked about again after this while it is carried out.
@@ -349,6 +351,20 @@
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
     }
 
+    /// A server's report, for its load; `None` if it does not answer.
+    pub(super) async fn load_of(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+    ) -> Option<ServerReport> {
+        let path = self.dialect.report_path();
+        let patience = LOAD_PATIENCE;
+        let call = OrderCall { server, address, method: "GET", path, body: &[], patience };
+        let Called::Answer(answer) = self.calls.call(&call, || true).await else { return None };
+        let ok = answer.status.is_success();
+        ok.then(|| self.dialect.report(&answer.body).ok()).flatten()
+    }
+
     async fn send(&self, plan: &Plan, order: &mut Order, patience: Duration) -> Ordered {
         let may_order = || self.claims.borrow().may_order(self.clock.now(), &plan.server);
         let Some(fence) = may_order() else { return Ordered::NotSent };
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -52,6 +52,9 @@
     pub hall: String,
     /// Daemons that share the servers' connections and the retry budget.
     pub daemons: Cell<usize>,
+    /// The loads of servers are known some hundred milliseconds late, as in fleets where not every
+    /// heartbeat reaches all.
+    pub loads_lag: Cell<bool>,
 }
 
 /// How far a request has come, for the log line of one whose caller leaves in the middle.
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -2,7 +2,7 @@
 
 use super::backend::Backend;
 use super::caller::{RefusalReason, Refused};
-use super::choose::{cheapest, cost};
+use super::choose::{SILENT, cheapest, cost, two_of};
 use super::config::Route;
 use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
@@ -154,35 +154,50 @@
         ordered.map(|(id, _)| id.clone())
     }
 
-    /// The cheapest server that holds the adapter, the newest version before an older one.
+    /// The cheapest server that holds the adapter: the newest version, or an older one for a while
+    /// where the newest is missing or its servers are crowded.
     fn holder(&self, job: &Job<'_>, key: &AdapterKey) -> Option<Choice> {
         let now = self.clock.now();
-        let view = self.view.borrow();
-        let named = view.named_version(key);
-        let in_grace = named.is_some_and(|named| named.is_fresh(now, VERSION_GRACE));
+        let named = self.view.borrow().named_version(key);
         let newest = named.map_or(1, |named| named.version);
-        let holders = view.holdings.holders(now, key);
-        let usable = holders.into_iter().filter(|(_, v)| *v >= newest || in_grace);
-        let mut candidates: Vec<(bool, f64, Rc<Backend>, u64)> = usable
-            .filter_map(|(id, version)| {
-                let backend = view.backend(&id)?;
-                let open = !backend.draining && backend.service == job.service.name;
-                let fresh = open && !job.tried.contains(&backend.id);
-                let cost = cost(now, &self.loads, &self.hall, backend);
-                fresh.then(|| (version < newest, cost, backend.clone(), version))
-            })
-            .collect();
-        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        drop(view);
-        let (old, cost, backend, version) = candidates.into_iter().next()?;
-        if old {
+        let (current, outdated) = self.holders(job, key, newest);
+        let id = &job.request.meta.id;
+        let lag = self.loads_lag.get();
+        let best = spread(id, &current, lag);
+        let in_grace = named.is_some_and(|named| named.is_fresh(now, VERSION_GRACE));
+        let crowded = best.is_none_or(|best| is_crowded(best.backend.slots, best.cost));
+        // An older version must not begin late: a request for it goes only where it need not wait.
+        let older = outdated.iter().filter(|old| !is_crowded(old.backend.slots, old.cost));
+        let older: Vec<Holder> = older.filter(|_| in_grace && crowded).cloned().collect();
+        if let Some(old) = spread(id, &older, lag) {
             self.demand.missed(key);
             self.wish(job, key);
-        } else if self.needs_copy(job, key, backend.slots, cost) {
+            return Some(Choice { backend: old.backend.clone(), adapter_version: None });
+        }
+        let Holder { backend, cost, version } = best?;
+        if self.needs_copy(job, key, backend.slots, *cost) {
             self.wish(job, key);
         }
-        let current = named.is_some() && !old;
-        Some(Choice { backend, adapter_version: current.then_some(version) })
+        let adapter_version = named.map(|_| *version);
+        Some(Choice { backend: backend.clone(), adapter_version })
+    }
+
+    /// The untried servers that hold an adapter, those with the newest version and the others; the
+    /// cheapest first.
+    fn holders(&self, job: &Job<'_>, key: &AdapterKey, newest: u64) -> (Vec<Holder>, Vec<Holder>) {
+        let now = self.clock.now();
+        let view = self.view.borrow();
+        let holders = view.holdings.holders(now, key).into_iter();
+        let untried = holders.filter_map(|(id, version)| {
+            let backend = view.backend(&id)?;
+            let open = !backend.draining && backend.service == job.service.name;
+            let cost = cost(now, &self.loads, &self.hall, backend);
+            let holder = Holder { backend: backend.clone(), cost, version };
+            (open && !job.tried.contains(&backend.id)).then_some(holder)
+        });
+        let mut sorted: Vec<Holder> = untried.collect();
+        sorted.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        sorted.into_iter().partition(|holder| holder.version >= newest)
     }
 
     /// True if an adapter is asked for so much that a much idler server should have it as well.
@@ -219,6 +234,24 @@
     }
 }
 
+/// A server that holds an adapter.
+#[derive(Debug, Clone)]
+struct Holder {
+    backend: Rc<Backend>,
+    /// What a request would cost there.
+    cost: f64,
+    /// The adapter's version there.
+    version: u64,
+}
+
+/// The first of some holders, which come with the cheapest first; where loads are known late, the
+/// better of two that are chosen at random among those that are not in trouble.
+fn spread<'a>(id: &str, holders: &'a [Holder], loads_lag: bool) -> Option<&'a Holder> {
+    let sound = holders.iter().take_while(|holder| holder.cost < SILENT).count();
+    let at = two_of(id, sound).filter(|_| loads_lag);
+    holders.get(at.map_or(0, |[first, second]| first.min(second)))
+}
+
 /// How long a request may wait for its adapter before its caller gives up.
 fn patience(route: &Route) -> Duration {
     let gaps = route.gap_objective.unwrap_or_default() * 8;
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -270,6 +270,13 @@
         if cold { self.fetches.typical() } else { LEAST_LEFT }
     }
 
+    /// The adapters loaded at a server, with their requests a second.
+    pub fn paces(&self, now: Time, server: &str) -> Vec<(AdapterKey, f64)> {
+        let slots = self.servers.get(server).into_iter().flat_map(|server| &server.slots);
+        let held = slots.filter(|(_, slot)| slot.state == SlotState::Held);
+        held.map(|(key, slot)| (key.clone(), slot.demand.per_second(now))).collect()
+    }
+
     /// Forgets what nobody asks for any more.
     pub fn sweep(&mut self, now: Time) {
         self.missed.retain(|_, missed| missed.rate(now) > FORGET_RATE);
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -78,6 +78,8 @@
     actix_rt::spawn(daemon.clone().follow_peers());
     actix_rt::spawn(daemon.clone().answer_peers(members));
     actix_rt::spawn(daemon.clone().feed_followers());
+    actix_rt::spawn(daemon.clone().report_loads());
+    actix_rt::spawn(daemon.clone().log_peers());
     actix_rt::spawn(daemon.clone().receive());
     actix_rt::spawn(daemon.clone().send_heartbeats());
     actix_rt::spawn(daemon.clone().tell_wishes());
--- a/crates/portrack/tests/gateway/loads.rs
+++ b/crates/portrack/tests/gateway/loads.rs
@@ -2,7 +2,7 @@
 
 use crate::support::backend;
 use portrack::Time;
-use portrack::gateway::{LoadTable, cheapest};
+use portrack::gateway::{LoadTable, ServerLoad, Work, cheapest, server_mark, two_of};
 use std::rc::Rc;
 
 fn chosen(loads: &LoadTable, now: u64) -> String {
@@ -55,3 +55,35 @@
     assert!(loads.is_unreachable(Time(20_100), "s1"));
     assert!(!loads.is_unreachable(Time(21_000), "s1"));
 }
+
+fn reported(loads: &LoadTable, now: u64, requests: u16) {
+    loads.report(Time(now), &[ServerLoad { server: server_mark("s1"), requests }]);
+}
+
+#[test]
+fn what_a_server_reports_outweighs_what_peers_tell_and_own_requests_since_count_on_top() {
+    let loads = Rc::new(LoadTable::default());
+    let peers = Work { requests: 9, waiting_tokens: 0 };
+    loads.peer(Time(0), &"n2".into(), vec![(server_mark("s1"), peers)]);
+    reported(&loads, 100, 20);
+    assert_eq!(loads.work(Time(200), "s1").requests, 20);
+    let _own = loads.begin(Time(200), &"s1".into(), 0);
+    assert_eq!(loads.work(Time(210), "s1").requests, 21);
+    reported(&loads, 400, 20);
+    assert_eq!(loads.work(Time(410), "s1").requests, 20, "it is among them now");
+    assert_eq!(loads.work(Time(1_800), "s1").requests, 10, "an old report does not count");
+}
+
+#[test]
+fn requests_are_spread_over_two_different_candidates_each() {
+    assert_eq!(two_of("r1", 0), None);
+    assert_eq!(two_of("r1", 1), Some([0, 0]));
+    let mut taken = [0; 8];
+    for request in 0..800 {
+        let [first, second] = two_of(&format!("r{request}"), 8).expect("two of eight");
+        assert_ne!(first, second);
+        taken[first] += 1;
+        taken[second] += 1;
+    }
+    assert!(taken.iter().all(|times| (140..260).contains(times)), "{taken:?}");
+}
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod pacing;
 mod peers;
 mod planner;
+mod replicas;
 mod retries;
 mod routes;
 mod settings;
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -18,6 +18,7 @@
         models: vec![MODEL.into()],
         held: held.iter().map(|(name, version)| (key(name), *version)).collect(),
         pending: Vec::new(),
+        requests: 0,
     }
 }
 
@@ -410,3 +411,14 @@
     planner.wish(Time(4_010), &server, &key("a1"), 2, 1);
     assert_eq!(plans(&mut planner, 4_020, &server).len(), 1, "it is not: it is ordered again");
 }
+
+#[test]
+fn the_pace_of_an_adapter_follows_its_requests_within_a_second() {
+    let (mut planner, server) = planner(&[("a1", 1)]);
+    for step in 0..20 {
+        planner.used(Time(1_000 + step * 50), &server, &key("a1"), 1);
+    }
+    let pace = |now| planner.paces(Time(now), &server)[0].1;
+    assert!((10.0..20.0).contains(&pace(2_000)), "{}", pace(2_000));
+    assert!(pace(5_000) < 1.0, "demand has moved on");
+}
