Feeds are told at each follower's pace by the best suited nodes; a lost store shows at once; daemons find each other in a second

Daemons that disagreed on who watches (each knew 117 to 180 of 195) asked those that do not.

Changed: each follower gets the next frame when it has taken the last; silence is measured between parts of a frame; a watcher whose call failed says so in the next frame, and watches 1 s at a time; nodes with the best link and share of a core watch and order first (settings limits.*, in heartbeats); a daemon that has heard few others is answered with a heartbeat and 64 addresses.

--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -9,7 +9,6 @@
 use super::peers::Peers;
 use super::vacancies::{Candidates, ClaimTry, Claimant};
 use super::view::FleetView;
-use crate::membership::ranked;
 use crate::store::{KvError, KvHeld, KvOutcome, KvPut, KvTransaction};
 use crate::types::Time;
 use std::collections::HashMap;
@@ -214,7 +213,8 @@
         let (mut near, mut far) = peers.able_by_hall(now, hall);
         let list = if self.settings.hall == hall { &mut near } else { &mut far };
         list.push(self.settings.node.as_str().into());
-        let near = ranked(hall, near.iter()).into_iter().cloned().collect();
+        let near = peers.by_capacity(hall, near.iter().map(|name| &**name).collect());
+        let near = near.into_iter().map(Rc::from).collect();
         let holders = servers.div_ceil(SERVERS_A_HOLDER).max(LEAST_HOLDERS);
         Candidates { near, far, holders }
     }
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -59,6 +59,8 @@
     pub records: Rc<RefCell<ClaimRecords>>,
     /// Which other daemon orders a server.
     pub orderers: Orderers,
+    /// The last call to the store failed.
+    pub store_fails: Cell<bool>,
     /// This daemon watches the store itself.
     pub watches: Cell<bool>,
     /// What it passes on to others of its hall.
@@ -117,7 +119,8 @@
         );
         let member_port = settings.members.port();
         let seeds = settings.seeds.iter().map(|seed| (seed.ip(), member_port).into()).collect();
-        let peers = Rc::new(RefCell::new(Peers::new(settings.members, seeds)));
+        let peers =
+            Rc::new(RefCell::new(Peers::new(settings.members, settings.limits.capacity(), seeds)));
         let node: Rc<str> = settings.node.as_str().into();
         let records = Rc::new(RefCell::default());
         let orderers = Orderers { peers: peers.clone(), records: records.clone() };
@@ -153,6 +156,7 @@
             stopping_since: Cell::new(None),
             records,
             orderers,
+            store_fails: Cell::new(false),
             watches: Cell::new(false),
             feed: HallFeed::default(),
             shunned: RefCell::default(),
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -1,15 +1,13 @@
 //! Who watches the store for a data hall, and how the others follow.
 
 use super::daemon::GatewayDaemon;
-use super::frames::{frame, read_frame, write_frame};
+use super::frames::{FrameError, read_lively, write_frame};
 use super::hall_feed::{FeedFrame, PeerAsk};
 use super::mirror::MirrorNews;
-use super::sync::STORE_SILENT;
 use crate::types::Time;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// Daemons of a hall that watch the store: with two, the loss of one costs its followers a new
@@ -21,14 +19,19 @@
 const FRAME_EVERY: Duration = Duration::from_millis(100);
 /// Between frames of a feed without news, so that followers know that it lives.
 const IDLE_FRAME_EVERY: Duration = Duration::from_millis(400);
-/// A feed without a frame for so long is left: three idle frames are lost.
-const FEED_SILENT: Duration = Duration::from_millis(1_200);
+/// A feed that says nothing for so long is left: two idle frames are late.
+const FEED_SILENT: Duration = Duration::from_millis(1_000);
+/// A feed is left if the store has not answered its daemon for longer: a watch and some slack.
+const FEED_STALE: Duration = Duration::from_millis(1_700);
 /// For the connection to a feed, within a data centre.
 const CONNECT: Duration = Duration::from_millis(400);
-/// A follower that does not take a frame within this is cut off.
-const FRAME_TAKEN: Duration = Duration::from_millis(1_500);
+/// A follower that does not take a frame within this is cut off: over a link of 10 Mbit/s the
+/// largest configuration takes half of it.
+const FRAME_TAKEN: Duration = Duration::from_secs(4);
 /// A daemon whose feed was of no use is not asked again for so long.
 const SHUNNED_FOR: Duration = Duration::from_secs(3);
+/// The same for one that could not be reached.
+const UNREACHABLE_FOR: Duration = Duration::from_secs(8);
 /// Between looks whether this daemon should watch by itself.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 
@@ -64,6 +67,13 @@
 }
 
 impl GatewayDaemon {
+    /// True if other daemons may follow this one while it watches.
+    pub(super) fn feeds_others(&self) -> bool {
+        let order =
+            self.peers.borrow().watch_order(self.now(), &self.settings.hall, &self.settings.node);
+        order.len() > ALL_WATCH
+    }
+
     /// From whom to learn now.
     pub(super) fn news_source(&self) -> NewsSource {
         let now = self.now();
@@ -81,10 +91,13 @@
     /// Follows a daemon of this hall until it is of no use, or this daemon is to watch by itself.
     pub(super) async fn follow_peer(self: &Rc<Self>, source: SocketAddr) {
         self.watches.set(false);
-        self.feed.close();
         let why = self.read_feed(source).await;
         if why != FeedEnd::ToWatch {
-            let until = self.now() + SHUNNED_FOR;
+            let span = match why {
+                FeedEnd::NoConnection => UNREACHABLE_FOR,
+                _ => SHUNNED_FOR,
+            };
+            let until = self.now() + span;
             self.shunned.borrow_mut().insert(source, until);
         }
         log::info!(feed:% = source, why:? = why, revision = self.mirror.borrow().revision(); "feed_left");
@@ -99,15 +112,14 @@
         }
         let mut looked_at = self.now();
         loop {
-            let reading = read_frame::<FeedFrame>(&mut stream);
-            let frame = match actix_rt::time::timeout(FEED_SILENT, reading).await {
-                Ok(Some(frame)) => frame,
-                Ok(None) => return FeedEnd::Closed,
-                Err(_) => return FeedEnd::Silent,
+            let frame: FeedFrame = match read_lively(&mut stream, FEED_SILENT).await {
+                Ok(frame) => frame,
+                Err(FrameError::Silent) => return FeedEnd::Silent,
+                Err(FrameError::Broken) => return FeedEnd::Closed,
             };
             let age = Duration::from_millis(frame.store_age_ms.into());
             self.take_frame(frame);
-            if age > STORE_SILENT {
+            if age > FEED_STALE {
                 return FeedEnd::Stale;
             }
             if self.now().since(looked_at) >= LOOK_AGAIN {
@@ -121,8 +133,10 @@
 
     fn take_frame(self: &Rc<Self>, frame: FeedFrame) {
         let now = self.now();
-        let seen_at = Time(now.0.saturating_sub(frame.store_age_ms.into()));
-        self.store_seen.set(Some(self.store_seen.get().map_or(seen_at, |at| at.max(seen_at))));
+        if frame.store_age_ms != u32::MAX {
+            let seen_at = Time(now.0.saturating_sub(frame.store_age_ms.into()));
+            self.store_seen.set(Some(self.store_seen.get().map_or(seen_at, |at| at.max(seen_at))));
+        }
         self.path.loads.report(now, &frame.loads);
         if !frame.notices.is_empty() {
             self.on_notices(&frame.notices);
@@ -140,61 +154,38 @@
         self.path.view.borrow_mut().was_read();
     }
 
-    /// Sends the frames of this daemon's feed to its followers, for ever.
-    pub(super) async fn feed_followers(self: Rc<Self>) {
-        let mut sent_at = self.now();
-        let mut told = 0;
-        loop {
-            actix_rt::time::sleep(FRAME_EVERY).await;
+    /// Serves one follower until it leaves, or this daemon does not watch any more. Each is told
+    /// anew only when it has taken what was told before, so that a slow link delays nothing twice.
+    pub(super) async fn serve_follower(&self, mut stream: TcpStream, after: u64) -> Option<()> {
+        let mut place = self.feed.end();
+        let mut told = after;
+        let mut told_at: Option<Time> = None;
+        while self.watches.get() {
             let now = self.now();
-            let revision = self.mirror.borrow().revision();
-            if self.feed.followers() == 0 {
-                (told, sent_at) = (revision, now);
-                continue;
-            }
-            let notices = self.feed.take_notices();
-            let loads = self.feed.take_loads();
-            let nothing_new = notices.is_empty() && loads.is_empty() && revision <= told;
-            if nothing_new && now.since(sent_at) < IDLE_FRAME_EVERY {
+            let (notices, loads) = self.feed.after(&mut place);
+            let news = self.mirror.borrow().news_after(told);
+            let silent = notices.is_empty() && loads.is_empty() && news.revision <= told;
+            if silent && told_at.is_some_and(|at| now.since(at) < IDLE_FRAME_EVERY) {
+                actix_rt::time::sleep(FRAME_EVERY).await;
                 continue;
             }
-            let items = self.mirror.borrow().items_after(told);
-            let news = FeedFrame {
-                revision,
-                store_age_ms: self.store_age(),
-                whole: false,
-                items,
-                notices,
-                loads,
-            };
-            if let Some(bytes) = frame(&news) {
-                self.feed.send(&bytes.into());
-            }
-            (told, sent_at) = (revision, now);
-        }
-    }
-
-    /// Serves one follower until it leaves or falls behind.
-    pub(super) async fn serve_follower(&self, mut stream: TcpStream, after: u64) -> Option<()> {
-        if !self.watches.get() {
-            return None;
-        }
-        // Nothing is lost between the first frame and the feed's next one: both are taken in one
-        // step, and what is told twice changes nothing.
-        let mut frames = self.feed.subscribe();
-        let MirrorNews { revision, whole, items } = self.mirror.borrow().news_after(after);
-        let store_age_ms = self.store_age();
-        let (notices, loads) = (Vec::new(), Vec::new());
-        let first = FeedFrame { revision, store_age_ms, whole, items, notices, loads };
-        actix_rt::time::timeout(FRAME_TAKEN, write_frame(&mut stream, &first)).await.ok()??;
-        while let Some(frame) = frames.recv().await {
-            actix_rt::time::timeout(FRAME_TAKEN, stream.write_all(&frame)).await.ok()?.ok()?;
+            let MirrorNews { revision, whole, items } = news;
+            let store_age_ms = self.store_age();
+            let frame = FeedFrame { revision, store_age_ms, whole, items, notices, loads };
+            (told, told_at) = (revision, Some(now));
+            let writing = write_frame(&mut stream, &frame);
+            actix_rt::time::timeout(FRAME_TAKEN, writing).await.ok()??;
+            actix_rt::time::sleep(FRAME_EVERY).await;
         }
         Some(())
     }
 
-    /// How long ago the store answered, in milliseconds, for followers.
+    /// How long ago the store answered, in milliseconds, for followers; very long if the last call
+    /// failed.
     fn store_age(&self) -> u32 {
+        if self.store_fails.get() {
+            return u32::MAX;
+        }
         u32::try_from(self.store_age_ms()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -110,6 +110,8 @@
             orders: self.orderable_marks(now),
             work: self.path.loads.own(),
             known: self.peers.borrow().known(now),
+            capacity: self.settings.limits.capacity(),
+            heard: u16::try_from(self.peers.borrow().up(now).count()).unwrap_or(u16::MAX),
         }
     }
 
@@ -143,6 +145,10 @@
                 self.feed.push(&notices);
             }
             PeerMessage::Loads(loads) => self.on_loads(&loads),
+            PeerMessage::Known(addresses) => {
+                let mut peers = self.peers.borrow_mut();
+                addresses.into_iter().for_each(|address| peers.hear_of(address));
+            }
         }
     }
 
@@ -205,7 +211,9 @@
             return;
         }
         self.path.loads.peer(now, &node, heartbeat.work.clone());
+        let (heard, address) = (heartbeat.heard.into(), heartbeat.address);
         let change = self.peers.borrow_mut().heard(now, heartbeat);
+        self.introduce_to(now, address, heard);
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
             Some(PeerChange::Leaving) => log::info!(peer = &*node; "peer_leaving"),
@@ -213,6 +221,17 @@
         }
     }
 
+    /// Answers a daemon that has heard far fewer others than this one with a heartbeat and with some
+    /// it may not know. Without it a node of 195 that started together knew 20 others after 3 s.
+    fn introduce_to(&self, now: Time, address: SocketAddr, heard: usize) {
+        let some = self.peers.borrow_mut().for_newcomer(now, heard);
+        if some.is_empty() {
+            return;
+        }
+        self.tell(&PeerMessage::Heartbeat(self.heartbeat()), address);
+        self.tell(&PeerMessage::Known(some), address);
+    }
+
     /// Applies what servers report of their load, and passes it on to this daemon's followers.
     pub(super) fn on_loads(&self, loads: &[ServerLoad]) {
         self.path.loads.report(self.now(), loads);
--- a/crates/portrack/src/gateway/hall_feed.rs
+++ b/crates/portrack/src/gateway/hall_feed.rs
@@ -6,14 +6,10 @@
 use super::message::{PlacementNotice, ServerLoad};
 use super::mirror::MirrorItem;
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::rc::Rc;
-use tokio::sync::mpsc;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
 
-/// Frames that a follower may be behind before it is cut off and has to come anew.
-const MOST_BEHIND: usize = 32;
-/// Notices kept until the next frame; more than these are left to the store's list.
+/// Notices kept for followers that are behind; older ones are left to the store's list.
 const MOST_NOTICES: usize = 2_000;
 
 /// What one daemon asks of another on a connection.
@@ -31,7 +27,7 @@
     },
 }
 
-/// News for the followers.
+/// News for a follower.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct FeedFrame {
     /// The store's revision up to which the follower then knows everything.
@@ -48,62 +44,55 @@
     pub loads: Vec<ServerLoad>,
 }
 
-/// The followers of this daemon, and what is to be told to them next.
+/// How far a follower has been told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct FeedPlace {
+    notice: u64,
+    load: u64,
+}
+
+/// Notices and loads for the followers of this daemon, each of which is told at its own pace.
 #[derive(Debug, Default)]
 pub(super) struct HallFeed {
-    followers: RefCell<Vec<mpsc::Sender<Rc<[u8]>>>>,
-    notices: RefCell<Vec<PlacementNotice>>,
-    loads: RefCell<BTreeMap<u32, ServerLoad>>,
+    notices: RefCell<VecDeque<PlacementNotice>>,
+    notices_before: Cell<u64>,
+    loads: RefCell<BTreeMap<u32, (u64, ServerLoad)>>,
+    loads_told: Cell<u64>,
 }
 
 impl HallFeed {
-    /// A new follower; its frames come out of the receiver.
-    pub fn subscribe(&self) -> mpsc::Receiver<Rc<[u8]>> {
-        let (sender, receiver) = mpsc::channel(MOST_BEHIND);
-        self.followers.borrow_mut().push(sender);
-        receiver
+    /// Where a new follower begins: it learns what is told from now on.
+    pub fn end(&self) -> FeedPlace {
+        let notice = self.notices_before.get() + self.notices.borrow().len() as u64;
+        FeedPlace { notice, load: self.loads_told.get() }
     }
 
-    /// How many follow.
-    pub fn followers(&self) -> usize {
-        self.followers.borrow().len()
-    }
-
-    /// Keeps notices for the next frame, if anybody follows.
+    /// Keeps notices for the followers.
     pub fn push(&self, notices: &[PlacementNotice]) {
         let mut kept = self.notices.borrow_mut();
-        if self.followers() > 0 && kept.len() < MOST_NOTICES {
-            kept.extend_from_slice(notices);
-        }
-    }
-
-    /// The notices for the next frame.
-    pub fn take_notices(&self) -> Vec<PlacementNotice> {
-        self.notices.take()
+        kept.extend(notices.iter().cloned());
+        let beyond = kept.len().saturating_sub(MOST_NOTICES);
+        kept.drain(..beyond);
+        self.notices_before.set(self.notices_before.get() + beyond as u64);
     }
 
-    /// Keeps the loads of servers for the next frame, if anybody follows.
+    /// Keeps the loads of servers for the followers.
     pub fn push_loads(&self, loads: &[ServerLoad]) {
-        if self.followers() > 0 {
-            let loads = loads.iter().map(|load| (load.server, *load));
-            self.loads.borrow_mut().extend(loads);
-        }
-    }
-
-    /// The loads for the next frame.
-    pub fn take_loads(&self) -> Vec<ServerLoad> {
-        self.loads.take().into_values().collect()
-    }
-
-    /// Sends a frame to all; who is too far behind or gone is dropped.
-    pub fn send(&self, frame: &Rc<[u8]>) {
-        self.followers.borrow_mut().retain(|follower| follower.try_send(frame.clone()).is_ok());
+        let told = self.loads_told.get() + 1;
+        self.loads_told.set(told);
+        let loads = loads.iter().map(|load| (load.server, (told, *load)));
+        self.loads.borrow_mut().extend(loads);
     }
 
-    /// Ends all connections of followers: this daemon does not watch any more.
-    pub fn close(&self) {
-        self.followers.borrow_mut().clear();
-        self.notices.borrow_mut().clear();
-        self.loads.borrow_mut().clear();
+    /// What a follower has not been told yet, and moves its place on.
+    pub fn after(&self, place: &mut FeedPlace) -> (Vec<PlacementNotice>, Vec<ServerLoad>) {
+        let skipped = place.notice.saturating_sub(self.notices_before.get());
+        let kept = self.notices.borrow();
+        let notices = kept.iter().skip(skipped as usize).cloned().collect();
+        let loads = self.loads.borrow();
+        let newer = loads.values().filter(|(told, _)| *told > place.load);
+        let loads = newer.map(|(_, load)| *load).collect();
+        *place = self.end();
+        (notices, loads)
     }
 }
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/message.rs
@@ -22,6 +22,8 @@
     Placement(Vec<PlacementNotice>),
     /// What servers that the sender orders report of their load.
     Loads(Vec<ServerLoad>),
+    /// Daemons that the receiver, which knows few, may not have heard of.
+    Known(Vec<SocketAddr>),
 }
 
 /// A sign of life.
@@ -49,6 +51,10 @@
     pub work: Vec<(u32, Work)>,
     /// Some daemons it knows.
     pub known: Vec<SocketAddr>,
+    /// How many daemons it has heard.
+    pub heard: u16,
+    /// How much work for others its node is suited to, compared with others.
+    pub capacity: u32,
 }
 
 /// An adapter wished for at a server.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -100,7 +100,7 @@
 pub use retries::{RetryBounds, ServiceRetries};
 pub use routes::{RouteTable, pick_target};
 pub use run::{GatewayError, RunningGateway, start_gateway};
-pub use settings::{Bounds, GatewaySettings};
+pub use settings::{Bounds, GatewaySettings, NodeLimits};
 pub use timings::Timings;
 pub use vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
 pub use view::{FleetView, NamedVersion, ViewChange};
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -27,6 +27,14 @@
 /// Daemons of a hall that notices go to: the two that watch for it, and one that may just have
 /// taken over.
 const NOTICE_WATCHERS: usize = 3;
+/// Daemons only heard of that are kept.
+const MOST_HEARD_OF: usize = 512;
+/// Daemons only heard of that one heartbeat greets besides.
+const GREETED_AT_ONCE: usize = 16;
+/// Daemons that a newcomer is told of in one datagram.
+const TOLD_NEWCOMER: usize = 64;
+/// A daemon that has heard so many fewer others than this one, beyond half of them, is a newcomer.
+const FEWER: usize = 8;
 /// Heartbeats that a daemon gets that was only heard of.
 const GREETINGS: u8 = 4;
 /// Addresses of others that a heartbeat carries.
@@ -61,16 +69,27 @@
 #[derive(Debug, Clone)]
 pub struct Peers {
     me: SocketAddr,
+    my_capacity: u32,
     seeds: Vec<SocketAddr>,
     heard_of: Vec<HeardOf>,
     peers: BTreeMap<Rc<str>, Peer>,
     turn: usize,
+    /// Moves on through the daemons that newcomers are told of.
+    newcomer_turn: usize,
 }
 
 impl Peers {
     /// Knows only where to ask first.
-    pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
-        Self { me, seeds, heard_of: Vec::new(), peers: BTreeMap::new(), turn: 0 }
+    pub fn new(me: SocketAddr, my_capacity: u32, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            me,
+            my_capacity,
+            seeds,
+            heard_of: Vec::new(),
+            peers: BTreeMap::new(),
+            turn: 0,
+            newcomer_turn: 0,
+        }
     }
 
     /// How long each daemon takes until its heartbeats have reached all others once.
@@ -121,7 +140,7 @@
         let known = address == self.me
             || self.heard_of.iter().any(|other| other.address == address)
             || self.peers.values().any(|peer| peer.heartbeat.address == address);
-        if !known && self.heard_of.len() < FAN_OUT {
+        if !known && self.heard_of.len() < MOST_HEARD_OF {
             self.heard_of.push(HeardOf { address, greetings_left: GREETINGS });
         }
     }
@@ -156,8 +175,12 @@
             all.truncate(FAN_OUT);
             self.turn += FAN_OUT;
         }
-        all.extend(self.heard_of.iter().map(|other| other.address));
-        self.heard_of.iter_mut().for_each(|other| other.greetings_left -= 1);
+        let greeted = self.heard_of.len().min(GREETED_AT_ONCE);
+        for other in &mut self.heard_of[..greeted] {
+            all.push(other.address);
+            other.greetings_left -= 1;
+        }
+        self.heard_of.rotate_left(greeted);
         self.heard_of.retain(|other| other.greetings_left > 0);
         let few = self.up(now).next().is_none();
         let unheard = self.seeds.iter().filter(|seed| **seed != self.me && !all.contains(seed));
@@ -178,6 +201,18 @@
         all.iter().cycle().skip(start).take(all.len().min(KNOWN_CARRIED)).copied().collect()
     }
 
+    /// Some daemons to tell one that has heard of `heard`, in turn; none if that is not far fewer
+    /// than are known here.
+    pub fn for_newcomer(&mut self, now: Time, heard: usize) -> Vec<SocketAddr> {
+        let all = self.addresses(now);
+        if all.len() <= 2 * heard + FEWER {
+            return Vec::new();
+        }
+        self.newcomer_turn += TOLD_NEWCOMER;
+        let start = self.newcomer_turn % all.len();
+        all.iter().cycle().skip(start).take(all.len().min(TOLD_NEWCOMER)).copied().collect()
+    }
+
     /// The daemon that may order a server, as far as heard lately.
     pub fn orderer(&self, now: Time, mark: u32) -> Option<(&Rc<str>, &Peer)> {
         let fresh_for = self.orders_fresh();
@@ -223,7 +258,20 @@
             true => Some(self.me),
             false => self.peers.get(name).map(|peer| peer.heartbeat.address),
         };
-        ranked(hall, names).into_iter().filter_map(address).collect()
+        self.by_capacity(hall, names).into_iter().filter_map(address).collect()
+    }
+
+    /// Daemons of a hall in the order in which they work for others of it: those of the best suited
+    /// nodes first. With a small node's link of 20 Mbit/s a configuration of 1,700 routes took 3 s
+    /// to reach 20 others.
+    pub fn by_capacity<'a>(&self, hall: &str, names: Vec<&'a str>) -> Vec<&'a str> {
+        let mut order = ranked(hall, names);
+        let capacity = |name: &&str| match self.peers.get(*name) {
+            Some(peer) => peer.heartbeat.capacity,
+            None => self.my_capacity,
+        };
+        order.sort_by_key(|name| std::cmp::Reverse(capacity(name)));
+        order
     }
 
     /// Where notices go: to all daemons of a small fleet; in larger ones to those that watch the
@@ -238,7 +286,7 @@
             halls.entry(&peer.heartbeat.hall).or_default().push(name);
         }
         let watchers = halls.into_iter().flat_map(|(hall, names)| {
-            ranked(hall, names).into_iter().take(NOTICE_WATCHERS).collect::<Vec<_>>()
+            self.by_capacity(hall, names).into_iter().take(NOTICE_WATCHERS)
         });
         let peers = watchers.filter_map(|name| self.peers.get(name));
         peers.map(|peer| peer.heartbeat.address).collect()
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -77,7 +77,6 @@
     actix_rt::spawn(daemon.clone().follow_store());
     actix_rt::spawn(daemon.clone().follow_peers());
     actix_rt::spawn(daemon.clone().answer_peers(members));
-    actix_rt::spawn(daemon.clone().feed_followers());
     actix_rt::spawn(daemon.clone().report_loads());
     actix_rt::spawn(daemon.clone().log_peers());
     actix_rt::spawn(daemon.clone().receive());
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -29,6 +29,32 @@
     /// The bounds it is run under.
     #[serde(default)]
     pub bounds: Bounds,
+    /// What its node gives it.
+    #[serde(default)]
+    pub limits: NodeLimits,
+}
+
+/// What a node gives its daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct NodeLimits {
+    /// The share of a core.
+    pub cpu_share: f64,
+    /// The bandwidth of the node's link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Default for NodeLimits {
+    fn default() -> Self {
+        Self { cpu_share: 1.0, link_mbps: 1_000.0 }
+    }
+}
+
+impl NodeLimits {
+    /// How much work for others a node is suited to, compared with others of its fleet.
+    pub fn capacity(&self) -> u32 {
+        (self.cpu_share * self.link_mbps).round() as u32
+    }
 }
 
 /// Times and shares that the deployment sets.
@@ -120,6 +146,12 @@
         if !(500..=600_000).contains(&bounds.lease_ttl_ms) {
             return Some(("lease_ttl_ms", "is not between 500 and 600000"));
         }
+        if !(self.limits.cpu_share > 0.0 && self.limits.cpu_share.is_finite()) {
+            return Some(("cpu_share", "is not above 0"));
+        }
+        if !(self.limits.link_mbps > 0.0 && self.limits.link_mbps.is_finite()) {
+            return Some(("link_mbps", "is not above 0"));
+        }
         let sensible = 500..=60_000;
         if !sensible.contains(&bounds.drain_ms) {
             return Some(("drain_ms", "is not between 500 and 60000"));
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -17,6 +17,8 @@
 
 /// How long one watch waits; a lost one is noticed this late at most.
 const WATCH: Duration = Duration::from_millis(2_500);
+/// The same where other daemons follow this one: they must learn soon that it has lost the store.
+const FEED_WATCH: Duration = Duration::from_millis(1_000);
 /// First pause after a failed call; doubles up to the cap.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failed calls.
@@ -24,7 +26,7 @@
 /// Between looks at what peers know.
 const PEER_LOOK: Duration = Duration::from_millis(250);
 /// A store that has not answered for this long, a watch included, is taken for silent.
-pub(super) const STORE_SILENT: Duration = Duration::from_millis(3_100);
+const STORE_SILENT: Duration = Duration::from_millis(3_100);
 /// The longest catching up from one peer.
 const CATCH_UP: Duration = Duration::from_millis(1_500);
 /// What a peer knows.
@@ -68,25 +70,29 @@
     async fn watch_store(self: &Rc<Self>, watch: &mut StoreWatch) {
         let prefix = self.dialect.prefix();
         let asked_at = self.now();
+        let feeds = self.feeds_others();
+        let wait = if feeds { FEED_WATCH } else { WATCH };
         let result = match watch.after {
             None => self.read_all(prefix).await,
-            Some(revision) => self.follow_once(prefix, revision).await,
+            Some(revision) => self.follow_once(prefix, revision, wait).await,
         };
         let waited = watch.after.map(|_| self.now().since(asked_at));
         match result {
             Ok(revision) => {
                 self.store_answered(prefix);
                 self.watches.set(true);
+                self.store_fails.set(false);
                 watch.after = Some(revision);
                 watch.pause = PAUSE;
                 self.mirror.borrow_mut().whole_up_to(revision);
                 self.path.view.borrow_mut().was_read();
-                actix_rt::time::sleep(watch.pacing.after(waited)).await;
+                actix_rt::time::sleep(watch.pacing.after(waited, feeds)).await;
                 // The store was not silent while it was not asked.
                 self.store_seen.set(Some(self.now()));
             }
             Err(error) => {
                 self.store_failed(prefix, error);
+                self.store_fails.set(true);
                 watch.after = None;
                 actix_rt::time::sleep(watch.pause).await;
                 watch.pause = (watch.pause * 2).min(PAUSE_CAP);
@@ -103,8 +109,13 @@
         Ok(revision)
     }
 
-    async fn follow_once(self: &Rc<Self>, prefix: &str, after: u64) -> Result<u64, FeedError> {
-        let changes = self.store.changes(prefix, after, WATCH).await?;
+    async fn follow_once(
+        self: &Rc<Self>,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<u64, FeedError> {
+        let changes = self.store.changes(prefix, after, wait).await?;
         let known = changes.changes.into_iter().filter(|change| self.is_known(change.key()));
         let newer: Vec<_> = {
             let mut mirror = self.mirror.borrow_mut();
--- a/crates/portrack/tests/gateway/messages.rs
+++ b/crates/portrack/tests/gateway/messages.rs
@@ -19,6 +19,8 @@
         orders: (0..servers.min(20)).collect(),
         work: (0..servers).map(|mark| (mark | 0xff00_0000, Default::default())).collect(),
         known: vec!["10.1.0.39:7380".parse().expect("an address"); 8],
+        heard: 3,
+        capacity: 100,
     })
 }
 
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -21,11 +21,13 @@
         orders: vec![u32::from(last)],
         work: Vec::new(),
         known: vec![address(last + 100)],
+        heard: 3,
+        capacity: 100,
     }
 }
 
 fn peers() -> Peers {
-    Peers::new(address(1), vec![address(1), address(2)])
+    Peers::new(address(1), 100, vec![address(1), address(2)])
 }
 
 #[test]
@@ -125,3 +127,59 @@
     assert_eq!(peers.up(Time(4 * round)).count(), 120);
     assert_eq!(peers.up(Time(5 * round)).count(), 0);
 }
+
+#[test]
+fn a_daemon_that_knows_few_others_is_told_of_more_each_time() {
+    let mut peers = peers();
+    for last in 10..130 {
+        peers.heard(Time(0), beat(last, 1));
+    }
+    assert!(peers.for_newcomer(Time(10), 60).is_empty(), "it knows half of them");
+    let first = peers.for_newcomer(Time(10), 2);
+    let second = peers.for_newcomer(Time(10), 2);
+    assert_eq!((first.len(), second.len()), (64, 64));
+    let told: std::collections::BTreeSet<_> = first.into_iter().chain(second).collect();
+    assert_eq!(told.len(), 120, "all within two answers");
+}
+
+#[test]
+fn daemons_that_were_only_heard_of_are_greeted_some_at_a_time() {
+    let mut peers = peers();
+    (20..140).for_each(|last| peers.hear_of(address(last)));
+    let mut greeted = std::collections::BTreeSet::new();
+    for _ in 0..8 {
+        let targets = peers.targets(Time(0));
+        assert!(targets.len() <= 30, "{}", targets.len());
+        greeted.extend(targets);
+    }
+    assert!((20..140).all(|last| greeted.contains(&address(last))));
+}
+
+#[test]
+fn the_best_suited_daemons_of_a_hall_work_for_the_others_and_get_the_notices() {
+    let mut peers = peers();
+    for last in 10..60 {
+        let mut small = beat(last, 1);
+        small.capacity = if last % 10 == 0 { 1_000 } else { 10 };
+        peers.heard(Time(0), small);
+    }
+    let order = peers.watch_order(Time(10), "a", "n1");
+    assert_eq!(order.len(), 51);
+    let first: Vec<u8> = order[..5]
+        .iter()
+        .map(|address| match address {
+            SocketAddr::V4(address) => address.ip().octets()[3],
+            SocketAddr::V6(_) => 0,
+        })
+        .collect();
+    assert!(first.iter().all(|last| last % 10 == 0), "{first:?}");
+    assert_eq!(order[5], address(1), "then this one, of middle size");
+    assert_eq!(peers.notice_targets(Time(10)), order[..3]);
+}
+
+#[test]
+fn in_a_small_fleet_all_get_the_notices() {
+    let mut peers = peers();
+    (10..34).for_each(|last| drop(peers.heard(Time(0), beat(last, 1))));
+    assert_eq!(peers.notice_targets(Time(10)).len(), 24);
+}
