Silent data halls get no requests; heartbeat rounds begin at different daemons; a lost store is told after 0.7 s

Causes, on the large site: a hall that is cut off took requests until each node had found out for each server; all nodes began their rounds of heartbeats with the same peer, so that each was reached by all at once and then by none for 5 s; a daemon that had just started could not reach the orderers it had not heard; one reset of a watch or a forgotten history sent all 39 daemons of a hall to the store (185 calls that found the history gone, 185 whole readings).

Changed: a hall is silent after ten missed heartbeats of all its daemons and 0.9 s at least, while one's own hall is heard; rounds begin at a place by the daemon's address; an orderer that was never heard is where its claim says; a watcher tells that it has lost the store once its calls have failed for 0.7 s, and the daemons of a hall turn to the store two at a time.

--- a/crates/portrack/src/gateway/choose.rs
+++ b/crates/portrack/src/gateway/choose.rs
@@ -25,7 +25,7 @@
     if &*backend.hall != hall {
         cost += OTHER_HALL;
     }
-    if loads.is_silent(now, &backend.id) {
+    if loads.is_silent(now, &backend.id) || loads.is_hall_silent(&backend.hall) {
         cost += SILENT;
     }
     if loads.is_unreachable(now, &backend.id) {
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -59,8 +59,8 @@
     pub records: Rc<RefCell<ClaimRecords>>,
     /// Which other daemon orders a server.
     pub orderers: Orderers,
-    /// The last call to the store failed.
-    pub store_fails: Cell<bool>,
+    /// Since when all watches of the store have failed.
+    pub store_fails_since: Cell<Option<Time>>,
     /// This daemon watches the store itself.
     pub watches: Cell<bool>,
     /// What it passes on to others of its hall.
@@ -156,7 +156,7 @@
             stopping_since: Cell::new(None),
             records,
             orderers,
-            store_fails: Cell::new(false),
+            store_fails_since: Cell::new(None),
             watches: Cell::new(false),
             feed: HallFeed::default(),
             shunned: RefCell::default(),
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -28,10 +28,15 @@
 /// A follower that does not take a frame within this is cut off: over a link of 10 Mbit/s the
 /// largest configuration takes half of it.
 const FRAME_TAKEN: Duration = Duration::from_secs(4);
-/// A daemon whose feed was of no use is not asked again for so long.
+/// A daemon that does not watch, or whose feed fell silent, is not asked again for so long.
 const SHUNNED_FOR: Duration = Duration::from_secs(3);
-/// The same for one that could not be reached.
-const UNREACHABLE_FOR: Duration = Duration::from_secs(8);
+/// The same for one that could not be reached or has lost the store, which takes longer to pass.
+const LOST_FOR: Duration = Duration::from_secs(10);
+/// After a feed that ended, so that a daemon which has just learned that it is to watch does so.
+const CLOSED_PAUSE: Duration = Duration::from_millis(300);
+/// A watcher whose calls have failed for so long tells its followers that it has lost the store. One
+/// lost answer is no reason: all 39 daemons of a hall would turn to the store at once.
+const STORE_LOST_AFTER: Duration = Duration::from_millis(700);
 /// Between looks whether this daemon should watch by itself.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 
@@ -44,8 +49,9 @@
     Peer(SocketAddr),
 }
 
-/// Which of a hall's daemons a daemon follows, the hall's daemons given in the order in which they
-/// watch for the others. `shunned` tells which are of no use now.
+/// Which of a hall's daemons a daemon follows: one of the first two that are not shunned. The daemons
+/// are given in the order in which they watch for the others; `shunned` tells which are of no use
+/// now. Where the store is away for all, they find out so two at a time.
 pub fn news_source(
     order: &[SocketAddr],
     me: SocketAddr,
@@ -80,12 +86,7 @@
         let order = self.peers.borrow().watch_order(now, &self.settings.hall, &self.settings.node);
         let shunned = self.shunned.borrow();
         let is_shunned = |address: SocketAddr| shunned.get(&address).is_some_and(|at| now < *at);
-        let source = news_source(&order, self.settings.members, is_shunned);
-        // With all that should watch of no use, only one daemon after the other may find out so.
-        match shunned.values().filter(|until| now < **until).count() > WATCHERS {
-            true => NewsSource::Store,
-            false => source,
-        }
+        news_source(&order, self.settings.members, is_shunned)
     }
 
     /// Follows a daemon of this hall until it is of no use, or this daemon is to watch by itself.
@@ -94,9 +95,12 @@
         let why = self.read_feed(source).await;
         if why != FeedEnd::ToWatch {
             let span = match why {
-                FeedEnd::NoConnection => UNREACHABLE_FOR,
-                _ => SHUNNED_FOR,
+                FeedEnd::NoConnection | FeedEnd::Stale => LOST_FOR,
+                FeedEnd::Closed | FeedEnd::Silent | FeedEnd::ToWatch => SHUNNED_FOR,
             };
+            if why == FeedEnd::Closed {
+                actix_rt::time::sleep(CLOSED_PAUSE).await;
+            }
             let until = self.now() + span;
             self.shunned.borrow_mut().insert(source, until);
         }
@@ -180,10 +184,11 @@
         Some(())
     }
 
-    /// How long ago the store answered, in milliseconds, for followers; very long if the last call
-    /// failed.
+    /// How long ago the store answered, in milliseconds, for followers; very long if calls have
+    /// failed for a while.
     fn store_age(&self) -> u32 {
-        if self.store_fails.get() {
+        let fails = self.store_fails_since.get();
+        if fails.is_some_and(|since| self.now().since(since) >= STORE_LOST_AFTER) {
             return u32::MAX;
         }
         u32::try_from(self.store_age_ms()).unwrap_or(u32::MAX)
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -1,4 +1,4 @@
-//! Datagrams between daemons: heartbeats, demand, notices of placement.
+//! Datagrams between daemons beside heartbeats: demand, notices of placement, loads.
 
 use super::daemon::GatewayDaemon;
 use super::demand::Use;
@@ -6,11 +6,10 @@
 use super::holdings::{NOTICE_HOLDS, Presence, REFUSAL_HOLDS};
 use super::load::server_mark;
 use super::message::{
-    AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
-    ServerLoad, decode, encode,
+    AdapterUse, AdapterWish, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice, ServerLoad,
+    decode, encode,
 };
 use super::ordering::NoticeSink;
-use super::peers::{BEAT, PeerChange};
 use super::planner::WishAnswer;
 use crate::types::Time;
 use std::collections::HashMap;
@@ -24,8 +23,6 @@
 const DEMAND_CHUNK: usize = 20;
 /// Notices in one datagram.
 const NOTICE_CHUNK: usize = 12;
-/// Between log lines of how many peers are up.
-const PEERS_LOGGED: Duration = Duration::from_secs(2);
 /// A datagram could not be received; the pause before the next try.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -40,87 +37,6 @@
         self.metrics.peer_bytes.inc_by(bytes.len() as u64);
     }
 
-    /// Sends heartbeats, for ever.
-    pub async fn send_heartbeats(self: Rc<Self>) {
-        let mut before = self.now();
-        loop {
-            self.beat();
-            actix_rt::time::sleep(BEAT).await;
-            let now = self.now();
-            let silent = self.peers.borrow_mut().sweep(now, before);
-            self.log_silent(&silent);
-            before = now;
-        }
-    }
-
-    /// A line for each peer that comes or falls silent is written in small fleets only: a start of
-    /// 195 nodes wrote 37,661 of them. In larger ones the number of peers is logged as it changes.
-    fn logs_each_peer(&self) -> bool {
-        self.peers.borrow().all_hear_each_beat()
-    }
-
-    fn log_silent(&self, silent: &[Rc<str>]) {
-        if self.logs_each_peer() {
-            for peer in silent {
-                log::warn!(peer = &**peer; "peer_silent");
-            }
-        }
-    }
-
-    /// Logs how many peers are up, if that has changed, for ever.
-    pub async fn log_peers(self: Rc<Self>) {
-        let mut logged = 0;
-        loop {
-            actix_rt::time::sleep(PEERS_LOGGED).await;
-            let up = self.peers.borrow().up(self.now()).count();
-            if up != logged && !self.logs_each_peer() {
-                log::info!(up = up, before = logged; "peers");
-            }
-            logged = up;
-        }
-    }
-
-    /// Sends one heartbeat to the peers whose turn it is.
-    pub fn beat(&self) {
-        let now = self.now();
-        let heartbeat = self.heartbeat();
-        let message = PeerMessage::Heartbeat(heartbeat);
-        let targets = self.peers.borrow_mut().targets(now);
-        for target in targets {
-            self.tell(&message, target);
-        }
-        let up = self.peers.borrow().up(now).count();
-        self.path.daemons.set(up + 1);
-        self.path.loads_lag.set(!self.peers.borrow().all_hear_each_beat());
-        self.ordering.planner.borrow_mut().daemons(up + 1);
-        self.metrics.peers_up.set(up as i64);
-    }
-
-    fn heartbeat(&self) -> Heartbeat {
-        let now = self.now();
-        Heartbeat {
-            node: self.settings.node.clone(),
-            hall: self.settings.hall.clone(),
-            address: self.settings.members,
-            incarnation: self.incarnation,
-            revision: self.mirror.borrow().revision(),
-            leaving: self.stopping(),
-            sees_store: self.sees_store(),
-            watches: self.watches.get(),
-            orders: self.orderable_marks(now),
-            work: self.path.loads.own(),
-            known: self.peers.borrow().known(now),
-            capacity: self.settings.limits.capacity(),
-            heard: u16::try_from(self.peers.borrow().up(now).count()).unwrap_or(u16::MAX),
-        }
-    }
-
-    fn orderable_marks(&self, now: Time) -> Vec<u32> {
-        let orderable = self.ordering.claims.borrow().orderable(now);
-        self.metrics.servers_ordered.set(orderable.len() as i64);
-        orderable.iter().map(|id| server_mark(id)).collect()
-    }
-
     /// Takes datagrams in, for ever.
     pub async fn receive(self: Rc<Self>) {
         let mut buffer = [0_u8; MAX_DATAGRAM + 1];
@@ -204,34 +120,6 @@
         }
     }
 
-    fn on_heartbeat(&self, heartbeat: Heartbeat) {
-        let now = self.now();
-        let node: Rc<str> = heartbeat.node.as_str().into();
-        if heartbeat.address == self.settings.members {
-            return;
-        }
-        self.path.loads.peer(now, &node, heartbeat.work.clone());
-        let (heard, address) = (heartbeat.heard.into(), heartbeat.address);
-        let change = self.peers.borrow_mut().heard(now, heartbeat);
-        self.introduce_to(now, address, heard);
-        match change {
-            Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
-            Some(PeerChange::Leaving) => log::info!(peer = &*node; "peer_leaving"),
-            Some(PeerChange::Up) | None => {}
-        }
-    }
-
-    /// Answers a daemon that has heard far fewer others than this one with a heartbeat and with some
-    /// it may not know. Without it a node of 195 that started together knew 20 others after 3 s.
-    fn introduce_to(&self, now: Time, address: SocketAddr, heard: usize) {
-        let some = self.peers.borrow_mut().for_newcomer(now, heard);
-        if some.is_empty() {
-            return;
-        }
-        self.tell(&PeerMessage::Heartbeat(self.heartbeat()), address);
-        self.tell(&PeerMessage::Known(some), address);
-    }
-
     /// Applies what servers report of their load, and passes it on to this daemon's followers.
     pub(super) fn on_loads(&self, loads: &[ServerLoad]) {
         self.path.loads.report(self.now(), loads);
--- /dev/null
+++ b/crates/portrack/src/gateway/heartbeats.rs
@@ -0,0 +1,135 @@
+//! Heartbeats: who is there, what it knows, which data halls are heard.
+
+use super::daemon::GatewayDaemon;
+use super::load::server_mark;
+use super::message::{Heartbeat, PeerMessage};
+use super::peers::{BEAT, PeerChange};
+use crate::types::Time;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Between log lines of how many peers are up.
+const PEERS_LOGGED: Duration = Duration::from_secs(2);
+
+impl GatewayDaemon {
+    /// Sends heartbeats, for ever.
+    pub async fn send_heartbeats(self: Rc<Self>) {
+        let mut before = self.now();
+        loop {
+            self.beat();
+            actix_rt::time::sleep(BEAT).await;
+            let now = self.now();
+            let silent = self.peers.borrow_mut().sweep(now, before);
+            self.log_silent(&silent);
+            before = now;
+        }
+    }
+
+    /// A line for each peer that comes or falls silent is written in small fleets only: a start of
+    /// 195 nodes wrote 37,661 of them. In larger ones the number of peers is logged as it changes.
+    fn logs_each_peer(&self) -> bool {
+        self.peers.borrow().all_hear_each_beat()
+    }
+
+    fn log_silent(&self, silent: &[Rc<str>]) {
+        if self.logs_each_peer() {
+            for peer in silent {
+                log::warn!(peer = &**peer; "peer_silent");
+            }
+        }
+    }
+
+    /// Logs how many peers are up, if that has changed, for ever.
+    pub async fn log_peers(self: Rc<Self>) {
+        let mut logged = 0;
+        loop {
+            actix_rt::time::sleep(PEERS_LOGGED).await;
+            let up = self.peers.borrow().up(self.now()).count();
+            if up != logged && !self.logs_each_peer() {
+                log::info!(up = up, before = logged; "peers");
+            }
+            logged = up;
+        }
+    }
+
+    /// Sends one heartbeat to the peers whose turn it is.
+    pub fn beat(&self) {
+        let now = self.now();
+        let heartbeat = self.heartbeat();
+        let message = PeerMessage::Heartbeat(heartbeat);
+        let targets = self.peers.borrow_mut().targets(now);
+        for target in targets {
+            self.tell(&message, target);
+        }
+        let up = self.peers.borrow().up(now).count();
+        self.path.daemons.set(up + 1);
+        self.path.loads_lag.set(!self.peers.borrow().all_hear_each_beat());
+        self.look_at_halls(now);
+        self.ordering.planner.borrow_mut().daemons(up + 1);
+        self.metrics.peers_up.set(up as i64);
+    }
+
+    fn look_at_halls(&self, now: Time) {
+        let silent = self.peers.borrow().silent_halls(now, &self.settings.hall);
+        let before = self.path.loads.silent_halls();
+        if silent != before {
+            log::warn!(halls:? = silent, before:? = before; "silent_halls");
+            self.path.loads.set_silent_halls(silent);
+        }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let now = self.now();
+        Heartbeat {
+            node: self.settings.node.clone(),
+            hall: self.settings.hall.clone(),
+            address: self.settings.members,
+            incarnation: self.incarnation,
+            revision: self.mirror.borrow().revision(),
+            leaving: self.stopping(),
+            sees_store: self.sees_store(),
+            watches: self.watches.get(),
+            orders: self.orderable_marks(now),
+            work: self.path.loads.own(),
+            known: self.peers.borrow().known(now),
+            capacity: self.settings.limits.capacity(),
+            heard: u16::try_from(self.peers.borrow().up(now).count()).unwrap_or(u16::MAX),
+        }
+    }
+
+    fn orderable_marks(&self, now: Time) -> Vec<u32> {
+        let orderable = self.ordering.claims.borrow().orderable(now);
+        self.metrics.servers_ordered.set(orderable.len() as i64);
+        orderable.iter().map(|id| server_mark(id)).collect()
+    }
+
+    /// Applies a heartbeat of another daemon.
+    pub(super) fn on_heartbeat(&self, heartbeat: Heartbeat) {
+        let now = self.now();
+        let node: Rc<str> = heartbeat.node.as_str().into();
+        if heartbeat.address == self.settings.members {
+            return;
+        }
+        self.path.loads.peer(now, &node, heartbeat.work.clone());
+        let (heard, address) = (heartbeat.heard.into(), heartbeat.address);
+        let change = self.peers.borrow_mut().heard(now, heartbeat);
+        self.introduce_to(now, address, heard);
+        match change {
+            Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
+            Some(PeerChange::Leaving) => log::info!(peer = &*node; "peer_leaving"),
+            Some(PeerChange::Up) | None => {}
+        }
+    }
+
+    /// Answers a daemon that has heard far fewer others than this one with a heartbeat and with some
+    /// it may not know. Without it a node of 195 that started together knew 20 others after 3 s.
+    fn introduce_to(&self, now: Time, address: SocketAddr, heard: usize) {
+        let some = self.peers.borrow_mut().for_newcomer(now, heard);
+        if some.is_empty() {
+            return;
+        }
+        self.tell(&PeerMessage::Heartbeat(self.heartbeat()), address);
+        self.tell(&PeerMessage::Known(some), address);
+    }
+}
--- a/crates/portrack/src/gateway/load.rs
+++ b/crates/portrack/src/gateway/load.rs
@@ -61,6 +61,7 @@
 #[derive(Debug, Default)]
 pub struct LoadTable {
     reported: RefCell<HashMap<u32, Reported>>,
+    silent_halls: RefCell<Vec<Rc<str>>>,
     servers: RefCell<HashMap<Rc<str>, Server>>,
     peers: RefCell<HashMap<Rc<str>, PeerWork>>,
 }
@@ -161,6 +162,21 @@
         self.peers.borrow_mut().insert(peer.clone(), work);
     }
 
+    /// Updates from which data halls nothing is heard.
+    pub fn set_silent_halls(&self, halls: Vec<Rc<str>>) {
+        self.silent_halls.replace(halls);
+    }
+
+    /// The data halls from which nothing is heard.
+    pub fn silent_halls(&self) -> Vec<Rc<str>> {
+        self.silent_halls.borrow().clone()
+    }
+
+    /// True if nothing is heard from a data hall: a request to it would be lost.
+    pub fn is_hall_silent(&self, hall: &str) -> bool {
+        self.silent_halls.borrow().iter().any(|silent| &**silent == hall)
+    }
+
     /// Forgets a server that is gone.
     pub fn forget(&self, server: &str) {
         self.reported.borrow_mut().remove(&server_mark(server));
--- a/crates/portrack/src/gateway/load_reports.rs
+++ b/crates/portrack/src/gateway/load_reports.rs
@@ -73,47 +73,75 @@
     }
 
     fn replicate(&self, now: Time, server: &Rc<str>, key: &AdapterKey, pace: f64, runs: Duration) {
-        let view = self.path.view.borrow();
-        let Some(backend) = view.backend(server) else { return };
-        let version = view.named_version(key).map_or(1, |named| named.version);
-        let all = view.holdings.holders(now, key);
-        let Some((_, mine)) = all.iter().find(|(id, _)| id == server) else { return };
-        let outdated = *mine < version;
-        let mut sharers: Vec<&Rc<str>> = all
-            .iter()
-            .filter(|(_, held)| (*held < version) == outdated)
-            .map(|(id, _)| id)
-            .collect();
-        sharers.sort();
-        let newest = all.iter().filter(|(_, held)| *held >= version).count();
-        let coming = view.holdings.coming(now, key, version);
-        let place = sharers.iter().position(|id| *id == server).unwrap_or_default();
-        let (holders, slots) = (sharers.len(), backend.slots);
-        let there = newest + coming;
-        let demand = ReplicaDemand { per_second: pace, runs, slots, holders, there, place };
+        let Some((demand, version)) = self.replica_demand(now, server, key, pace, runs) else {
+            return;
+        };
         let load = self.path.loads.work(now, server).requests;
-        let relief = is_overloaded(slots, load) && coming == 0;
+        let relief = is_overloaded(demand.slots, load) && demand.coming == 0;
         let missing = demand.missing_here().max(usize::from(relief));
+        if missing == 0 {
+            return;
+        }
+        let idle = self.idle_servers(now, server, key).into_iter();
+        // Those that share the demand take different servers.
+        for target in idle.skip(demand.place).step_by(demand.holders).take(missing) {
+            log::info!(
+                adapter = &*key.adapter, version = version, server = &**server,
+                replica = &*target, pace = pace, holders = demand.holders, load = load;
+                "replica_wanted"
+            );
+            let wish = Wish { server: target, key: key.clone(), version, requests: 0 };
+            self.path.demand.wish(now, wish);
+        }
+    }
+
+    /// The demand for an adapter at a server, with the adapter's newest version; `None` if the server
+    /// is not known to hold it. Servers with an older version share their demand among themselves.
+    fn replica_demand(
+        &self,
+        now: Time,
+        server: &Rc<str>,
+        key: &AdapterKey,
+        per_second: f64,
+        runs: Duration,
+    ) -> Option<(ReplicaDemand, u64)> {
+        let view = self.path.view.borrow();
+        let newest = view.named_version(key).map_or(1, |named| named.version);
+        let mut all = view.holdings.holders(now, key);
+        all.sort();
+        let (_, mine) = all.iter().find(|(id, _)| id == server)?;
+        let is_current = |version: &u64| *version >= newest;
+        let alike = |version: &u64| is_current(version) == is_current(mine);
+        let sharers: Vec<_> = all.iter().filter(|(_, version)| alike(version)).collect();
+        let demand = ReplicaDemand {
+            per_second,
+            runs,
+            slots: view.backend(server)?.slots,
+            holders: sharers.len(),
+            current: all.iter().filter(|(_, version)| is_current(version)).count(),
+            coming: view.holdings.coming(now, key, newest),
+            place: sharers.iter().position(|(id, _)| id == server)?,
+        };
+        Some((demand, newest))
+    }
+
+    /// The servers of the same service that could take a replica, the idlest first.
+    fn idle_servers(&self, now: Time, server: &Rc<str>, key: &AdapterKey) -> Vec<Rc<str>> {
+        let view = self.path.view.borrow();
+        let Some(backend) = view.backend(server) else { return Vec::new() };
+        let holders = view.holdings.holders(now, key);
         let mut idle: Vec<(u32, Rc<str>)> = view
             .open_backends(&backend.service)
             .filter(|other| other.model(&key.model).is_some())
-            .filter(|other| !all.iter().any(|(id, _)| *id == other.id))
+            .filter(|other| !holders.iter().any(|(id, _)| *id == other.id))
             .filter(|other| !view.holdings.is_refused(now, key, &other.id))
+            .filter(|other| !self.path.loads.is_hall_silent(&other.hall))
             .map(|other| (self.path.loads.work(now, &other.id).requests, other))
             .filter(|(load, other)| is_idle(other.slots, *load))
-            .filter(|(_, other)| missing > 0 && (self.path.is_ordered)(&other.id))
+            .filter(|(_, other)| (self.path.is_ordered)(&other.id))
             .map(|(load, other)| (load, other.id.clone()))
             .collect();
-        drop(view);
         idle.sort();
-        for (_, target) in idle.into_iter().skip(place).step_by(holders).take(missing) {
-            log::info!(
-                adapter = &*key.adapter, version = version, server = &**server,
-                replica = &*target, pace = pace, holders = holders, load = load;
-                "replica_wanted"
-            );
-            let wish = Wish { server: target, key: key.clone(), version, requests: 0 };
-            self.path.demand.wish(now, wish);
-        }
+        idle.into_iter().map(|(_, id)| id).collect()
     }
 }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod frames;
 mod gossip;
 mod hall_feed;
+mod heartbeats;
 mod holdings;
 mod homes;
 mod host;
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! The other daemons: who is there, and whom to tell. A state machine without sockets.
 
+use super::load::server_mark;
 use super::message::Heartbeat;
 use crate::membership::ranked;
 use crate::types::Time;
@@ -27,6 +28,8 @@
 /// Daemons of a hall that notices go to: the two that watch for it, and one that may just have
 /// taken over.
 const NOTICE_WATCHERS: usize = 3;
+/// Seeds that were never heard are asked again each so many heartbeats.
+const SEEDS_EVERY: usize = 8;
 /// Daemons only heard of that are kept.
 const MOST_HEARD_OF: usize = 512;
 /// Daemons only heard of that one heartbeat greets besides.
@@ -35,6 +38,15 @@
 const TOLD_NEWCOMER: usize = 64;
 /// A daemon that has heard so many fewer others than this one, beyond half of them, is a newcomer.
 const FEWER: usize = 8;
+/// A data hall is silent if nothing was heard of it for so long at least: three heartbeats of each of
+/// its daemons in a small fleet.
+const HALL_SILENT: Duration = Duration::from_millis(900);
+/// The same, in heartbeats that should have come from all its daemons together: of 39 daemons in a
+/// fleet of 195 one comes each 130 ms. With six, chance made eight nodes a second take a hall for
+/// silent.
+const HALL_BEATS_MISSED: u32 = 10;
+/// Daemons that must be known of a hall before its silence means anything.
+const HALL_KNOWN: usize = 2;
 /// Heartbeats that a daemon gets that was only heard of.
 const GREETINGS: u8 = 4;
 /// Addresses of others that a heartbeat carries.
@@ -74,6 +86,8 @@
     heard_of: Vec<HeardOf>,
     peers: BTreeMap<Rc<str>, Peer>,
     turn: usize,
+    /// Heartbeats sent so far.
+    beats: usize,
     /// Moves on through the daemons that newcomers are told of.
     newcomer_turn: usize,
 }
@@ -81,13 +95,17 @@
 impl Peers {
     /// Knows only where to ask first.
     pub fn new(me: SocketAddr, my_capacity: u32, seeds: Vec<SocketAddr>) -> Self {
+        // Daemons that all began their rounds with the same one would reach it together, and leave it
+        // without news for the rest of the round.
+        let turn = server_mark(&me.to_string()) as usize;
         Self {
             me,
             my_capacity,
             seeds,
             heard_of: Vec::new(),
             peers: BTreeMap::new(),
-            turn: 0,
+            turn,
+            beats: 0,
             newcomer_turn: 0,
         }
     }
@@ -173,7 +191,7 @@
             let start = self.turn % all.len();
             all.rotate_left(start);
             all.truncate(FAN_OUT);
-            self.turn += FAN_OUT;
+            self.turn = self.turn.wrapping_add(FAN_OUT);
         }
         let greeted = self.heard_of.len().min(GREETED_AT_ONCE);
         for other in &mut self.heard_of[..greeted] {
@@ -185,11 +203,12 @@
         let few = self.up(now).next().is_none();
         let unheard = self.seeds.iter().filter(|seed| **seed != self.me && !all.contains(seed));
         let unheard: Vec<SocketAddr> = unheard.copied().collect();
-        if few || self.turn.is_multiple_of(8) {
+        if few || self.beats.is_multiple_of(SEEDS_EVERY) {
             all.extend(unheard);
         }
+        self.beats += 1;
         if all.len() <= FAN_OUT {
-            self.turn += 1;
+            self.turn = self.turn.wrapping_add(1);
         }
         all
     }
@@ -235,12 +254,43 @@
         self.machine(now, machine, span).is_some()
     }
 
-    /// Where a machine that is not leaving hears datagrams, if it was heard lately.
+    /// Where a machine hears datagrams; `None` if it is leaving or has fallen silent. One that was
+    /// never heard is believed to be where its name says: a daemon that has just started hears of
+    /// some only after seconds.
     pub fn machine_address(&self, now: Time, machine: &str) -> Option<SocketAddr> {
+        let (node, address) = machine.rsplit_once('|')?;
+        if !self.peers.contains_key(node) {
+            return address.parse().ok();
+        }
         let peer = self.machine(now, machine, self.orders_fresh())?;
         (!peer.heartbeat.leaving).then_some(peer.heartbeat.address)
     }
 
+    /// The data halls other than `mine` from which nothing is heard any more although it should be:
+    /// they are cut off, or this one is. None if nothing is heard of this daemon's own hall either,
+    /// since the daemon itself is cut off then.
+    pub fn silent_halls(&self, now: Time, mine: &str) -> Vec<Rc<str>> {
+        let mut halls: BTreeMap<&str, (usize, Time)> = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| self.is_up(now, peer)) {
+            let (known, heard_at) = halls.entry(&peer.heartbeat.hall).or_default();
+            *known += 1;
+            *heard_at = peer.heard_at.max(*heard_at);
+        }
+        let round = self.round();
+        let is_silent = |hall: &str| {
+            halls.get(hall).is_some_and(|(known, at)| {
+                let expected = round / u32::try_from(*known).unwrap_or(u32::MAX);
+                let silence = HALL_SILENT.max(expected * HALL_BEATS_MISSED);
+                *known >= HALL_KNOWN && now.since(*at) >= silence
+            })
+        };
+        if is_silent(mine) || !halls.contains_key(mine) {
+            return Vec::new();
+        }
+        let others = halls.keys().filter(|hall| **hall != mine && is_silent(hall));
+        others.map(|hall| Rc::from(*hall)).collect()
+    }
+
     /// True if every heartbeat reaches all daemons.
     pub fn all_hear_each_beat(&self) -> bool {
         self.peers.len() <= FAN_OUT
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -132,7 +132,8 @@
             let holds = backend.model(&key.model).is_some();
             let old = outdated.iter().any(|(id, _)| *id == backend.id);
             let refused = view.holdings.is_refused(now, key, &backend.id);
-            holds && !old && !refused && (self.is_ordered)(&backend.id)
+            let cut = self.loads.is_hall_silent(&backend.hall);
+            holds && !old && !refused && !cut && (self.is_ordered)(&backend.id)
         });
         let homes: Vec<Home> = open
             .map(|backend| Home {
@@ -190,7 +191,8 @@
         let holders = view.holdings.holders(now, key).into_iter();
         let untried = holders.filter_map(|(id, version)| {
             let backend = view.backend(&id)?;
-            let open = !backend.draining && backend.service == job.service.name;
+            let cut = self.loads.is_hall_silent(&backend.hall);
+            let open = !backend.draining && !cut && backend.service == job.service.name;
             let cost = cost(now, &self.loads, &self.hall, backend);
             let holder = Holder { backend: backend.clone(), cost, version };
             (open && !job.tried.contains(&backend.id)).then_some(holder)
--- a/crates/portrack/src/gateway/replicas.rs
+++ b/crates/portrack/src/gateway/replicas.rs
@@ -34,8 +34,10 @@
     pub slots: usize,
     /// Servers that share this demand, this one included.
     pub holders: usize,
-    /// Servers that hold the newest version, and those to which it is on its way.
-    pub there: usize,
+    /// Servers that hold the newest version.
+    pub current: usize,
+    /// Servers to which it is on its way.
+    pub coming: usize,
     /// The place of this server among those that share the demand.
     pub place: usize,
 }
@@ -49,7 +51,7 @@
 
     /// How many replicas the daemon that orders this server asks for: its part of what is missing.
     pub fn missing_here(&self) -> usize {
-        let missing = self.wanted().saturating_sub(self.there);
+        let missing = self.wanted().saturating_sub(self.current + self.coming);
         let holders = self.holders.max(1);
         let part = missing / holders + usize::from(self.place < missing % holders);
         part.min(MOST_AT_ONCE)
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -81,7 +81,7 @@
             Ok(revision) => {
                 self.store_answered(prefix);
                 self.watches.set(true);
-                self.store_fails.set(false);
+                self.store_fails_since.set(None);
                 watch.after = Some(revision);
                 watch.pause = PAUSE;
                 self.mirror.borrow_mut().whole_up_to(revision);
@@ -92,8 +92,13 @@
             }
             Err(error) => {
                 self.store_failed(prefix, error);
-                self.store_fails.set(true);
                 watch.after = None;
+                if error == FeedError::Forgotten {
+                    actix_rt::time::sleep(PAUSE).await;
+                    return;
+                }
+                let since = self.store_fails_since.get().unwrap_or(self.now());
+                self.store_fails_since.set(Some(since));
                 actix_rt::time::sleep(watch.pause).await;
                 watch.pause = (watch.pause * 2).min(PAUSE_CAP);
             }
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -180,6 +180,78 @@
 #[test]
 fn in_a_small_fleet_all_get_the_notices() {
     let mut peers = peers();
-    (10..34).for_each(|last| drop(peers.heard(Time(0), beat(last, 1))));
+    for last in 10..34 {
+        peers.heard(Time(0), beat(last, 1));
+    }
     assert_eq!(peers.notice_targets(Time(10)).len(), 24);
 }
+
+fn heard_in(peers: &mut Peers, now: u64, last: u8, hall: &str) {
+    let mut heartbeat = beat(last, 1);
+    heartbeat.hall = hall.into();
+    peers.heard(Time(now), heartbeat);
+}
+
+/// Two daemons of each of two halls, heard at 0, and one of a third.
+fn two_halls() -> Peers {
+    let mut peers = peers();
+    for (last, hall) in [(2, "a"), (6, "a"), (3, "b"), (4, "b"), (5, "c")] {
+        heard_in(&mut peers, 0, last, hall);
+    }
+    peers
+}
+
+#[test]
+fn a_hall_of_which_nothing_is_heard_is_silent_until_it_is_heard_again() {
+    let mut peers = two_halls();
+    heard_in(&mut peers, 1_400, 2, "a");
+    assert!(peers.silent_halls(Time(1_490), "a").is_empty(), "ten heartbeats of two daemons");
+    assert_eq!(
+        peers.silent_halls(Time(1_500), "a"),
+        ["b".into()],
+        "c has one daemon, which may end"
+    );
+    heard_in(&mut peers, 1_600, 4, "b");
+    assert!(peers.silent_halls(Time(1_650), "a").is_empty());
+}
+
+#[test]
+fn in_a_large_fleet_a_hall_is_silent_sooner_than_a_round_but_not_by_chance() {
+    let mut peers = peers();
+    for last in 2..=120 {
+        heard_in(&mut peers, 0, last, if last % 3 == 0 { "b" } else { "a" });
+    }
+    heard_in(&mut peers, 900, 4, "a");
+    assert!(peers.silent_halls(Time(750), "a").is_empty());
+    assert_eq!(peers.silent_halls(Time(1_000), "a"), ["b".into()]);
+}
+
+#[test]
+fn a_daemon_that_hears_nobody_takes_itself_for_cut_off_and_no_hall_for_silent() {
+    assert!(two_halls().silent_halls(Time(1_600), "a").is_empty());
+}
+
+#[test]
+fn daemons_of_a_large_fleet_begin_their_rounds_at_different_ones() {
+    let first_target = |me: u8| {
+        let mut peers = Peers::new(address(me), 100, Vec::new());
+        (10..130).for_each(|last| {
+            let mut heartbeat = beat(last, 1);
+            heartbeat.known = Vec::new();
+            peers.heard(Time(0), heartbeat);
+        });
+        peers.targets(Time(10))[0]
+    };
+    let firsts: std::collections::BTreeSet<SocketAddr> = (200..230).map(first_target).collect();
+    assert!(firsts.len() >= 15, "{}", firsts.len());
+}
+
+#[test]
+fn a_machine_that_was_never_heard_is_where_its_name_says_and_a_silent_one_is_nowhere() {
+    let mut peers = peers();
+    assert_eq!(peers.machine_address(Time(0), "n9|10.0.0.9:7000"), Some(address(9)));
+    peers.heard(Time(0), beat(9, 1));
+    assert_eq!(peers.machine_address(Time(100), "n9|10.0.0.9:7000"), Some(address(9)));
+    assert_eq!(peers.machine_address(Time(5_000), "n9|10.0.0.9:7000"), None);
+    assert_eq!(peers.machine_address(Time(100), "n9|10.0.0.8:7000"), None, "it has moved");
+}
--- a/crates/portrack/tests/gateway/replicas.rs
+++ b/crates/portrack/tests/gateway/replicas.rs
@@ -5,7 +5,15 @@
 
 /// Demand at one server of 24 slots whose requests run for 1.8 s.
 fn demand(per_second: f64, holders: usize, place: usize) -> ReplicaDemand {
-    ReplicaDemand { per_second, runs: ms(1_800), slots: 24, holders, there: holders, place }
+    ReplicaDemand {
+        per_second,
+        runs: ms(1_800),
+        slots: 24,
+        holders,
+        current: holders,
+        coming: 0,
+        place,
+    }
 }
 
 #[test]
@@ -24,13 +32,13 @@
 
 #[test]
 fn what_is_on_its_way_counts() {
-    let on_its_way = ReplicaDemand { there: 10, ..demand(60.0, 1, 0) };
+    let on_its_way = ReplicaDemand { coming: 9, ..demand(60.0, 1, 0) };
     assert_eq!(on_its_way.missing_here(), 0);
 }
 
 #[test]
 fn the_demand_at_servers_with_an_older_version_calls_for_as_many_with_the_newest() {
-    let older = |place| ReplicaDemand { there: 1, ..demand(12.0, 5, place) };
+    let older = |place| ReplicaDemand { current: 1, ..demand(12.0, 5, place) };
     let missing = (0..5).map(|place| older(place).missing_here()).sum::<usize>();
     assert_eq!(missing, 9, "ten are wanted, one is there");
 }
