A daemon that was cut off makes its hanging calls anew as soon as it hears others

A third of the nodes was cut off from 1 s to 13 s; each shunned every other daemon of its hall for 10 s, one after the other, and a call that hangs lasts 2.2 s beyond the cut.

Changed: a daemon that hears nobody for 0.9 s is cut off and shuns none; when it hears others again it forgets whom it shunned, drops a hanging watch and asks at once.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -65,6 +65,8 @@
     pub watches: Cell<bool>,
     /// What it passes on to others of its hall.
     pub(super) feed: HallFeed,
+    /// Woken when other daemons are heard again after this one was cut off.
+    pub(super) reconnected: Notify,
     /// Daemons whose feeds were of no use, each until a time.
     pub(super) shunned: RefCell<HashMap<SocketAddr, Time>>,
     /// Servers that nobody orders.
@@ -159,6 +161,7 @@
             store_fails_since: Cell::new(None),
             watches: Cell::new(false),
             feed: HallFeed::default(),
+            reconnected: Notify::new(),
             shunned: RefCell::default(),
             vacancies: RefCell::default(),
             started_at,
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -32,6 +32,8 @@
 const SHUNNED_FOR: Duration = Duration::from_secs(3);
 /// The same for one that could not be reached or has lost the store, which takes longer to pass.
 const LOST_FOR: Duration = Duration::from_secs(10);
+/// Between tries of a daemon that is cut off, unless it hears others before.
+const CUT_OFF_PAUSE: Duration = Duration::from_millis(400);
 /// After a feed that ended, so that a daemon which has just learned that it is to watch does so.
 const CLOSED_PAUSE: Duration = Duration::from_millis(300);
 /// A watcher whose calls have failed for so long tells its followers that it has lost the store. One
@@ -93,7 +95,10 @@
     pub(super) async fn follow_peer(self: &Rc<Self>, source: SocketAddr) {
         self.watches.set(false);
         let why = self.read_feed(source).await;
-        if why != FeedEnd::ToWatch {
+        if why != FeedEnd::ToWatch && self.is_cut_off() {
+            // That is no fault of the source: it is asked again as soon as anybody is heard.
+            let _ = actix_rt::time::timeout(CUT_OFF_PAUSE, self.reconnected.notified()).await;
+        } else if why != FeedEnd::ToWatch {
             let span = match why {
                 FeedEnd::NoConnection | FeedEnd::Stale => LOST_FOR,
                 FeedEnd::Closed | FeedEnd::Silent | FeedEnd::ToWatch => SHUNNED_FOR,
--- a/crates/portrack/src/gateway/heartbeats.rs
+++ b/crates/portrack/src/gateway/heartbeats.rs
@@ -12,6 +12,10 @@
 /// Between log lines of how many peers are up.
 const PEERS_LOGGED: Duration = Duration::from_secs(2);
 
+/// A daemon that has heard no other one for so long is cut off, or was paused: three turns of the
+/// heartbeats of any peer.
+const CUT_OFF: Duration = Duration::from_millis(900);
+
 impl GatewayDaemon {
     /// Sends heartbeats, for ever.
     pub async fn send_heartbeats(self: Rc<Self>) {
@@ -112,6 +116,7 @@
             return;
         }
         self.path.loads.peer(now, &node, heartbeat.work.clone());
+        self.look_for_reconnection(now);
         let (heard, address) = (heartbeat.heard.into(), heartbeat.address);
         let change = self.peers.borrow_mut().heard(now, heartbeat);
         self.introduce_to(now, address, heard);
@@ -122,6 +127,23 @@
         }
     }
 
+    /// A daemon that hears others again after a silence was cut off or paused: calls that hang are
+    /// made anew, and what could not be reached is tried again.
+    fn look_for_reconnection(&self, now: Time) {
+        let silent = self.peers.borrow().silent_for(now);
+        if let Some(silent) = silent.filter(|silent| *silent >= CUT_OFF) {
+            log::info!(silent_ms = silent.as_millis() as u64; "reconnected");
+            self.shunned.borrow_mut().clear();
+            self.reconnected.notify_waiters();
+        }
+    }
+
+    /// True if no other daemon is heard any more: this one is cut off.
+    pub(super) fn is_cut_off(&self) -> bool {
+        let silent = self.peers.borrow().silent_for(self.now());
+        silent.is_some_and(|silent| silent >= CUT_OFF)
+    }
+
     /// Answers a daemon that has heard far fewer others than this one with a heartbeat and with some
     /// it may not know. Without it a node of 195 that started together knew 20 others after 3 s.
     fn introduce_to(&self, now: Time, address: SocketAddr, heard: usize) {
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -85,6 +85,8 @@
     seeds: Vec<SocketAddr>,
     heard_of: Vec<HeardOf>,
     peers: BTreeMap<Rc<str>, Peer>,
+    /// When any other daemon was heard last.
+    heard_at: Option<Time>,
     turn: usize,
     /// Heartbeats sent so far.
     beats: usize,
@@ -104,6 +106,7 @@
             seeds,
             heard_of: Vec::new(),
             peers: BTreeMap::new(),
+            heard_at: None,
             turn,
             beats: 0,
             newcomer_turn: 0,
@@ -133,6 +136,7 @@
         if heartbeat.address == self.me {
             return None;
         }
+        self.heard_at = Some(now);
         for address in &heartbeat.known {
             self.hear_of(*address);
         }
@@ -266,6 +270,11 @@
         (!peer.heartbeat.leaving).then_some(peer.heartbeat.address)
     }
 
+    /// For how long no other daemon has been heard; `None` if none ever was.
+    pub fn silent_for(&self, now: Time) -> Option<Duration> {
+        self.heard_at.map(|at| now.since(at))
+    }
+
     /// The data halls other than `mine` from which nothing is heard any more although it should be:
     /// they are cut off, or this one is. None if nothing is heard of this daemon's own hall either,
     /// since the daemon itself is cut off then.
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -72,9 +72,16 @@
         let asked_at = self.now();
         let feeds = self.feeds_others();
         let wait = if feeds { FEED_WATCH } else { WATCH };
-        let result = match watch.after {
-            None => self.read_all(prefix).await,
-            Some(revision) => self.follow_once(prefix, revision, wait).await,
+        let asking = async {
+            match watch.after {
+                None => self.read_all(prefix).await,
+                Some(revision) => self.follow_once(prefix, revision, wait).await,
+            }
+        };
+        let result = tokio::select! {
+            result = asking => result,
+            // A call from before a cut may hang for as long as a watch and its patience last.
+            () = self.reconnected.notified() => Err(FeedError::Silent),
         };
         let waited = watch.after.map(|_| self.now().since(asked_at));
         match result {
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -255,3 +255,13 @@
     assert_eq!(peers.machine_address(Time(5_000), "n9|10.0.0.9:7000"), None);
     assert_eq!(peers.machine_address(Time(100), "n9|10.0.0.8:7000"), None, "it has moved");
 }
+
+#[test]
+fn a_daemon_knows_for_how_long_it_has_heard_nobody() {
+    let mut peers = peers();
+    assert_eq!(peers.silent_for(Time(5_000)), None, "it never heard anybody");
+    peers.heard(Time(100), beat(3, 1));
+    peers.heard(Time(400), beat(4, 1));
+    peers.heard(Time(500), beat(1, 1));
+    assert_eq!(peers.silent_for(Time(1_400)), Some(std::time::Duration::from_millis(1_000)));
+}
