--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -228,15 +228,13 @@
     async fn claim(&self, tries: &[ClaimTry]) {
         let mut transaction = KvTransaction::default();
         for attempt in tries {
-            let key = ClaimRecord::key(&attempt.server);
-            transaction.expected.push((key.clone(), attempt.revision));
             let live = attempt.gone.as_deref().map(ClaimRecord::live_key);
             if let Some(live) = live.filter(|live| !expects(&transaction, live)) {
                 transaction.expected.push((live, 0));
             }
             let settled = attempt.before == Predecessor::None;
             let record = ClaimRecord { machine: self.machine(), settled, resigned: false };
-            transaction.puts.push((KvPut { key, value: record.bytes() }, None));
+            replace_record(&mut transaction, &attempt.server, attempt.revision, &record);
         }
         match self.store.transact(&transaction).await {
             Ok(KvOutcome::Committed(fence)) => {
@@ -305,9 +303,7 @@
             for (server, fence) in chunk {
                 let record =
                     ClaimRecord { machine: self.machine(), settled: true, resigned: false };
-                let key = ClaimRecord::key(server);
-                transaction.expected.push((key.clone(), *fence));
-                transaction.puts.push((KvPut { key, value: record.bytes() }, None));
+                replace_record(&mut transaction, server, *fence, &record);
             }
             match self.store.transact(&transaction).await {
                 Ok(KvOutcome::Committed(revision)) => {
@@ -341,11 +337,9 @@
         let mut transaction = KvTransaction::default();
         for (server, claim) in claims.iter().take(ENTRIES / 2) {
             self.ordering.claims.borrow_mut().dropped(server);
-            let key = ClaimRecord::key(server);
             let settled = claim.settled;
             let record = ClaimRecord { machine: self.machine(), settled, resigned: true };
-            transaction.expected.push((key.clone(), claim.fence));
-            transaction.puts.push((KvPut { key, value: record.bytes() }, None));
+            replace_record(&mut transaction, server, claim.fence, &record);
         }
         self.beat();
         if !transaction.puts.is_empty() {
@@ -358,6 +352,18 @@
     }
 }
 
+/// Adds that a server's record, last changed at `revision`, is replaced.
+fn replace_record(
+    transaction: &mut KvTransaction,
+    server: &str,
+    revision: u64,
+    record: &ClaimRecord,
+) {
+    let key = ClaimRecord::key(server);
+    transaction.expected.push((key.clone(), revision));
+    transaction.puts.push((KvPut { key, value: record.bytes() }, None));
+}
+
 fn expects(transaction: &KvTransaction, key: &str) -> bool {
     transaction.expected.iter().any(|(expected, _)| expected == key)
 }
