A follower leaves another hall's feed only for one of its own hall

With any other preferred source it left each 2 s, since the list of daemons that watch elsewhere changes.

--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -157,12 +157,12 @@
             }
             if self.now().since(looked_at) >= LOOK_AGAIN {
                 looked_at = self.now();
-                let preferred = self.news_source();
-                if preferred == NewsSource::Store {
-                    return FeedEnd::ToWatch;
-                }
-                if preferred != NewsSource::Peer(source) && !self.is_near(source) {
-                    return FeedEnd::Nearer;
+                match self.news_source() {
+                    NewsSource::Store => return FeedEnd::ToWatch,
+                    NewsSource::Peer(other) if self.is_near(other) && !self.is_near(source) => {
+                        return FeedEnd::Nearer;
+                    }
+                    NewsSource::Peer(_) => {}
                 }
             }
         }
