--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/claiming.rs
@@ -35,8 +35,8 @@
 /// The same in a fleet that it sees to be large. Of 195 nodes that start together each knows some of
 /// the others by then; without it they made 6,031 refused claims in the 14 s before traffic.
 const KNOWS_LARGE_FLEET_AFTER: Duration = Duration::from_millis(3_000);
-/// There each daemon waits longer by a share of this and reads meanwhile what those before it claimed. With
-/// all at once 134 of 195 nodes took a lease, and 480 transactions were refused.
+/// There each daemon waits longer by a share of this, and reads meanwhile what those before it
+/// claimed. With all at once 134 of 195 nodes took a lease, and 480 transactions were refused.
 const FIRST_CLAIMS_SPREAD: Duration = Duration::from_millis(3_000);
 /// A holder has at least so many servers to order before a hall takes another one, so that a hall
 /// of 40 daemons and 16 servers has 4 leases to renew in place of 40.
@@ -169,8 +169,9 @@
         let claims = self.ordering.claims.borrow();
         let records = self.records.borrow();
         let engines = || view.backends().filter(|backend| is_engine(&view, backend));
+        let machine = self.machine();
         let vacant = engines().filter(|backend| {
-            let held = records.holder(&backend.id).is_some_and(|machine| machine != self.machine());
+            let held = records.holder(&backend.id).is_some_and(|holder| holder != machine);
             !backend.draining && !claims.has(&backend.id) && !held
         });
         let vacant: Vec<Rc<str>> = vacant.map(|backend| backend.id.clone()).collect();
@@ -181,7 +182,6 @@
         }
         let total = engines().count();
         let holders = total.div_ceil(SERVERS_A_HOLDER).max(LEAST_HOLDERS * view.halls());
-        let machine = self.machine();
         let me = Claimant {
             name: &self.settings.node,
             machine: &machine,
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -1,7 +1,7 @@
 //! Who watches the store for a data hall, and how the others follow.
 
 use super::daemon::GatewayDaemon;
-use super::frames::{FrameError, read_lively, write_frame};
+use super::frames::{FrameError, read_frame, write_frame};
 use super::hall_feed::{FeedFrame, PeerAsk};
 use super::mirror::MirrorNews;
 use crate::types::Time;
@@ -47,7 +47,7 @@
 pub enum NewsSource {
     /// From the store itself.
     Store,
-    /// From a daemon of its hall that watches the store.
+    /// From a daemon that watches the store, of its own hall or of another one.
     Peer(SocketAddr),
 }
 
@@ -91,24 +91,29 @@
 impl GatewayDaemon {
     /// True if other daemons may follow this one while it watches.
     pub(super) fn feeds_others(&self) -> bool {
-        let order =
-            self.peers.borrow().watch_order(self.now(), &self.settings.hall, &self.settings.node);
-        order.len() > ALL_WATCH
+        self.watch_order().len() > ALL_WATCH
+    }
+
+    fn watch_order(&self) -> Vec<SocketAddr> {
+        let settings = &self.settings;
+        self.peers.borrow().watch_order(self.now(), &settings.hall, &settings.node)
+    }
+
+    fn watching_abroad(&self) -> Vec<SocketAddr> {
+        self.peers.borrow().watching_abroad(self.now(), &self.settings.hall)
     }
 
     /// From whom to learn now.
     pub(super) fn news_source(&self) -> NewsSource {
         let now = self.now();
-        let peers = self.peers.borrow();
-        let hall = peers.watch_order(now, &self.settings.hall, &self.settings.node);
-        let abroad = peers.watching_abroad(now, &self.settings.hall);
+        let (hall, abroad) = (self.watch_order(), self.watching_abroad());
         let shunned = self.shunned.borrow();
         let is_shunned = |address: SocketAddr| shunned.get(&address).is_some_and(|at| now < *at);
         let watching = Watching { hall: &hall, abroad: &abroad };
         news_source(watching, self.settings.members, is_shunned)
     }
 
-    /// Follows a daemon of this hall until it is of no use, or this daemon is to watch by itself.
+    /// Follows a daemon that watches until it is of no use, or this daemon is to watch by itself.
     pub(super) async fn follow_peer(self: &Rc<Self>, source: SocketAddr) {
         self.watches.set(false);
         let why = self.read_feed(source).await;
@@ -132,8 +137,7 @@
 
     /// True if a daemon is of this daemon's hall, as far as known.
     fn is_near(&self, address: SocketAddr) -> bool {
-        let (now, hall) = (self.now(), &self.settings.hall);
-        !self.peers.borrow().watching_abroad(now, hall).contains(&address)
+        !self.watching_abroad().contains(&address)
     }
 
     async fn read_feed(self: &Rc<Self>, source: SocketAddr) -> FeedEnd {
@@ -145,7 +149,7 @@
         }
         let mut looked_at = self.now();
         loop {
-            let frame: FeedFrame = match read_lively(&mut stream, FEED_SILENT).await {
+            let frame: FeedFrame = match read_frame(&mut stream, FEED_SILENT).await {
                 Ok(frame) => frame,
                 Err(FrameError::Silent) => return FeedEnd::Silent,
                 Err(FrameError::Broken) => return FeedEnd::Closed,
@@ -200,13 +204,13 @@
         while self.watches.get() {
             let now = self.now();
             let (notices, loads) = self.feed.after(&mut place);
-            let news = self.mirror.borrow().news_after(told);
-            let silent = notices.is_empty() && loads.is_empty() && news.revision <= told;
+            let unchanged = self.mirror.borrow().revision() <= told;
+            let silent = notices.is_empty() && loads.is_empty() && unchanged;
             if silent && told_at.is_some_and(|at| now.since(at) < IDLE_FRAME_EVERY) {
                 actix_rt::time::sleep(FRAME_EVERY).await;
                 continue;
             }
-            let MirrorNews { revision, whole, items } = news;
+            let MirrorNews { revision, whole, items } = self.mirror.borrow().news_after(told);
             let store_age_ms = self.store_age();
             let frame = FeedFrame { revision, store_age_ms, whole, items, notices, loads };
             (told, told_at) = (revision, Some(now));
--- a/crates/portrack/src/gateway/frames.rs
+++ b/crates/portrack/src/gateway/frames.rs
@@ -36,7 +36,7 @@
 
 /// Reads a message of which parts keep coming: between two of them pass `silent` at most, however
 /// long the whole takes over a slow link.
-pub(super) async fn read_lively<T: DeserializeOwned>(
+pub(super) async fn read_frame<T: DeserializeOwned>(
     stream: &mut TcpStream,
     silent: Duration,
 ) -> Result<T, FrameError> {
@@ -65,11 +65,3 @@
     let read = read.map_err(|_| FrameError::Silent)?;
     read.map(|_| ()).map_err(|_| FrameError::Broken)
 }
-
-/// Reads a message; `None` if it is too long, malformed, or the connection broke.
-pub(super) async fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream) -> Option<T> {
-    let length = stream.read_u32().await.ok().filter(|length| *length <= MAX_BODY)?;
-    let mut body = Vec::new();
-    let read = stream.take(u64::from(length)).read_to_end(&mut body).await.ok()?;
-    (read == length as usize).then(|| postcard::from_bytes(&body).ok()).flatten()
-}
--- a/crates/portrack/src/gateway/heartbeats.rs
+++ b/crates/portrack/src/gateway/heartbeats.rs
@@ -130,8 +130,7 @@
     /// A daemon that hears others again after a silence was cut off or paused: calls that hang are
     /// made anew, and what could not be reached is tried again.
     fn look_for_reconnection(&self, now: Time) {
-        let silent = self.peers.borrow().silent_for(now);
-        if let Some(silent) = silent.filter(|silent| *silent >= CUT_OFF) {
+        if let Some(silent) = self.cut_off_for(now) {
             log::info!(silent_ms = silent.as_millis() as u64; "reconnected");
             self.shunned.borrow_mut().clear();
             self.reconnected.notify_waiters();
@@ -140,8 +139,12 @@
 
     /// True if no other daemon is heard any more: this one is cut off.
     pub(super) fn is_cut_off(&self) -> bool {
-        let silent = self.peers.borrow().silent_for(self.now());
-        silent.is_some_and(|silent| silent >= CUT_OFF)
+        self.cut_off_for(self.now()).is_some()
+    }
+
+    fn cut_off_for(&self, now: Time) -> Option<Duration> {
+        let silent = self.peers.borrow().silent_for(now);
+        silent.filter(|silent| *silent >= CUT_OFF)
     }
 
     /// Answers a daemon that has heard far fewer others than this one with a heartbeat and with some
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/ordering.rs
@@ -333,20 +333,8 @@
         let age = self.clock.now().since(line.ordered_at.get());
         actix_rt::time::sleep(REPORT_LAG.saturating_sub(age)).await;
         let _turn = line.turn.lock().await;
-        let path = self.dialect.report_path();
-        let call = OrderCall {
-            server,
-            address,
-            method: "GET",
-            path,
-            body: &[],
-            patience: REPORT_PATIENCE,
-        };
-        let Called::Answer(answer) = self.calls.call(&call, || true).await else { return };
-        if !answer.status.is_success() {
-            return;
-        }
-        let Ok(report) = self.dialect.report(&answer.body) else { return };
+        let read = self.read_report(server, address, REPORT_PATIENCE).await;
+        let Some(report) = read else { return };
         line.orders_taken.set(Some(report.orders_taken));
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
     }
@@ -356,9 +344,17 @@
         &self,
         server: &Rc<str>,
         address: SocketAddr,
+    ) -> Option<ServerReport> {
+        self.read_report(server, address, LOAD_PATIENCE).await
+    }
+
+    async fn read_report(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+        patience: Duration,
     ) -> Option<ServerReport> {
         let path = self.dialect.report_path();
-        let patience = LOAD_PATIENCE;
         let call = OrderCall { server, address, method: "GET", path, body: &[], patience };
         let Called::Answer(answer) = self.calls.call(&call, || true).await else { return None };
         let ok = answer.status.is_success();
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -227,10 +227,10 @@
     /// Some daemons to tell one that has heard of `heard`, in turn; none if that is not far fewer
     /// than are known here.
     pub fn for_newcomer(&mut self, now: Time, heard: usize) -> Vec<SocketAddr> {
-        let all = self.addresses(now);
-        if all.len() <= 2 * heard + FEWER {
+        if self.up(now).count() <= 2 * heard + FEWER {
             return Vec::new();
         }
+        let all = self.addresses(now);
         self.newcomer_turn += TOLD_NEWCOMER;
         let start = self.newcomer_turn % all.len();
         all.iter().cycle().skip(start).take(all.len().min(TOLD_NEWCOMER)).copied().collect()
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -202,7 +202,8 @@
     }
 
     async fn answer_peer(&self, mut stream: TcpStream) -> Option<()> {
-        let ask = actix_rt::time::timeout(CATCH_UP, read_frame(&mut stream)).await.ok()??;
+        let asking = read_frame(&mut stream, CATCH_UP);
+        let ask = actix_rt::time::timeout(CATCH_UP, asking).await.ok()?.ok()?;
         match ask {
             PeerAsk::CatchUp { after } => {
                 let reply = {
@@ -219,7 +220,7 @@
 async fn ask(peer: SocketAddr, after: u64) -> Option<CatchUpReply> {
     let mut stream = TcpStream::connect(peer).await.ok()?;
     write_frame(&mut stream, &PeerAsk::CatchUp { after }).await?;
-    read_frame(&mut stream).await
+    read_frame(&mut stream, CATCH_UP).await.ok()
 }
 
 /// The name of a trouble of the store in logs and metrics.
