Sight: a request's line tells the versions that its server was chosen by

Now: the version held as believed, the one demanded, the newest known and since when; and a counter of requests for older versions. No change of logic.

--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -6,6 +6,7 @@
 use super::dialect::Dialect;
 use super::ingress::{Host, Writer, serve_connection};
 use super::path::{Progress, RequestEnd, Served};
+use super::versions::VersionFields;
 use crate::types::Clock;
 use std::rc::Rc;
 use std::time::Duration;
@@ -111,6 +112,9 @@
         let end = self.end();
         daemon.metrics.requests.with_label_values(&[kind, end]).inc();
         daemon.metrics.duration.with_label_values(&[kind]).observe(took.as_secs_f64());
+        if self.progress.version.get().is_some_and(|version| version.is_older()) {
+            daemon.metrics.older_versions.inc();
+        }
         let Some(served) = &self.served else {
             self.log_left(took);
             return;
@@ -125,11 +129,16 @@
     fn log_left(&self, took: Duration) {
         let route = self.progress.route.borrow();
         let server = self.progress.server.borrow();
+        let version = VersionFields::from(self.progress.version.get());
         log::info!(
             request = &*self.request.meta.id,
             route = route.as_ref().map_or("", |route| &*route.name),
             end = "caller_gone",
             server = server.as_deref().unwrap_or_default(),
+            held_version = version.held,
+            demanded_version = version.demanded,
+            newest_version = version.newest,
+            newest_ms = version.newest_ms,
             begun = self.progress.begun.get(),
             store_age_ms = self.daemon.store_age_ms(),
             took_ms = took.as_millis() as u64;
@@ -171,6 +180,7 @@
         let route = served.route.as_ref().map_or("", |route| &*route.name);
         let model = request.meta.model.as_ref();
         let timings = &self.progress.timings;
+        let version = VersionFields::from(self.progress.version.get());
         let adapter = model.and_then(|model| model.adapter.as_deref()).unwrap_or_default();
         log::info!(
             request = &*request.meta.id,
@@ -180,6 +190,10 @@
             server = served.server.as_deref().unwrap_or_default(),
             adapter = adapter,
             adapter_state = served.adapter_note.as_str(),
+            held_version = version.held,
+            demanded_version = version.demanded,
+            newest_version = version.newest,
+            newest_ms = version.newest_ms,
             config = self.daemon.metrics.config_version.get(),
             store_age_ms = self.daemon.store_age_ms(),
             sends = served.sends,
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -19,6 +19,8 @@
     pub in_flight: IntGauge,
     /// Sends beyond the first of each request.
     pub resends: IntCounter,
+    /// Requests whose server was believed to hold an older version than the newest named.
+    pub older_versions: IntCounter,
     /// Calls to the store, by kind.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store, by trouble.
@@ -49,6 +51,10 @@
             ),
             in_flight: made.gauge("requests_in_flight", "Requests being served"),
             resends: made.counter("resends_total", "Sends beyond the first"),
+            older_versions: made.counter(
+                "older_version_requests_total",
+                "Requests sent for an older version than the newest named",
+            ),
             store_calls: made.counters("store_calls_total", "Calls to the store", &["call"]),
             store_failures: made.counters("store_failures_total", "Failed calls", &["trouble"]),
             config_version: made.gauge("config_version", "Configuration in force"),
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod sync;
 mod timings;
 mod vacancies;
+mod versions;
 mod view;
 
 pub use answer::{AnswerError, AnswerHead, Framing, take_head};
@@ -104,4 +105,5 @@
 pub use settings::{Bounds, GatewaySettings, NodeLimits};
 pub use timings::Timings;
 pub use vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
+pub use versions::VersionChoice;
 pub use view::{FleetView, NamedVersion, ViewChange};
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -12,6 +12,7 @@
 use super::retries::ServiceRetries;
 use super::routes::pick_target;
 use super::timings::Timings;
+use super::versions::VersionChoice;
 use super::view::FleetView;
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
@@ -66,6 +67,8 @@
     pub server: RefCell<Option<Rc<str>>>,
     /// The server has begun to answer.
     pub begun: Cell<bool>,
+    /// How the version of its adapter was chosen, at the last try.
+    pub version: Cell<Option<VersionChoice>>,
     /// When it was sent and answered.
     pub timings: Timings,
 }
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -10,6 +10,8 @@
 use super::holdings::Presence;
 use super::homes::{Home, home};
 use super::path::{Choice, Job, RequestPath};
+use super::versions::VersionChoice;
+use super::view::NamedVersion;
 use crate::types::Time;
 use std::rc::Rc;
 use std::time::Duration;
@@ -173,14 +175,14 @@
         if let Some(old) = spread(id, &older, lag) {
             self.demand.missed(key);
             self.wish(job, key);
-            return Some(Choice { backend: old.backend.clone(), adapter_version: None });
+            return Some(chosen(job, old, None, named, now));
         }
-        let Holder { backend, cost, version } = best?;
-        if self.needs_copy(job, key, backend.slots, *cost) {
+        let best = best?;
+        if self.needs_copy(job, key, best.backend.slots, best.cost) {
             self.wish(job, key);
         }
-        let adapter_version = named.map(|_| *version);
-        Some(Choice { backend: backend.clone(), adapter_version })
+        let demanded = named.map(|_| best.version);
+        Some(chosen(job, best, demanded, named, now))
     }
 
     /// The untried servers that hold an adapter, those with the newest version and the others; the
@@ -246,6 +248,23 @@
     version: u64,
 }
 
+/// A holder as a request's choice, with the reasons kept for the request's log line.
+fn chosen(
+    job: &Job<'_>,
+    holder: &Holder,
+    demanded: Option<u64>,
+    named: Option<NamedVersion>,
+    now: Time,
+) -> Choice {
+    job.progress.version.set(Some(VersionChoice {
+        held: holder.version,
+        demanded,
+        newest: named.map(|named| named.version),
+        newest_known_for: named.and_then(|named| named.learned_at).map(|at| now.since(at)),
+    }));
+    Choice { backend: holder.backend.clone(), adapter_version: demanded }
+}
+
 /// The first of some holders, which come with the cheapest first; where loads are known late, the
 /// better of two that are chosen at random among those that are not in trouble.
 fn spread<'a>(id: &str, holders: &'a [Holder], loads_lag: bool) -> Option<&'a Holder> {
