--- a/crates/portrack-standins/src/kv/mod.rs
+++ b/crates/portrack-standins/src/kv/mod.rs
@@ -6,3 +6,4 @@
 
 pub use faults::Fault;
 pub use http::KeyValue;
+pub use state::{Changed, Held, Store};
--- a/crates/portrack-standins/src/kv/state.rs
+++ b/crates/portrack-standins/src/kv/state.rs
@@ -6,16 +6,22 @@
 /// One key.
 #[derive(Debug, Clone)]
 pub struct Held {
+    /// Its value.
     pub value: Vec<u8>,
+    /// The revision at which it came.
     pub created: u64,
+    /// The revision of its last change.
     pub changed: u64,
+    /// The lease it hangs on, 0 for none.
     pub lease: u64,
 }
 
 /// A change, for watches.
 #[derive(Debug, Clone)]
 pub struct Changed {
+    /// The key.
     pub key: Vec<u8>,
+    /// The revision that the change made.
     pub revision: u64,
     /// None for a removal.
     pub value: Option<Vec<u8>>,
@@ -30,8 +36,10 @@
 /// The whole store.
 #[derive(Debug, Default)]
 pub struct Store {
+    /// Rises with every change.
     pub revision: u64,
     keys: BTreeMap<Vec<u8>, Held>,
+    /// All changes, the oldest first.
     pub history: Vec<Changed>,
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
--- a/crates/portrack-standins/src/lib.rs
+++ b/crates/portrack-standins/src/lib.rs
@@ -12,3 +12,5 @@
 pub mod world;
 
 mod host;
+
+pub use host::host;
--- /dev/null
+++ b/crates/portrackd/tests/soak/callers.rs
@@ -0,0 +1,135 @@
+//! Callers that keep their connections to one daemon for as long as its process lives.
+
+use crate::connection::Connection;
+use crate::fleet::{ADAPTERS, HOST, MODEL};
+use portrack_platform_standins::is_whole_answer;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Of the requests, this share asks for the most popular adapter.
+const POPULAR: f64 = 0.6;
+/// The longest pause of a caller between two requests, in milliseconds.
+const PAUSE_MS: u64 = 60;
+/// How long callers wait for an answer, in milliseconds.
+const DEADLINE_MS: u64 = 6_000;
+/// A caller that was refused waits no longer than this before it asks for something else.
+const LONGEST_RETRY: Duration = Duration::from_millis(1_500);
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// A whole answer of its own.
+    Served,
+    /// An answer that is not its own, or not whole, although it ended well.
+    Wrong(String),
+    /// A status that says that it was not run.
+    Refused(u16),
+    /// Another failure: it may have run.
+    Failed(String),
+}
+
+/// A request with its end.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// The id of the attempt.
+    pub id: String,
+    /// When it was sent.
+    pub sent: Instant,
+    /// How it ended.
+    pub end: End,
+}
+
+/// Callers that ask until they are told to stop.
+#[derive(Clone, Default)]
+pub struct Callers {
+    asked: Rc<RefCell<Vec<Asked>>>,
+    stopped: Rc<Cell<bool>>,
+    running: Rc<Cell<usize>>,
+}
+
+impl Callers {
+    /// Starts callers, spread over the daemons.
+    pub fn start(&self, seed: u64, callers: usize, daemons: &[SocketAddr]) {
+        for n in 0..callers {
+            let (all, daemons) = (self.clone(), daemons.to_vec());
+            let random = SmallRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(n as u64));
+            self.running.set(self.running.get() + 1);
+            actix_rt::spawn(async move {
+                all.ask_on(n, daemons, random).await;
+                all.running.set(all.running.get() - 1);
+            });
+        }
+    }
+
+    /// Stops, and waits for the last answers.
+    pub async fn stop(&self) -> Vec<Asked> {
+        self.stopped.set(true);
+        while self.running.get() > 0 {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.asked.borrow().clone()
+    }
+
+    async fn ask_on(&self, n: usize, daemons: Vec<SocketAddr>, mut random: SmallRng) {
+        let mut daemon = n % daemons.len();
+        let mut connection = None;
+        let mut number = 0;
+        while !self.stopped.get() {
+            let popular = random.random_bool(POPULAR);
+            let adapter = if popular { 1 } else { random.random_range(2..=ADAPTERS) };
+            let id = format!("c{n}r{number}");
+            number += 1;
+            let sent = Instant::now();
+            let (end, retry) = ask(&mut connection, daemons[daemon], &id, adapter).await;
+            let lost = matches!(end, End::Failed(_));
+            self.asked.borrow_mut().push(Asked { id, sent, end });
+            if lost {
+                daemon = (daemon + 1) % daemons.len();
+            }
+            let pause = Duration::from_millis(random.random_range(0..PAUSE_MS));
+            actix_rt::time::sleep(pause + retry.unwrap_or_default().min(LONGEST_RETRY)).await;
+        }
+    }
+}
+
+/// Asks, and tells how it ended and after how long to come back. The connection is kept for the next
+/// request unless it broke or the daemon closes it.
+async fn ask(
+    kept: &mut Option<Connection>,
+    daemon: SocketAddr,
+    id: &str,
+    adapter: usize,
+) -> (End, Option<Duration>) {
+    let request = format!(
+        "POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
+         Model: {MODEL}/a{adapter}\r\nToken-Counts: 10,20\r\nPrompt-Prefix: 1:10\r\n\
+         Content-Length: 3\r\n\r\nask"
+    );
+    let asking = async {
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => Connection::open(daemon).await?,
+        };
+        let answer = connection.ask(&request).await?;
+        *kept = Some(connection).filter(|_| !answer.closes());
+        std::io::Result::Ok(answer)
+    };
+    let patience = Duration::from_millis(DEADLINE_MS + 1_000);
+    let answer = match actix_rt::time::timeout(patience, asking).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => return (End::Failed(error.to_string()), None),
+        Err(_) => return (End::Failed("no answer in time".into()), None),
+    };
+    let retry = answer.header("retry-after").and_then(|text| text.parse().ok());
+    let end = match answer.status {
+        200 if is_whole_answer(id, &answer.body) => End::Served,
+        200 => End::Wrong(answer.body),
+        408 | 421 | 429 | 503 => End::Refused(answer.status),
+        status => End::Failed(status.to_string()),
+    };
+    (end, retry.map(Duration::from_secs_f64))
+}
--- /dev/null
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -0,0 +1,274 @@
+//! A small fleet: daemons as processes of their own, before a store and model servers in this
+//! process.
+
+use portrack_platform_standins::{ModelServer, Run, ServerPlan, StoreServer};
+use serde_json::{Value, json};
+use std::fs::{File, OpenOptions};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+/// The base model of all adapters.
+pub const MODEL: &str = "m";
+/// The host name of all routes.
+pub const HOST: &str = "h.example";
+/// Adapters that callers ask for, `a1` the most.
+pub const ADAPTERS: usize = 8;
+/// Places for adapters at each server: not all adapters fit everywhere.
+const PLACES: usize = 6;
+/// Requests that a server runs at once.
+const SLOTS: usize = 32;
+/// How long a load of an adapter takes.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+/// The longest wait until all daemons serve.
+const START_WITHIN: Duration = Duration::from_secs(20);
+/// A planned stop may take this long, in seconds.
+const STOP_WITHIN_S: f64 = 8.0;
+
+/// Fleets of this test process, each on loopback addresses of its own.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// A version that the operator named.
+#[derive(Debug, Clone)]
+pub struct Name {
+    /// The adapter.
+    pub adapter: String,
+    /// Its version.
+    pub version: u64,
+    /// When the store had accepted it.
+    pub accepted: Instant,
+}
+
+/// A daemon process, or the place of one that was ended.
+struct Daemon {
+    node: String,
+    address: Ipv4Addr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// The fleet.
+pub struct Fleet {
+    /// The platform's store.
+    pub store: StoreServer,
+    /// The model servers.
+    pub servers: Vec<ModelServer>,
+    /// What the operator named so far.
+    pub names: Vec<Name>,
+    daemons: Vec<Daemon>,
+    ports: Ports,
+    folder: PathBuf,
+}
+
+/// Ports that all daemons use, each on an address of its own.
+#[derive(Debug, Clone, Copy)]
+struct Ports {
+    callers: u16,
+    readiness: u16,
+    members: u16,
+}
+
+impl Ports {
+    /// Ports that the system had free.
+    fn free() -> Self {
+        let listeners: Vec<TcpListener> =
+            (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+        let port = |n: usize| listeners[n].local_addr().expect("it is bound").port();
+        Self { callers: port(0), readiness: port(1), members: port(2) }
+    }
+}
+
+fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "chat", "hostname": HOST, "path_prefix": "/chat/", "kind": "stream",
+            "timeout_ms": 8_000, "target_latency_ms": 1_000, "service": "llm", "max_attempts": 1,
+            "target_gap_ms": 250,
+        }],
+        "services": [{
+            "name": "llm", "max_conns": 400,
+            "engine": {
+                "slots": SLOTS, "kv_capacity": 100_000, "weights_mb": 1_000.0,
+                "adapter_slots": PLACES, "loads_per_s": 50.0,
+                "models": [{
+                    "name": MODEL, "weights_mb": 500.0, "load_s": 0.1, "adapters": 100,
+                    "adapter_mb": 10.0,
+                }],
+            },
+        }],
+        "limits": {
+            "max_header_bytes": 4_096, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+impl Fleet {
+    /// Starts servers, a store and daemons, and waits until each daemon is ready.
+    pub async fn start(name: &str, daemons: usize, servers: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("portrack-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for logs");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let store = StoreServer::start(any).await.expect("the store starts");
+        store.put("op/config", &configuration(1));
+        let mut all = Vec::new();
+        for n in 0..servers {
+            let adapters = (1..=ADAPTERS).filter(|adapter| adapter % servers == n);
+            let plan = ServerPlan {
+                id: format!("i-{n}"),
+                service: "llm".into(),
+                hall: "a".into(),
+                model: MODEL.into(),
+                slots: SLOTS,
+                load_time: LOAD_TIME,
+                adapters: adapters.map(|adapter| format!("a{adapter}")).collect(),
+            };
+            all.push(ModelServer::start(any, plan, &store).await.expect("a server starts"));
+        }
+        let subnet = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let [high, low, ..] = std::process::id().to_be_bytes().map(|byte| byte % 200);
+        let [.., third, fourth] = std::process::id().to_be_bytes();
+        let second = 64 + (high ^ low ^ third) % 128;
+        let address = |n: usize| Ipv4Addr::new(127, second, fourth, subnet * 16 + n as u8 + 1);
+        let mut fleet = Self {
+            store,
+            servers: all,
+            names: Vec::new(),
+            daemons: Vec::new(),
+            ports: Ports::free(),
+            folder,
+        };
+        for n in 0..daemons {
+            fleet.add_daemon(n, address(n), address(0));
+        }
+        fleet.until_ready().await;
+        fleet
+    }
+
+    fn add_daemon(&mut self, n: usize, address: Ipv4Addr, seed: Ipv4Addr) {
+        let Ports { callers, readiness, members } = self.ports;
+        let node = format!("n{n}");
+        let text = format!(
+            "node = \"{node}\"\nhall = \"a\"\ncallers = \"{address}:{callers}\"\n\
+             readiness = \"{address}:{readiness}\"\nmembers = \"{address}:{members}\"\n\
+             seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\n\n[bounds]\nretry_slack = 500.0\n\
+             stop_within_s = {STOP_WITHIN_S}\n",
+            self.store.address()
+        );
+        let settings = self.folder.join(format!("{node}.toml"));
+        std::fs::write(&settings, text).expect("the settings are written");
+        let log = self.folder.join(format!("{node}.log"));
+        let _ = std::fs::remove_file(&log);
+        self.daemons.push(Daemon { node, address, settings, log, child: None });
+        self.start_daemon(n);
+    }
+
+    /// Starts a daemon, unless its process still runs.
+    pub fn start_daemon(&mut self, n: usize) {
+        let daemon = &mut self.daemons[n];
+        if daemon.is_running() {
+            return;
+        }
+        daemon.child = Some(spawn(&daemon.settings, &daemon.log));
+    }
+
+    /// Kills a daemon's process.
+    pub fn kill(&mut self, n: usize) {
+        let daemon = &mut self.daemons[n];
+        if let Some(mut child) = daemon.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Where callers reach the daemons.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let port = self.ports.callers;
+        self.daemons.iter().map(|daemon| (daemon.address, port).into()).collect()
+    }
+
+    /// Names the next version of an adapter.
+    pub fn name_next(&mut self, adapter: &str) -> u64 {
+        let version = self.newest(adapter) + 1;
+        let value = json!({ "model": MODEL, "adapter": adapter, "version": version });
+        let accepted = self.store.put(&format!("op/version/{MODEL}.{adapter}"), &value);
+        self.names.push(Name { adapter: adapter.into(), version, accepted });
+        version
+    }
+
+    /// The newest version named of an adapter; all begin at 1.
+    pub fn newest(&self, adapter: &str) -> u64 {
+        let named = self.names.iter().filter(|name| name.adapter == adapter);
+        named.map(|name| name.version).max().unwrap_or(1)
+    }
+
+    /// Everything that servers began to run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.servers.iter().flat_map(ModelServer::runs).collect()
+    }
+
+    /// Where the daemons' logs are.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// The log lines of the daemons that name a request.
+    pub fn log_lines(&self, request: &str) -> Vec<String> {
+        let mark = format!("request={request} ");
+        let logs = self.daemons.iter().map(|daemon| {
+            (daemon.node.clone(), std::fs::read_to_string(&daemon.log).unwrap_or_default())
+        });
+        let lines = logs.flat_map(|(node, text)| {
+            let found = text.lines().filter(|line| line.contains(&mark));
+            found.map(|line| format!("{node}: {line}")).collect::<Vec<_>>()
+        });
+        lines.collect()
+    }
+
+    async fn until_ready(&self) {
+        let deadline = Instant::now() + START_WITHIN;
+        for daemon in &self.daemons {
+            let url = format!("http://{}:{}/portrack/ready", daemon.address, self.ports.readiness);
+            while !is_ready(&url).await {
+                assert!(Instant::now() < deadline, "{} is not ready", daemon.node);
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for n in 0..self.daemons.len() {
+            self.kill(n);
+        }
+    }
+}
+
+impl Daemon {
+    fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log: File =
+        OpenOptions::new().create(true).append(true).open(log).expect("the log is opened");
+    Command::new(env!("CARGO_BIN_EXE_portrackd"))
+        .arg("--gateway")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the daemon's program is there")
+}
+
+async fn is_ready(url: &str) -> bool {
+    let sent = awc::Client::default().get(url).send().await;
+    sent.is_ok_and(|answer| answer.status().is_success())
+}
