Each name of a version ends the use of older ones for itself

Cause: a node kept the newest name of an adapter and when it learned it. The name of version 3 replaced that of version 2 with its time, so version 1 counted as just replaced and was used again for 1.2 s, 13 s after version 2 had ended its use. Class: one "newest, and since when" for what may go several steps in a row; learning something newer widened what was allowed.

Now each name counts for itself: a version may be used until the grace of some newer name is over. Ruled out: wrong beliefs about servers (the lines show held version 1), waiting requests (they began within 0.1 s), restarts (no part in the test of one daemon).

--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -105,5 +105,5 @@
 pub use settings::{Bounds, GatewaySettings, NodeLimits};
 pub use timings::Timings;
 pub use vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
-pub use versions::VersionChoice;
-pub use view::{FleetView, NamedVersion, ViewChange};
+pub use versions::{NamedVersions, UsableVersions, VERSION_GRACE, VersionChoice};
+pub use view::{FIRST_VERSION, FleetView, ViewChange};
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -10,15 +10,12 @@
 use super::holdings::Presence;
 use super::homes::{Home, home};
 use super::path::{Choice, Job, RequestPath};
-use super::versions::VersionChoice;
-use super::view::NamedVersion;
+use super::versions::{UsableVersions, VersionChoice};
+use super::view::FIRST_VERSION;
 use crate::types::Time;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An older version may still be asked for this long after a newer one became known. A request may
-/// then wait at its server for seconds before it begins.
-const VERSION_GRACE: Duration = Duration::from_millis(1_200);
 /// Of its objective, a request waits this share for a sign that its adapter is coming.
 const SIGN_SHARE: f64 = 0.22;
 /// Callers give a silent stream up after this at the earliest.
@@ -128,7 +125,7 @@
         if view.holdings.expected(now, key).is_some() {
             return;
         }
-        let version = view.named_version(key).map_or(1, |named| named.version);
+        let version = view.newest_version(now, key);
         let outdated = view.holdings.holders(now, key);
         let open = view.open_backends(&job.service.name).filter(|backend| {
             let holds = backend.model(&key.model).is_some();
@@ -161,28 +158,29 @@
     /// where the newest is missing or its servers are crowded.
     fn holder(&self, job: &Job<'_>, key: &AdapterKey) -> Option<Choice> {
         let now = self.clock.now();
-        let named = self.view.borrow().named_version(key);
-        let newest = named.map_or(1, |named| named.version);
+        let usable = self.view.borrow().usable_versions(now, key);
+        let newest = usable.map_or(FIRST_VERSION, |versions| versions.newest);
+        let oldest = usable.map_or(FIRST_VERSION, |versions| versions.oldest);
         let (current, outdated) = self.holders(job, key, newest);
         let id = &job.request.meta.id;
         let lag = self.loads_lag.get();
         let best = spread(id, &current, lag);
-        let in_grace = named.is_some_and(|named| named.is_fresh(now, VERSION_GRACE));
         let crowded = best.is_none_or(|best| is_crowded(best.backend.slots, best.cost));
         // An older version must not begin late: a request for it goes only where it need not wait.
-        let older = outdated.iter().filter(|old| !is_crowded(old.backend.slots, old.cost));
-        let older: Vec<Holder> = older.filter(|_| in_grace && crowded).cloned().collect();
+        let older = outdated.iter().filter(|old| old.version >= oldest);
+        let older = older.filter(|old| !is_crowded(old.backend.slots, old.cost));
+        let older: Vec<Holder> = older.filter(|_| crowded).cloned().collect();
         if let Some(old) = spread(id, &older, lag) {
             self.demand.missed(key);
             self.wish(job, key);
-            return Some(chosen(job, old, None, named, now));
+            return Some(chosen(job, old, None, usable));
         }
         let best = best?;
         if self.needs_copy(job, key, best.backend.slots, best.cost) {
             self.wish(job, key);
         }
-        let demanded = named.map(|_| best.version);
-        Some(chosen(job, best, demanded, named, now))
+        let demanded = usable.map(|_| best.version);
+        Some(chosen(job, best, demanded, usable))
     }
 
     /// The untried servers that hold an adapter, those with the newest version and the others; the
@@ -253,14 +251,13 @@
     job: &Job<'_>,
     holder: &Holder,
     demanded: Option<u64>,
-    named: Option<NamedVersion>,
-    now: Time,
+    usable: Option<UsableVersions>,
 ) -> Choice {
     job.progress.version.set(Some(VersionChoice {
         held: holder.version,
         demanded,
-        newest: named.map(|named| named.version),
-        newest_known_for: named.and_then(|named| named.learned_at).map(|at| now.since(at)),
+        newest: usable.map(|versions| versions.newest),
+        newest_known_for: usable.and_then(|versions| versions.newest_known_for),
     }));
     Choice { backend: holder.backend.clone(), adapter_version: demanded }
 }
--- a/crates/portrack/src/gateway/view.rs
+++ b/crates/portrack/src/gateway/view.rs
@@ -6,26 +6,13 @@
 use super::holdings::Holdings;
 use super::mirror::Mirrored;
 use super::routes::RouteTable;
+use super::versions::{NamedVersions, UsableVersions};
 use crate::types::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
-use std::time::Duration;
-
-/// The newest version named for an adapter, and since when it is known here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NamedVersion {
-    /// The version.
-    pub version: u64,
-    /// When this daemon learned of it; `None` if it was named before this daemon knew anything.
-    pub learned_at: Option<Time>,
-}
 
-impl NamedVersion {
-    /// True while an older version may still be used, `grace` after this one became known.
-    pub fn is_fresh(&self, now: Time, grace: Duration) -> bool {
-        self.learned_at.is_some_and(|at| now.since(at) < grace)
-    }
-}
+/// The version of adapters that nobody ever named anew.
+pub const FIRST_VERSION: u64 = 1;
 
 /// What a change of the store changed in the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,7 +35,7 @@
     config: Option<Rc<FleetConfig>>,
     routes: RouteTable,
     backends: BTreeMap<Rc<str>, Rc<Backend>>,
-    versions: HashMap<AdapterKey, NamedVersion>,
+    versions: HashMap<AdapterKey, NamedVersions>,
     read_once: bool,
     /// Which server holds which adapter.
     pub holdings: Holdings,
@@ -94,14 +81,14 @@
         self.backends.values().filter(move |b| &*b.service == service && !b.draining)
     }
 
-    /// The newest version named for an adapter; adapters nobody named anew are at the first.
-    pub fn named_version(&self, key: &AdapterKey) -> Option<NamedVersion> {
-        self.versions.get(key).copied()
+    /// The versions of an adapter that may be used now; `None` if nobody named one: it is at the first.
+    pub fn usable_versions(&self, now: Time, key: &AdapterKey) -> Option<UsableVersions> {
+        self.versions.get(key).map(|names| names.at(now))
     }
 
-    /// All named versions.
-    pub fn named_versions(&self) -> impl Iterator<Item = (&AdapterKey, NamedVersion)> {
-        self.versions.iter().map(|(key, named)| (key, *named))
+    /// The newest version of an adapter, as far as known.
+    pub fn newest_version(&self, now: Time, key: &AdapterKey) -> u64 {
+        self.usable_versions(now, key).map_or(FIRST_VERSION, |versions| versions.newest)
     }
 
     /// Everything was read once: what comes from now on is news.
@@ -165,11 +152,14 @@
     }
 
     fn apply_version(&mut self, now: Time, key: AdapterKey, version: u64) -> Option<ViewChange> {
-        if self.versions.get(&key).is_some_and(|named| named.version >= version) {
-            return None;
-        }
         let learned_at = self.read_once.then_some(now);
-        self.versions.insert(key.clone(), NamedVersion { version, learned_at });
-        Some(ViewChange::Version(key, version))
+        let is_newer = match self.versions.get_mut(&key) {
+            Some(names) => names.learn(version, learned_at),
+            None => {
+                self.versions.insert(key.clone(), NamedVersions::new(version, learned_at));
+                true
+            }
+        };
+        is_newer.then_some(ViewChange::Version(key, version))
     }
 }
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -23,3 +23,4 @@
 mod support;
 mod timings;
 mod vacancies;
+mod versions;
