News that ends a silence of the store gives older versions no grace

Only the very first reading was taken for old news.

Now news is of unknown age whenever the store was silent for longer than a watch lasts (3.1 s) before it, which covers the first reading too and replaces the flag for it. A follower noted when the store was heard of before it took a frame's news in; it does so after that now.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -195,6 +195,7 @@
     /// Takes changes of the mirror in; `source` is for logs.
     pub fn apply(self: &Rc<Self>, changes: Vec<Mirrored>, source: &str) {
         let now = self.now();
+        let learned_at = self.news_learned_at(now);
         let mut changed = false;
         for change in changes {
             if self.records.borrow_mut().apply(&change) {
@@ -204,7 +205,7 @@
                 Mirrored::Put(held) => held.key.clone(),
                 Mirrored::Gone(key) => key.clone(),
             };
-            let applied = self.path.view.borrow_mut().apply(now, &*self.dialect, change);
+            let applied = self.path.view.borrow_mut().apply(learned_at, &*self.dialect, change);
             match applied {
                 Ok(Some(change)) => {
                     changed = true;
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -174,10 +174,6 @@
 
     fn take_frame(self: &Rc<Self>, frame: FeedFrame) {
         let now = self.now();
-        if frame.store_age_ms != u32::MAX {
-            let seen_at = Time(now.0.saturating_sub(frame.store_age_ms.into()));
-            self.store_seen.set(Some(self.store_seen.get().map_or(seen_at, |at| at.max(seen_at))));
-        }
         self.path.loads.report(now, &frame.loads);
         if !frame.notices.is_empty() {
             self.on_notices(&frame.notices);
@@ -192,7 +188,11 @@
             changes
         };
         self.apply(changes, "feed");
-        self.path.view.borrow_mut().was_read();
+        // Only now: how old the news can be is told by when the store was heard of before it.
+        if frame.store_age_ms != u32::MAX {
+            let seen_at = Time(now.0.saturating_sub(frame.store_age_ms.into()));
+            self.store_seen.set(self.store_seen.get().max(Some(seen_at)));
+        }
     }
 
     /// Serves one follower until it leaves, or this daemon does not watch any more. Each is told
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -9,6 +9,7 @@
 use super::mirror::MirrorItem;
 use super::pacing::WatchPacing;
 use crate::store::FeedError;
+use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,7 +26,9 @@
 const PAUSE_CAP: Duration = Duration::from_millis(800);
 /// Between looks at what peers know.
 const PEER_LOOK: Duration = Duration::from_millis(250);
-/// A store that has not answered for this long, a watch included, is taken for silent.
+/// A store that has not answered for this long, a watch included, is taken for silent: what is learned
+/// next may be of any age. With [`VERSION_GRACE`](super::VERSION_GRACE) it stays below the 5 s after
+/// which users allow no older version.
 const STORE_SILENT: Duration = Duration::from_millis(3_100);
 /// The longest catching up from one peer.
 const CATCH_UP: Duration = Duration::from_millis(1_500);
@@ -92,7 +95,6 @@
                 watch.after = Some(revision);
                 watch.pause = PAUSE;
                 self.mirror.borrow_mut().whole_up_to(revision);
-                self.path.view.borrow_mut().was_read();
                 actix_rt::time::sleep(watch.pacing.after(waited, feeds)).await;
                 // The store was not silent while it was not asked.
                 self.store_seen.set(Some(self.now()));
@@ -155,6 +157,14 @@
         }
     }
 
+    /// When news that comes in at this moment was learned; `None` if it may be of any age, since the
+    /// store was silent before it. A daemon that was cut off used an adapter's version for another
+    /// second after it had learned of a newer one, which had been named many seconds before.
+    pub(super) fn news_learned_at(&self, now: Time) -> Option<Time> {
+        let heard = self.store_seen.get()?;
+        (now.since(heard) <= STORE_SILENT).then_some(now)
+    }
+
     fn store_failed(&self, prefix: &str, error: FeedError) {
         let age_ms = self.store_seen.get().map_or(0, |at| self.now().since(at).as_millis() as u64);
         self.metrics.store_failures.with_label_values(&[failure_name(error)]).inc();
@@ -182,7 +192,6 @@
                     };
                     log::info!(peer:% = peer, revision = reply.revision, changes = changes.len(); "caught_up_from_peer");
                     self.apply(changes, "peer");
-                    self.path.view.borrow_mut().was_read();
                 }
                 Ok(None) | Err(_) => log::warn!(peer:% = peer; "peer_did_not_answer"),
             }
--- a/crates/portrack/src/gateway/view.rs
+++ b/crates/portrack/src/gateway/view.rs
@@ -36,7 +36,6 @@
     routes: RouteTable,
     backends: BTreeMap<Rc<str>, Rc<Backend>>,
     versions: HashMap<AdapterKey, NamedVersions>,
-    read_once: bool,
     /// Which server holds which adapter.
     pub holdings: Holdings,
 }
@@ -91,15 +90,10 @@
         self.usable_versions(now, key).map_or(FIRST_VERSION, |versions| versions.newest)
     }
 
-    /// Everything was read once: what comes from now on is news.
-    pub fn was_read(&mut self) {
-        self.read_once = true;
-    }
-
-    /// Takes a change of the mirror in.
+    /// Takes a change of the mirror in. `learned_at` is `None` for what may be of any age.
     pub fn apply(
         &mut self,
-        now: Time,
+        learned_at: Option<Time>,
         dialect: &dyn Dialect,
         change: Mirrored,
     ) -> Result<Option<ViewChange>, DialectError> {
@@ -108,7 +102,7 @@
                 Some(Item::Config(config)) => Ok(self.apply_config(*config)),
                 Some(Item::Backend(backend)) => Ok(Some(self.apply_backend(*backend))),
                 Some(Item::AdapterVersion(key, version)) => {
-                    Ok(self.apply_version(now, key, version))
+                    Ok(self.apply_version(learned_at, key, version))
                 }
                 None => Ok(None),
             },
@@ -151,8 +145,12 @@
         Some(ViewChange::BackendGone(removed.id.clone()))
     }
 
-    fn apply_version(&mut self, now: Time, key: AdapterKey, version: u64) -> Option<ViewChange> {
-        let learned_at = self.read_once.then_some(now);
+    fn apply_version(
+        &mut self,
+        learned_at: Option<Time>,
+        key: AdapterKey,
+        version: u64,
+    ) -> Option<ViewChange> {
         let is_newer = match self.versions.get_mut(&key) {
             Some(names) => names.learn(version, learned_at),
             None => {
