Requests for an older version name it

A request that went to a server for an older version, allowed for 1.2 s after a newer one is named, demanded no version: the server ran it on whatever it held, also if the node was wrong about that. It names the version that was chosen now, as requests for the newest did already; a server that holds something else answers that it has not run it.

A server that turns such a request away because the newer version has just taken the older one's place there is not taken for empty: a fresh notice of a newer version stands.

--- a/crates/portrack/src/gateway/holdings.rs
+++ b/crates/portrack/src/gateway/holdings.rs
@@ -106,6 +106,24 @@
         holders.noticed.insert(id.clone(), Notice { presence, until });
     }
 
+    /// A server turned a request for a version away, or for any version: it does not hold it, until a
+    /// time. A fresh notice that it holds a newer version stands: that took the other one's place.
+    pub fn turned_away(
+        &mut self,
+        now: Time,
+        key: &AdapterKey,
+        id: &Rc<str>,
+        version: Option<u64>,
+        until: Time,
+    ) {
+        let notice = self.adapters.get(key).and_then(|holders| holders.noticed.get(id));
+        let held = notice.filter(|notice| notice.fresh(now)).and_then(Notice::usable);
+        if version.is_some_and(|version| held.is_some_and(|held| held > version)) {
+            return;
+        }
+        self.notice(key, id, Presence::Absent, until);
+    }
+
     /// Forgets notices that the list has caught up with.
     pub fn forget_old(&mut self, now: Time) {
         self.adapters.retain(|_, holders| {
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -354,7 +354,7 @@
                 job.sends -= 1;
                 self.loads.unreachable(now, id);
             }
-            NotRun::TurnedAway(status) => self.note_turned_away(job, id, *status),
+            NotRun::TurnedAway(status) => self.note_turned_away(job, choice, *status),
         }
         let others = self.has_untried(job);
         if others {
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -7,7 +7,6 @@
 use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
 use super::dialect::AdapterKey;
-use super::holdings::Presence;
 use super::homes::{Home, home};
 use super::path::{Choice, Job, RequestPath};
 use super::versions::{UsableVersions, VersionChoice};
@@ -173,14 +172,13 @@
         if let Some(old) = spread(id, &older, lag) {
             self.demand.missed(key);
             self.wish(job, key);
-            return Some(chosen(job, old, None, usable));
+            return Some(chosen(job, old, usable));
         }
         let best = best?;
         if self.needs_copy(job, key, best.backend.slots, best.cost) {
             self.wish(job, key);
         }
-        let demanded = usable.map(|_| best.version);
-        Some(chosen(job, best, demanded, usable))
+        Some(chosen(job, best, usable))
     }
 
     /// The untried servers that hold an adapter, those with the newest version and the others; the
@@ -228,11 +226,12 @@
     }
 
     /// A server that turned a request for an adapter away does not hold it, or not that version.
-    pub(super) fn note_turned_away(&self, job: &Job<'_>, server: &Rc<str>, status: u16) {
+    pub(super) fn note_turned_away(&self, job: &Job<'_>, choice: &Choice, status: u16) {
         let Some(key) = job.adapter().filter(|_| status == 421) else { return };
-        let until: Time = self.clock.now() + FOUND_HOLDS;
+        let now = self.clock.now();
+        let (server, version) = (&choice.backend.id, choice.adapter_version);
         let mut view = self.view.borrow_mut();
-        view.holdings.notice(&key, server, Presence::Absent, until);
+        view.holdings.turned_away(now, &key, server, version, now + FOUND_HOLDS);
     }
 }
 
@@ -246,13 +245,11 @@
     version: u64,
 }
 
-/// A holder as a request's choice, with the reasons kept for the request's log line.
-fn chosen(
-    job: &Job<'_>,
-    holder: &Holder,
-    demanded: Option<u64>,
-    usable: Option<UsableVersions>,
-) -> Choice {
+/// A holder as a request's choice, with the reasons kept for the request's log line. Once a version
+/// was named, the server is told which one is meant, also if it is an older one: a server that holds
+/// something else than believed turns the request away in place of running it.
+fn chosen(job: &Job<'_>, holder: &Holder, usable: Option<UsableVersions>) -> Choice {
+    let demanded = usable.map(|_| holder.version);
     job.progress.version.set(Some(VersionChoice {
         held: holder.version,
         demanded,
--- a/crates/portrack/tests/gateway/holdings.rs
+++ b/crates/portrack/tests/gateway/holdings.rs
@@ -31,6 +31,20 @@
     assert!(holdings.holders(Time(600), &key("a2")).is_empty());
 }
 
+#[test]
+fn a_server_that_turned_an_older_version_away_still_holds_the_newer_one() {
+    let mut holdings = Holdings::default();
+    let (now, until, server) = (Time(10), Time(700), "s1".into());
+    holdings.notice(&key("a1"), &server, Presence::Held(3), Time(4_000));
+    holdings.turned_away(now, &key("a1"), &server, Some(2), until);
+    assert_eq!(holdings.holders(now, &key("a1")), [("s1".into(), 3)]);
+    holdings.turned_away(now, &key("a1"), &server, Some(3), until);
+    assert!(holdings.holders(now, &key("a1")).is_empty());
+    holdings.notice(&key("a1"), &server, Presence::Held(3), Time(4_000));
+    holdings.turned_away(now, &key("a1"), &server, None, until);
+    assert!(holdings.holders(now, &key("a1")).is_empty(), "it was to run any version");
+}
+
 #[test]
 fn what_is_coming_is_expected_and_cannot_be_used_yet() {
     let mut holdings = Holdings::default();
