A resigned daemon hands on the wait for the one before it

A daemon that took a server over from one whose lease was lost, and stopped before that one's last order could be old enough, wrote a record that is resigned and not settled; its successor waited for the resigned daemon only (3.2 s in place of 9) and could order the server beside the first.

The rule is one function now, used by the product and by the histories, which had their own copy.

Test: vacancies::a_resigned_machine_hands_on_the_wait_for_the_one_before_it.

--- a/crates/portrack/src/gateway/claims.rs
+++ b/crates/portrack/src/gateway/claims.rs
@@ -4,6 +4,7 @@
 //! Servers check no fences, so the time checks here are what keeps two daemons from ordering the
 //! same server.
 
+use super::claim_record::ClaimRecord;
 use crate::types::Time;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -44,6 +45,24 @@
     Lapsed,
 }
 
+impl Predecessor {
+    /// Who held a server before `machine`, as its record tells.
+    ///
+    /// A record that is not settled says that a machine before the one it names may still order,
+    /// whoever it names and also if that one has resigned: with a wait for the resigned machine
+    /// only, two daemons ordered a server within 950 ms where 1 s is the least (random histories of
+    /// three daemons, one of which is paused while its lease is lost and another one stops).
+    pub fn of(record: Option<&ClaimRecord>, machine: &str) -> Self {
+        match record {
+            None => Self::None,
+            Some(record) if !record.settled => Self::Lapsed,
+            Some(record) if record.machine == machine => Self::None,
+            Some(record) if record.resigned => Self::Resigned,
+            Some(_) => Self::Lapsed,
+        }
+    }
+}
+
 /// This daemon's claims.
 #[derive(Debug, Clone)]
 pub struct Claims {
--- a/crates/portrack/src/gateway/vacancies.rs
+++ b/crates/portrack/src/gateway/vacancies.rs
@@ -141,20 +141,17 @@
     is_heard: impl Fn(&str) -> bool,
 ) -> Option<ClaimTry> {
     let server = server.clone();
+    let before = Predecessor::of(seen.map(|seen| &seen.record), machine);
     let Some(SeenRecord { revision, record }) = seen else {
-        return Some(ClaimTry { server, revision: 0, gone: None, before: Predecessor::None });
+        return Some(ClaimTry { server, revision: 0, gone: None, before });
     };
     let revision = *revision;
-    if record.machine == machine {
-        let before = if record.settled { Predecessor::None } else { Predecessor::Lapsed };
+    if record.machine == machine || record.resigned {
         return Some(ClaimTry { server, revision, gone: None, before });
     }
-    if record.resigned {
-        return Some(ClaimTry { server, revision, gone: None, before: Predecessor::Resigned });
-    }
     if is_heard(&record.machine) {
         return None;
     }
     let gone = Some(record.machine.clone());
-    Some(ClaimTry { server, revision, gone, before: Predecessor::Lapsed })
+    Some(ClaimTry { server, revision, gone, before })
 }
--- a/crates/portrack/tests/gateway/history.rs
+++ b/crates/portrack/tests/gateway/history.rs
@@ -1,10 +1,11 @@
-//! Several daemons claim one server over a store that loses leases early, while daemons pause:
+//! Several daemons claim one server over a store that loses leases early, while daemons pause and stop:
 //! whatever happens, two never order within the quiet time of each other.
 
 use crate::support::ms;
 use portrack::Time;
 use portrack::gateway::{ClaimRecord, Claims, Predecessor};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::rc::Rc;
 
 const TTL_MS: u64 = 2_000;
@@ -62,6 +63,8 @@
     Revoke(usize),
     Restart(usize),
     CutOff(usize, u64),
+    /// A planned stop: the server is given up.
+    Stop(usize),
     Wait(u64),
 }
 
@@ -71,6 +74,7 @@
         (0..DAEMONS).prop_map(Event::Revoke),
         (0..DAEMONS).prop_map(Event::Restart),
         (0..DAEMONS, 50_u64..4_000).prop_map(|(who, span)| Event::CutOff(who, span)),
+        (0..DAEMONS).prop_map(Event::Stop),
         (100_u64..6_000).prop_map(Event::Wait),
     ]
 }
@@ -117,29 +121,37 @@
         }
         return;
     }
-    let (expected, before) = match &held {
-        None => (0, Predecessor::None),
-        Some((revision, record)) if record.machine == machine(who) => {
-            let before = if record.settled { Predecessor::None } else { Predecessor::Lapsed };
-            (*revision, before)
+    let machine = machine(who);
+    if let Some((_, record)) = &held
+        && record.machine != machine
+        && !record.resigned
+    {
+        let owner: usize = record.machine[1..].parse().expect("a number");
+        if store.has_lease(owner) {
+            return;
         }
-        Some((revision, record)) => {
-            let owner: usize = record.machine[1..].parse().expect("a number");
-            if store.has_lease(owner) {
-                return;
-            }
-            (*revision, Predecessor::Lapsed)
-        }
-    };
+    }
+    let expected = held.as_ref().map_or(0, |(revision, _)| *revision);
+    let before = Predecessor::of(held.as_ref().map(|(_, record)| record), &machine);
     let settled = before == Predecessor::None;
-    let record = ClaimRecord { machine: machine(who), settled, resigned: false };
+    let record = ClaimRecord { machine, settled, resigned: false };
     if let Some(fence) = store.write(expected, record) {
         daemon.claims.claimed(Time(now), &server, fence, before);
     }
 }
 
+/// A daemon gives the server up and starts again, as a planned stop does it.
+fn stop(who: usize, daemon: &mut Daemon, store: &mut Store) {
+    if let Some((_, claim)) = daemon.claims.all().next() {
+        let (fence, settled) = (claim.fence, claim.settled);
+        store.write(fence, ClaimRecord { machine: machine(who), settled, resigned: true });
+    }
+    store.leases.retain(|(_, owner, _)| *owner != who);
+    *daemon = new_daemon();
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 5_000, rng_seed: RngSeed::Fixed(20_261_202), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn two_daemons_never_order_within_the_quiet_time(events in proptest::collection::vec(event(), 1..25)) {
@@ -154,6 +166,10 @@
                 Event::Pause(who, length) => daemons[who].paused_until = now + length,
                 Event::Revoke(who) => store.leases.retain(|(_, owner, _)| *owner != who),
                 Event::Restart(who) => daemons[who] = new_daemon(),
+                Event::Stop(who) if cut_until[who] <= now => {
+                    stop(who, &mut daemons[who], &mut store);
+                }
+                Event::Stop(who) => daemons[who] = new_daemon(),
                 Event::CutOff(who, length) => cut_until[who] = now + length,
                 Event::Wait(length) => span = length,
             }
--- a/crates/portrack/tests/gateway/vacancies.rs
+++ b/crates/portrack/tests/gateway/vacancies.rs
@@ -111,6 +111,17 @@
     assert_eq!(attempt.before, Predecessor::Lapsed);
 }
 
+/// Of three daemons the first lost its lease without knowing it, the second took the server over and
+/// stopped before the first one's last order could be old enough. The third waited for the second
+/// only and ordered the server beside the first.
+#[test]
+fn a_resigned_machine_hands_on_the_wait_for_the_one_before_it() {
+    let mut vacancies = vacant();
+    vacancies.saw("s1", seen("n2|10.0.0.2:7000", false, true));
+    let tries = due(&mut vacancies, 9_000, &[ME], "n2|10.0.0.2:7000");
+    assert_eq!((tries[0].before, tries[0].gone.as_ref()), (Predecessor::Lapsed, None));
+}
+
 #[test]
 fn a_resigned_machine_is_not_waited_for_as_long() {
     let mut vacancies = vacant();
--- a/crates/portrack/tests/gateway/versions.rs
+++ b/crates/portrack/tests/gateway/versions.rs
@@ -9,6 +9,7 @@
 use portrack::Time;
 use portrack::gateway::{NamedVersions, VERSION_GRACE};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 #[derive(Debug, Clone)]
 enum Event {
@@ -52,7 +53,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: RngSeed::Fixed(20_261_202), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn what_may_be_used_follows_from_every_name_and_never_widens(
