--- a/crates/portrack-standins/src/kv/http.rs
+++ b/crates/portrack-standins/src/kv/http.rs
@@ -1,6 +1,7 @@
 //! The service's HTTP side.
 
 use super::faults::Fault;
+use super::lapse::lapse_always;
 use super::state::{Changed, Held, Store};
 use crate::host::host;
 use actix_http::{Request, StatusCode};
@@ -20,8 +21,6 @@
 const MAX_BODY: usize = 4 * 1024 * 1024;
 /// The largest value stored, in bytes.
 const MAX_VALUE: usize = 1024 * 1024;
-/// Between looks for lapsed leases.
-const LAPSE_EVERY: Duration = Duration::from_millis(100);
 
 #[derive(Default)]
 struct Shared {
@@ -47,14 +46,8 @@
         let (address, listener) =
             host(address, move |request| answer(served.clone(), request)).await?;
         let lapsing = shared.clone();
-        let lapse = actix_rt::spawn(async move {
-            loop {
-                actix_rt::time::sleep(LAPSE_EVERY).await;
-                if lapsing.store.borrow_mut().lapse() {
-                    lapsing.changed.notify_waiters();
-                }
-            }
-        });
+        let lapse =
+            actix_rt::spawn(async move { lapse_always(&lapsing.store, &lapsing.changed).await });
         Ok(Self { address, shared, tasks: vec![listener, lapse] })
     }
 
--- a/crates/portrack-standins/src/kv/mod.rs
+++ b/crates/portrack-standins/src/kv/mod.rs
@@ -2,8 +2,10 @@
 
 mod faults;
 mod http;
+mod lapse;
 mod state;
 
 pub use faults::Fault;
 pub use http::KeyValue;
+pub use lapse::lapse_always;
 pub use state::{Changed, Held, Store};
--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -5,7 +5,7 @@
 use super::daemon::GatewayDaemon;
 use super::dialect::Dialect;
 use super::ingress::{Host, Writer, serve_connection};
-use super::path::{Progress, RequestEnd, Served};
+use super::job::{Progress, RequestEnd, Served};
 use super::versions::VersionFields;
 use crate::types::Clock;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/portrack/src/gateway/job.rs
@@ -0,0 +1,145 @@
+//! One request on its path: what it needs, how far it has come, how it ended.
+
+use super::backend::Backend;
+use super::caller::{CallerRequest, RefusalReason, Refused};
+use super::config::{Route, Service};
+use super::dialect::{AdapterKey, ModelRequest};
+use super::timings::Timings;
+use super::versions::VersionChoice;
+use crate::types::Time;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When to come back if all servers are busy.
+const BUSY_RETRY: Duration = Duration::from_millis(300);
+
+/// How far a request has come, for the log line of one whose caller leaves in the middle.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Its route.
+    pub route: RefCell<Option<Rc<Route>>>,
+    /// The server of the last try.
+    pub server: RefCell<Option<Rc<str>>>,
+    /// The server has begun to answer.
+    pub begun: Cell<bool>,
+    /// How the version of its adapter was chosen, at the last try.
+    pub version: Cell<Option<VersionChoice>>,
+    /// When it was sent and answered.
+    pub timings: Timings,
+}
+
+/// How a request ended, for logs and metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RequestEnd {
+    /// A server's answer was handed on whole.
+    Answered(u16),
+    /// The gateway refused it.
+    Refused(Refused),
+    /// The answer broke off after its head.
+    Broken(String),
+    /// The caller is gone.
+    CallerGone,
+}
+
+/// What one request needs.
+pub struct Job<'a> {
+    /// The request.
+    pub request: &'a CallerRequest,
+    /// Told how far it has come.
+    pub progress: &'a Progress,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Its service.
+    pub service: Rc<Service>,
+    /// When it must have its final answer.
+    pub deadline: Time,
+    /// Sends so far.
+    pub sends: u32,
+    /// Sends that may have run.
+    pub runs: u32,
+    /// Servers tried.
+    pub tried: Vec<Rc<str>>,
+    /// The server of the last try.
+    pub server: Option<Rc<str>>,
+    /// The last event handed on, to go on behind it.
+    pub last_event: Option<String>,
+    /// What the last try came to.
+    pub last_failure: String,
+    /// What was known of its adapter when it had to wait or was refused.
+    pub adapter_note: RefCell<String>,
+}
+
+/// A server chosen for a request.
+pub struct Choice {
+    /// The server.
+    pub backend: Rc<Backend>,
+    /// The version of the adapter that it must have.
+    pub adapter_version: Option<u64>,
+}
+
+impl Job<'_> {
+    /// The adapter asked for, if any.
+    pub fn adapter(&self) -> Option<AdapterKey> {
+        let model = self.request.meta.model.as_ref()?;
+        let adapter = model.adapter.clone()?;
+        Some(AdapterKey { model: model.model.clone(), adapter })
+    }
+
+    /// The model asked for, if the service has models.
+    pub fn model(&self) -> Option<&ModelRequest> {
+        self.service.engine.as_ref()?;
+        self.request.meta.model.as_ref()
+    }
+
+    pub(super) fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// The end when no other server is to be tried.
+    pub(super) fn out_of_tries(&self, reason: RefusalReason) -> RequestEnd {
+        if self.may_have_run() {
+            return RequestEnd::Refused(Refused::new(RefusalReason::Lost, None));
+        }
+        RequestEnd::Refused(Refused::new(reason, Some(BUSY_RETRY)))
+    }
+}
+
+/// The end of a request whose time is over: not run only if nothing was ever sent.
+pub(super) fn timed_out(job: &Job<'_>) -> Refused {
+    match job.server.is_some() {
+        true => Refused::new(RefusalReason::TimedOut, None),
+        false => Refused::new(RefusalReason::Expired, Some(BUSY_RETRY)),
+    }
+}
+
+/// A request's end with what is worth logging of it.
+#[derive(Debug)]
+pub struct Served {
+    /// How it ended.
+    pub end: RequestEnd,
+    /// Its route.
+    pub route: Option<Rc<Route>>,
+    /// The server of the last try.
+    pub server: Option<Rc<str>>,
+    /// Sends.
+    pub sends: u32,
+    /// What the last failed try came to.
+    pub last_failure: String,
+    /// What was known of its adapter when it had to wait or was refused.
+    pub adapter_note: String,
+}
+
+impl Served {
+    /// A request that was refused before it had a route.
+    pub fn refused(refused: Refused) -> Self {
+        Self {
+            end: RequestEnd::Refused(refused),
+            route: None,
+            server: None,
+            sends: 0,
+            last_failure: String::new(),
+            adapter_note: String::new(),
+        }
+    }
+}
--- a/crates/portrack/src/gateway/relay.rs
+++ b/crates/portrack/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 use super::config::{Route, RouteKind};
 use super::events::EventSplitter;
 use super::exchange::Exchange;
-use super::path::Job;
+use super::job::Job;
 use actix_http::StatusCode;
 
 /// How handing an answer on went.
--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -2,6 +2,7 @@
 //! process.
 
 use portrack_platform_standins::{ModelServer, Run, ServerPlan, StoreServer};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::{File, OpenOptions};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -167,13 +168,14 @@
         self.start_daemon(n);
     }
 
-    /// Starts a daemon, unless its process still runs.
-    pub fn start_daemon(&mut self, n: usize) {
+    /// Starts a daemon; false if its process still runs.
+    pub fn start_daemon(&mut self, n: usize) -> bool {
         let daemon = &mut self.daemons[n];
-        if daemon.is_running() {
-            return;
+        let ended = !daemon.is_running();
+        if ended {
+            daemon.child = Some(spawn(&daemon.settings, &daemon.log));
         }
-        daemon.child = Some(spawn(&daemon.settings, &daemon.log));
+        ended
     }
 
     /// Kills a daemon's process.
@@ -185,6 +187,18 @@
         }
     }
 
+    /// Asks a daemon's process to stop.
+    pub fn terminate(&mut self, n: usize) {
+        let daemon = &mut self.daemons[n];
+        if !daemon.is_running() {
+            return;
+        }
+        let child = daemon.child.as_ref();
+        if let Some(pid) = child.and_then(|child| Pid::from_raw(child.id() as i32)) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+    }
+
     /// Where callers reach the daemons.
     pub fn callers(&self) -> Vec<SocketAddr> {
         let port = self.ports.callers;
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -4,4 +4,5 @@
 mod connection;
 mod fleet;
 mod judge;
+mod series;
 mod versions;
