--- a/crates/portrack-bench/src/days/day.rs
+++ b/crates/portrack-bench/src/days/day.rs
@@ -7,6 +7,8 @@
 const BUSY: f64 = 8.0;
 /// A later one.
 const LATER: f64 = 19.0;
+/// Right behind the later one.
+const RIGHT_BEHIND: f64 = 20.5;
 
 /// What comes together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +17,9 @@
     Single,
     /// Twice.
     Twice,
+    /// Three times: long after the first, and once more right behind that. What a step leaves behind
+    /// must not come back with the next.
+    Series,
     /// With the store down, the configuration changing and a planned stop.
     StoreDown,
     /// With a kill of the machine that ordered last.
@@ -22,14 +27,16 @@
 }
 
 impl Variant {
-    /// All of them.
-    pub const ALL: [Self; 4] = [Self::Single, Self::Twice, Self::StoreDown, Self::Restart];
+    /// All of them but series, which come behind all others: a day's seed is its number, and the
+    /// days that were played before keep theirs.
+    pub const FIRST: [Self; 4] = [Self::Single, Self::Twice, Self::StoreDown, Self::Restart];
 
     /// Its name in files.
     pub fn name(self) -> &'static str {
         match self {
             Self::Single => "single",
             Self::Twice => "twice",
+            Self::Series => "series",
             Self::StoreDown => "store-down",
             Self::Restart => "restart",
         }
@@ -48,9 +55,12 @@
         if kind.planned { plan.push(entry) } else { faults.push(entry) }
     };
     put(BUSY);
-    if variant == Variant::Twice {
+    if matches!(variant, Variant::Twice | Variant::Series) {
         put(LATER);
     }
+    if variant == Variant::Series {
+        put(RIGHT_BEHIND);
+    }
     match variant {
         Variant::StoreDown => {
             plan.push(r#"{ at = 7.0, kind = "config_change", how = "route" }"#.to_owned());
@@ -62,7 +72,7 @@
         Variant::Restart => {
             faults.push(r#"{ at = 8.6, kind = "node_kill", on = "core", count = 1, for_s = 2.5, how = "giver" }"#.to_owned());
         }
-        Variant::Single | Variant::Twice => {}
+        Variant::Single | Variant::Twice | Variant::Series => {}
     }
     let mut text = String::new();
     let seed = 90_000 + number * 17;
--- a/crates/portrack-bench/src/days/kinds.rs
+++ b/crates/portrack-bench/src/days/kinds.rs
@@ -26,6 +26,10 @@
         "class-burst",
         &format!(r#"kind = "burst", class = "{class}", x = 2.4, for_s = 4.0"#),
     ));
+    kinds.push(plan(
+        "version-popular",
+        r#"kind = "version_bump", how = "adapter", count = 0, x = 1.0"#,
+    ));
     kinds
 }
 
--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -74,7 +74,7 @@
     picture: Option<std::path::PathBuf>,
 }
 
-/// days for the users' bench: every kind of trouble, alone, twice, and overlapping with others
+/// days for the users' bench: every kind of trouble, alone, twice, in series, and overlapping with others
 #[derive(FromArgs)]
 #[argh(subcommand, name = "days")]
 struct Days {
