--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -255,6 +255,7 @@
         held: holder.version,
         demanded,
         newest: usable.map(|versions| versions.newest),
+        oldest: usable.map(|versions| versions.oldest),
         newest_known_for: usable.and_then(|versions| versions.newest_known_for),
     }));
     Choice { backend: holder.backend.clone(), adapter_version: demanded }
--- a/crates/portrack/src/gateway/versions.rs
+++ b/crates/portrack/src/gateway/versions.rs
@@ -104,6 +104,8 @@
     pub demanded: Option<u64>,
     /// The newest version named; `None` if nobody ever named one.
     pub newest: Option<u64>,
+    /// The oldest that could still be used; `None` likewise.
+    pub oldest: Option<u64>,
     /// Since when the newest is known; `None` if its name may be of any age.
     pub newest_known_for: Option<Duration>,
 }
@@ -124,6 +126,8 @@
     pub demanded: u64,
     /// The newest version named; 0 if nobody ever named one.
     pub newest: u64,
+    /// The oldest that could still be used; 0 likewise.
+    pub oldest: u64,
     /// Since when the newest is known, in milliseconds; -1 if its name may be of any age.
     pub newest_ms: i64,
 }
@@ -136,6 +140,7 @@
             held: choice.held,
             demanded: choice.demanded.unwrap_or(0),
             newest: choice.newest.unwrap_or(0),
+            oldest: choice.oldest.unwrap_or(0),
             newest_ms: known_for.and_then(|ms| i64::try_from(ms).ok()).unwrap_or(-1),
         }
     }
