--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -130,11 +130,9 @@
             };
             all.push(ModelServer::start(any, plan, &store).await.expect("a server starts"));
         }
-        let subnet = FLEETS.fetch_add(1, Ordering::Relaxed);
-        let [high, low, ..] = std::process::id().to_be_bytes().map(|byte| byte % 200);
-        let [.., third, fourth] = std::process::id().to_be_bytes();
-        let second = 64 + (high ^ low ^ third) % 128;
-        let address = |n: usize| Ipv4Addr::new(127, second, fourth, subnet * 16 + n as u8 + 1);
+        let second = 64 + (std::process::id() % 128) as u8;
+        let third = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let address = |n: usize| Ipv4Addr::new(127, second, third, n as u8 + 1);
         let mut fleet = Self {
             store,
             servers: all,
