What speaks the platform's protocol in the soak stands in platform/standins

The callers' requests and the operator's keys were in the test's own folder; the words of the users' pages belong to platform/.

--- a/crates/portrackd/tests/soak/callers.rs
+++ b/crates/portrackd/tests/soak/callers.rs
@@ -1,8 +1,7 @@
 //! Callers that keep their connections to one daemon for as long as its process lives.
 
-use crate::connection::Connection;
 use crate::fleet::{ADAPTERS, HOST, MODEL};
-use portrack_platform_standins::is_whole_answer;
+use portrack_platform_standins::{CHAT_PATH, CallerConnection, CallerRequest, is_whole_answer};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -14,8 +13,10 @@
 const POPULAR: f64 = 0.6;
 /// The longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 60;
-/// How long callers wait for an answer, in milliseconds.
-const DEADLINE_MS: u64 = 6_000;
+/// How long callers wait for an answer, as they tell the daemon.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// Added to that before a caller gives up by itself.
+const SLACK: Duration = Duration::from_secs(1);
 /// A caller that was refused waits no longer than this before it asks for something else.
 const LONGEST_RETRY: Duration = Duration::from_millis(1_500);
 
@@ -99,37 +100,39 @@
 /// Asks, and tells how it ended and after how long to come back. The connection is kept for the next
 /// request unless it broke or the daemon closes it.
 async fn ask(
-    kept: &mut Option<Connection>,
+    kept: &mut Option<CallerConnection>,
     daemon: SocketAddr,
     id: &str,
     adapter: usize,
 ) -> (End, Option<Duration>) {
-    let request = format!(
-        "POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-         Model: {MODEL}/a{adapter}\r\nToken-Counts: 10,20\r\nPrompt-Prefix: 1:10\r\n\
-         Content-Length: 3\r\n\r\nask"
-    );
+    let request = CallerRequest {
+        host: HOST,
+        path: &format!("{CHAT_PATH}x"),
+        id,
+        model: MODEL,
+        adapter: &format!("a{adapter}"),
+        patience: PATIENCE,
+    };
     let asking = async {
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => Connection::open(daemon).await?,
+            None => CallerConnection::open(daemon).await?,
         };
         let answer = connection.ask(&request).await?;
         *kept = Some(connection).filter(|_| !answer.closes());
         std::io::Result::Ok(answer)
     };
-    let patience = Duration::from_millis(DEADLINE_MS + 1_000);
-    let answer = match actix_rt::time::timeout(patience, asking).await {
+    let answer = match actix_rt::time::timeout(PATIENCE + SLACK, asking).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => return (End::Failed(error.to_string()), None),
         Err(_) => return (End::Failed("no answer in time".into()), None),
     };
-    let retry = answer.header("retry-after").and_then(|text| text.parse().ok());
+    let retry = answer.retry_after();
     let end = match answer.status {
         200 if is_whole_answer(id, &answer.body) => End::Served,
         200 => End::Wrong(answer.body),
-        408 | 421 | 429 | 503 => End::Refused(answer.status),
+        status if answer.is_refusal() => End::Refused(status),
         status => End::Failed(status.to_string()),
     };
-    (end, retry.map(Duration::from_secs_f64))
+    (end, retry)
 }
--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -1,9 +1,10 @@
 //! A small fleet: daemons as processes of their own, before a store and model servers in this
 //! process.
 
-use portrack_platform_standins::{ModelServer, Run, ServerPlan, StoreServer};
+use portrack_platform_standins::{
+    ChatPlan, ModelServer, Operator, READY_PATH, Run, ServerPlan, StoreServer,
+};
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
 use std::fs::{File, OpenOptions};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -15,6 +16,8 @@
 pub const MODEL: &str = "m";
 /// The host name of all routes.
 pub const HOST: &str = "h.example";
+/// The service of the model servers.
+const SERVICE: &str = "llm";
 /// Adapters that callers ask for, `a1` the most.
 pub const ADAPTERS: usize = 8;
 /// Places for adapters at each server: not all adapters fit everywhere.
@@ -82,32 +85,6 @@
     }
 }
 
-fn configuration(version: u64) -> Value {
-    json!({
-        "version": version,
-        "routes": [{
-            "name": "chat", "hostname": HOST, "path_prefix": "/chat/", "kind": "stream",
-            "timeout_ms": 8_000, "target_latency_ms": 1_000, "service": "llm", "max_attempts": 1,
-            "target_gap_ms": 250,
-        }],
-        "services": [{
-            "name": "llm", "max_conns": 400,
-            "engine": {
-                "slots": SLOTS, "kv_capacity": 100_000, "weights_mb": 1_000.0,
-                "adapter_slots": PLACES, "loads_per_s": 50.0,
-                "models": [{
-                    "name": MODEL, "weights_mb": 500.0, "load_s": 0.1, "adapters": 100,
-                    "adapter_mb": 10.0,
-                }],
-            },
-        }],
-        "limits": {
-            "max_header_bytes": 4_096, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
-            "idle_timeout_ms": 15_000,
-        },
-    })
-}
-
 impl Fleet {
     /// Starts servers, a store and daemons, and waits until each daemon is ready.
     pub async fn start(name: &str, daemons: usize, servers: usize) -> Self {
@@ -115,13 +92,20 @@
         std::fs::create_dir_all(&folder).expect("a folder for logs");
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let store = StoreServer::start(any).await.expect("the store starts");
-        store.put("op/config", &configuration(1));
+        let chat = ChatPlan {
+            host: HOST.into(),
+            service: SERVICE.into(),
+            model: MODEL.into(),
+            slots: SLOTS,
+            places: PLACES,
+        };
+        Operator(&store).configure(1, &chat);
         let mut all = Vec::new();
         for n in 0..servers {
             let adapters = (1..=ADAPTERS).filter(|adapter| adapter % servers == n);
             let plan = ServerPlan {
                 id: format!("i-{n}"),
-                service: "llm".into(),
+                service: SERVICE.into(),
                 hall: "a".into(),
                 model: MODEL.into(),
                 slots: SLOTS,
@@ -206,8 +190,7 @@
     /// Names the next version of an adapter.
     pub fn name_next(&mut self, adapter: &str) -> u64 {
         let version = self.newest(adapter) + 1;
-        let value = json!({ "model": MODEL, "adapter": adapter, "version": version });
-        let accepted = self.store.put(&format!("op/version/{MODEL}.{adapter}"), &value);
+        let accepted = Operator(&self.store).name_version(MODEL, adapter, version);
         self.names.push(Name { adapter: adapter.into(), version, accepted });
         version
     }
@@ -244,7 +227,7 @@
     async fn until_ready(&self) {
         let deadline = Instant::now() + START_WITHIN;
         for daemon in &self.daemons {
-            let url = format!("http://{}:{}/portrack/ready", daemon.address, self.ports.readiness);
+            let url = format!("http://{}:{}{READY_PATH}", daemon.address, self.ports.readiness);
             while !is_ready(&url).await {
                 assert!(Instant::now() < deadline, "{} is not ready", daemon.node);
                 actix_rt::time::sleep(Duration::from_millis(50)).await;
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -1,7 +1,6 @@
 //! The daemon's real processes before stand-ins of the platform, under names, kills and restarts.
 
 mod callers;
-mod connection;
 mod fleet;
 mod judge;
 mod series;
