--- a/crates/portrack-bench/src/days/mod.rs
+++ b/crates/portrack-bench/src/days/mod.rs
@@ -1,4 +1,5 @@
-//! Days that put each kind of trouble at a busy moment, alone, twice, in series and overlapping with others.
+//! Days that put each kind of trouble at a busy moment: alone, twice, in series and overlapping with
+//! others.
 
 mod day;
 mod kinds;
--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet: daemons as processes of their own, before a store and model servers in this
 //! process.
 
+use portrack::gateway::log_field;
 use portrack_platform_standins::{
     ChatPlan, ModelServer, Operator, READY_PATH, Run, ServerPlan, StoreServer,
 };
@@ -211,19 +212,22 @@
         &self.folder
     }
 
-    /// The log lines of the daemons that name a request.
-    pub fn log_lines(&self, request: &str) -> Vec<String> {
-        let mark = format!("request={request} ");
-        let logs = self.daemons.iter().map(|daemon| {
-            (daemon.node.clone(), std::fs::read_to_string(&daemon.log).unwrap_or_default())
-        });
-        let lines = logs.flat_map(|(node, text)| {
-            let found = text.lines().filter(|line| line.contains(&mark));
-            found.map(|line| format!("{node}: {line}")).collect::<Vec<_>>()
+    /// The lines about requests in the daemons' logs, each behind its daemon's name.
+    pub fn request_lines(&self) -> Vec<String> {
+        let lines = self.daemons.iter().flat_map(|daemon| {
+            let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+            let lines = log.lines().filter(|line| log_field(line, "event") == Some("request"));
+            lines.map(|line| format!("{}: {line}", daemon.node)).collect::<Vec<_>>()
         });
         lines.collect()
     }
 
+    /// Those about one request.
+    pub fn lines_of(&self, request: &str) -> Vec<String> {
+        let lines = self.request_lines().into_iter();
+        lines.filter(|line| log_field(line, "request") == Some(request)).collect()
+    }
+
     async fn until_ready(&self) {
         let deadline = Instant::now() + START_WITHIN;
         for daemon in &self.daemons {
--- a/crates/portrackd/tests/soak/series.rs
+++ b/crates/portrackd/tests/soak/series.rs
@@ -133,7 +133,7 @@
         return Ok(told);
     }
     for old in verdict.old_versions.iter().take(3) {
-        play.fleet.log_lines(&old.run.request).iter().for_each(|line| println!("  {line}"));
+        play.fleet.lines_of(&old.run.request).iter().for_each(|line| println!("  {line}"));
     }
     Err(format!("{told}; logs in {}; {verdict:?}", play.fleet.folder().display()))
 }
--- a/crates/portrackd/tests/soak/versions.rs
+++ b/crates/portrackd/tests/soak/versions.rs
@@ -10,6 +10,7 @@
 use crate::callers::Callers;
 use crate::fleet::Fleet;
 use crate::judge::{Verdict, served_after};
+use portrack::gateway::log_field;
 use std::time::{Duration, Instant};
 
 const POPULAR: &str = "a1";
@@ -43,7 +44,7 @@
     for old in verdict.old_versions.iter().take(5) {
         let ms = old.late.as_millis();
         println!("version {} {ms} ms after version {}: {:?}", old.run.version, old.newer, old.run);
-        fleet.log_lines(&old.run.request).iter().for_each(|line| println!("  {line}"));
+        fleet.lines_of(&old.run.request).iter().for_each(|line| println!("  {line}"));
     }
     println!("{:?}", verdict.ends);
     assert!(
@@ -56,4 +57,28 @@
         fleet.folder().display()
     );
     assert!(served_after(&asked, calm) > 0.9, "{:?}", verdict.ends);
+    let versions: Vec<Versions> =
+        fleet.request_lines().iter().filter_map(|line| Versions::read(line)).collect();
+    let older = versions.iter().filter(|versions| versions.held < versions.newest).count();
+    assert!(older > 0, "an older version is used for a while");
+    let wrong = versions.iter().find(|versions| versions.held < versions.oldest);
+    assert!(wrong.is_none(), "{wrong:?}");
+}
+
+/// What a request's line says of the versions of its adapter.
+#[derive(Debug)]
+struct Versions {
+    held: u64,
+    oldest: u64,
+    newest: u64,
+}
+
+impl Versions {
+    /// Reads a line; `None` if no version was named or no server chosen.
+    fn read(line: &str) -> Option<Self> {
+        let number = |key| log_field(line, key)?.parse::<u64>().ok().filter(|number| *number > 0);
+        let newest = number("newest_version")?;
+        let held = number("held_version")?;
+        Some(Self { held, oldest: number("oldest_version").unwrap_or(0), newest })
+    }
 }
