--- a/crates/portrackd/tests/soak/series.rs
+++ b/crates/portrackd/tests/soak/series.rs
@@ -1,6 +1,7 @@
 //! Random series of names, kills, planned stops and restarts that overlap, each from a seed.
 //!
-//! `PORTRACK_SOAK_FIRST` and `PORTRACK_SOAK_SEEDS` name other seeds than the few that run always.
+//! `PORTRACK_SOAK_FIRST` and `PORTRACK_SOAK_SEEDS` name other seeds than the few that run always,
+//! `PORTRACK_SOAK_DAEMONS` other sizes of the fleet; plays of larger fleets come one after the other.
 
 use crate::callers::Callers;
 use crate::fleet::{ADAPTERS, Fleet};
@@ -13,9 +14,10 @@
 /// The first seed and the number of seeds, where the environment names none.
 const FIRST_SEED: u64 = 1;
 const SEEDS: u64 = 4;
-/// Plays at the same time, so that the processes of all are within what a small machine bears.
-const AT_ONCE: usize = 4;
-const DAEMONS: usize = 3;
+/// Processes at the same time, in plays of small fleets: within what a small machine bears.
+const PROCESSES: usize = 12;
+/// Daemons of a fleet, where the environment names none.
+const DAEMONS: u64 = 3;
 const SERVERS: usize = 3;
 const CALLERS: usize = 16;
 /// How long things happen.
@@ -56,7 +58,7 @@
 struct Play {
     fleet: Fleet,
     random: SmallRng,
-    up_at: [Option<Instant>; DAEMONS],
+    up_at: Vec<Option<Instant>>,
 }
 
 impl Play {
@@ -86,7 +88,8 @@
     async fn step(&mut self) {
         let (step, _) =
             *STEPS.choose_weighted(&mut self.random, |(_, weight)| *weight).expect("some step");
-        let daemon = self.random.random_range(0..DAEMONS);
+        let daemons = self.up_at.len();
+        let daemon = self.random.random_range(0..daemons);
         match step {
             Step::NamePopular => {
                 self.fleet.name_next("a1");
@@ -97,7 +100,7 @@
             }
             Step::Kill { all: false } => self.take_down(daemon, Fleet::kill),
             Step::Kill { all: true } => {
-                (0..DAEMONS).for_each(|daemon| self.take_down(daemon, Fleet::kill));
+                (0..daemons).for_each(|daemon| self.take_down(daemon, Fleet::kill));
             }
             Step::Terminate => self.take_down(daemon, Fleet::terminate),
             Step::Rest => self.pass(Duration::from_millis(5_200)).await,
@@ -108,10 +111,10 @@
 }
 
 /// Plays a seed, and tells what was broken.
-async fn play(seed: u64) -> Result<String, String> {
-    let fleet = Fleet::start(&format!("seed-{seed}"), DAEMONS, SERVERS).await;
+async fn play(seed: u64, daemons: usize) -> Result<String, String> {
+    let fleet = Fleet::start(&format!("seed-{seed}"), daemons, SERVERS).await;
     let random = SmallRng::seed_from_u64(seed);
-    let mut play = Play { fleet, random, up_at: [None; DAEMONS] };
+    let mut play = Play { fleet, random, up_at: vec![None; daemons] };
     let callers = Callers::default();
     callers.start(seed, CALLERS, &play.fleet.callers());
     play.pass(Duration::from_millis(500)).await;
@@ -146,9 +149,10 @@
 async fn random_series_of_names_kills_and_stops_break_nothing() {
     let first = number("PORTRACK_SOAK_FIRST", FIRST_SEED);
     let seeds: Vec<u64> = (first..first + number("PORTRACK_SOAK_SEEDS", SEEDS)).collect();
+    let daemons = number("PORTRACK_SOAK_DAEMONS", DAEMONS) as usize;
     let mut broken = Vec::new();
-    for chunk in seeds.chunks(AT_ONCE) {
-        let plays = chunk.iter().map(|seed| play(*seed));
+    for chunk in seeds.chunks((PROCESSES / daemons).max(1)) {
+        let plays = chunk.iter().map(|seed| play(*seed, daemons));
         for played in futures_util::future::join_all(plays).await {
             match played {
                 Ok(told) => println!("{told}"),
