--- a/crates/portrack/src/gateway/load_reports.rs
+++ b/crates/portrack/src/gateway/load_reports.rs
@@ -110,7 +110,7 @@
         runs: Duration,
     ) -> Option<(ReplicaDemand, u64)> {
         let view = self.path.view.borrow();
-        let newest = view.newest_version(now, key);
+        let newest = view.newest_version(key);
         let mut all = view.holdings.holders(now, key);
         all.sort();
         let (_, mine) = all.iter().find(|(id, _)| id == server)?;
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -125,7 +125,7 @@
         if view.holdings.expected(now, key).is_some() {
             return;
         }
-        let version = view.newest_version(now, key);
+        let version = view.newest_version(key);
         let outdated = view.holdings.holders(now, key);
         let open = view.open_backends(&job.service.name).filter(|backend| {
             let holds = backend.model(&key.model).is_some();
@@ -246,19 +246,11 @@
     version: u64,
 }
 
-/// A holder as a request's choice, with the reasons kept for the request's log line. Once a version
-/// was named, the server is told which one is meant, also if it is an older one: a server that holds
-/// something else than believed turns the request away in place of running it.
+/// A holder as a request's choice, with the reasons kept for the request's log line.
 fn chosen(job: &Job<'_>, holder: &Holder, usable: Option<UsableVersions>) -> Choice {
-    let demanded = usable.map(|_| holder.version);
-    job.progress.version.set(Some(VersionChoice {
-        held: holder.version,
-        demanded,
-        newest: usable.map(|versions| versions.newest),
-        oldest: usable.map(|versions| versions.oldest),
-        newest_known_for: usable.and_then(|versions| versions.newest_known_for),
-    }));
-    Choice { backend: holder.backend.clone(), adapter_version: demanded }
+    let version = VersionChoice { held: holder.version, usable };
+    job.progress.version.set(Some(version));
+    Choice { backend: holder.backend.clone(), adapter_version: version.demanded() }
 }
 
 /// The first of some holders, which come with the cheapest first; where loads are known late, the
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/planner.rs
@@ -8,6 +8,7 @@
 use super::fetch_limit::FetchLimit;
 use super::load_budget::LoadBudget;
 use super::planned_server::{PlannedServer, SlotState};
+use super::view::FIRST_VERSION;
 use crate::types::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -216,7 +217,7 @@
         if server.draining || server.models.is_empty() {
             return WishAnswer::Refused;
         }
-        let version = version.max(self.versions.get(key).copied().unwrap_or(1));
+        let version = version.max(self.versions.get(key).copied().unwrap_or(FIRST_VERSION));
         if let Some(slot) = server.slots.get(key)
             && slot.version >= version
         {
@@ -361,7 +362,7 @@
     fn adapter_load(&mut self, now: Time, spec: &EngineSpec, wanted: &Wanted) -> Option<Plan> {
         let Wanted { server: id, key, wish, .. } = wanted;
         let versions = &self.versions;
-        let newest = |key: &AdapterKey| versions.get(key).copied().unwrap_or(1);
+        let newest = |key: &AdapterKey| versions.get(key).copied().unwrap_or(FIRST_VERSION);
         let version = wish.version.max(newest(key));
         let server = self.servers.get_mut(id)?;
         if !server.takes_adapters(now, &key.model) {
--- a/crates/portrack/src/gateway/versions.rs
+++ b/crates/portrack/src/gateway/versions.rs
@@ -61,6 +61,11 @@
         true
     }
 
+    /// The newest version named.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
     /// Forgets names whose grace is over, and keeps what they put out of use.
     fn end_graces(&mut self, now: Time) {
         self.oldest_usable = self.oldest_usable_at(now);
@@ -100,20 +105,21 @@
 pub struct VersionChoice {
     /// What the chosen server is believed to hold.
     pub held: u64,
-    /// What the server is told that it must hold; `None` if it may run any version.
-    pub demanded: Option<u64>,
-    /// The newest version named; `None` if nobody ever named one.
-    pub newest: Option<u64>,
-    /// The oldest that could still be used; `None` likewise.
-    pub oldest: Option<u64>,
-    /// Since when the newest is known; `None` if its name may be of any age.
-    pub newest_known_for: Option<Duration>,
+    /// What could be used then; `None` if nobody ever named a version.
+    pub usable: Option<UsableVersions>,
 }
 
 impl VersionChoice {
+    /// What the server is told that it must hold; `None` if it may run any version. Once a version was
+    /// named, the server is told which one is meant, also if it is an older one: a server that holds
+    /// something else than believed turns the request away in place of running it.
+    pub fn demanded(&self) -> Option<u64> {
+        self.usable.map(|_| self.held)
+    }
+
     /// True if a newer version was known when the server was chosen.
     pub fn is_older(&self) -> bool {
-        self.newest.is_some_and(|newest| self.held < newest)
+        self.usable.is_some_and(|usable| self.held < usable.newest)
     }
 }
 
@@ -135,13 +141,14 @@
 impl From<Option<VersionChoice>> for VersionFields {
     fn from(choice: Option<VersionChoice>) -> Self {
         let Some(choice) = choice else { return Self::default() };
-        let known_for = choice.newest_known_for.map(|known| known.as_millis());
+        let known_for = choice.usable.and_then(|usable| usable.newest_known_for);
+        let known_ms = known_for.and_then(|known| i64::try_from(known.as_millis()).ok());
         Self {
             held: choice.held,
-            demanded: choice.demanded.unwrap_or(0),
-            newest: choice.newest.unwrap_or(0),
-            oldest: choice.oldest.unwrap_or(0),
-            newest_ms: known_for.and_then(|ms| i64::try_from(ms).ok()).unwrap_or(-1),
+            demanded: choice.demanded().unwrap_or(0),
+            newest: choice.usable.map_or(0, |usable| usable.newest),
+            oldest: choice.usable.map_or(0, |usable| usable.oldest),
+            newest_ms: known_ms.unwrap_or(-1),
         }
     }
 }
--- a/crates/portrack/src/gateway/view.rs
+++ b/crates/portrack/src/gateway/view.rs
@@ -86,8 +86,8 @@
     }
 
     /// The newest version of an adapter, as far as known.
-    pub fn newest_version(&self, now: Time, key: &AdapterKey) -> u64 {
-        self.usable_versions(now, key).map_or(FIRST_VERSION, |versions| versions.newest)
+    pub fn newest_version(&self, key: &AdapterKey) -> u64 {
+        self.versions.get(key).map_or(FIRST_VERSION, NamedVersions::newest)
     }
 
     /// Takes a change of the mirror in. `learned_at` is `None` for what may be of any age.
