--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -6,6 +6,7 @@
 mod days;
 mod fleet;
 mod policy;
+mod quotas;
 
 use argh::FromArgs;
 use std::alloc::System;
@@ -30,6 +31,7 @@
     Days(Days),
     Credit(Credit),
     Adapters(Adapters),
+    Quotas(Quotas),
 }
 
 /// one hall of real daemon processes on loopback, measured from outside
@@ -104,6 +106,18 @@
     seconds: u64,
 }
 
+/// ways to count organisations' quotas over a fleet, under the same demand and troubles
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quotas")]
+struct Quotas {
+    /// plays of each trouble (default 5)
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// nodes (default 72)
+    #[argh(option, default = "72")]
+    nodes: usize,
+}
+
 /// where the credit of a day on the users' bench went, by cause
 #[derive(FromArgs)]
 #[argh(subcommand, name = "credit")]
@@ -134,6 +148,7 @@
             println!("{written} days");
         }
         Command::Adapters(args) => print!("{}", adapters::report(args.seeds, args.seconds)),
+        Command::Quotas(args) => print!("{}", quotas::report(args.seeds, args.nodes)),
         Command::Credit(args) => {
             print!("{}", credit::text(&args.report, args.log.as_deref())?);
         }
--- /dev/null
+++ b/crates/portrack/src/gateway/admission/bucket.rs
@@ -0,0 +1,56 @@
+//! A bucket of units that refills with time and may run into debt.
+
+use super::organisations::Quota;
+use crate::types::Time;
+use std::time::Duration;
+
+/// A bucket holds at least what comes in within this, so that a quota without a burst can be used.
+const LEAST_DEPTH: Duration = Duration::from_millis(250);
+/// A new bucket begins with what comes in within this: whoever counted before may have given out the
+/// rest a moment ago.
+const FIRST_LEVEL: Duration = Duration::from_millis(100);
+/// Debt is forgiven beyond what comes in within this, for a limit that was lowered far below what it
+/// was.
+const MOST_DEBT: Duration = Duration::from_millis(2_000);
+
+/// The bucket.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TokenBucket {
+    level: f64,
+    at: Time,
+}
+
+impl TokenBucket {
+    /// A bucket of which nothing is known.
+    pub fn new(now: Time, quota: &Quota) -> Self {
+        Self { level: quota.refill(FIRST_LEVEL), at: now }
+    }
+
+    /// How much a full one holds.
+    pub fn depth(quota: &Quota) -> f64 {
+        quota.burst.max(quota.refill(LEAST_DEPTH))
+    }
+
+    /// Lets in what has come since; `share` is the part of it that is this bucket's.
+    pub fn refill(&mut self, now: Time, quota: &Quota, share: f64) {
+        let came = quota.refill(now.since(self.at)) * share;
+        let most_debt = -quota.refill(MOST_DEBT);
+        self.level = (self.level + came).clamp(most_debt, Self::depth(quota));
+        self.at = now;
+    }
+
+    /// What is in it; negative for a debt.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Takes units out, or puts them back if they are negative.
+    pub fn take(&mut self, units: f64) {
+        self.level -= units;
+    }
+
+    /// Believes another bucket of the same quota, which knows more.
+    pub fn set_level(&mut self, level: f64) {
+        self.level = level;
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/admission/credential.rs
@@ -0,0 +1,53 @@
+//! What a caller shows to be let in.
+
+use sha2::{Digest, Sha256};
+use std::fmt;
+
+/// Bytes of a digest: no two of the keys in use share one by chance, and none can be found from it.
+const LENGTH: usize = 16;
+
+/// Stands for a key wherever it is kept, compared or handed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct KeyDigest([u8; LENGTH]);
+
+impl KeyDigest {
+    /// The digest of a key.
+    pub fn of(key: &str) -> Self {
+        let whole = Sha256::digest(key.as_bytes());
+        let mut digest = [0; LENGTH];
+        digest.copy_from_slice(&whole[..LENGTH]);
+        Self(digest)
+    }
+
+    /// Reads a digest that was written with [`fmt::Display`].
+    pub fn parse(text: &str) -> Option<Self> {
+        if text.len() != 2 * LENGTH || !text.is_ascii() {
+            return None;
+        }
+        let mut digest = [0; LENGTH];
+        for (byte, at) in digest.iter_mut().zip((0..text.len()).step_by(2)) {
+            *byte = u8::from_str_radix(&text[at..at + 2], 16).ok()?;
+        }
+        Some(Self(digest))
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(out, "{byte:02x}"))
+    }
+}
+
+/// What a request shows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// Nothing.
+    #[default]
+    Missing,
+    /// Several keys.
+    Doubled,
+    /// Something that is no key.
+    Malformed,
+    /// One key.
+    Key(KeyDigest),
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/admission/ledger.rs
@@ -0,0 +1,288 @@
+//! What an accountant has counted of each organisation, with what the others tell.
+//!
+//! Each data hall has an accountant for an organisation, which daemons of that hall ask before they
+//! send a request. Accountants tell each other what they have admitted so far, so each knows what the
+//! whole fleet has, a tenth of a second late at most where it matters; what is admitted meanwhile
+//! becomes a debt that is paid back at once. A hall that falls silent is taken to go on with its part.
+
+use super::bucket::TokenBucket;
+use super::organisations::{OrganisationMark, Quota};
+use super::pace::Pace;
+use super::quotas::QuotaCount;
+use crate::types::Time;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A hall whose accountants tell nothing for so long is silent: three tellings are lost.
+const HALL_SILENT: Duration = Duration::from_millis(900);
+/// Its part is held back for so long: until its keys cannot be proved any more, and a window passes.
+const HELD_BACK: Duration = Duration::from_secs(12);
+/// Accountants heard within this of the last one of their hall count together.
+const TOGETHER: Duration = Duration::from_millis(1_000);
+/// An account that nobody has asked for so long is closed.
+const CLOSED_AFTER: Duration = Duration::from_secs(30);
+/// A new account believes the first level it is told within this.
+const YOUNG: Duration = Duration::from_millis(1_000);
+/// The longest time after which a refused caller is told to come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(8);
+
+/// What an accountant says to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is within the quota.
+    Granted,
+    /// It is beyond the quota; when there may be room again.
+    Refused(Duration),
+}
+
+/// Another accountant of an organisation.
+#[derive(Debug, Clone)]
+struct Other {
+    hall: Rc<str>,
+    born: u64,
+    admitted: f64,
+    pace: f64,
+    heard_at: Time,
+}
+
+/// What is counted of one organisation.
+#[derive(Debug)]
+struct Account {
+    born: u64,
+    opened_at: Time,
+    asked_at: Time,
+    bucket: TokenBucket,
+    admitted: f64,
+    pace: Pace,
+    others: HashMap<SocketAddr, Other>,
+    /// What each daemon has given back to this account, with the daemon's incarnation.
+    returned: HashMap<SocketAddr, (u64, f64)>,
+    /// Refused callers are told to come back one after the other; the last at this time.
+    promised_until: Time,
+}
+
+impl Account {
+    fn new(now: Time, born: u64, quota: &Quota) -> Self {
+        Self {
+            born,
+            opened_at: now,
+            asked_at: now,
+            bucket: TokenBucket::new(now, quota),
+            admitted: 0.0,
+            pace: Pace::default(),
+            others: HashMap::new(),
+            returned: HashMap::new(),
+            promised_until: now,
+        }
+    }
+
+    /// Units a second and the time of the last news, for each other hall.
+    fn halls(&self, mine: &str) -> BTreeMap<&str, (f64, Time)> {
+        let mut last: BTreeMap<&str, Time> = BTreeMap::new();
+        for other in self.others.values().filter(|other| &*other.hall != mine) {
+            let at = last.entry(&other.hall).or_default();
+            *at = other.heard_at.max(*at);
+        }
+        let pace = |hall: &str, at: Time| -> f64 {
+            let together = self
+                .others
+                .values()
+                .filter(|other| &*other.hall == hall && at.since(other.heard_at) <= TOGETHER);
+            together.map(|other| other.pace).sum()
+        };
+        last.into_iter().map(|(hall, at)| (hall, (pace(hall, at), at))).collect()
+    }
+
+    /// Units a second of all halls that are heard, and of those that have fallen silent.
+    fn paces(&self, now: Time, mine: &str) -> (f64, f64) {
+        let near = self
+            .others
+            .values()
+            .filter(|other| &*other.hall == mine && now.since(other.heard_at) < HALL_SILENT);
+        let mut heard = self.pace.per_second(now) + near.map(|other| other.pace).sum::<f64>();
+        let mut silent = 0.0;
+        for (pace, at) in self.halls(mine).into_values() {
+            match now.since(at) {
+                silence if silence < HALL_SILENT => heard += pace,
+                silence if silence < HELD_BACK => silent += pace,
+                _ => {}
+            }
+        }
+        (heard, silent)
+    }
+
+    fn refill(&mut self, now: Time, quota: &Quota, mine: &str) {
+        let (heard, silent) = self.paces(now, mine);
+        let share = match heard + silent {
+            all if all > 0.0 => heard / all,
+            _ => 1.0,
+        };
+        self.bucket.refill(now, quota, share);
+    }
+
+    fn ask(&mut self, now: Time, quota: &Quota, units: f64) -> Verdict {
+        self.asked_at = now;
+        if self.bucket.level() > 0.0 {
+            self.bucket.take(units);
+            self.admitted += units;
+            self.pace.count(now, units);
+            return Verdict::Granted;
+        }
+        let span = |units: f64| Duration::from_secs_f64(units.max(0.0) / quota.per_second);
+        let paid = now + span(-self.bucket.level());
+        let latest = now + LONGEST_RETRY;
+        self.promised_until = (self.promised_until.max(paid) + span(units)).min(latest);
+        Verdict::Refused(self.promised_until.since(now).max(Duration::from_millis(1)))
+    }
+
+    fn give_back(&mut self, units: f64) {
+        self.bucket.take(-units);
+        self.admitted -= units;
+    }
+
+    /// Takes in what another accountant tells.
+    fn heard(&mut self, now: Time, from: SocketAddr, hall: &Rc<str>, count: &QuotaCount) {
+        if self.others.get(&from).is_some_and(|other| other.born > count.born) {
+            return;
+        }
+        let theirs = Duration::from_millis(count.open_ms.into());
+        let mine = now.since(self.opened_at);
+        let seen = match self.others.get(&from) {
+            Some(other) if other.born == count.born => other.admitted,
+            // It began to count after this account: all that it has admitted is news.
+            _ if theirs <= mine => 0.0,
+            _ => {
+                if mine < YOUNG {
+                    self.bucket.set_level(count.level - self.admitted);
+                }
+                count.admitted
+            }
+        };
+        // Told late or twice, the same is taken out and put back.
+        self.bucket.take(count.admitted - seen);
+        let other = Other {
+            hall: hall.clone(),
+            born: count.born,
+            admitted: count.admitted,
+            pace: count.pace,
+            heard_at: now,
+        };
+        self.others.insert(from, other);
+    }
+}
+
+/// The accounts of one daemon.
+#[derive(Debug)]
+pub struct Ledger {
+    hall: Rc<str>,
+    accounts: HashMap<OrganisationMark, Account>,
+}
+
+impl Ledger {
+    /// A ledger without accounts, of a daemon in a hall.
+    pub fn new(hall: &str) -> Self {
+        Self { hall: hall.into(), accounts: HashMap::new() }
+    }
+
+    /// Decides on a request of `units`. `born` tells this account from another one of this daemon.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        mark: OrganisationMark,
+        quota: &Quota,
+        units: f64,
+        born: u64,
+    ) -> Verdict {
+        let account = self.accounts.entry(mark).or_insert_with(|| Account::new(now, born, quota));
+        account.refill(now, quota, &self.hall);
+        account.ask(now, quota, units)
+    }
+
+    /// Takes back the units of a request that has not run after all.
+    pub fn give_back(&mut self, mark: OrganisationMark, units: f64) {
+        if let Some(account) = self.accounts.get_mut(&mark) {
+            account.give_back(units);
+        }
+    }
+
+    /// Takes in what a daemon has given back in this life of it. The first it tells is where it
+    /// begins: what was given back to an earlier account is not this one's. Told late or twice, it
+    /// changes nothing.
+    pub fn returned(
+        &mut self,
+        from: SocketAddr,
+        incarnation: u64,
+        mark: OrganisationMark,
+        all: f64,
+    ) {
+        let Some(account) = self.accounts.get_mut(&mark) else { return };
+        let (life, before) = *account.returned.entry(from).or_insert((incarnation, all));
+        if life > incarnation || (life == incarnation && all <= before) {
+            return;
+        }
+        account.returned.insert(from, (incarnation, all));
+        if life == incarnation {
+            account.give_back(all - before);
+        }
+    }
+
+    /// Takes in what another accountant tells of an organisation.
+    pub fn heard(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        hall: &Rc<str>,
+        count: &QuotaCount,
+        quota: &Quota,
+    ) {
+        let Some(account) = self.accounts.get_mut(&count.organisation) else { return };
+        account.refill(now, quota, &self.hall);
+        account.heard(now, from, hall, count);
+    }
+
+    /// What the whole fleet sends a second, as a share of what the quota allows.
+    pub fn use_of(&self, now: Time, mark: OrganisationMark, quota: &Quota) -> f64 {
+        let Some(account) = self.accounts.get(&mark) else { return 0.0 };
+        let (heard, silent) = account.paces(now, &self.hall);
+        (heard + silent) / quota.per_second
+    }
+
+    /// What other accountants are to be told: of all organisations, or only of those near their
+    /// limit.
+    pub fn counts(
+        &mut self,
+        now: Time,
+        all: bool,
+        quota_of: impl Fn(OrganisationMark) -> Option<Quota>,
+    ) -> Vec<QuotaCount> {
+        self.accounts.retain(|_, account| now.since(account.asked_at) < CLOSED_AFTER);
+        let mut counts = Vec::new();
+        for (mark, account) in &mut self.accounts {
+            let Some(quota) = quota_of(*mark) else { continue };
+            account.refill(now, &quota, &self.hall);
+            let level = account.bucket.level();
+            if !all && level > TokenBucket::depth(&quota) / 2.0 {
+                continue;
+            }
+            counts.push(QuotaCount {
+                organisation: *mark,
+                born: account.born,
+                open_ms: now.since(account.opened_at).as_millis().try_into().unwrap_or(u32::MAX),
+                admitted: account.admitted,
+                level,
+                pace: account.pace.per_second(now),
+            });
+        }
+        counts
+    }
+
+    /// Other daemons that count for an organisation, as heard lately.
+    pub fn others(&self, now: Time, mark: OrganisationMark) -> Vec<SocketAddr> {
+        let Some(account) = self.accounts.get(&mark) else { return Vec::new() };
+        let heard = account.others.iter();
+        let heard = heard.filter(|(_, other)| now.since(other.heard_at) < HELD_BACK);
+        heard.map(|(address, _)| *address).collect()
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/admission/quotas.rs
@@ -0,0 +1,394 @@
+//! Asks accountants on behalf of requests, and answers daemons that ask this one.
+
+use super::accountants::{Accountant, Accountants};
+use super::blind::BlindShare;
+use super::ledger::{Ledger, Verdict};
+use super::organisations::{Organisation, OrganisationMark, Quota};
+use crate::gateway::caller::{RefusalReason, Refused};
+use crate::gateway::message::PeerMessage;
+use crate::gateway::messenger::Messenger;
+use crate::gateway::view::FleetView;
+use crate::types::{Clock, Time};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// The longest wait for an accountant, which is of the same data hall: a hundred times the way there
+/// and back, and most of the pause of a processor that has used up its share.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(60);
+/// Accountants that one request asks.
+const TRIES: usize = 2;
+/// One that did not answer is not asked for so long.
+const SHUNNED_FOR: Duration = Duration::from_millis(2_000);
+/// When to come back if no accountant answers and this daemon's own part is used up.
+const BLIND_RETRY: Duration = Duration::from_millis(700);
+/// Between tellings of what is counted, for organisations near their limit.
+pub(in crate::gateway) const TOLD_EVERY: Duration = Duration::from_millis(100);
+/// The others are told of in every so many of these.
+const ALL_TOLD_EVERY: u64 = 3;
+/// Counts in one datagram.
+const COUNTS_CHUNK: usize = 24;
+
+/// Asks for a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaAsk {
+    /// Tells the answer's question.
+    pub ask: u32,
+    /// Whose request it is.
+    pub organisation: OrganisationMark,
+    /// What the request takes.
+    pub units: f64,
+}
+
+/// The answer of an accountant.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaAnswer {
+    /// The question.
+    pub ask: u32,
+    /// When there may be room, in milliseconds; the request is let in if left out.
+    pub refused_ms: Option<u32>,
+    /// What the fleet sends, in percent of the limit.
+    pub used_percent: u16,
+}
+
+/// What one accountant has counted of an organisation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaCount {
+    /// The organisation.
+    pub organisation: OrganisationMark,
+    /// Differs with every account that the daemon opens for it.
+    pub born: u64,
+    /// For how long the account has been open, in milliseconds.
+    pub open_ms: u32,
+    /// Units let in since.
+    pub admitted: f64,
+    /// Units left, as this accountant knows it.
+    pub level: f64,
+    /// Units let in a second lately.
+    pub pace: f64,
+}
+
+/// What an accountant tells the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaCounts {
+    /// Its data hall.
+    pub hall: String,
+    /// Its counts.
+    pub counts: Vec<QuotaCount>,
+}
+
+/// What a daemon has given back to an accountant: units of requests that have not run after all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaReturned {
+    /// The daemon's incarnation.
+    pub incarnation: u64,
+    /// All units since it started, by organisation.
+    pub units: Vec<(OrganisationMark, f64)>,
+}
+
+/// What daemons tell each other of quotas.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum QuotaMessage {
+    /// To an accountant.
+    Ask(QuotaAsk),
+    /// To the daemon that asked.
+    Answer(QuotaAnswer),
+    /// To the other accountants.
+    Counts(QuotaCounts),
+    /// To an accountant.
+    Returned(QuotaReturned),
+}
+
+/// The quotas as one daemon sees them.
+pub struct Quotas {
+    clock: Rc<dyn Clock>,
+    view: Rc<RefCell<FleetView>>,
+    messenger: Rc<Messenger>,
+    me: Accountant,
+    incarnation: u64,
+    ledger: RefCell<Ledger>,
+    accountants: RefCell<Accountants>,
+    waiting: RefCell<HashMap<u32, oneshot::Sender<QuotaAnswer>>>,
+    asked: Cell<u32>,
+    tellings: Cell<u64>,
+    shunned: RefCell<HashMap<SocketAddr, Time>>,
+    blind: RefCell<HashMap<OrganisationMark, BlindShare>>,
+    /// Given back so far, by the accountant that had let it in.
+    returned: RefCell<HashMap<SocketAddr, HashMap<OrganisationMark, f64>>>,
+    to_return: RefCell<Vec<(SocketAddr, OrganisationMark)>>,
+}
+
+impl Quotas {
+    /// Knows no other daemon yet.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        view: Rc<RefCell<FleetView>>,
+        messenger: Rc<Messenger>,
+        me: Accountant,
+        incarnation: u64,
+    ) -> Self {
+        let ledger = Ledger::new(&me.hall);
+        let accountants = RefCell::new(Accountants::new(vec![me.clone()]));
+        Self {
+            clock,
+            view,
+            messenger,
+            me,
+            incarnation,
+            ledger: RefCell::new(ledger),
+            accountants,
+            waiting: RefCell::default(),
+            asked: Cell::new(0),
+            tellings: Cell::new(0),
+            shunned: RefCell::default(),
+            blind: RefCell::default(),
+            returned: RefCell::default(),
+            to_return: RefCell::default(),
+        }
+    }
+
+    /// Takes in which other daemons are up.
+    pub fn set_others(&self, others: impl Iterator<Item = Accountant>) {
+        let all = std::iter::once(self.me.clone()).chain(others).collect();
+        self.accountants.replace(Accountants::new(all));
+        let now = self.clock.now();
+        self.shunned.borrow_mut().retain(|_, until| now < *until);
+    }
+
+    fn quota(&self, mark: OrganisationMark) -> Option<Quota> {
+        let view = self.view.borrow();
+        view.config()?.organisations.as_ref()?.by_mark(mark)?.quota
+    }
+
+    /// Lets a request in if its organisation's quota allows it.
+    pub async fn admit(
+        self: &Rc<Self>,
+        organisation: &Organisation,
+        tokens: Option<u64>,
+    ) -> Result<Charge, Refused> {
+        let Some(quota) = organisation.quota else { return Ok(Charge::free()) };
+        let mark = organisation.mark();
+        let units = quota.units(tokens);
+        for _ in 0..TRIES {
+            let Some(accountant) = self.accountant(mark) else { break };
+            let Some(answer) = self.ask(accountant, mark, &quota, units).await else {
+                let until = self.clock.now() + SHUNNED_FOR;
+                self.shunned.borrow_mut().insert(accountant, until);
+                continue;
+            };
+            return self.answered(accountant, mark, units, &answer);
+        }
+        let (now, daemons) = (self.clock.now(), self.accountants.borrow().count());
+        let mut blind = self.blind.borrow_mut();
+        match blind.entry(mark).or_default().admit(now, &quota, units, daemons) {
+            true => Ok(Charge::free()),
+            false => Err(Refused::new(RefusalReason::Quota, Some(BLIND_RETRY))),
+        }
+    }
+
+    /// What the fleet sends of an organisation, in percent of its limit, as told last; -1 if never.
+    pub fn used_percent(&self, mark: OrganisationMark) -> i64 {
+        let used = self.blind.borrow().get(&mark).and_then(BlindShare::used);
+        used.map_or(-1, |used| (used * 100.0).round() as i64)
+    }
+
+    fn accountant(&self, mark: OrganisationMark) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let shunned = self.shunned.borrow();
+        let skipped = |address: SocketAddr| shunned.get(&address).is_some_and(|at| now < *at);
+        self.accountants.borrow().first(&self.me.hall, mark, skipped)
+    }
+
+    async fn ask(
+        &self,
+        accountant: SocketAddr,
+        mark: OrganisationMark,
+        quota: &Quota,
+        units: f64,
+    ) -> Option<QuotaAnswer> {
+        let ask = self.asked.get().wrapping_add(1);
+        self.asked.set(ask);
+        let question = QuotaAsk { ask, organisation: mark, units };
+        if accountant == self.me.address {
+            return Some(self.decide(&question, quota));
+        }
+        let (answered, answer) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ask, answered);
+        self.messenger.tell(&PeerMessage::Quota(QuotaMessage::Ask(question)), accountant);
+        let answer = actix_rt::time::timeout(ANSWER_PATIENCE, answer).await;
+        self.waiting.borrow_mut().remove(&ask);
+        answer.ok()?.ok()
+    }
+
+    fn answered(
+        self: &Rc<Self>,
+        accountant: SocketAddr,
+        mark: OrganisationMark,
+        units: f64,
+        answer: &QuotaAnswer,
+    ) -> Result<Charge, Refused> {
+        let mut blind = self.blind.borrow_mut();
+        let share = blind.entry(mark).or_default();
+        share.told(f64::from(answer.used_percent) / 100.0);
+        if let Some(millis) = answer.refused_ms {
+            let after = Duration::from_millis(millis.into());
+            return Err(Refused::new(RefusalReason::Quota, Some(after)));
+        }
+        share.granted(self.clock.now(), units);
+        let taken = Taken { quotas: self.clone(), accountant, mark, units };
+        Ok(Charge { taken: Some(taken), may_have_run: false })
+    }
+
+    /// This daemon's own decision as an accountant.
+    fn decide(&self, question: &QuotaAsk, quota: &Quota) -> QuotaAnswer {
+        let now = self.clock.now();
+        let (mark, units) = (question.organisation, question.units);
+        let mut ledger = self.ledger.borrow_mut();
+        let verdict = ledger.ask(now, mark, quota, units, self.incarnation + now.0);
+        let used = ledger.use_of(now, mark, quota) * 100.0;
+        QuotaAnswer {
+            ask: question.ask,
+            refused_ms: match verdict {
+                Verdict::Granted => None,
+                Verdict::Refused(after) => Some(after.as_millis().try_into().unwrap_or(u32::MAX)),
+            },
+            used_percent: used as u16,
+        }
+    }
+
+    /// Takes in a message of another daemon.
+    pub fn on_message(&self, message: QuotaMessage, from: SocketAddr) {
+        let now = self.clock.now();
+        match message {
+            QuotaMessage::Ask(question) => {
+                // A configuration that does not know the organisation is left to answer for itself.
+                let Some(quota) = self.quota(question.organisation) else { return };
+                let answer = QuotaMessage::Answer(self.decide(&question, &quota));
+                self.messenger.tell(&PeerMessage::Quota(answer), from);
+            }
+            QuotaMessage::Answer(answer) => {
+                if let Some(waiting) = self.waiting.borrow_mut().remove(&answer.ask) {
+                    // The request may have been given up meanwhile.
+                    let _ = waiting.send(answer);
+                }
+            }
+            QuotaMessage::Counts(told) => {
+                let hall: Rc<str> = told.hall.into();
+                for count in &told.counts {
+                    let Some(quota) = self.quota(count.organisation) else { continue };
+                    self.ledger.borrow_mut().heard(now, from, &hall, count, &quota);
+                }
+            }
+            QuotaMessage::Returned(returned) => {
+                let mut ledger = self.ledger.borrow_mut();
+                for (mark, all) in returned.units {
+                    ledger.returned(from, returned.incarnation, mark, all);
+                }
+            }
+        }
+    }
+
+    /// Tells the other accountants what this one has counted, and accountants what was given back.
+    pub fn tell(&self) {
+        self.tell_returned();
+        let now = self.clock.now();
+        let telling = self.tellings.get();
+        self.tellings.set(telling + 1);
+        let all = telling.is_multiple_of(ALL_TOLD_EVERY);
+        let counts = self.ledger.borrow_mut().counts(now, all, |mark| self.quota(mark));
+        let mut by_target: HashMap<SocketAddr, Vec<QuotaCount>> = HashMap::new();
+        for count in counts {
+            for target in self.listeners(now, count.organisation) {
+                by_target.entry(target).or_default().push(count.clone());
+            }
+        }
+        for (target, counts) in by_target {
+            for chunk in counts.chunks(COUNTS_CHUNK) {
+                let hall = self.me.hall.to_string();
+                let told = QuotaMessage::Counts(QuotaCounts { hall, counts: chunk.to_vec() });
+                self.messenger.tell(&PeerMessage::Quota(told), target);
+            }
+        }
+    }
+
+    fn listeners(&self, now: Time, mark: OrganisationMark) -> Vec<SocketAddr> {
+        let mut listeners = self.accountants.borrow().everywhere(mark);
+        listeners.extend(self.ledger.borrow().others(now, mark));
+        listeners.sort();
+        listeners.dedup();
+        listeners.retain(|address| *address != self.me.address);
+        listeners
+    }
+
+    fn tell_returned(&self) {
+        let mut by_accountant: HashMap<SocketAddr, Vec<(OrganisationMark, f64)>> = HashMap::new();
+        let returned = self.returned.borrow();
+        for (accountant, mark) in self.to_return.take() {
+            let all = returned.get(&accountant).and_then(|marks| marks.get(&mark)).copied();
+            let told = by_accountant.entry(accountant).or_default();
+            if !told.iter().any(|(other, _)| *other == mark) {
+                told.push((mark, all.unwrap_or_default()));
+            }
+        }
+        for (accountant, told) in by_accountant {
+            for chunk in told.chunks(COUNTS_CHUNK) {
+                let (incarnation, units) = (self.incarnation, chunk.to_vec());
+                let returned = QuotaMessage::Returned(QuotaReturned { incarnation, units });
+                self.messenger.tell(&PeerMessage::Quota(returned), accountant);
+            }
+        }
+    }
+
+    fn give_back(&self, accountant: SocketAddr, mark: OrganisationMark, units: f64) {
+        if accountant == self.me.address {
+            self.ledger.borrow_mut().give_back(mark, units);
+            return;
+        }
+        let mut returned = self.returned.borrow_mut();
+        *returned.entry(accountant).or_default().entry(mark).or_default() += units;
+        self.to_return.borrow_mut().push((accountant, mark));
+    }
+}
+
+/// What a request has taken of a quota; given back when dropped, unless the request may have run.
+pub struct Charge {
+    taken: Option<Taken>,
+    may_have_run: bool,
+}
+
+struct Taken {
+    quotas: Rc<Quotas>,
+    accountant: SocketAddr,
+    mark: OrganisationMark,
+    units: f64,
+}
+
+impl Charge {
+    /// Of an organisation without a quota, or let in without an accountant.
+    pub fn free() -> Self {
+        Self { taken: None, may_have_run: false }
+    }
+
+    /// The request is sent to a server.
+    pub fn may_run(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// No server has run the request.
+    pub fn has_not_run(&mut self) {
+        self.may_have_run = false;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        let taken = self.taken.take().filter(|_| !self.may_have_run);
+        if let Some(Taken { quotas, accountant, mark, units }) = taken {
+            quotas.give_back(accountant, mark, units);
+        }
+    }
+}
--- a/crates/portrack/src/gateway/caller.rs
+++ b/crates/portrack/src/gateway/caller.rs
@@ -97,6 +97,20 @@
     BadRequest,
     /// The daemon is being stopped and could not finish it.
     Stopping,
+    /// It shows no key.
+    MissingKey,
+    /// It shows several keys.
+    DoubledKey,
+    /// What it shows is no key.
+    MalformedKey,
+    /// No organisation holds its key.
+    UnknownKey,
+    /// Its key was taken away.
+    RevokedKey,
+    /// What is known of keys and routes may be out of date.
+    NoProof,
+    /// Its organisation has used up its quota.
+    Quota,
 }
 
 impl RefusalReason {
@@ -114,6 +128,13 @@
             Self::TimedOut => "timed_out",
             Self::BadRequest => "bad_request",
             Self::Stopping => "stopping",
+            Self::MissingKey => "missing_key",
+            Self::DoubledKey => "doubled_key",
+            Self::MalformedKey => "malformed_key",
+            Self::UnknownKey => "unknown_key",
+            Self::RevokedKey => "revoked_key",
+            Self::NoProof => "no_proof",
+            Self::Quota => "quota",
         }
     }
 
@@ -124,6 +145,12 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::MissingKey
+            | Self::DoubledKey
+            | Self::MalformedKey
+            | Self::UnknownKey
+            | Self::RevokedKey => StatusCode::UNAUTHORIZED,
+            Self::Quota => StatusCode::TOO_MANY_REQUESTS,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/crates/portrack/src/gateway/config.rs
+++ b/crates/portrack/src/gateway/config.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration as the gateway uses it.
 
+use super::admission::Organisations;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,8 @@
     pub services: BTreeMap<Rc<str>, Rc<Service>>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Whose keys open the routes that are not public; `None` where no route asks for one.
+    pub organisations: Option<Organisations>,
 }
 
 /// What may be repeated.
@@ -53,6 +56,8 @@
     pub targets: Vec<Target>,
     /// A broken stream may be taken up at another server.
     pub resumable: bool,
+    /// Open to callers without a key.
+    pub public: bool,
 }
 
 impl Route {
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -1,11 +1,13 @@
 //! One gateway daemon: the parts that its tasks share.
 
+use super::admission::{Accountant, KeyRules, Quotas, StoreProof};
 use super::claim_records::ClaimRecords;
 use super::claims::Claims;
 use super::demand::DemandLog;
 use super::dialect::Dialect;
 use super::hall_feed::HallFeed;
 use super::load::LoadTable;
+use super::messenger::Messenger;
 use super::metrics::GatewayMetrics;
 use super::mirror::{Mirror, Mirrored};
 use super::orderers::Orderers;
@@ -46,7 +48,7 @@
     /// Orders to servers.
     pub ordering: Rc<Ordering>,
     /// For datagrams.
-    pub socket: UdpSocket,
+    pub messenger: Rc<Messenger>,
     /// Rises with every start.
     pub incarnation: u64,
     /// When the store last answered, or this daemon's pause after that ended.
@@ -63,6 +65,8 @@
     pub store_fails_since: Cell<Option<Time>>,
     /// This daemon watches the store itself.
     pub watches: Cell<bool>,
+    /// The last look found no proof that keys may be believed in.
+    pub(super) proof_lost: Cell<bool>,
     /// What it passes on to others of its hall.
     pub(super) feed: HallFeed,
     /// Woken when other daemons are heard again after this one was cut off.
@@ -128,10 +132,24 @@
         let orderers = Orderers { peers: peers.clone(), records: records.clone() };
         let ordering = Rc::new(Ordering::new(clock.clone(), dialect.clone(), node, claims));
         let started_at = clock.now();
+        let view = Rc::new(RefCell::new(FleetView::default()));
+        let messenger = Rc::new(Messenger::new(socket, metrics.peer_bytes.clone()));
+        let me = Accountant {
+            address: settings.members,
+            hall: settings.hall.as_str().into(),
+            capacity: settings.limits.capacity(),
+        };
+        let quotas = Quotas::new(clock.clone(), view.clone(), messenger.clone(), me, incarnation);
         let path = RequestPath {
             clock: clock.clone(),
             dialect: dialect.clone(),
-            view: Rc::new(RefCell::new(FleetView::default())),
+            view,
+            proof: StoreProof::default(),
+            key_rules: KeyRules::new(
+                bounds.revoke_within_ms.map(Duration::from_millis),
+                Duration::from_millis(bounds.config_within_ms),
+            ),
+            quotas: Rc::new(quotas),
             changed: Rc::new(Notify::new()),
             loads: Rc::new(LoadTable::default()),
             pool: Rc::new(Pool::default()),
@@ -151,7 +169,7 @@
             path,
             mirror: RefCell::default(),
             ordering,
-            socket,
+            messenger,
             incarnation,
             store_seen: Cell::new(None),
             in_flight: Cell::new(0),
@@ -160,6 +178,7 @@
             orderers,
             store_fails_since: Cell::new(None),
             watches: Cell::new(false),
+            proof_lost: Cell::new(false),
             feed: HallFeed::default(),
             reconnected: Notify::new(),
             shunned: RefCell::default(),
@@ -192,6 +211,12 @@
         age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1)
     }
 
+    /// How old the proof is that the configuration is the newest, in milliseconds; -1 for none.
+    pub fn proof_age_ms(&self) -> i64 {
+        let age = self.path.proof.age(self.now()).map(|age| age.as_millis());
+        age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1)
+    }
+
     /// Takes changes of the mirror in; `source` is for logs.
     pub fn apply(self: &Rc<Self>, changes: Vec<Mirrored>, source: &str) {
         let now = self.now();
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -1,5 +1,6 @@
 //! What the gateway asks of a platform's adapter: translation of messages, nothing else.
 
+use super::admission::Credential;
 use super::backend::Backend;
 use super::config::FleetConfig;
 use actix_http::header::HeaderMap;
@@ -66,6 +67,10 @@
     pub patience: Option<Duration>,
     /// The model asked for.
     pub model: Option<ModelRequest>,
+    /// The tokens of its prompt and the most that it may generate, together, if it tells them.
+    pub tokens: Option<u64>,
+    /// What the caller shows to be let in.
+    pub credential: Credential,
 }
 
 /// What the gateway sets on a request that it sends to a server.
@@ -81,6 +86,10 @@
     pub adapter_version: Option<u64>,
     /// The last event that the caller has.
     pub last_event: Option<&'a str>,
+    /// The organisation whose key the caller holds.
+    pub organisation: Option<&'a str>,
+    /// Callers show keys here, which no server is to see.
+    pub withholds_key: bool,
 }
 
 /// What an answer's headers say of it.
@@ -174,10 +183,14 @@
     fn key(&self, key: &str) -> ItemKey;
     /// Reads a value of the store; `None` for what the gateway does not use.
     fn item(&self, key: &str, value: &[u8]) -> Result<Option<Item>, DialectError>;
+    /// A value of the store with digests in place of callers' keys, as it is kept and handed on.
+    fn without_keys(&self, key: &str, value: Vec<u8>) -> Result<Vec<u8>, DialectError>;
     /// Reads a request's headers.
     fn request(&self, headers: &HeaderMap) -> Result<RequestMeta, DialectError>;
     /// True for a header that the gateway sets itself, in lower case.
     fn is_set_by_us(&self, name: &str) -> bool;
+    /// True for the header that carries a caller's key.
+    fn is_credential(&self, name: &str) -> bool;
     /// Appends the gateway's headers of a request to a server.
     fn write_forward(&self, meta: &ForwardMeta<'_>, out: &mut Vec<u8>);
     /// Takes note of a header of an answer.
--- a/crates/portrack/src/gateway/exchange.rs
+++ b/crates/portrack/src/gateway/exchange.rs
@@ -89,7 +89,8 @@
     let mut out = Vec::with_capacity(512 + request.body.len());
     write!(out, "{} {} HTTP/1.1\r\n", request.method, request.target).expect(IN_MEMORY);
     for (name, value) in &request.headers {
-        if dialect.is_set_by_us(name.as_str()) {
+        let withheld = meta.withholds_key && dialect.is_credential(name.as_str());
+        if withheld || dialect.is_set_by_us(name.as_str()) {
             continue;
         }
         write!(out, "{name}: ").expect(IN_MEMORY);
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/following.rs
@@ -2,13 +2,15 @@
 
 use super::daemon::GatewayDaemon;
 use super::frames::{FrameError, read_frame, write_frame};
-use super::hall_feed::{FeedFrame, PeerAsk};
+use super::hall_feed::{FeedFrame, Freshness, FreshnessQuestion, PeerAsk};
 use super::mirror::MirrorNews;
 use crate::types::Time;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 
 /// Daemons of a hall that watch the store: with two, the loss of one costs its followers a new
 /// connection and no call.
@@ -39,6 +41,12 @@
 /// A watcher whose calls have failed for so long tells its followers that it has lost the store. One
 /// lost answer is no reason: all 39 daemons of a hall would turn to the store at once.
 const STORE_LOST_AFTER: Duration = Duration::from_millis(700);
+/// Between a follower's questions how fresh its source is; frames come as often at least.
+const QUESTION_EVERY: Duration = Duration::from_millis(300);
+/// The same where keys must be proved, and for frames, as a share of the age that proof may have.
+const PROOF_FRAME_SHARE: f64 = 0.1;
+/// A follower that asks nothing for so long is gone.
+const FOLLOWER_SILENT: Duration = Duration::from_secs(8);
 /// Between looks whether this daemon should watch by itself.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 
@@ -143,12 +151,24 @@
     async fn read_feed(self: &Rc<Self>, source: SocketAddr) -> FeedEnd {
         let connecting = actix_rt::time::timeout(CONNECT, TcpStream::connect(source));
         let Ok(Ok(mut stream)) = connecting.await else { return FeedEnd::NoConnection };
-        let ask = PeerAsk::Follow { after: self.mirror.borrow().revision() };
+        let mut question = FreshnessQuestion { sent_at: self.now() };
+        let ask = PeerAsk::Follow { after: self.mirror.borrow().revision(), question };
         if write_frame(&mut stream, &ask).await.is_none() {
             return FeedEnd::NoConnection;
         }
         let mut looked_at = self.now();
         loop {
+            let now = self.now();
+            let question_every = self.for_proof(QUESTION_EVERY, PROOF_FRAME_SHARE);
+            if now.since(question.sent_at) >= question_every {
+                question = FreshnessQuestion { sent_at: now };
+                let asking = write_frame(&mut stream, &question);
+                match actix_rt::time::timeout(FEED_SILENT, asking).await {
+                    Ok(Some(())) => {}
+                    Ok(None) => return FeedEnd::Closed,
+                    Err(_) => return FeedEnd::Silent,
+                }
+            }
             let frame: FeedFrame = match read_frame(&mut stream, FEED_SILENT).await {
                 Ok(frame) => frame,
                 Err(FrameError::Silent) => return FeedEnd::Silent,
@@ -188,6 +208,10 @@
             changes
         };
         self.apply(changes, "feed");
+        if let Some(Freshness { question, age_ms }) = frame.freshness {
+            let age = Duration::from_millis(age_ms.into());
+            self.path.proof.renew_from(question.sent_at, age);
+        }
         // Only now: how old the news can be is told by when the store was heard of before it.
         if frame.store_age_ms != u32::MAX {
             let seen_at = Time(now.0.saturating_sub(frame.store_age_ms.into()));
@@ -197,7 +221,26 @@
 
     /// Serves one follower until it leaves, or this daemon does not watch any more. Each is told
     /// anew only when it has taken what was told before, so that a slow link delays nothing twice.
-    pub(super) async fn serve_follower(&self, mut stream: TcpStream, after: u64) -> Option<()> {
+    pub(super) async fn serve_follower(
+        &self,
+        mut stream: TcpStream,
+        after: u64,
+        question: FreshnessQuestion,
+    ) -> Option<()> {
+        let question = Cell::new(question);
+        let (mut read, mut write) = stream.split();
+        tokio::select! {
+            ended = self.write_feed(&mut write, after, &question) => ended,
+            ended = hear_questions(&mut read, &question) => ended,
+        }
+    }
+
+    async fn write_feed(
+        &self,
+        stream: &mut WriteHalf<'_>,
+        after: u64,
+        question: &Cell<FreshnessQuestion>,
+    ) -> Option<()> {
         let mut place = self.feed.end();
         let mut told = after;
         let mut told_at: Option<Time> = None;
@@ -206,15 +249,19 @@
             let (notices, loads) = self.feed.after(&mut place);
             let unchanged = self.mirror.borrow().revision() <= told;
             let silent = notices.is_empty() && loads.is_empty() && unchanged;
-            if silent && told_at.is_some_and(|at| now.since(at) < IDLE_FRAME_EVERY) {
+            let idle_every = self.for_proof(IDLE_FRAME_EVERY, PROOF_FRAME_SHARE);
+            if silent && told_at.is_some_and(|at| now.since(at) < idle_every) {
                 actix_rt::time::sleep(FRAME_EVERY).await;
                 continue;
             }
             let MirrorNews { revision, whole, items } = self.mirror.borrow().news_after(told);
             let store_age_ms = self.store_age();
-            let frame = FeedFrame { revision, store_age_ms, whole, items, notices, loads };
+            let freshness = self.path.proof.age_to_tell(now);
+            let freshness = freshness.map(|age_ms| Freshness { question: question.get(), age_ms });
+            let frame =
+                FeedFrame { revision, store_age_ms, freshness, whole, items, notices, loads };
             (told, told_at) = (revision, Some(now));
-            let writing = write_frame(&mut stream, &frame);
+            let writing = write_frame(stream, &frame);
             actix_rt::time::timeout(FRAME_TAKEN, writing).await.ok()??;
             actix_rt::time::sleep(FRAME_EVERY).await;
         }
@@ -243,6 +290,13 @@
     }
 }
 
+/// Keeps the newest question of a follower until it is gone.
+async fn hear_questions(stream: &mut ReadHalf<'_>, newest: &Cell<FreshnessQuestion>) -> Option<()> {
+    loop {
+        newest.set(read_frame(stream, FOLLOWER_SILENT).await.ok()?);
+    }
+}
+
 /// Why a feed was left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum FeedEnd {
--- a/crates/portrack/src/gateway/frames.rs
+++ b/crates/portrack/src/gateway/frames.rs
@@ -3,8 +3,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// The largest body, in bytes: a fleet's whole state with a configuration of thousands of routes.
 const MAX_BODY: u32 = 8 * 1024 * 1024;
@@ -21,7 +20,10 @@
 }
 
 /// Writes a message; `None` if it is too long or the connection broke.
-pub(super) async fn write_frame(stream: &mut TcpStream, body: &impl Serialize) -> Option<()> {
+pub(super) async fn write_frame(
+    stream: &mut (impl AsyncWrite + Unpin),
+    body: &impl Serialize,
+) -> Option<()> {
     stream.write_all(&frame(body)?).await.ok()
 }
 
@@ -37,7 +39,7 @@
 /// Reads a message of which parts keep coming: between two of them pass `silent` at most, however
 /// long the whole takes over a slow link.
 pub(super) async fn read_frame<T: DeserializeOwned>(
-    stream: &mut TcpStream,
+    stream: &mut (impl AsyncRead + Unpin),
     silent: Duration,
 ) -> Result<T, FrameError> {
     let mut head = [0; 4];
@@ -57,7 +59,7 @@
 }
 
 async fn read_part(
-    stream: &mut TcpStream,
+    stream: &mut (impl AsyncRead + Unpin),
     part: &mut [u8],
     silent: Duration,
 ) -> Result<(), FrameError> {
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/gossip.rs
@@ -1,5 +1,6 @@
 //! Datagrams between daemons beside heartbeats: demand, notices of placement, loads.
 
+use super::admission::TOLD_EVERY;
 use super::daemon::GatewayDaemon;
 use super::demand::Use;
 use super::dialect::AdapterKey;
@@ -7,7 +8,7 @@
 use super::load::server_mark;
 use super::message::{
     AdapterUse, AdapterWish, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice, ServerLoad,
-    decode, encode,
+    decode,
 };
 use super::ordering::NoticeSink;
 use super::planner::WishAnswer;
@@ -29,19 +30,22 @@
 impl GatewayDaemon {
     /// Sends one datagram; a full socket buffer loses it.
     pub fn tell(&self, message: &PeerMessage, to: SocketAddr) {
-        let Some(bytes) = encode(message) else {
-            log::error!(to:% = to; "datagram_too_long");
-            return;
-        };
-        let _ = self.socket.try_send_to(&bytes, to);
-        self.metrics.peer_bytes.inc_by(bytes.len() as u64);
+        self.messenger.tell(message, to);
+    }
+
+    /// Tells accountants of quotas what they must know, for ever.
+    pub async fn tell_quotas(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(TOLD_EVERY).await;
+            self.path.quotas.tell();
+        }
     }
 
     /// Takes datagrams in, for ever.
     pub async fn receive(self: Rc<Self>) {
         let mut buffer = [0_u8; MAX_DATAGRAM + 1];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
+            match self.messenger.receive(&mut buffer).await {
                 Ok((length, from)) => match decode(&buffer[..length]) {
                     Some(message) => self.on_message(message, from),
                     None => self.metrics.datagrams_dropped.inc(),
@@ -65,6 +69,7 @@
                 let mut peers = self.peers.borrow_mut();
                 addresses.into_iter().for_each(|address| peers.hear_of(address));
             }
+            PeerMessage::Quota(message) => self.path.quotas.on_message(message, from),
         }
     }
 
--- a/crates/portrack/src/gateway/hall_feed.rs
+++ b/crates/portrack/src/gateway/hall_feed.rs
@@ -5,6 +5,7 @@
 
 use super::message::{PlacementNotice, ServerLoad};
 use super::mirror::MirrorItem;
+use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -24,9 +25,29 @@
     Follow {
         /// The revision up to which the asker knows everything.
         after: u64,
+        /// Its first question how fresh that is.
+        question: FreshnessQuestion,
     },
 }
 
+/// A follower's question how fresh its source's copy of the store is; the first comes with
+/// [`PeerAsk::Follow`], the others follow on the same connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct FreshnessQuestion {
+    /// When it was sent, on the follower's clock.
+    pub sent_at: Time,
+}
+
+/// How fresh the copy of the store is that a frame brings a follower up to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Freshness {
+    /// The newest question that had come. The follower counts from its sending, so a frame that was
+    /// held up on its way proves nothing that is younger.
+    pub question: FreshnessQuestion,
+    /// The age of the sender's own proof when it had this question, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// News for a follower.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct FeedFrame {
@@ -34,6 +55,8 @@
     pub revision: u64,
     /// How long ago the store answered the sender, in milliseconds.
     pub store_age_ms: u32,
+    /// How fresh that is, if the sender can prove it.
+    pub freshness: Option<Freshness>,
     /// `items` are all there are: what is not among them is gone.
     pub whole: bool,
     /// What changed in the store.
--- a/crates/portrack/src/gateway/heartbeats.rs
+++ b/crates/portrack/src/gateway/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Heartbeats: who is there, what it knows, which data halls are heard.
 
+use super::admission::Accountant;
 use super::daemon::GatewayDaemon;
 use super::load::server_mark;
 use super::message::{Heartbeat, PeerMessage};
@@ -72,6 +73,19 @@
         self.look_at_halls(now);
         self.ordering.planner.borrow_mut().daemons(up + 1);
         self.metrics.peers_up.set(up as i64);
+        self.path.quotas.set_others(self.accountants(now).into_iter());
+    }
+
+    /// The other daemons that may count for organisations.
+    fn accountants(&self, now: Time) -> Vec<Accountant> {
+        let peers = self.peers.borrow();
+        let staying = peers.up(now).filter(|(_, peer)| !peer.heartbeat.leaving);
+        let accountants = staying.map(|(_, peer)| Accountant {
+            address: peer.heartbeat.address,
+            hall: peer.heartbeat.hall.as_str().into(),
+            capacity: peer.heartbeat.capacity,
+        });
+        accountants.collect()
     }
 
     fn look_at_halls(&self, now: Time) {
--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/host.rs
@@ -1,5 +1,6 @@
 //! The daemon as its callers' connections see it.
 
+use super::admission::OrganisationMark;
 use super::caller::{CallerRequest, RefusalReason, Refused};
 use super::config::{CallerLimits, RouteKind};
 use super::daemon::GatewayDaemon;
@@ -112,6 +113,9 @@
         let end = self.end();
         daemon.metrics.requests.with_label_values(&[kind, end]).inc();
         daemon.metrics.duration.with_label_values(&[kind]).observe(took.as_secs_f64());
+        if let Some(organisation) = &*self.progress.organisation.borrow() {
+            daemon.metrics.count_organisation(organisation, end);
+        }
         if self.progress.version.get().is_some_and(|version| version.is_older()) {
             daemon.metrics.older_versions.inc();
         }
@@ -140,6 +144,7 @@
             newest_version = version.newest,
             oldest_version = version.oldest,
             newest_ms = version.newest_ms,
+            organisation = self.organisation().as_ref(),
             begun = self.progress.begun.get(),
             store_age_ms = self.daemon.store_age_ms(),
             took_ms = took.as_millis() as u64;
@@ -147,6 +152,18 @@
         );
     }
 
+    /// The organisation whose key the request showed; empty if there is none.
+    fn organisation(&self) -> Rc<str> {
+        self.progress.organisation.borrow().clone().unwrap_or_default()
+    }
+
+    /// What the fleet sends of the request's organisation, in percent of its limit; -1 if unknown.
+    fn quota_used_percent(&self) -> i64 {
+        let organisation = self.progress.organisation.borrow();
+        let mark = organisation.as_ref().map(|name| OrganisationMark::of(name));
+        mark.map_or(-1, |mark| self.daemon.path.quotas.used_percent(mark))
+    }
+
     fn kind(&self) -> &'static str {
         let route = self.progress.route.borrow();
         match route.as_ref().map(|route| route.kind) {
@@ -174,6 +191,10 @@
             RequestEnd::Refused(refused) => refused.status.as_u16(),
             RequestEnd::Broken(_) | RequestEnd::CallerGone => 0,
         };
+        let retry_after = match &served.end {
+            RequestEnd::Refused(refused) => refused.retry_after,
+            _ => None,
+        };
         let broken = match &served.end {
             RequestEnd::Broken(why) => why.as_str(),
             _ => "",
@@ -198,6 +219,10 @@
             newest_ms = version.newest_ms,
             config = self.daemon.metrics.config_version.get(),
             store_age_ms = self.daemon.store_age_ms(),
+            organisation = self.organisation().as_ref(),
+            proof_age_ms = self.daemon.proof_age_ms(),
+            quota_used_percent = self.quota_used_percent(),
+            retry_after_ms = retry_after.map_or(-1, |after| after.as_millis() as i64),
             sends = served.sends,
             failure = served.last_failure.as_str(),
             broken = broken,
--- a/crates/portrack/src/gateway/ingress.rs
+++ b/crates/portrack/src/gateway/ingress.rs
@@ -251,7 +251,7 @@
         method: head.method().clone(),
         target,
         host: host_name.unwrap_or_default().to_owned(),
-        headers: end_to_end(head.headers()),
+        headers: end_to_end(host.dialect(), head.headers()),
         last_event: host.dialect().last_event(head.headers()),
         body,
         meta,
@@ -315,12 +315,17 @@
     }
 }
 
-/// The headers to hand on: all but those of one connection.
-fn end_to_end(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
+/// The headers to hand on: all but those of one connection. A key is never shown in diagnostics.
+fn end_to_end(dialect: &dyn Dialect, headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
     let named = headers.get(CONNECTION).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let named: Vec<String> =
         named.split(',').map(|name| name.trim().to_ascii_lowercase()).collect();
     let hop = |name: &str| HOP_HEADERS.contains(&name) || named.iter().any(|own| own == name);
     let kept = headers.iter().filter(|(name, _)| !hop(name.as_str()));
-    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+    let copied = kept.map(|(name, value)| {
+        let mut value = value.clone();
+        value.set_sensitive(dialect.is_credential(name.as_str()));
+        (name.clone(), value)
+    });
+    copied.collect()
 }
--- a/crates/portrack/src/gateway/job.rs
+++ b/crates/portrack/src/gateway/job.rs
@@ -1,5 +1,6 @@
 //! One request on its path: what it needs, how far it has come, how it ended.
 
+use super::admission::{Admitted, Charge};
 use super::backend::Backend;
 use super::caller::{CallerRequest, RefusalReason, Refused};
 use super::config::{Route, Service};
@@ -23,6 +24,8 @@
     pub server: RefCell<Option<Rc<str>>>,
     /// The server has begun to answer.
     pub begun: Cell<bool>,
+    /// The organisation whose key it showed.
+    pub organisation: RefCell<Option<Rc<str>>>,
     /// How the version of its adapter was chosen, at the last try.
     pub version: Cell<Option<VersionChoice>>,
     /// When it was sent and answered.
@@ -52,6 +55,10 @@
     pub route: Rc<Route>,
     /// Its service.
     pub service: Rc<Service>,
+    /// Whose request it is.
+    pub admitted: Admitted,
+    /// What it has taken of its organisation's quota.
+    pub charge: Charge,
     /// When it must have its final answer.
     pub deadline: Time,
     /// Sends so far.
@@ -79,6 +86,12 @@
 }
 
 impl Job<'_> {
+    /// Its rank, 0 highest: its organisation's, or its route's.
+    pub fn priority(&self) -> u8 {
+        let organisation = self.admitted.organisation.as_ref();
+        organisation.and_then(|all| all.priority).unwrap_or(self.route.priority)
+    }
+
     /// The adapter asked for, if any.
     pub fn adapter(&self) -> Option<AdapterKey> {
         let model = self.request.meta.model.as_ref()?;
@@ -142,4 +155,9 @@
             adapter_note: String::new(),
         }
     }
+
+    /// A request that was refused before it had a server.
+    pub fn refused_on(refused: Refused, route: Rc<Route>) -> Self {
+        Self { route: Some(route), ..Self::refused(refused) }
+    }
 }
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/message.rs
@@ -1,11 +1,12 @@
 //! What daemons of a gateway fleet tell each other by datagram.
 
+use super::admission::QuotaMessage;
 use super::load::Work;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The version of the messages; others are dropped.
-pub const MESSAGE_VERSION: u8 = 3;
+pub const MESSAGE_VERSION: u8 = 4;
 /// The longest datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 1_400;
 
@@ -24,6 +25,8 @@
     Loads(Vec<ServerLoad>),
     /// Daemons that the receiver, which knows few, may not have heard of.
     Known(Vec<SocketAddr>),
+    /// What is counted of organisations' quotas.
+    Quota(QuotaMessage),
 }
 
 /// A sign of life.
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -2,9 +2,16 @@
 
 use crate::metrics::{self, MetricMaker};
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// What all names begin with.
 const PREFIX: &str = "portrack_gateway_";
+/// Organisations with a label of their own.
+const NAMED_ORGANISATIONS: usize = 20;
+/// The label of all others.
+const OTHER_ORGANISATIONS: &str = "others";
 /// Buckets of times, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 3.0, 15.0];
 
@@ -27,6 +34,12 @@
     pub store_failures: IntCounterVec,
     /// The configuration in force.
     pub config_version: IntGauge,
+    /// The age of proof that the configuration is the newest, in milliseconds; -1 for none.
+    pub proof_age_ms: IntGauge,
+    /// Requests by organisation and how they ended.
+    organisations: IntCounterVec,
+    /// Organisations that are counted by name.
+    named: RefCell<BTreeSet<Rc<str>>>,
     /// Other daemons that are up.
     pub peers_up: IntGauge,
     /// Bytes sent to other daemons by datagram.
@@ -58,14 +71,32 @@
             store_calls: made.counters("store_calls_total", "Calls to the store", &["call"]),
             store_failures: made.counters("store_failures_total", "Failed calls", &["trouble"]),
             config_version: made.gauge("config_version", "Configuration in force"),
+            proof_age_ms: made.gauge("proof_age_ms", "Age of proof of the configuration"),
+            organisations: made.counters(
+                "organisation_requests_total",
+                "Requests by organisation and end",
+                &["organisation", "end"],
+            ),
             peers_up: made.gauge("peers_up", "Other daemons that are up"),
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
+            named: RefCell::default(),
             registry,
         }
     }
 
+    /// Counts a request of an organisation. The first of them have a label of their own, which are the
+    /// busiest by and large; the others share one.
+    pub fn count_organisation(&self, organisation: &Rc<str>, end: &str) {
+        let mut named = self.named.borrow_mut();
+        if named.len() < NAMED_ORGANISATIONS && !named.contains(organisation) {
+            named.insert(organisation.clone());
+        }
+        let label = if named.contains(organisation) { organisation } else { OTHER_ORGANISATIONS };
+        self.organisations.with_label_values(&[label, end]).inc();
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> String {
         metrics::text(&self.registry)
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: serves callers on the users' machines, word by word, over one request path.
 
 mod adapter_demand;
+mod admission;
 mod answer;
 mod backend;
 mod body;
@@ -35,6 +36,7 @@
 mod load_reports;
 mod logging;
 mod message;
+mod messenger;
 mod metrics;
 mod mirror;
 mod order_call;
@@ -59,6 +61,12 @@
 mod versions;
 mod view;
 
+pub use admission::{
+    Accountant, Accountants, Admitted, BlindShare, Charge, Credential, KeyDigest, KeyRules, Ledger,
+    Organisation, OrganisationMark, Organisations, Pace, Quota, QuotaAnswer, QuotaAsk, QuotaCount,
+    QuotaCounts, QuotaMessage, QuotaReturned, QuotaUnit, Quotas, RevokedKeys, StoreProof,
+    TokenBucket, Verdict, organisation_of,
+};
 pub use answer::{AnswerError, AnswerHead, Framing, take_head};
 pub use backend::{Backend, HeldAdapter, HeldModel};
 pub use body::{BodyDecoder, Step};
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/path.rs
@@ -1,5 +1,6 @@
 //! The path of a request: route, server, tries, answer.
 
+use super::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
 use super::caller::{CallerRequest, RefusalReason, Refused, ReplySink};
 use super::config::Service;
 use super::demand::DemandLog;
@@ -33,6 +34,12 @@
     pub dialect: Rc<dyn Dialect>,
     /// What is known of the fleet.
     pub view: Rc<RefCell<FleetView>>,
+    /// How fresh the view is.
+    pub proof: StoreProof,
+    /// How fresh it must be for keys.
+    pub key_rules: KeyRules,
+    /// What organisations may send.
+    pub quotas: Rc<Quotas>,
     /// Woken when the view has changed.
     pub changed: Rc<Notify>,
     /// Load and health of the servers.
@@ -75,6 +82,10 @@
             Err(refused) => return Served::refused(refused),
         };
         *progress.route.borrow_mut() = Some(job.route.clone());
+        job.charge = match self.charge(&job).await {
+            Ok(charge) => charge,
+            Err(refused) => return Served::refused_on(refused, job.route.clone()),
+        };
         let now = self.clock.now();
         self.retries.borrow_mut().note_request(now, &job.service.name);
         let mut relay = Relay::new(&job.route);
@@ -100,12 +111,18 @@
         request: &'a CallerRequest,
         progress: &'a Progress,
     ) -> Result<Job<'a>, Refused> {
+        let now = self.clock.now();
         let view = self.view.borrow();
-        if view.config().is_none() {
-            return Err(Refused::new(RefusalReason::NoConfig, Some(UNKNOWN_RETRY)));
-        }
+        let config = view
+            .config()
+            .ok_or_else(|| Refused::new(RefusalReason::NoConfig, Some(UNKNOWN_RETRY)))?;
+        let (rules, proof) = (&self.key_rules, &self.proof);
         let route = view.route(&request.host, request.path());
-        let route = route.ok_or_else(|| Refused::new(RefusalReason::NoRoute, None))?.clone();
+        let route = route.ok_or_else(|| rules.unknown(now, proof, RefusalReason::NoRoute))?.clone();
+        let shown = request.meta.credential;
+        let admitted = organisation_of(now, config, &route, shown, &view.revoked, rules, proof)?;
+        let name = admitted.organisation.as_ref().map(|organisation| organisation.name.clone());
+        *progress.organisation.borrow_mut() = name;
         let service = pick_target(&route, &request.meta.id)
             .and_then(|target| view.service(&target.service))
             .ok_or_else(|| Refused::new(RefusalReason::NoServer, Some(UNKNOWN_RETRY)))?
@@ -117,6 +134,8 @@
             progress,
             route,
             service,
+            admitted,
+            charge: Charge::free(),
             deadline,
             sends: 0,
             runs: 0,
@@ -128,6 +147,19 @@
         })
     }
 
+    /// True if proof of the configuration is fresh enough for requests that a key opens.
+    pub fn believes_keys(&self) -> bool {
+        self.key_rules.allow_keys(self.clock.now(), &self.proof)
+    }
+
+    /// Takes what a request needs of its organisation's quota.
+    async fn charge(&self, job: &Job<'_>) -> Result<Charge, Refused> {
+        match &job.admitted.organisation {
+            Some(organisation) => self.quotas.admit(organisation, job.request.meta.tokens).await,
+            None => Ok(Charge::free()),
+        }
+    }
+
     async fn run(
         &self,
         job: &mut Job<'_>,
@@ -177,6 +209,7 @@
         let most = self.connections_share(&job.service);
         job.sends += 1;
         job.progress.timings.sent(now);
+        job.charge.may_run();
         let id = &job.request.meta.id;
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
         let sent = match self.slow_after(job, now) {
@@ -227,9 +260,11 @@
         ForwardMeta {
             time_left: Some(left),
             instance: &choice.backend.id,
-            urgency: job.service.engine.as_ref().map(|_| job.route.priority.min(9)),
+            urgency: job.service.engine.as_ref().map(|_| job.priority().min(9)),
             adapter_version: choice.adapter_version,
             last_event: job.last_event.as_deref(),
+            organisation: job.admitted.organisation.as_ref().map(|all| &*all.name),
+            withholds_key: job.admitted.keyed,
         }
     }
 
@@ -253,6 +288,9 @@
     ) -> Next {
         let (now, id) = (self.clock.now(), &choice.backend.id);
         job.last_failure = format!("{why:?}");
+        if !job.may_have_run() {
+            job.charge.has_not_run();
+        }
         match why {
             NotRun::NoConnection => job.sends -= 1,
             NotRun::Unreachable(_) => {
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/peers.rs
@@ -92,6 +92,8 @@
     beats: usize,
     /// Moves on through the daemons that newcomers are told of.
     newcomer_turn: usize,
+    /// Moves on through the daemons that are asked for proof.
+    proof_turn: usize,
 }
 
 impl Peers {
@@ -110,6 +112,7 @@
             turn,
             beats: 0,
             newcomer_turn: 0,
+            proof_turn: turn,
         }
     }
 
@@ -366,6 +369,15 @@
         best.map(|(_, peer)| peer.heartbeat.address)
     }
 
+    /// A daemon to ask for its proof of what the store holds: one of those that say that they see it,
+    /// another one each time.
+    pub fn proof_source(&mut self, now: Time) -> Option<SocketAddr> {
+        let seeing: Vec<SocketAddr> =
+            self.able_peers(now).map(|(_, peer)| peer.heartbeat.address).collect();
+        self.proof_turn = self.proof_turn.wrapping_add(1);
+        seeing.get(self.proof_turn % seeing.len().max(1)).copied()
+    }
+
     /// All daemons that could order servers: up, seeing the store and not leaving.
     pub fn able(&self, now: Time) -> Vec<Rc<str>> {
         self.able_peers(now).map(|(name, _)| name.clone()).collect()
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -80,6 +80,7 @@
     actix_rt::spawn(daemon.clone().report_loads());
     actix_rt::spawn(daemon.clone().log_peers());
     actix_rt::spawn(daemon.clone().receive());
+    actix_rt::spawn(daemon.clone().tell_quotas());
     actix_rt::spawn(daemon.clone().send_heartbeats());
     actix_rt::spawn(daemon.clone().tell_wishes());
     actix_rt::spawn(daemon.clone().tell_uses());
@@ -131,9 +132,13 @@
 }
 
 impl GatewayDaemon {
-    /// True while new callers are wanted.
+    /// True while new callers are wanted. A daemon that can believe in no key leaves them to others.
     pub fn is_ready(&self) -> bool {
-        !self.stopping() && self.path.view.borrow().config().is_some()
+        let view = self.path.view.borrow();
+        let serves = view
+            .config()
+            .is_some_and(|config| config.organisations.is_none() || self.path.believes_keys());
+        !self.stopping() && serves
     }
 
     async fn sweep(self: Rc<Self>) {
@@ -145,6 +150,7 @@
             self.ordering.planner.borrow_mut().sweep(now);
             self.path.view.borrow_mut().holdings.forget_old(now);
             self.metrics.in_flight.set(self.in_flight.get() as i64);
+            self.look_at_proof();
         }
     }
 }
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -77,6 +77,9 @@
     pub drain_ms: u64,
     /// An accepted configuration is in force everywhere after this, in milliseconds.
     pub config_within_ms: u64,
+    /// A key that was taken away works nowhere after this, in milliseconds, also at daemons that are
+    /// cut off; no such bound if left out.
+    pub revoke_within_ms: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -90,6 +93,7 @@
             lease_ttl_ms: 6_000,
             drain_ms: 2_000,
             config_within_ms: 2_000,
+            revoke_within_ms: None,
         }
     }
 }
@@ -159,6 +163,10 @@
         if !sensible.contains(&bounds.config_within_ms) {
             return Some(("config_within_ms", "is not between 500 and 60000"));
         }
+        let keys = 2_000..=60_000;
+        if bounds.revoke_within_ms.is_some_and(|within| !keys.contains(&within)) {
+            return Some(("revoke_within_ms", "is not between 2000 and 60000"));
+        }
         None
     }
 }
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/sync.rs
@@ -8,7 +8,7 @@
 use super::hall_feed::PeerAsk;
 use super::mirror::MirrorItem;
 use super::pacing::WatchPacing;
-use crate::store::FeedError;
+use crate::store::{FeedError, KvChange, KvHeld};
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -30,12 +30,24 @@
 /// next may be of any age. With [`VERSION_GRACE`](super::VERSION_GRACE) it stays below the 5 s after
 /// which users allow no older version.
 const STORE_SILENT: Duration = Duration::from_millis(3_100);
+/// How long one watch waits where keys must be proved, as a share of the age that proof may have. With
+/// the pause between watches, proof is 1.4 s old at most in a calm store where it may be 4 s old, and
+/// one failed watch is borne.
+const PROOF_WATCH_SHARE: f64 = 0.125;
+/// The longest pause between watches there, as such a share.
+const PROOF_PAUSE_SHARE: f64 = 0.2;
+/// A peer is asked for proof once this daemon's is older than this share of what keys allow.
+const PROOF_WANTED_SHARE: f64 = 0.5;
 /// The longest catching up from one peer.
 const CATCH_UP: Duration = Duration::from_millis(1_500);
+/// The same where proof is asked for: others can be asked.
+const PROOF_PATIENCE: Duration = Duration::from_millis(400);
 /// What a peer knows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct CatchUpReply {
     revision: u64,
+    /// The age of its proof that this is the newest, in milliseconds, if it has any.
+    proof_age_ms: Option<u32>,
     items: Vec<MirrorItem>,
 }
 
@@ -74,7 +86,7 @@
         let prefix = self.dialect.prefix();
         let asked_at = self.now();
         let feeds = self.feeds_others();
-        let wait = if feeds { FEED_WATCH } else { WATCH };
+        let wait = self.watch_wait(feeds);
         let asking = async {
             match watch.after {
                 None => self.read_all(prefix).await,
@@ -90,12 +102,15 @@
         match result {
             Ok(revision) => {
                 self.store_answered(prefix);
+                // Not the time of the answer: that may have been on its way for long.
+                self.path.proof.renew(asked_at);
                 self.watches.set(true);
                 self.store_fails_since.set(None);
                 watch.after = Some(revision);
                 watch.pause = PAUSE;
                 self.mirror.borrow_mut().whole_up_to(revision);
-                actix_rt::time::sleep(watch.pacing.after(waited, feeds)).await;
+                let pause = watch.pacing.after(waited, feeds);
+                actix_rt::time::sleep(self.for_proof(pause, PROOF_PAUSE_SHARE)).await;
                 // The store was not silent while it was not asked.
                 self.store_seen.set(Some(self.now()));
             }
@@ -118,9 +133,33 @@
         }
     }
 
+    fn watch_wait(&self, feeds: bool) -> Duration {
+        let wait = if feeds { FEED_WATCH } else { WATCH };
+        self.for_proof(wait, PROOF_WATCH_SHARE)
+    }
+
+    /// How old proof may be, where callers show keys that must be proved.
+    fn proof_bound(&self) -> Option<Duration> {
+        let view = self.path.view.borrow();
+        let organisations = view.config()?.organisations.as_ref();
+        organisations.and(self.path.key_rules.keyed)
+    }
+
+    /// A span that is usual elsewhere, cut to a share of the age that proof may have.
+    pub(super) fn for_proof(&self, usual: Duration, share: f64) -> Duration {
+        self.proof_bound().map_or(usual, |bound| usual.min(bound.mul_f64(share)))
+    }
+
+    /// True if the proof is so old that a peer is to be asked for its own.
+    fn wants_proof(&self, now: Time) -> bool {
+        self.proof_bound()
+            .is_some_and(|bound| !self.path.proof.is_within(now, bound.mul_f64(PROOF_WANTED_SHARE)))
+    }
+
     async fn read_all(self: &Rc<Self>, prefix: &str) -> Result<u64, FeedError> {
         let mut list = self.store.read_all(prefix).await?;
-        list.entries.retain(|held| self.is_known(&held.key));
+        let known = list.entries.into_iter().filter(|held| self.is_known(&held.key));
+        list.entries = known.filter_map(|held| self.without_keys(held)).collect();
         let revision = list.revision;
         let changes = self.mirror.borrow_mut().apply_all(prefix, list);
         self.apply(changes, "store");
@@ -135,6 +174,10 @@
     ) -> Result<u64, FeedError> {
         let changes = self.store.changes(prefix, after, wait).await?;
         let known = changes.changes.into_iter().filter(|change| self.is_known(change.key()));
+        let known = known.filter_map(|change| match change {
+            KvChange::Put(held) => self.without_keys(held).map(KvChange::Put),
+            gone @ KvChange::Gone { .. } => Some(gone),
+        });
         let newer: Vec<_> = {
             let mut mirror = self.mirror.borrow_mut();
             known.filter_map(|change| mirror.apply(change)).collect()
@@ -143,6 +186,18 @@
         Ok(changes.revision.max(after))
     }
 
+    /// An item as it is kept and handed to other daemons: no key in clear is in it.
+    fn without_keys(&self, held: KvHeld) -> Option<KvHeld> {
+        let KvHeld { key, revision, value } = held;
+        match self.dialect.without_keys(&key, value) {
+            Ok(value) => Some(KvHeld { key, revision, value }),
+            Err(error) => {
+                log::error!(key = key.as_str(), error:% = error, source = "store"; "store_item_refused");
+                None
+            }
+        }
+    }
+
     /// True for what the gateway follows.
     fn is_known(&self, key: &str) -> bool {
         self.dialect.key(key) != ItemKey::Unknown || ClaimKey::parse(key).is_some()
@@ -177,23 +232,55 @@
             actix_rt::time::sleep(PEER_LOOK).await;
             let now = self.now();
             let quiet = self.store_seen.get().is_none_or(|at| now.since(at) > STORE_SILENT);
-            if !quiet && self.path.view.borrow().config().is_some() {
-                continue;
-            }
+            let lacks_config = self.path.view.borrow().config().is_none();
             let mine = self.mirror.borrow().revision();
-            let peer = self.peers.borrow().better_informed(now, mine);
-            let Some(peer) = peer else { continue };
-            match actix_rt::time::timeout(CATCH_UP, ask(peer, mine)).await {
-                Ok(Some(reply)) => {
-                    let changes = {
-                        let mut mirror = self.mirror.borrow_mut();
-                        mirror.whole_up_to(reply.revision);
-                        mirror.apply_items(reply.items)
-                    };
-                    log::info!(peer:% = peer, revision = reply.revision, changes = changes.len(); "caught_up_from_peer");
-                    self.apply(changes, "peer");
+            let informed = self.peers.borrow().better_informed(now, mine);
+            match informed.filter(|_| quiet || lacks_config) {
+                Some(peer) => self.catch_up(peer, CATCH_UP).await,
+                None if self.wants_proof(now) => {
+                    let peer = self.peers.borrow_mut().proof_source(now);
+                    if let Some(peer) = peer {
+                        self.catch_up(peer, PROOF_PATIENCE).await;
+                    }
                 }
-                Ok(None) | Err(_) => log::warn!(peer:% = peer; "peer_did_not_answer"),
+                None => {}
+            }
+        }
+    }
+
+    /// Learns from a peer what it knows of the store, and how fresh that is.
+    async fn catch_up(self: &Rc<Self>, peer: SocketAddr, patience: Duration) {
+        let asked_at = self.now();
+        let mine = self.mirror.borrow().revision();
+        let Ok(Some(reply)) = actix_rt::time::timeout(patience, ask(peer, mine)).await else {
+            log::warn!(peer:% = peer; "peer_did_not_answer");
+            return;
+        };
+        let changes = {
+            let mut mirror = self.mirror.borrow_mut();
+            mirror.whole_up_to(reply.revision);
+            mirror.apply_items(reply.items)
+        };
+        log::info!(
+            peer:% = peer, revision = reply.revision, changes = changes.len(),
+            proof_age_ms:? = reply.proof_age_ms;
+            "caught_up_from_peer"
+        );
+        self.apply(changes, "peer");
+        if let Some(age) = reply.proof_age_ms {
+            self.path.proof.renew_from(asked_at, Duration::from_millis(age.into()));
+        }
+    }
+
+    /// Logs when proof that keys may be believed in is lost and regained.
+    pub(super) fn look_at_proof(&self) {
+        let age = self.proof_age_ms();
+        self.metrics.proof_age_ms.set(age);
+        let lost = self.proof_bound().is_some() && !self.path.believes_keys();
+        if lost != self.proof_lost.replace(lost) {
+            match lost {
+                true => log::warn!(proof_age_ms = age; "proof_lost"),
+                false => log::info!(proof_age_ms = age; "proof_regained"),
             }
         }
     }
@@ -217,11 +304,17 @@
             PeerAsk::CatchUp { after } => {
                 let reply = {
                     let mirror = self.mirror.borrow();
-                    CatchUpReply { revision: mirror.revision(), items: mirror.items_after(after) }
+                    CatchUpReply {
+                        revision: mirror.revision(),
+                        proof_age_ms: self.path.proof.age_to_tell(self.now()),
+                        items: mirror.items_after(after),
+                    }
                 };
                 actix_rt::time::timeout(CATCH_UP, write_frame(&mut stream, &reply)).await.ok()?
             }
-            PeerAsk::Follow { after } => self.serve_follower(stream, after).await,
+            PeerAsk::Follow { after, question } => {
+                self.serve_follower(stream, after, question).await
+            }
         }
     }
 }
--- a/crates/portrack/src/gateway/view.rs
+++ b/crates/portrack/src/gateway/view.rs
@@ -1,5 +1,6 @@
 //! What a daemon believes of the fleet: configuration, backend servers, versions, holdings.
 
+use super::admission::RevokedKeys;
 use super::backend::Backend;
 use super::config::{FleetConfig, Route, Service};
 use super::dialect::{AdapterKey, Dialect, DialectError, Item, ItemKey};
@@ -36,6 +37,8 @@
     routes: RouteTable,
     backends: BTreeMap<Rc<str>, Rc<Backend>>,
     versions: HashMap<AdapterKey, NamedVersions>,
+    /// Keys that configurations have taken away.
+    pub revoked: RevokedKeys,
     /// Which server holds which adapter.
     pub holdings: Holdings,
 }
@@ -119,6 +122,8 @@
         if self.config.as_ref().is_some_and(|held| held.version >= version) {
             return None;
         }
+        let before = self.config.as_ref().and_then(|held| held.organisations.as_ref());
+        self.revoked.note(before, config.organisations.as_ref());
         self.routes = RouteTable::new(&config);
         self.config = Some(Rc::new(config));
         Some(ViewChange::Config(version))
--- a/crates/portrack/tests/gateway/answers.rs
+++ b/crates/portrack/tests/gateway/answers.rs
@@ -25,9 +25,15 @@
     fn request(&self, _: &HeaderMap) -> Result<RequestMeta, DialectError> {
         Ok(RequestMeta::default())
     }
+    fn without_keys(&self, _: &str, value: Vec<u8>) -> Result<Vec<u8>, DialectError> {
+        Ok(value)
+    }
     fn is_set_by_us(&self, _: &str) -> bool {
         false
     }
+    fn is_credential(&self, _: &str) -> bool {
+        false
+    }
     fn write_forward(&self, _: &ForwardMeta<'_>, _: &mut Vec<u8>) {}
     fn answer_header(&self, name: &str, value: &str, meta: &mut AnswerMeta) {
         if name == "id" {
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod history;
 mod holdings;
 mod homes;
+mod keys;
 mod loads;
 mod logs;
 mod messages;
--- a/crates/portrack/tests/gateway/routes.rs
+++ b/crates/portrack/tests/gateway/routes.rs
@@ -20,6 +20,7 @@
         priority: 0,
         targets: targets.collect(),
         resumable: false,
+        public: false,
     })
 }
 
