--- a/crates/portrack/src/gateway/admission/ledger.rs
+++ b/crates/portrack/src/gateway/admission/ledger.rs
@@ -15,8 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A hall whose accountants tell nothing for so long is silent: three tellings are lost.
-const HALL_SILENT: Duration = Duration::from_millis(900);
+/// A hall whose accountants tell nothing for so long is silent: two tellings are lost.
+const HALL_SILENT: Duration = Duration::from_millis(650);
 /// Its part is held back for so long: until its keys cannot be proved any more, and a window passes.
 const HELD_BACK: Duration = Duration::from_secs(12);
 /// Accountants heard within this of the last one of their hall count together.
--- a/crates/portrackd/tests/logs.rs
+++ b/crates/portrackd/tests/logs.rs
@@ -6,9 +6,13 @@
 fn sources() -> Vec<String> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let mut files = vec![root.join("src/gateway.rs")];
-    let gateway = root.join("../portrack/src/gateway");
-    let entries = std::fs::read_dir(gateway).expect("the gateway's sources");
-    files.extend(entries.map(|entry| entry.expect("a file").path()));
+    let mut folders = vec![root.join("../portrack/src/gateway")];
+    while let Some(folder) = folders.pop() {
+        let entries = std::fs::read_dir(folder).expect("the gateway's sources");
+        for path in entries.map(|entry| entry.expect("a file").path()) {
+            if path.is_dir() { folders.push(path) } else { files.push(path) }
+        }
+    }
     files.iter().map(|file| std::fs::read_to_string(file).expect("readable")).collect()
 }
 
