--- a/crates/portrackd/tests/soak/callers.rs
+++ b/crates/portrackd/tests/soak/callers.rs
@@ -112,6 +112,7 @@
         model: MODEL,
         adapter: &format!("a{adapter}"),
         patience: PATIENCE,
+        key: None,
     };
     let asking = async {
         let mut connection = match kept.take() {
--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -3,7 +3,7 @@
 
 use portrack::gateway::log_field;
 use portrack_platform_standins::{
-    ChatPlan, ModelServer, Operator, READY_PATH, Run, ServerPlan, StoreServer,
+    ChatPlan, ModelServer, Operator, READY_PATH, Run, ServerPlan, StoreDoor, StoreServer,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::{File, OpenOptions};
@@ -29,6 +29,8 @@
 const LOAD_TIME: Duration = Duration::from_millis(250);
 /// The longest wait until all daemons serve.
 const START_WITHIN: Duration = Duration::from_secs(20);
+/// A key that was taken away works nowhere after this, in milliseconds.
+pub const REVOKED_WITHIN_MS: u64 = 3_000;
 /// A planned stop may take this long, in seconds.
 const STOP_WITHIN_S: f64 = 8.0;
 
@@ -63,6 +65,10 @@
     pub servers: Vec<ModelServer>,
     /// What the operator named so far.
     pub names: Vec<Name>,
+    /// The configuration's version and contents.
+    config: (u64, ChatPlan),
+    /// Where each daemon reaches the store.
+    doors: Vec<StoreDoor>,
     daemons: Vec<Daemon>,
     ports: Ports,
     folder: PathBuf,
@@ -89,6 +95,16 @@
 impl Fleet {
     /// Starts servers, a store and daemons, and waits until each daemon is ready.
     pub async fn start(name: &str, daemons: usize, servers: usize) -> Self {
+        Self::start_with(name, daemons, servers, Vec::new()).await
+    }
+
+    /// The same with organisations and their keys.
+    pub async fn start_with(
+        name: &str,
+        daemons: usize,
+        servers: usize,
+        organisations: Vec<(String, Vec<String>)>,
+    ) -> Self {
         let folder = std::env::temp_dir().join(format!("portrack-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder for logs");
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
@@ -99,8 +115,13 @@
             model: MODEL.into(),
             slots: SLOTS,
             places: PLACES,
+            organisations,
         };
         Operator(&store).configure(1, &chat);
+        let mut doors = Vec::new();
+        for _ in 0..daemons {
+            doors.push(store.open_door().await.expect("the store has a further address"));
+        }
         let mut all = Vec::new();
         for n in 0..servers {
             let adapters = (1..=ADAPTERS).filter(|adapter| adapter % servers == n);
@@ -122,6 +143,8 @@
             store,
             servers: all,
             names: Vec::new(),
+            config: (1, chat),
+            doors,
             daemons: Vec::new(),
             ports: Ports::free(),
             folder,
@@ -140,8 +163,8 @@
             "node = \"{node}\"\nhall = \"a\"\ncallers = \"{address}:{callers}\"\n\
              readiness = \"{address}:{readiness}\"\nmembers = \"{address}:{members}\"\n\
              seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\n\n[bounds]\nretry_slack = 500.0\n\
-             stop_within_s = {STOP_WITHIN_S}\n",
-            self.store.address()
+             stop_within_s = {STOP_WITHIN_S}\nrevoke_within_ms = {REVOKED_WITHIN_MS}\n",
+            self.doors[n].address
         );
         let settings = self.folder.join(format!("{node}.toml"));
         std::fs::write(&settings, text).expect("the settings are written");
@@ -188,6 +211,25 @@
         self.daemons.iter().map(|daemon| (daemon.address, port).into()).collect()
     }
 
+    /// Brings other organisations and keys into force, and tells when that was accepted.
+    pub fn set_organisations(&mut self, all: Vec<(String, Vec<String>)>) -> Instant {
+        let (version, plan) = &mut self.config;
+        *version += 1;
+        plan.organisations = all;
+        Operator(&self.store).configure(*version, plan)
+    }
+
+    /// Has the store turn a daemon away, or serve it again.
+    pub fn set_turned_away(&self, n: usize, turned_away: bool) {
+        self.doors[n].set_closed(turned_away);
+    }
+
+    /// Everything that the daemons logged.
+    pub fn logs(&self) -> String {
+        let logs = self.daemons.iter().map(|daemon| std::fs::read_to_string(&daemon.log));
+        logs.map(Result::unwrap_or_default).collect()
+    }
+
     /// Names the next version of an adapter.
     pub fn name_next(&mut self, adapter: &str) -> u64 {
         let version = self.newest(adapter) + 1;
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -3,5 +3,6 @@
 mod callers;
 mod fleet;
 mod judge;
+mod keys;
 mod series;
 mod versions;
--- a/crates/portrackd/tests/soak/series.rs
+++ b/crates/portrackd/tests/soak/series.rs
@@ -141,7 +141,8 @@
     Err(format!("{told}; logs in {}; {verdict:?}", play.fleet.folder().display()))
 }
 
-fn number(variable: &str, otherwise: u64) -> u64 {
+/// A number from the environment.
+pub fn number(variable: &str, otherwise: u64) -> u64 {
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
 }
 
