--- a/crates/portrack-bench/src/capacity/memory.rs
+++ b/crates/portrack-bench/src/capacity/memory.rs
@@ -3,6 +3,7 @@
 use super::bytes::bucket;
 use super::cpu;
 use super::fit::Line;
+use portrack::gateway::{KeyDigest, Organisation, Organisations};
 use portrack::node::Input;
 use portrack::settings::Book;
 use portrack::types::Time;
@@ -38,6 +39,9 @@
         line("engine in the view, 16 adapters held", &[60, 240, 960], |n| held(|| cpu::view(n))),
         line("adapter in the settings, one rule", &[1_000, 4_000, 10_000], |n| held(|| book(n))),
         line("pin at an owner", &[100, 400, 1_600], |n| held(|| cpu::owner(n))),
+        line("key of an organisation, 20 each", &[1_000, 10_000, 50_000], |n| {
+            held(|| organisations(n))
+        }),
         line("request that seeks a place", &[100, 400, 1_600], |n| held(|| seeking(n))),
     ]
 }
@@ -52,6 +56,17 @@
     book
 }
 
+/// Keys of organisations, 20 each.
+fn organisations(keys: usize) -> Organisations {
+    let mut all = Organisations::default();
+    for at in 0..keys / 20 {
+        let name = format!("organisation-{at}").into();
+        let digests = (0..20).map(|nth| KeyDigest::of(&format!("key-{at}-{nth}")));
+        all.add(Organisation { name, priority: None, quota: None }, digests);
+    }
+    all
+}
+
 fn seeking(count: usize) -> portrack::Node {
     let mut node = cpu::node(30, 240);
     for at in 0..count {
--- a/crates/portrack-bench/src/days/mod.rs
+++ b/crates/portrack-bench/src/days/mod.rs
@@ -3,14 +3,22 @@
 
 mod day;
 mod kinds;
+mod organisations;
 
 use day::Variant;
 use std::path::Path;
 
 /// Writes the days of one kind of deployment into a folder, a file each.
 ///
-/// `engines` and `plain` are the services as the site file names them, `class` a kind of request.
-pub fn write(folder: &Path, engines: &str, plain: &str, class: &str) -> std::io::Result<usize> {
+/// `engines` and `plain` are the services as the site file names them, `class` a kind of request. With
+/// `organisations`, callers show keys there.
+pub fn write(
+    folder: &Path,
+    engines: &str,
+    plain: &str,
+    class: &str,
+    organisations: bool,
+) -> std::io::Result<usize> {
     std::fs::create_dir_all(folder)?;
     let kinds = kinds::all(engines, plain, class);
     let first = kinds.iter().flat_map(|kind| Variant::FIRST.map(|variant| (kind, variant)));
@@ -22,5 +30,11 @@
         std::fs::write(folder.join(format!("{name}.toml")), text)?;
         written += 1;
     }
+    if organisations {
+        for (name, text) in organisations::days(written) {
+            std::fs::write(folder.join(format!("{name}.toml")), text)?;
+            written += 1;
+        }
+    }
     Ok(written)
 }
--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -92,6 +92,9 @@
     /// a kind of request
     #[argh(option)]
     class: String,
+    /// callers show keys there: days of organisations too
+    #[argh(switch)]
+    organisations: bool,
 }
 
 /// the gateway's placement of adapters against baselines, on traces shaped like the users' bench
@@ -144,7 +147,8 @@
     match args.command {
         Command::Fleet(args) => return actix_rt::System::new().block_on(fleet::run(&args)),
         Command::Days(args) => {
-            let written = days::write(&args.folder, &args.engines, &args.plain, &args.class)?;
+            let Days { folder, engines, plain, class, organisations } = &args;
+            let written = days::write(folder, engines, plain, class, *organisations)?;
             println!("{written} days");
         }
         Command::Adapters(args) => print!("{}", adapters::report(args.seeds, args.seconds)),
--- a/crates/portrack/src/gateway/choose.rs
+++ b/crates/portrack/src/gateway/choose.rs
@@ -62,3 +62,24 @@
     let best = costed.min_by(|(a, _), (b, _)| a.total_cmp(b));
     best.map(|(_, backend)| backend.clone())
 }
+
+/// The cheaper of two untried servers that a request's id chooses among those that are not in trouble.
+///
+/// Where loads are known some hundred milliseconds late, requests that all went to the idlest server
+/// would go there together.
+pub fn cheaper_of_two<'a>(
+    now: Time,
+    loads: &LoadTable,
+    hall: &str,
+    id: &str,
+    tried: &[Rc<str>],
+    backends: impl Iterator<Item = &'a Rc<Backend>>,
+) -> Option<Rc<Backend>> {
+    let untried = backends.filter(|backend| !tried.contains(&backend.id));
+    let mut costed: Vec<_> =
+        untried.map(|backend| (cost(now, loads, hall, backend), backend)).collect();
+    costed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let sound = costed.iter().take_while(|(cost, _)| *cost < SILENT).count();
+    let at = two_of(id, sound).map_or(0, |[first, second]| first.min(second));
+    costed.get(at).map(|(_, backend)| (*backend).clone())
+}
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -73,7 +73,7 @@
 pub use backend::{Backend, HeldAdapter, HeldModel};
 pub use body::{BodyDecoder, Step};
 pub use caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
-pub use choose::{cheapest, two_of};
+pub use choose::{cheaper_of_two, cheapest, two_of};
 pub use claim_record::{ClaimKey, ClaimRecord};
 pub use claim_records::{ClaimRecords, SeenRecord};
 pub use claims::{Claim, Claims, Predecessor};
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -2,7 +2,7 @@
 
 use super::backend::Backend;
 use super::caller::{RefusalReason, Refused};
-use super::choose::{SILENT, cheapest, cost, two_of};
+use super::choose::{SILENT, cheaper_of_two, cheapest, cost, two_of};
 use super::config::Route;
 use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
@@ -94,7 +94,13 @@
         job: &Job<'_>,
         open: impl Iterator<Item = &'a Rc<Backend>>,
     ) -> Option<Choice> {
-        let backend = cheapest(self.clock.now(), &self.loads, &self.hall, &job.tried, open)?;
+        let now = self.clock.now();
+        let backend = match self.loads_lag.get() {
+            true => {
+                cheaper_of_two(now, &self.loads, &self.hall, &job.request.meta.id, &job.tried, open)
+            }
+            false => cheapest(now, &self.loads, &self.hall, &job.tried, open),
+        }?;
         Some(Choice { backend, adapter_version: None, slot: None })
     }
 
