--- a/crates/portrack-bench/src/quotas/demand.rs
+++ b/crates/portrack-bench/src/quotas/demand.rs
@@ -10,7 +10,7 @@
 /// How many times its usual an organisation sends at its hottest.
 const HOT: f64 = 7.5;
 /// When it does, in milliseconds.
-const HOT_FROM: u64 = 8_000;
+pub(crate) const HOT_FROM: u64 = 8_000;
 const HOT_UNTIL: u64 = 15_000;
 /// Tokens of a request on average.
 const MEAN_TOKENS: f64 = 1_500.0;
--- a/crates/portrack/src/gateway/admission/blind.rs
+++ b/crates/portrack/src/gateway/admission/blind.rs
@@ -12,7 +12,7 @@
 /// others while it uses it, so this bounds what is let in twice: with three of ten nodes cut off from
 /// everybody for the 4 s for which their keys are believed, and an organisation at 7.5 times its usual, a
 /// part that was used as it came gave 1.03 of what a window may hold.
-const DEPTH_S: f64 = 1.5;
+const DEPTH_S: f64 = 1.0;
 /// While no accountant answers, a share fills at this part of its pace.
 const BLIND_REFILL: f64 = 0.1;
 
--- a/crates/portrack/src/gateway/admission/ledger.rs
+++ b/crates/portrack/src/gateway/admission/ledger.rs
@@ -44,9 +44,20 @@
     born: u64,
     admitted: f64,
     pace: f64,
+    /// Its part of what the whole fleet sent when it was heard: while it is silent, that is its part of
+    /// the limit, however much the demand at either side grows.
+    share: f64,
     heard_at: Time,
 }
 
+/// Another hall, by what its accountants told last.
+#[derive(Debug, Clone, Copy)]
+struct HallNews {
+    pace: f64,
+    share: f64,
+    at: Time,
+}
+
 /// What is counted of one organisation.
 #[derive(Debug)]
 struct Account {
@@ -59,6 +70,8 @@
     others: HashMap<SocketAddr, Other>,
     /// What each daemon has given back to this account, with the daemon's incarnation.
     returned: HashMap<SocketAddr, (u64, f64)>,
+    /// What is held back for each hall that has fallen silent.
+    held_back: BTreeMap<Rc<str>, f64>,
     /// Refused callers are told to come back one after the other; the last at this time.
     promised_until: Time,
 }
@@ -74,25 +87,26 @@
             pace: Pace::default(),
             others: HashMap::new(),
             returned: HashMap::new(),
+            held_back: BTreeMap::new(),
             promised_until: now,
         }
     }
 
-    /// Units a second and the time of the last news, for each other hall.
-    fn halls(&self, mine: &str) -> BTreeMap<&str, (f64, Time)> {
-        let mut last: BTreeMap<&str, Time> = BTreeMap::new();
-        for other in self.others.values().filter(|other| &*other.hall != mine) {
-            let at = last.entry(&other.hall).or_default();
-            *at = other.heard_at.max(*at);
+    /// The other halls.
+    fn halls(&self, mine: &str) -> BTreeMap<Rc<str>, HallNews> {
+        let mut halls: BTreeMap<Rc<str>, HallNews> = BTreeMap::new();
+        let mut others: Vec<&Other> =
+            self.others.values().filter(|other| &*other.hall != mine).collect();
+        others.sort_by_key(|other| std::cmp::Reverse(other.heard_at));
+        for other in others {
+            let fresh = HallNews { pace: 0.0, share: 0.0, at: other.heard_at };
+            let hall = halls.entry(other.hall.clone()).or_insert(fresh);
+            if hall.at.since(other.heard_at) <= TOGETHER {
+                hall.pace += other.pace;
+                hall.share += other.share;
+            }
         }
-        let pace = |hall: &str, at: Time| -> f64 {
-            let together = self
-                .others
-                .values()
-                .filter(|other| &*other.hall == hall && at.since(other.heard_at) <= TOGETHER);
-            together.map(|other| other.pace).sum()
-        };
-        last.into_iter().map(|(hall, at)| (hall, (pace(hall, at), at))).collect()
+        halls
     }
 
     /// Units a second of all halls that are heard, and of those that have fallen silent.
@@ -103,7 +117,7 @@
             .filter(|other| &*other.hall == mine && now.since(other.heard_at) < HALL_SILENT);
         let mut heard = self.pace.per_second(now) + near.map(|other| other.pace).sum::<f64>();
         let mut silent = 0.0;
-        for (pace, at) in self.halls(mine).into_values() {
+        for HallNews { pace, at, .. } in self.halls(mine).into_values() {
             match now.since(at) {
                 silence if silence < HALL_SILENT => heard += pace,
                 silence if silence < HELD_BACK => silent += pace,
@@ -113,13 +127,49 @@
         (heard, silent)
     }
 
-    fn refill(&mut self, now: Time, quota: &Quota, mine: &str) {
-        let (heard, silent) = self.paces(now, mine);
-        let share = match heard + silent {
-            all if all > 0.0 => heard / all,
-            _ => 1.0,
-        };
-        self.bucket.refill(now, quota, share);
+    fn refill(&mut self, now: Time, quota: &Quota, slack: f64, mine: &str) {
+        let silent = self.hold_back(now, quota, slack, mine);
+        self.bucket.refill(now, quota, slack, (1.0 - silent).max(0.0));
+    }
+
+    /// Keeps for each silent hall its part of what comes in, and of what both sides believed to be left
+    /// when it fell silent: it may use that. Without it, a hall that was cut off just as an organisation
+    /// became hot made 1.06 of what a window may hold, since both sides used the burst. What was kept
+    /// comes back when the hall is heard again, with word of what it has let in.
+    ///
+    /// Returns the part of the limit that is all silent halls'.
+    fn hold_back(&mut self, now: Time, quota: &Quota, slack: f64, mine: &str) -> f64 {
+        let since = now.since(self.bucket.refilled_at());
+        let mut silent = 0.0;
+        for (hall, HallNews { share, at, .. }) in self.halls(mine) {
+            let silence = now.since(at);
+            if silence >= HELD_BACK {
+                self.held_back.remove(&hall);
+            } else if silence >= HALL_SILENT {
+                silent += share;
+                self.hold_back_for(hall, quota, slack, share, (since, silence));
+            }
+        }
+        silent
+    }
+
+    /// Keeps the part of one hall: of what came `since` the last look, or of all since its `silence`
+    /// began.
+    fn hold_back_for(
+        &mut self,
+        hall: Rc<str>,
+        quota: &Quota,
+        slack: f64,
+        share: f64,
+        (since, silence): (Duration, Duration),
+    ) {
+        if let Some(held) = self.held_back.get_mut(&hall) {
+            *held += quota.refill(since) * share;
+            return;
+        }
+        let meanwhile = quota.refill(silence) + TokenBucket::depth(quota, slack);
+        self.bucket.take(meanwhile * share);
+        self.held_back.insert(hall, meanwhile * share);
     }
 
     fn ask(&mut self, now: Time, quota: &Quota, units: f64) -> Verdict {
@@ -143,18 +193,28 @@
     }
 
     /// Takes in what another accountant tells.
-    fn heard(&mut self, now: Time, from: SocketAddr, hall: &Rc<str>, count: &QuotaCount) {
+    fn heard(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        hall: &Rc<str>,
+        count: &QuotaCount,
+        mine: &str,
+    ) {
         if self.others.get(&from).is_some_and(|other| other.born > count.born) {
             return;
         }
+        if let Some(held) = self.held_back.remove(hall) {
+            self.bucket.take(-held);
+        }
         let theirs = Duration::from_millis(count.open_ms.into());
-        let mine = now.since(self.opened_at);
+        let open = now.since(self.opened_at);
         let seen = match self.others.get(&from) {
             Some(other) if other.born == count.born => other.admitted,
             // It began to count after this account: all that it has admitted is news.
-            _ if theirs <= mine => 0.0,
+            _ if theirs <= open => 0.0,
             _ => {
-                if mine < YOUNG {
+                if open < YOUNG {
                     self.bucket.set_level(count.level - self.admitted);
                 }
                 count.admitted
@@ -167,9 +227,14 @@
             born: count.born,
             admitted: count.admitted,
             pace: count.pace,
+            share: 0.0,
             heard_at: now,
         };
         self.others.insert(from, other);
+        let (heard, silent) = self.paces(now, mine);
+        if let Some(other) = self.others.get_mut(&from) {
+            other.share = other.pace / (heard + silent).max(f64::MIN_POSITIVE);
+        }
     }
 }
 
@@ -177,13 +242,15 @@
 #[derive(Debug)]
 pub struct Ledger {
     hall: Rc<str>,
+    slack: f64,
     accounts: HashMap<OrganisationMark, Account>,
 }
 
 impl Ledger {
-    /// A ledger without accounts, of a daemon in a hall.
-    pub fn new(hall: &str) -> Self {
-        Self { hall: hall.into(), accounts: HashMap::new() }
+    /// A ledger without accounts, of a daemon in a hall, where users allow `slack` units beyond any
+    /// quota.
+    pub fn new(hall: &str, slack: f64) -> Self {
+        Self { hall: hall.into(), slack, accounts: HashMap::new() }
     }
 
     /// Decides on a request of `units`. `born` tells this account from another one of this daemon.
@@ -196,7 +263,7 @@
         born: u64,
     ) -> Verdict {
         let account = self.accounts.entry(mark).or_insert_with(|| Account::new(now, born, quota));
-        account.refill(now, quota, &self.hall);
+        account.refill(now, quota, self.slack, &self.hall);
         account.ask(now, quota, units)
     }
 
@@ -238,8 +305,8 @@
         quota: &Quota,
     ) {
         let Some(account) = self.accounts.get_mut(&count.organisation) else { return };
-        account.refill(now, quota, &self.hall);
-        account.heard(now, from, hall, count);
+        account.refill(now, quota, self.slack, &self.hall);
+        account.heard(now, from, hall, count, &self.hall);
     }
 
     /// What the whole fleet sends a second, as a share of what the quota allows.
@@ -261,9 +328,9 @@
         let mut counts = Vec::new();
         for (mark, account) in &mut self.accounts {
             let Some(quota) = quota_of(*mark) else { continue };
-            account.refill(now, &quota, &self.hall);
+            account.refill(now, &quota, self.slack, &self.hall);
             let level = account.bucket.level();
-            if !all && level > TokenBucket::depth(&quota) / 2.0 {
+            if !all && level > TokenBucket::depth(&quota, self.slack) / 2.0 {
                 continue;
             }
             counts.push(QuotaCount {
--- a/crates/portrack/src/gateway/admission/quotas.rs
+++ b/crates/portrack/src/gateway/admission/quotas.rs
@@ -126,7 +126,8 @@
 }
 
 impl Quotas {
-    /// Quotas of which nothing is counted yet; `daemons` is kept up to date by others.
+    /// Quotas of which nothing is counted yet, where users allow `slack` units beyond any of them;
+    /// `daemons` is kept up to date by others.
     pub fn new(
         clock: Rc<dyn Clock>,
         view: Rc<RefCell<FleetView>>,
@@ -134,8 +135,9 @@
         me: DaemonAt,
         daemons: Rc<RefCell<Daemons>>,
         incarnation: u64,
+        slack: f64,
     ) -> Self {
-        let ledger = Ledger::new(&me.hall);
+        let ledger = Ledger::new(&me.hall, slack);
         Self {
             clock,
             view,
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -145,6 +145,7 @@
             me.clone(),
             daemons_up.clone(),
             incarnation,
+            bounds.quota_slack,
         );
         let loads = Rc::new(LoadTable::default());
         let slots = Slots::new(
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -81,6 +81,9 @@
     /// A key that was taken away works nowhere after this, in milliseconds, also at daemons that are
     /// cut off; no such bound if left out.
     pub revoke_within_ms: Option<u64>,
+    /// What an organisation may send beyond its quota in a window, whatever its size, in the quota's
+    /// unit.
+    pub quota_slack: f64,
 }
 
 impl Default for Bounds {
@@ -95,6 +98,7 @@
             drain_ms: 2_000,
             config_within_ms: 2_000,
             revoke_within_ms: None,
+            quota_slack: 0.0,
         }
     }
 }
@@ -173,6 +177,9 @@
         if !sensible.contains(&bounds.config_within_ms) {
             return Some(("config_within_ms", "is not between 500 and 60000"));
         }
+        if !(bounds.quota_slack >= 0.0 && bounds.quota_slack.is_finite()) {
+            return Some(("quota_slack", "is negative or no number"));
+        }
         let keys = 2_000..=60_000;
         if bounds.revoke_within_ms.is_some_and(|within| !keys.contains(&within)) {
             return Some(("revoke_within_ms", "is not between 2000 and 60000"));
