--- a/crates/portrack-bench/src/quotas/network.rs
+++ b/crates/portrack-bench/src/quotas/network.rs
@@ -26,6 +26,8 @@
     HotAsCutHall,
     /// Three of ten nodes are, from everybody.
     HotAsCutNodes,
+    /// The same, with some accountants among them, and they reach each other.
+    HotAsSplit,
 }
 
 /// When the trouble is there, in milliseconds.
@@ -38,7 +40,7 @@
 
 impl Trouble {
     /// All of them.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Calm,
         Self::Hot,
         Self::HotCutHall,
@@ -48,6 +50,7 @@
         Self::CutHall,
         Self::HotAsCutHall,
         Self::HotAsCutNodes,
+        Self::HotAsSplit,
     ];
 
     /// The name in the table.
@@ -62,6 +65,7 @@
             Self::CutHall => "hall cut off",
             Self::HotAsCutHall => "hot as hall is cut off",
             Self::HotAsCutNodes => "hot as nodes are cut off",
+            Self::HotAsSplit => "hot as nodes of all halls are cut off together",
         }
     }
 
@@ -117,7 +121,9 @@
         let (from_ms, until) = match self.trouble {
             Trouble::HotCutNodes => (FROM, NODES_UNTIL),
             Trouble::HotAsCutHall => (HOT_FROM, UNTIL),
-            Trouble::HotAsCutNodes => (HOT_FROM, NODES_UNTIL - (FROM - HOT_FROM)),
+            Trouble::HotAsCutNodes | Trouble::HotAsSplit => {
+                (HOT_FROM, NODES_UNTIL - (FROM - HOT_FROM))
+            }
             _ => (FROM, UNTIL),
         };
         let troubled = (from_ms..until).contains(&self.now);
@@ -128,6 +134,10 @@
             Trouble::HotCutNodes | Trouble::HotAsCutNodes => {
                 from != to && (from % 10 > 6 || to % 10 > 6)
             }
+            Trouble::HotAsSplit => {
+                let cut = |node: usize| node % 10 > 6 || node == 0 || node == 4;
+                cut(from) != cut(to)
+            }
             _ => false,
         };
         self.is_up(from) && self.is_up(to) && !(troubled && cut)
--- a/crates/portrack-bench/tests/quotas.rs
+++ b/crates/portrack-bench/tests/quotas.rs
@@ -25,7 +25,7 @@
 fn in_no_window_more_than_allowed_and_little_refused_inside_a_quota_at_any_size() {
     for (nodes, seeds) in [(6, 8), (24, 4), (72, 3), (360, 1)] {
         let figures = figures(nodes, seeds, "accountants of each hall");
-        assert_eq!(figures.len(), 9, "all troubles");
+        assert_eq!(figures.len(), 10, "all troubles");
         for (trouble, most, refused) in figures {
             assert!(most <= 1.0, "{nodes} nodes, {trouble}: {most} of what may be");
             let bound = match trouble.as_str() {
--- a/crates/portrack/src/gateway/admission/ledger.rs
+++ b/crates/portrack/src/gateway/admission/ledger.rs
@@ -17,10 +17,13 @@
 
 /// A hall whose accountants tell nothing for so long is silent: two tellings are lost.
 const HALL_SILENT: Duration = Duration::from_millis(650);
-/// Its part is held back for so long: until its keys cannot be proved any more, and a window passes.
+/// The part of a silent hall is held back for so long: until its keys cannot be proved any more, and a
+/// window passes.
 const HELD_BACK: Duration = Duration::from_secs(12);
-/// Accountants heard within this of the last one of their hall count together.
-const TOGETHER: Duration = Duration::from_millis(1_000);
+/// The part of one silent accountant, where another one of its hall is heard: it may have ended, or be
+/// cut off with daemons that go on asking it while their keys can be proved. With 22 of 72 nodes cut off
+/// together, accountants among them, no hall was silent to anybody, and both sides gave out the limit.
+const STEPPED_IN: Duration = Duration::from_millis(4_500);
 /// An account is closed that was neither asked nor told anything for so long.
 const CLOSED_AFTER: Duration = Duration::from_secs(30);
 /// Only accounts that were asked within this tell the others.
@@ -52,12 +55,13 @@
     heard_at: Time,
 }
 
-/// Another hall, by what its accountants told last.
+/// An accountant that has fallen silent, and may go on.
 #[derive(Debug, Clone, Copy)]
-struct HallNews {
+struct SilentOther {
+    address: SocketAddr,
     pace: f64,
     share: f64,
-    at: Time,
+    silence: Duration,
 }
 
 /// What is counted of one organisation.
@@ -74,8 +78,8 @@
     others: HashMap<SocketAddr, Other>,
     /// What each daemon has given back to this account, with the daemon's incarnation.
     returned: HashMap<SocketAddr, (u64, f64)>,
-    /// What is held back for each hall that has fallen silent.
-    held_back: BTreeMap<Rc<str>, f64>,
+    /// What is held back for each accountant that has fallen silent.
+    held_back: BTreeMap<SocketAddr, f64>,
     /// Refused callers are told to come back one after the other; the last at this time.
     promised_until: Time,
 }
@@ -97,39 +101,27 @@
         }
     }
 
-    /// The other halls.
-    fn halls(&self, mine: &str) -> BTreeMap<Rc<str>, HallNews> {
-        let mut halls: BTreeMap<Rc<str>, HallNews> = BTreeMap::new();
-        let mut others: Vec<&Other> =
-            self.others.values().filter(|other| &*other.hall != mine).collect();
-        others.sort_by_key(|other| std::cmp::Reverse(other.heard_at));
-        for other in others {
-            let fresh = HallNews { pace: 0.0, share: 0.0, at: other.heard_at };
-            let hall = halls.entry(other.hall.clone()).or_insert(fresh);
-            if hall.at.since(other.heard_at) <= TOGETHER {
-                hall.pace += other.pace;
-                hall.share += other.share;
-            }
-        }
-        halls
+    /// The accountants that are silent, and that may go on letting requests in.
+    fn silent(&self, now: Time, mine: &str) -> Vec<SilentOther> {
+        let is_heard = |other: &Other| now.since(other.heard_at) < HALL_SILENT;
+        let hall_is_heard = |hall: &str| {
+            hall == mine
+                || self.others.values().any(|other| is_heard(other) && &*other.hall == hall)
+        };
+        let silent = self.others.iter().filter(|(_, other)| !is_heard(other));
+        let silent = silent.map(|(address, other)| {
+            let (pace, share, silence) = (other.pace, other.share, now.since(other.heard_at));
+            let held = if hall_is_heard(&other.hall) { STEPPED_IN } else { HELD_BACK };
+            (SilentOther { address: *address, pace, share, silence }, held)
+        });
+        silent.filter(|(other, held)| other.silence < *held).map(|(other, _)| other).collect()
     }
 
-    /// Units a second of all halls that are heard, and of those that have fallen silent.
+    /// Units a second of all accountants that are heard, and of those that have fallen silent.
     fn paces(&self, now: Time, mine: &str) -> (f64, f64) {
-        let near = self
-            .others
-            .values()
-            .filter(|other| &*other.hall == mine && now.since(other.heard_at) < HALL_SILENT);
-        let mut heard = self.pace.per_second(now) + near.map(|other| other.pace).sum::<f64>();
-        let mut silent = 0.0;
-        for HallNews { pace, at, .. } in self.halls(mine).into_values() {
-            match now.since(at) {
-                silence if silence < HALL_SILENT => heard += pace,
-                silence if silence < HELD_BACK => silent += pace,
-                _ => {}
-            }
-        }
-        (heard, silent)
+        let heard = self.others.values().filter(|other| now.since(other.heard_at) < HALL_SILENT);
+        let heard = self.pace.per_second(now) + heard.map(|other| other.pace).sum::<f64>();
+        (heard, self.silent(now, mine).iter().map(|other| other.pace).sum())
     }
 
     fn refill(&mut self, now: Time, quota: &Quota, slack: f64, mine: &str) {
@@ -137,44 +129,26 @@
         self.bucket.refill(now, quota, slack, (1.0 - silent).max(0.0));
     }
 
-    /// Keeps for each silent hall its part of what comes in, and of what both sides believed to be left
-    /// when it fell silent: it may use that. Without it, a hall that was cut off just as an organisation
-    /// became hot made 1.06 of what a window may hold, since both sides used the burst. What was kept
-    /// comes back when the hall is heard again, with word of what it has let in.
+    /// Keeps for each silent accountant its part of what comes in, and of what both sides believed to be
+    /// left when it fell silent: it may use that. Without it, a hall that was cut off just as an
+    /// organisation became hot made 1.06 of what a window may hold, since both sides used the burst. What
+    /// was kept comes back when it is heard again, with word of what it has let in.
     ///
-    /// Returns the part of the limit that is all silent halls'.
+    /// Returns the part of the limit that is all silent accountants'.
     fn hold_back(&mut self, now: Time, quota: &Quota, slack: f64, mine: &str) -> f64 {
         let since = now.since(self.bucket.refilled_at());
-        let mut silent = 0.0;
-        for (hall, HallNews { share, at, .. }) in self.halls(mine) {
-            let silence = now.since(at);
-            if silence >= HELD_BACK {
-                self.held_back.remove(&hall);
-            } else if silence >= HALL_SILENT {
-                silent += share;
-                self.hold_back_for(hall, quota, slack, share, (since, silence));
+        let silent = self.silent(now, mine);
+        self.held_back.retain(|address, _| silent.iter().any(|other| other.address == *address));
+        for other in &silent {
+            if let Some(held) = self.held_back.get_mut(&other.address) {
+                *held += quota.refill(since) * other.share;
+                continue;
             }
+            let meanwhile = quota.refill(other.silence) + TokenBucket::depth(quota, slack);
+            self.bucket.take(meanwhile * other.share);
+            self.held_back.insert(other.address, meanwhile * other.share);
         }
-        silent
-    }
-
-    /// Keeps the part of one hall: of what came `since` the last look, or of all since its `silence`
-    /// began.
-    fn hold_back_for(
-        &mut self,
-        hall: Rc<str>,
-        quota: &Quota,
-        slack: f64,
-        share: f64,
-        (since, silence): (Duration, Duration),
-    ) {
-        if let Some(held) = self.held_back.get_mut(&hall) {
-            *held += quota.refill(since) * share;
-            return;
-        }
-        let meanwhile = quota.refill(silence) + TokenBucket::depth(quota, slack);
-        self.bucket.take(meanwhile * share);
-        self.held_back.insert(hall, meanwhile * share);
+        silent.iter().map(|other| other.share).sum()
     }
 
     fn ask(&mut self, now: Time, quota: &Quota, units: f64) -> Verdict {
@@ -210,7 +184,7 @@
         if self.others.get(&from).is_some_and(|other| other.born > count.born) {
             return;
         }
-        if let Some(held) = self.held_back.remove(hall) {
+        if let Some(held) = self.held_back.remove(&from) {
             self.bucket.take(-held);
         }
         let theirs = Duration::from_millis(count.open_ms.into());
