--- a/crates/portrack/src/gateway/admission/ledger.rs
+++ b/crates/portrack/src/gateway/admission/ledger.rs
@@ -3,7 +3,7 @@
 //! Each data hall has an accountant for an organisation, which daemons of that hall ask before they
 //! send a request. Accountants tell each other what they have admitted so far, so each knows what the
 //! whole fleet has, a tenth of a second late at most where it matters; what is admitted meanwhile
-//! becomes a debt that is paid back at once. A hall that falls silent is taken to go on with its part.
+//! becomes a debt that is paid back at once. One that falls silent is taken to go on with its part.
 
 use super::bucket::TokenBucket;
 use super::organisations::{OrganisationMark, Quota};
@@ -15,8 +15,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A hall whose accountants tell nothing for so long is silent: two tellings are lost.
-const HALL_SILENT: Duration = Duration::from_millis(650);
+/// An accountant that tells nothing for so long is silent: two tellings are lost. A hall is if all of its
+/// accountants are.
+const SILENT_AFTER: Duration = Duration::from_millis(650);
 /// The part of a silent hall is held back for so long: until its keys cannot be proved any more, and a
 /// window passes.
 const HELD_BACK: Duration = Duration::from_secs(12);
@@ -103,7 +104,7 @@
 
     /// The accountants that are silent, and that may go on letting requests in.
     fn silent(&self, now: Time, mine: &str) -> Vec<SilentOther> {
-        let is_heard = |other: &Other| now.since(other.heard_at) < HALL_SILENT;
+        let is_heard = |other: &Other| now.since(other.heard_at) < SILENT_AFTER;
         let hall_is_heard = |hall: &str| {
             hall == mine
                 || self.others.values().any(|other| is_heard(other) && &*other.hall == hall)
@@ -119,7 +120,7 @@
 
     /// Units a second of all accountants that are heard, and of those that have fallen silent.
     fn paces(&self, now: Time, mine: &str) -> (f64, f64) {
-        let heard = self.others.values().filter(|other| now.since(other.heard_at) < HALL_SILENT);
+        let heard = self.others.values().filter(|other| now.since(other.heard_at) < SILENT_AFTER);
         let heard = self.pace.per_second(now) + heard.map(|other| other.pace).sum::<f64>();
         (heard, self.silent(now, mine).iter().map(|other| other.pace).sum())
     }
--- a/crates/portrack/src/gateway/admission/quotas.rs
+++ b/crates/portrack/src/gateway/admission/quotas.rs
@@ -4,7 +4,7 @@
 use super::ledger::{Ledger, Verdict};
 use super::organisations::{Organisation, OrganisationMark, Quota};
 use crate::gateway::caller::{RefusalReason, Refused};
-use crate::gateway::daemons::{DaemonAt, Daemons};
+use crate::gateway::daemons::{DaemonAt, Daemons, Shunned};
 use crate::gateway::message::PeerMessage;
 use crate::gateway::messenger::Messenger;
 use crate::gateway::view::FleetView;
@@ -120,7 +120,7 @@
     waiting: RefCell<HashMap<u32, oneshot::Sender<QuotaAnswer>>>,
     asked: Cell<u32>,
     tellings: Cell<u64>,
-    shunned: RefCell<HashMap<SocketAddr, Time>>,
+    shunned: Shunned,
     blind: RefCell<HashMap<OrganisationMark, BlindShare>>,
     /// Given back so far, by the accountant that had let it in.
     returned: RefCell<HashMap<SocketAddr, HashMap<OrganisationMark, f64>>>,
@@ -151,7 +151,7 @@
             waiting: RefCell::default(),
             asked: Cell::new(0),
             tellings: Cell::new(0),
-            shunned: RefCell::default(),
+            shunned: Shunned::default(),
             blind: RefCell::default(),
             returned: RefCell::default(),
             to_return: RefCell::default(),
@@ -176,7 +176,7 @@
             let Some(accountant) = self.accountant(mark) else { break };
             let Some(answer) = self.ask(accountant, mark, &quota, units).await else {
                 let until = self.clock.now() + SHUNNED_FOR;
-                self.shunned.borrow_mut().insert(accountant, until);
+                self.shunned.shun(accountant, until);
                 continue;
             };
             return self.answered(accountant, mark, units, &answer);
@@ -197,12 +197,10 @@
 
     fn accountant(&self, mark: OrganisationMark) -> Option<SocketAddr> {
         let now = self.clock.now();
-        let mut shunned = self.shunned.borrow_mut();
-        shunned.retain(|_, until| now < *until);
         // Others are told nothing by the accountants of other halls. A node that was cut off from
         // everybody came to itself in the end, and gave out the whole limit on its own.
         self.daemons.borrow().first_of_hall(mark.0, &self.me.hall, OF_EACH_HALL, |daemon| {
-            !shunned.contains_key(&daemon.address)
+            !self.shunned.holds(now, daemon.address)
         })
     }
 
--- a/crates/portrack/src/gateway/choose.rs
+++ b/crates/portrack/src/gateway/choose.rs
@@ -12,7 +12,7 @@
 /// Prompt tokens that weigh as much as one running request.
 const TOKENS_A_REQUEST: f64 = 600.0;
 /// What a server that says nothing although it was asked costs.
-pub(super) const SILENT: f64 = 80.0;
+const SILENT: f64 = 80.0;
 /// What a server found unreachable a moment ago costs.
 const UNREACHABLE: f64 = 10_000.0;
 
@@ -49,6 +49,13 @@
     Some([first as usize, second as usize])
 }
 
+/// The place to take among candidates with these costs, the cheapest first: the better of two that a
+/// request's id chooses among those that are not in trouble, or the first if all are.
+pub(super) fn better_of_two(id: &str, costs: impl Iterator<Item = f64>) -> usize {
+    let sound = costs.take_while(|cost| *cost < SILENT).count();
+    two_of(id, sound).map_or(0, |[first, second]| first.min(second))
+}
+
 /// The cheapest server of those not tried yet.
 pub fn cheapest<'a>(
     now: Time,
@@ -79,7 +86,6 @@
     let mut costed: Vec<_> =
         untried.map(|backend| (cost(now, loads, hall, backend), backend)).collect();
     costed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    let sound = costed.iter().take_while(|(cost, _)| *cost < SILENT).count();
-    let at = two_of(id, sound).map_or(0, |[first, second]| first.min(second));
+    let at = better_of_two(id, costed.iter().map(|(cost, _)| *cost));
     costed.get(at).map(|(_, backend)| (*backend).clone())
 }
--- a/crates/portrack/src/gateway/daemons.rs
+++ b/crates/portrack/src/gateway/daemons.rs
@@ -1,7 +1,9 @@
 //! Which daemons do a duty for others: every daemon with the same list makes the same choice.
 
+use crate::types::Time;
+use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -17,6 +19,24 @@
     pub capacity: u32,
 }
 
+/// Daemons that did not answer, each until a time; they are not asked before it.
+#[derive(Debug, Default)]
+pub struct Shunned(RefCell<HashMap<SocketAddr, Time>>);
+
+impl Shunned {
+    /// Leaves a daemon alone until a time.
+    pub fn shun(&self, daemon: SocketAddr, until: Time) {
+        self.0.borrow_mut().insert(daemon, until);
+    }
+
+    /// True if a daemon is left alone.
+    pub fn holds(&self, now: Time, daemon: SocketAddr) -> bool {
+        let mut all = self.0.borrow_mut();
+        all.retain(|_, until| now < *until);
+        all.contains_key(&daemon)
+    }
+}
+
 /// All daemons that are up and stay, as far as known, this one included.
 #[derive(Debug, Clone, Default)]
 pub struct Daemons(Vec<DaemonAt>);
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -4,12 +4,12 @@
 use crate::gateway::admission::OrganisationMark;
 use crate::gateway::backend::Backend;
 use crate::gateway::caller::{RefusalReason, Refused};
-use crate::gateway::daemons::{DaemonAt, Daemons};
+use crate::gateway::daemons::{DaemonAt, Daemons, Shunned};
 use crate::gateway::load::{LoadTable, server_mark};
 use crate::gateway::message::PeerMessage;
 use crate::gateway::messenger::Messenger;
 use crate::gateway::view::FleetView;
-use crate::types::{Clock, Time};
+use crate::types::Clock;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -59,7 +59,7 @@
     dispatchers: RefCell<HashMap<u32, Dispatcher>>,
     waiting: RefCell<HashMap<u32, UnboundedSender<SlotAnswer>>>,
     asked: Cell<u32>,
-    shunned: RefCell<HashMap<SocketAddr, Time>>,
+    shunned: Shunned,
 }
 
 impl Slots {
@@ -82,7 +82,7 @@
             dispatchers: RefCell::default(),
             waiting: RefCell::default(),
             asked: Cell::new(0),
-            shunned: RefCell::default(),
+            shunned: Shunned::default(),
         }
     }
 
@@ -98,10 +98,8 @@
 
     fn dispatcher(&self, service: u32) -> Option<SocketAddr> {
         let now = self.clock.now();
-        let mut shunned = self.shunned.borrow_mut();
-        shunned.retain(|_, until| now < *until);
         self.daemons.borrow().first(service.into(), |daemon| {
-            !shunned.contains_key(&daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
+            !self.shunned.holds(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
         })
     }
 
@@ -146,7 +144,7 @@
             }
             Some(SlotAnswer::Waits) | None => {
                 let until = self.clock.now() + SHUNNED_FOR;
-                self.shunned.borrow_mut().insert(dispatcher, until);
+                self.shunned.shun(dispatcher, until);
                 Ok(None)
             }
         }
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/placing.rs
@@ -2,7 +2,7 @@
 
 use super::backend::Backend;
 use super::caller::{RefusalReason, Refused};
-use super::choose::{SILENT, cheaper_of_two, cheapest, cost, two_of};
+use super::choose::{better_of_two, cheaper_of_two, cheapest, cost};
 use super::config::Route;
 use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
@@ -290,9 +290,9 @@
 /// The first of some holders, which come with the cheapest first; where loads are known late, the
 /// better of two that are chosen at random among those that are not in trouble.
 fn spread<'a>(id: &str, holders: &'a [Holder], loads_lag: bool) -> Option<&'a Holder> {
-    let sound = holders.iter().take_while(|holder| holder.cost < SILENT).count();
-    let at = two_of(id, sound).filter(|_| loads_lag);
-    holders.get(at.map_or(0, |[first, second]| first.min(second)))
+    let costs = holders.iter().map(|holder| holder.cost);
+    let at = if loads_lag { better_of_two(id, costs) } else { 0 };
+    holders.get(at)
 }
 
 /// How long a request may wait for its adapter before its caller gives up.
