--- a/crates/portrack-bench/src/adapters/gateway.rs
+++ b/crates/portrack-bench/src/adapters/gateway.rs
@@ -57,9 +57,16 @@
         weights_mb: 45_000.0,
         adapter_slots: PLACES,
         loads_per_second: 3.3,
+        event_tokens: 2,
         models: vec![model],
     };
-    let service = Service { name: SERVICE.into(), max_connections: 360, engine: Some(engine) };
+    let service = Service {
+        name: SERVICE.into(),
+        max_connections: 360,
+        engine: Some(engine),
+        cold: None,
+        health_path: String::new(),
+    };
     let services = BTreeMap::from([(service.name.clone(), Rc::new(service))]);
     Rc::new(FleetConfig { version: 1, services, ..FleetConfig::default() })
 }
@@ -95,6 +102,9 @@
         slots: SLOTS,
         draining: false,
         leaves_in: None,
+        born: None,
+        cold_for: Duration::ZERO,
+        orders_taken: 0,
         models: vec![HeldModel { name: MODEL.into(), adapters: Vec::new() }],
     }
 }
--- a/crates/portrack-bench/src/capacity/memory.rs
+++ b/crates/portrack-bench/src/capacity/memory.rs
@@ -62,7 +62,7 @@
     for at in 0..keys / 20 {
         let name = format!("organisation-{at}").into();
         let digests = (0..20).map(|nth| KeyDigest::of(&format!("key-{at}-{nth}")));
-        all.add(Organisation { name, priority: None, quota: None }, digests);
+        all.add(Organisation { name, priority: None, quota: None, allowed_regions: None }, digests);
     }
     all
 }
--- a/crates/portrack/src/gateway/admission/keys.rs
+++ b/crates/portrack/src/gateway/admission/keys.rs
@@ -3,8 +3,8 @@
 use super::credential::Credential;
 use super::organisations::{Organisation, RevokedKeys};
 use super::proof::StoreProof;
-use crate::gateway::caller::{RefusalReason, Refused};
-use crate::gateway::config::{FleetConfig, Route};
+use crate::gateway::fleet::config::{FleetConfig, Route};
+use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::types::Time;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/portrack/src/gateway/admission/organisations.rs
+++ b/crates/portrack/src/gateway/admission/organisations.rs
@@ -1,6 +1,7 @@
 //! The organisations of a configuration, by their keys.
 
 use super::credential::KeyDigest;
+use crate::gateway::fleet::regions::AllowedRegions;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,8 @@
     pub priority: Option<u8>,
     /// How much it may send; any amount if left out.
     pub quota: Option<Quota>,
+    /// The only regions in which its requests may be served; any if left out.
+    pub allowed_regions: Option<AllowedRegions>,
 }
 
 impl Organisation {
--- a/crates/portrack/src/gateway/admission/quotas.rs
+++ b/crates/portrack/src/gateway/admission/quotas.rs
@@ -3,11 +3,11 @@
 use super::blind::BlindShare;
 use super::ledger::{Ledger, Verdict};
 use super::organisations::{Organisation, OrganisationMark, Quota};
-use crate::gateway::caller::{RefusalReason, Refused};
-use crate::gateway::daemons::{DaemonAt, Daemons, Shunned};
-use crate::gateway::message::PeerMessage;
-use crate::gateway::messenger::Messenger;
-use crate::gateway::view::FleetView;
+use crate::gateway::fleet::daemons::{DaemonAt, Daemons, Shunned};
+use crate::gateway::fleet::message::PeerMessage;
+use crate::gateway::fleet::messenger::Messenger;
+use crate::gateway::fleet::view::FleetView;
+use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::types::{Clock, Time};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
--- a/crates/portrack/src/gateway/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -1,7 +1,7 @@
 //! Which server takes a request.
 
-use super::backend::Backend;
 use super::load::LoadTable;
+use crate::gateway::fleet::backend::Backend;
 use crate::types::Time;
 use std::rc::Rc;
 
@@ -51,7 +51,7 @@
 
 /// The place to take among candidates with these costs, the cheapest first: the better of two that a
 /// request's id chooses among those that are not in trouble, or the first if all are.
-pub(super) fn better_of_two(id: &str, costs: impl Iterator<Item = f64>) -> usize {
+pub(in crate::gateway) fn better_of_two(id: &str, costs: impl Iterator<Item = f64>) -> usize {
     let sound = costs.take_while(|cost| *cost < SILENT).count();
     two_of(id, sound).map_or(0, |[first, second]| first.min(second))
 }
--- a/crates/portrack/src/gateway/demand.rs
+++ b/crates/portrack/src/gateway/choosing/demand.rs
@@ -1,7 +1,7 @@
 //! What requests use and wish for, until the daemons that order the servers are told.
 
-use super::adapter_demand::AdapterDemand;
-use super::dialect::AdapterKey;
+use crate::gateway::dialect::AdapterKey;
+use crate::gateway::orders::adapter_demand::AdapterDemand;
 use crate::types::Time;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
--- a/crates/portrack/src/gateway/holdings.rs
+++ b/crates/portrack/src/gateway/choosing/holdings.rs
@@ -1,7 +1,7 @@
 //! Which server holds which adapter, from the store's list and from fresher notices.
 
-use super::backend::Backend;
-use super::dialect::AdapterKey;
+use crate::gateway::dialect::AdapterKey;
+use crate::gateway::fleet::backend::Backend;
 use crate::types::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
--- a/crates/portrack/src/gateway/homes.rs
+++ b/crates/portrack/src/gateway/choosing/homes.rs
@@ -1,7 +1,7 @@
 //! Which server an adapter is to be loaded at.
 
 use super::crowding::home_margin;
-use super::dialect::AdapterKey;
+use crate::gateway::dialect::AdapterKey;
 use crate::membership::ranked;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/portrack/src/gateway/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -1,7 +1,7 @@
 //! How busy and how reliable each backend server is, as this daemon knows it.
 
 use super::decay::Decayed;
-use super::message::ServerLoad;
+use crate::gateway::fleet::message::ServerLoad;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
--- a/crates/portrack/src/gateway/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -2,12 +2,12 @@
 //! adapters with much demand loaded elsewhere as well.
 
 use super::crowding::{is_idle, is_overloaded};
-use super::daemon::GatewayDaemon;
 use super::demand::Wish;
-use super::dialect::AdapterKey;
 use super::load::server_mark;
-use super::message::{PeerMessage, ServerLoad};
 use super::replicas::{ReplicaDemand, run_time};
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::dialect::AdapterKey;
+use crate::gateway::fleet::message::{PeerMessage, ServerLoad};
 use crate::types::Time;
 use futures_util::future::join_all;
 use std::collections::HashMap;
@@ -21,7 +21,7 @@
 
 impl GatewayDaemon {
     /// Reads the loads of the servers that this daemon orders, for ever.
-    pub(super) async fn report_loads(self: Rc<Self>) {
+    pub(in crate::gateway) async fn report_loads(self: Rc<Self>) {
         loop {
             actix_rt::time::sleep(REPORT_EVERY).await;
             if !self.path.loads_lag.get() {
--- a/crates/portrack/src/gateway/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -1,19 +1,19 @@
 //! Chooses the server of a request, and waits for its adapter where that is worth it.
 
-use super::backend::Backend;
-use super::caller::{RefusalReason, Refused};
 use super::choose::{better_of_two, cheaper_of_two, cheapest, cost};
-use super::config::Route;
 use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
-use super::dialect::AdapterKey;
-use super::dispatch::SlotNeed;
 use super::homes::{Home, home};
-use super::job::{Choice, Job};
 use super::load::server_mark;
-use super::path::RequestPath;
-use super::versions::{UsableVersions, VersionChoice};
-use super::view::FIRST_VERSION;
+use crate::gateway::dialect::AdapterKey;
+use crate::gateway::dispatch::SlotNeed;
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::config::Route;
+use crate::gateway::fleet::versions::{UsableVersions, VersionChoice};
+use crate::gateway::fleet::view::FIRST_VERSION;
+use crate::gateway::requests::caller::{RefusalReason, Refused};
+use crate::gateway::requests::job::{Choice, Job};
+use crate::gateway::requests::path::RequestPath;
 use crate::types::Time;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,7 +41,7 @@
 
 impl RequestPath {
     /// A server for the next try.
-    pub(super) async fn choose(&self, job: &Job<'_>) -> Result<Choice, Refused> {
+    pub(in crate::gateway) async fn choose(&self, job: &Job<'_>) -> Result<Choice, Refused> {
         if job.model().is_none() {
             return self.choose_plain(job).await;
         }
@@ -249,7 +249,7 @@
     }
 
     /// True if a server is left that was not tried.
-    pub(super) fn has_untried(&self, job: &Job<'_>) -> bool {
+    pub(in crate::gateway) fn has_untried(&self, job: &Job<'_>) -> bool {
         match job.adapter() {
             Some(_) if job.model().is_some() => true,
             _ => {
@@ -261,7 +261,7 @@
     }
 
     /// A server that turned a request for an adapter away does not hold it, or not that version.
-    pub(super) fn note_turned_away(&self, job: &Job<'_>, choice: &Choice, status: u16) {
+    pub(in crate::gateway) fn note_turned_away(&self, job: &Job<'_>, choice: &Choice, status: u16) {
         let Some(key) = job.adapter().filter(|_| status == 421) else { return };
         let now = self.clock.now();
         let (server, version) = (&choice.backend.id, choice.adapter_version);
--- a/crates/portrack/src/gateway/answer.rs
+++ b/crates/portrack/src/gateway/connections/answer.rs
@@ -1,6 +1,6 @@
 //! The head of a server's answer.
 
-use super::dialect::{AnswerMeta, Dialect};
+use crate::gateway::dialect::{AnswerMeta, Dialect};
 use actix_http::StatusCode;
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::{Buf, BytesMut};
--- a/crates/portrack/src/gateway/connection.rs
+++ b/crates/portrack/src/gateway/connections/connection.rs
@@ -2,7 +2,7 @@
 
 use super::answer::{AnswerError, AnswerHead, take_head};
 use super::body::{BodyDecoder, Step};
-use super::dialect::Dialect;
+use crate::gateway::dialect::Dialect;
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 use std::io;
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -1,8 +1,8 @@
 //! What the gateway asks of a platform's adapter: translation of messages, nothing else.
 
-use super::admission::Credential;
-use super::backend::Backend;
-use super::config::FleetConfig;
+use crate::gateway::admission::Credential;
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::config::FleetConfig;
 use actix_http::header::HeaderMap;
 use snafu::Snafu;
 use std::rc::Rc;
@@ -17,6 +17,8 @@
     Backend(Box<Backend>),
     /// The newest version of an adapter.
     AdapterVersion(AdapterKey, u64),
+    /// The operators have a data hall evacuated, for as long as this is in the store.
+    EvacuatedHall(Rc<str>),
 }
 
 /// What a key of the store stands for when it is removed.
@@ -28,6 +30,8 @@
     Backend(Rc<str>),
     /// The newest version of an adapter.
     AdapterVersion,
+    /// That a data hall is evacuated, by the hall's name.
+    EvacuatedHall(Rc<str>),
     /// Nothing that the gateway knows.
     Unknown,
 }
@@ -134,6 +138,8 @@
 /// What a server reports of itself, as it stood a moment ago.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerReport {
+    /// The start of the life that it is of; see [`Backend::born`].
+    pub born: Option<u64>,
     /// Orders taken.
     pub orders_taken: u64,
     /// The base models it holds.
--- a/crates/portrack/src/gateway/dispatch/dispatcher.rs
+++ b/crates/portrack/src/gateway/dispatch/dispatcher.rs
@@ -5,7 +5,7 @@
 //! 24 requests queued there for 240 ms, and servers turned away 45% of what they got.
 
 use crate::gateway::admission::OrganisationMark;
-use crate::gateway::decay::Decayed;
+use crate::gateway::choosing::decay::Decayed;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -2,13 +2,13 @@
 
 use super::dispatcher::{AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
 use crate::gateway::admission::OrganisationMark;
-use crate::gateway::backend::Backend;
-use crate::gateway::caller::{RefusalReason, Refused};
-use crate::gateway::daemons::{DaemonAt, Daemons, Shunned};
-use crate::gateway::load::{LoadTable, server_mark};
-use crate::gateway::message::PeerMessage;
-use crate::gateway::messenger::Messenger;
-use crate::gateway::view::FleetView;
+use crate::gateway::choosing::load::{LoadTable, server_mark};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::daemons::{DaemonAt, Daemons, Shunned};
+use crate::gateway::fleet::message::PeerMessage;
+use crate::gateway::fleet::messenger::Messenger;
+use crate::gateway::fleet::view::FleetView;
+use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::types::Clock;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
--- a/crates/portrack/src/gateway/backend.rs
+++ b/crates/portrack/src/gateway/fleet/backend.rs
@@ -7,8 +7,11 @@
 /// One life of a backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Backend {
-    /// Differs with every start.
+    /// Names the server; one that starts again may keep it.
     pub id: Rc<str>,
+    /// Its start, in milliseconds of its own time of day: tells the lives under one id apart, and is
+    /// compared with each other only. `None` where servers do not say it.
+    pub born: Option<u64>,
     /// The service it belongs to.
     pub service: Rc<str>,
     /// Where it listens.
@@ -21,6 +24,10 @@
     pub draining: bool,
     /// The time it has left, if it says so.
     pub leaves_in: Option<Duration>,
+    /// How much longer it is slow from its start, as it stood when the entry was written.
+    pub cold_for: Duration,
+    /// Orders that it had taken in this life when the entry was written.
+    pub orders_taken: u64,
     /// What it holds.
     pub models: Vec<HeldModel>,
 }
--- a/crates/portrack/src/gateway/config.rs
+++ b/crates/portrack/src/gateway/fleet/config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration as the gateway uses it.
 
-use super::admission::Organisations;
+use super::regions::AllowedRegions;
+use crate::gateway::admission::Organisations;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,6 +59,8 @@
     pub resumable: bool,
     /// Open to callers without a key.
     pub public: bool,
+    /// The only regions in which its requests may be served; any if left out.
+    pub allowed_regions: Option<AllowedRegions>,
 }
 
 impl Route {
@@ -89,6 +92,19 @@
     pub max_connections: usize,
     /// Its engines, if its servers hold models.
     pub engine: Option<EngineSpec>,
+    /// What its servers bear while they are cold; `None` if they are never slow from their start.
+    pub cold: Option<ColdStart>,
+    /// Where a server tells its health.
+    pub health_path: String,
+}
+
+/// What a server bears that has just started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// How long it is cold.
+    pub lasts: Duration,
+    /// Requests a second that it bears meanwhile.
+    pub per_second: f64,
 }
 
 /// What the servers of a service hold.
@@ -104,6 +120,8 @@
     pub adapter_slots: usize,
     /// Loads from the weight store a second, over all servers.
     pub loads_per_second: f64,
+    /// Tokens that one event of a stream holds.
+    pub event_tokens: u32,
     /// The base models.
     pub models: Vec<ModelSpec>,
 }
--- a/crates/portrack/src/gateway/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -1,17 +1,17 @@
 //! Datagrams between daemons beside heartbeats: demand, notices of placement, loads.
 
-use super::admission::TOLD_EVERY;
-use super::daemon::GatewayDaemon;
-use super::demand::Use;
-use super::dialect::AdapterKey;
-use super::holdings::{NOTICE_HOLDS, Presence, REFUSAL_HOLDS};
-use super::load::server_mark;
 use super::message::{
     AdapterUse, AdapterWish, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice, ServerLoad,
     decode,
 };
-use super::ordering::NoticeSink;
-use super::planner::WishAnswer;
+use crate::gateway::admission::TOLD_EVERY;
+use crate::gateway::choosing::demand::Use;
+use crate::gateway::choosing::holdings::{NOTICE_HOLDS, Presence, REFUSAL_HOLDS};
+use crate::gateway::choosing::load::server_mark;
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::dialect::AdapterKey;
+use crate::gateway::orders::ordering::NoticeSink;
+use crate::gateway::orders::planner::WishAnswer;
 use crate::types::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -137,13 +137,13 @@
     }
 
     /// Applies what servers report of their load, and passes it on to this daemon's followers.
-    pub(super) fn on_loads(&self, loads: &[ServerLoad]) {
+    pub(in crate::gateway) fn on_loads(&self, loads: &[ServerLoad]) {
         self.path.loads.report(self.now(), loads);
         self.feed.push_loads(loads);
     }
 
     /// Applies what other daemons have changed at servers.
-    pub(super) fn on_notices(&self, notices: &[PlacementNotice]) {
+    pub(in crate::gateway) fn on_notices(&self, notices: &[PlacementNotice]) {
         let now = self.now();
         let mut view = self.path.view.borrow_mut();
         for notice in notices {
--- a/crates/portrack/src/gateway/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -1,10 +1,10 @@
 //! Heartbeats: who is there, what it knows, which data halls are heard.
 
-use super::daemon::GatewayDaemon;
 use super::daemons::{DaemonAt, Daemons};
-use super::load::server_mark;
 use super::message::{Heartbeat, PeerMessage};
 use super::peers::{BEAT, PeerChange};
+use crate::gateway::choosing::load::server_mark;
+use crate::gateway::daemon::GatewayDaemon;
 use crate::types::Time;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -123,7 +123,7 @@
     }
 
     /// Applies a heartbeat of another daemon.
-    pub(super) fn on_heartbeat(&self, heartbeat: Heartbeat) {
+    pub(in crate::gateway) fn on_heartbeat(&self, heartbeat: Heartbeat) {
         let now = self.now();
         let node: Rc<str> = heartbeat.node.as_str().into();
         if heartbeat.address == self.settings.members {
@@ -152,7 +152,7 @@
     }
 
     /// True if no other daemon is heard any more: this one is cut off.
-    pub(super) fn is_cut_off(&self) -> bool {
+    pub(in crate::gateway) fn is_cut_off(&self) -> bool {
         self.cut_off_for(self.now()).is_some()
     }
 
--- a/crates/portrack/src/gateway/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -1,13 +1,13 @@
 //! What daemons of a gateway fleet tell each other by datagram.
 
-use super::admission::QuotaMessage;
-use super::dispatch::SlotMessage;
-use super::load::Work;
+use crate::gateway::admission::QuotaMessage;
+use crate::gateway::choosing::load::Work;
+use crate::gateway::dispatch::SlotMessage;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The version of the messages; others are dropped.
-pub const MESSAGE_VERSION: u8 = 4;
+pub const MESSAGE_VERSION: u8 = 5;
 /// The longest datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 1_400;
 
--- a/crates/portrack/src/gateway/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -1,7 +1,7 @@
 //! The other daemons: who is there, and whom to tell. A state machine without sockets.
 
-use super::load::server_mark;
 use super::message::Heartbeat;
+use crate::gateway::choosing::load::server_mark;
 use crate::membership::ranked;
 use crate::types::Time;
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/portrack/src/gateway/fleet/regions.rs
@@ -0,0 +1,63 @@
+//! Which data halls lie in which region.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// The regions in which something may be served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AllowedRegions(BTreeSet<Rc<str>>);
+
+impl AllowedRegions {
+    /// These regions and no others.
+    pub fn new(regions: impl IntoIterator<Item = Rc<str>>) -> Self {
+        Self(regions.into_iter().collect())
+    }
+
+    /// True if a region is one of them.
+    pub fn contains(&self, region: &str) -> bool {
+        self.0.contains(region)
+    }
+}
+
+/// The region of each data hall, seen from one of them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Regions {
+    own: Rc<str>,
+    halls: BTreeMap<Rc<str>, Rc<str>>,
+}
+
+impl Regions {
+    /// The regions of `halls`, seen from the hall `own`.
+    pub fn new(own: &str, halls: &BTreeMap<String, String>) -> Self {
+        let halls: BTreeMap<Rc<str>, Rc<str>> = halls
+            .iter()
+            .map(|(hall, region)| (hall.as_str().into(), region.as_str().into()))
+            .collect();
+        let own = halls.get(own).cloned().unwrap_or_default();
+        Self { own, halls }
+    }
+
+    /// The region of this daemon's hall; empty where the settings name none.
+    pub fn own(&self) -> &Rc<str> {
+        &self.own
+    }
+
+    /// The region of a hall; `None` for one that the settings do not name.
+    pub fn of(&self, hall: &str) -> Option<&Rc<str>> {
+        self.halls.get(hall)
+    }
+
+    /// True if a hall is of this daemon's region. A hall of no known region is, unless others are
+    /// known: its servers may be anywhere then.
+    pub fn is_own(&self, hall: &str) -> bool {
+        match self.of(hall) {
+            Some(region) => *region == self.own,
+            None => self.halls.is_empty(),
+        }
+    }
+
+    /// True if there is more than one region.
+    pub fn are_many(&self) -> bool {
+        self.halls.values().any(|region| *region != self.own)
+    }
+}
--- a/crates/portrack/src/gateway/versions.rs
+++ b/crates/portrack/src/gateway/fleet/versions.rs
@@ -125,7 +125,7 @@
 
 /// A [`VersionChoice`] as the fields of a log line; all 0 if no server with an adapter was chosen.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct VersionFields {
+pub(in crate::gateway) struct VersionFields {
     /// What the server is believed to hold.
     pub held: u64,
     /// What it is told that it must hold; 0 if it may run any version.
--- a/crates/portrack/src/gateway/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -1,13 +1,13 @@
 //! What a daemon believes of the fleet: configuration, backend servers, versions, holdings.
 
-use super::admission::RevokedKeys;
 use super::backend::Backend;
 use super::config::{FleetConfig, Route, Service};
-use super::dialect::{AdapterKey, Dialect, DialectError, Item, ItemKey};
-use super::holdings::Holdings;
-use super::mirror::Mirrored;
-use super::routes::RouteTable;
 use super::versions::{NamedVersions, UsableVersions};
+use crate::gateway::admission::RevokedKeys;
+use crate::gateway::choosing::holdings::Holdings;
+use crate::gateway::dialect::{AdapterKey, Dialect, DialectError, Item, ItemKey};
+use crate::gateway::news::mirror::Mirrored;
+use crate::gateway::requests::routes::RouteTable;
 use crate::types::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -107,11 +107,14 @@
                 Some(Item::AdapterVersion(key, version)) => {
                     Ok(self.apply_version(learned_at, key, version))
                 }
-                None => Ok(None),
+                Some(Item::EvacuatedHall(_)) | None => Ok(None),
             },
             Mirrored::Gone(key) => match dialect.key(&key) {
                 ItemKey::Backend(id) => Ok(self.remove_backend(&id)),
-                ItemKey::Config | ItemKey::AdapterVersion | ItemKey::Unknown => Ok(None),
+                ItemKey::Config
+                | ItemKey::AdapterVersion
+                | ItemKey::EvacuatedHall(_)
+                | ItemKey::Unknown => Ok(None),
             },
         }
     }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -1,67 +1,19 @@
 //! The gateway: serves callers on the users' machines, word by word, over one request path.
 
-mod adapter_demand;
 mod admission;
-mod answer;
-mod backend;
-mod body;
-mod caller;
-mod choose;
-mod claim_record;
-mod claim_records;
-mod claiming;
-mod claims;
-mod config;
-mod connection;
-mod crowding;
+mod choosing;
+mod connections;
 mod daemon;
-mod daemons;
-mod decay;
-mod demand;
 mod dialect;
 mod dispatch;
-mod events;
-mod exchange;
-mod fetch_limit;
-mod following;
-mod frames;
-mod gossip;
-mod hall_feed;
-mod heartbeats;
-mod holdings;
-mod homes;
-mod host;
-mod ingress;
-mod job;
-mod load;
-mod load_budget;
-mod load_reports;
+mod fleet;
 mod logging;
-mod message;
-mod messenger;
 mod metrics;
-mod mirror;
-mod order_call;
-mod orderers;
-mod ordering;
-mod pacing;
-mod path;
-mod peers;
-mod placing;
-mod planned_server;
-mod planner;
-mod pool;
-mod relay;
-mod replicas;
-mod retries;
-mod routes;
+mod news;
+mod orders;
+mod requests;
 mod run;
 mod settings;
-mod sync;
-mod timings;
-mod vacancies;
-mod versions;
-mod view;
 
 pub use admission::{
     Admitted, BlindShare, Charge, Credential, KeyDigest, KeyRules, Ledger, Organisation,
@@ -69,22 +21,18 @@
     QuotaMessage, QuotaReturned, QuotaUnit, Quotas, RevokedKeys, StoreProof, TokenBucket, Verdict,
     organisation_of,
 };
-pub use answer::{AnswerError, AnswerHead, Framing, take_head};
-pub use backend::{Backend, HeldAdapter, HeldModel};
-pub use body::{BodyDecoder, Step};
-pub use caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
-pub use choose::{cheaper_of_two, cheapest, two_of};
-pub use claim_record::{ClaimKey, ClaimRecord};
-pub use claim_records::{ClaimRecords, SeenRecord};
-pub use claims::{Claim, Claims, Predecessor};
-pub use config::{
-    CallerLimits, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
-};
-pub use connection::{Connection, ExchangeError};
-pub use crowding::copy_pays;
+pub use choosing::choose::{cheaper_of_two, cheapest, two_of};
+pub use choosing::crowding::copy_pays;
+pub use choosing::demand::{DemandLog, Use, Wish};
+pub use choosing::holdings::{Holdings, Presence};
+pub use choosing::homes::{Home, home};
+pub use choosing::load::{LoadTable, Work, server_mark};
+pub use choosing::replicas::{ReplicaDemand, run_time};
+pub use connections::answer::{AnswerError, AnswerHead, Framing, take_head};
+pub use connections::body::{BodyDecoder, Step};
+pub use connections::connection::{Connection, ExchangeError};
+pub use connections::pool::Pool;
 pub use daemon::GatewayDaemon;
-pub use daemons::{DaemonAt, Daemons};
-pub use demand::{DemandLog, Use, Wish};
 pub use dialect::{
     AdapterKey, AnswerMeta, Dialect, DialectError, ForwardMeta, Item, ItemKey, MalformedSnafu,
     ModelRequest, Order, OrderAnswer, OrderKind, RequestMeta, ServerReport,
@@ -93,34 +41,41 @@
     AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
     SlotOrder, Slots,
 };
-pub use events::EventSplitter;
-pub use fetch_limit::FetchLimit;
-pub use following::{NewsSource, Watching, news_source};
-pub use holdings::{Holdings, Presence};
-pub use homes::{Home, home};
-pub use job::{Progress, RequestEnd, Served};
-pub use load::{LoadTable, Work, server_mark};
-pub use load_budget::LoadBudget;
-pub use logging::{LogSink, log_field};
-pub use message::{
+pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
+pub use fleet::config::{
+    CallerLimits, ColdStart, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
+};
+pub use fleet::daemons::{DaemonAt, Daemons};
+pub use fleet::message::{
     AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
     ServerLoad, decode as decode_message, encode as encode_message,
 };
+pub use fleet::peers::{Peer, PeerChange, Peers};
+pub use fleet::regions::{AllowedRegions, Regions};
+pub use fleet::versions::{NamedVersions, UsableVersions, VERSION_GRACE, VersionChoice};
+pub use fleet::view::{FIRST_VERSION, FleetView, ViewChange};
+pub use logging::{LogSink, log_field};
 pub use metrics::GatewayMetrics;
-pub use mirror::{Mirror, MirrorItem, MirrorNews, Mirrored};
-pub use orderers::Orderers;
-pub use ordering::{NoticeSink, Ordering};
-pub use pacing::WatchPacing;
-pub use path::RequestPath;
-pub use peers::{Peer, PeerChange, Peers};
-pub use planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
-pub use pool::Pool;
-pub use replicas::{ReplicaDemand, run_time};
-pub use retries::{RetryBounds, ServiceRetries};
-pub use routes::{RouteTable, pick_target};
+pub use news::following::{NewsSource, Watching, news_source};
+pub use news::mirror::{Mirror, MirrorItem, MirrorNews, Mirrored};
+pub use news::pacing::WatchPacing;
+pub use orders::claim_record::{ClaimKey, ClaimRecord};
+pub use orders::claim_records::{ClaimRecords, SeenRecord};
+pub use orders::claims::{Claim, Claims, Predecessor};
+pub use orders::fetch_limit::FetchLimit;
+pub use orders::load_budget::LoadBudget;
+pub use orders::orderers::Orderers;
+pub use orders::ordering::{NoticeSink, Ordering};
+pub use orders::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
+pub use orders::vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
+pub use requests::caller::{
+    CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink,
+};
+pub use requests::events::EventSplitter;
+pub use requests::job::{Progress, RequestEnd, Served};
+pub use requests::path::RequestPath;
+pub use requests::retries::{RetryBounds, ServiceRetries};
+pub use requests::routes::{RouteTable, pick_target};
+pub use requests::timings::Timings;
 pub use run::{GatewayError, RunningGateway, start_gateway};
 pub use settings::{Bounds, GatewaySettings, NodeLimits};
-pub use timings::Timings;
-pub use vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
-pub use versions::{NamedVersions, UsableVersions, VERSION_GRACE, VersionChoice};
-pub use view::{FIRST_VERSION, FleetView, ViewChange};
--- a/crates/portrack/src/gateway/following.rs
+++ b/crates/portrack/src/gateway/news/following.rs
@@ -1,9 +1,9 @@
 //! Who watches the store for a data hall, and how the others follow.
 
-use super::daemon::GatewayDaemon;
 use super::frames::{FrameError, read_frame, write_frame};
 use super::hall_feed::{FeedFrame, Freshness, FreshnessQuestion, PeerAsk};
 use super::mirror::MirrorNews;
+use crate::gateway::daemon::GatewayDaemon;
 use crate::types::Time;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -98,7 +98,7 @@
 
 impl GatewayDaemon {
     /// True if other daemons may follow this one while it watches.
-    pub(super) fn feeds_others(&self) -> bool {
+    pub(in crate::gateway) fn feeds_others(&self) -> bool {
         self.watch_order().len() > ALL_WATCH
     }
 
@@ -112,7 +112,7 @@
     }
 
     /// From whom to learn now.
-    pub(super) fn news_source(&self) -> NewsSource {
+    pub(in crate::gateway) fn news_source(&self) -> NewsSource {
         let now = self.now();
         let (hall, abroad) = (self.watch_order(), self.watching_abroad());
         let shunned = self.shunned.borrow();
@@ -122,7 +122,7 @@
     }
 
     /// Follows a daemon that watches until it is of no use, or this daemon is to watch by itself.
-    pub(super) async fn follow_peer(self: &Rc<Self>, source: SocketAddr) {
+    pub(in crate::gateway) async fn follow_peer(self: &Rc<Self>, source: SocketAddr) {
         self.watches.set(false);
         let why = self.read_feed(source).await;
         let of_no_use = !matches!(why, FeedEnd::ToWatch | FeedEnd::Nearer);
@@ -221,7 +221,7 @@
 
     /// Serves one follower until it leaves, or this daemon does not watch any more. Each is told
     /// anew only when it has taken what was told before, so that a slow link delays nothing twice.
-    pub(super) async fn serve_follower(
+    pub(in crate::gateway) async fn serve_follower(
         &self,
         mut stream: TcpStream,
         after: u64,
@@ -269,13 +269,13 @@
     }
 
     /// True if all watches of the store have failed for a while.
-    pub(super) fn has_lost_store(&self) -> bool {
+    pub(in crate::gateway) fn has_lost_store(&self) -> bool {
         let fails = self.store_fails_since.get();
         fails.is_some_and(|since| self.now().since(since) >= STORE_LOST_AFTER)
     }
 
     /// A watcher that has lost the store leaves watching to others and follows them.
-    pub(super) fn leave_watching(&self) {
+    pub(in crate::gateway) fn leave_watching(&self) {
         let until = self.now() + LOST_FOR;
         self.shunned.borrow_mut().insert(self.settings.members, until);
         self.store_fails_since.set(None);
--- a/crates/portrack/src/gateway/frames.rs
+++ b/crates/portrack/src/gateway/news/frames.rs
@@ -20,7 +20,7 @@
 }
 
 /// Writes a message; `None` if it is too long or the connection broke.
-pub(super) async fn write_frame(
+pub(in crate::gateway) async fn write_frame(
     stream: &mut (impl AsyncWrite + Unpin),
     body: &impl Serialize,
 ) -> Option<()> {
@@ -29,7 +29,7 @@
 
 /// Why a message did not come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum FrameError {
+pub(in crate::gateway) enum FrameError {
     /// Nothing came for a while.
     Silent,
     /// The connection ended, or what came is no message.
@@ -38,7 +38,7 @@
 
 /// Reads a message of which parts keep coming: between two of them pass `silent` at most, however
 /// long the whole takes over a slow link.
-pub(super) async fn read_frame<T: DeserializeOwned>(
+pub(in crate::gateway) async fn read_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
     silent: Duration,
 ) -> Result<T, FrameError> {
--- a/crates/portrack/src/gateway/hall_feed.rs
+++ b/crates/portrack/src/gateway/news/hall_feed.rs
@@ -3,8 +3,8 @@
 //! Every watch of the store is a call with a price: 195 nodes that each watched made 6,000 calls in
 //! 48 s. Two daemons of each hall watch; the others follow one of them over a connection.
 
-use super::message::{PlacementNotice, ServerLoad};
 use super::mirror::MirrorItem;
+use crate::gateway::fleet::message::{PlacementNotice, ServerLoad};
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -15,7 +15,7 @@
 
 /// What one daemon asks of another on a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) enum PeerAsk {
+pub(in crate::gateway) enum PeerAsk {
     /// What changed after a revision, once.
     CatchUp {
         /// The revision up to which the asker knows everything.
@@ -33,14 +33,14 @@
 /// A follower's question how fresh its source's copy of the store is; the first comes with
 /// [`PeerAsk::Follow`], the others follow on the same connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct FreshnessQuestion {
+pub(in crate::gateway) struct FreshnessQuestion {
     /// When it was sent, on the follower's clock.
     pub sent_at: Time,
 }
 
 /// How fresh the copy of the store is that a frame brings a follower up to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Freshness {
+pub(in crate::gateway) struct Freshness {
     /// The newest question that had come. The follower counts from its sending, so a frame that was
     /// held up on its way proves nothing that is younger.
     pub question: FreshnessQuestion,
@@ -50,7 +50,7 @@
 
 /// News for a follower.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(super) struct FeedFrame {
+pub(in crate::gateway) struct FeedFrame {
     /// The store's revision up to which the follower then knows everything.
     pub revision: u64,
     /// How long ago the store answered the sender, in milliseconds.
@@ -69,14 +69,14 @@
 
 /// How far a follower has been told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct FeedPlace {
+pub(in crate::gateway) struct FeedPlace {
     notice: u64,
     load: u64,
 }
 
 /// Notices and loads for the followers of this daemon, each of which is told at its own pace.
 #[derive(Debug, Default)]
-pub(super) struct HallFeed {
+pub(in crate::gateway) struct HallFeed {
     notices: RefCell<VecDeque<PlacementNotice>>,
     notices_before: Cell<u64>,
     loads: RefCell<BTreeMap<u32, (u64, ServerLoad)>>,
--- a/crates/portrack/src/gateway/sync.rs
+++ b/crates/portrack/src/gateway/news/sync.rs
@@ -1,13 +1,13 @@
 //! Follows the store, and catches up from peers while it is away.
 
-use super::claim_record::ClaimKey;
-use super::daemon::GatewayDaemon;
-use super::dialect::ItemKey;
 use super::following::NewsSource;
 use super::frames::{read_frame, write_frame};
 use super::hall_feed::PeerAsk;
 use super::mirror::MirrorItem;
 use super::pacing::WatchPacing;
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::dialect::ItemKey;
+use crate::gateway::orders::claim_record::ClaimKey;
 use crate::store::{FeedError, KvChange, KvHeld};
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -27,7 +27,7 @@
 /// Between looks at what peers know.
 const PEER_LOOK: Duration = Duration::from_millis(250);
 /// A store that has not answered for this long, a watch included, is taken for silent: what is learned
-/// next may be of any age. With [`VERSION_GRACE`](super::VERSION_GRACE) it stays below the 5 s after
+/// next may be of any age. With [`VERSION_GRACE`](crate::gateway::VERSION_GRACE) it stays below the 5 s after
 /// which users allow no older version.
 const STORE_SILENT: Duration = Duration::from_millis(3_100);
 /// How long one watch waits where keys must be proved, as a share of the age that proof may have. With
@@ -146,7 +146,7 @@
     }
 
     /// A span that is usual elsewhere, cut to a share of the age that proof may have.
-    pub(super) fn for_proof(&self, usual: Duration, share: f64) -> Duration {
+    pub(in crate::gateway) fn for_proof(&self, usual: Duration, share: f64) -> Duration {
         self.proof_bound().map_or(usual, |bound| usual.min(bound.mul_f64(share)))
     }
 
@@ -215,7 +215,7 @@
     /// When news that comes in at this moment was learned; `None` if it may be of any age, since the
     /// store was silent before it. A daemon that was cut off used an adapter's version for another
     /// second after it had learned of a newer one, which had been named many seconds before.
-    pub(super) fn news_learned_at(&self, now: Time) -> Option<Time> {
+    pub(in crate::gateway) fn news_learned_at(&self, now: Time) -> Option<Time> {
         let heard = self.store_seen.get()?;
         (now.since(heard) <= STORE_SILENT).then_some(now)
     }
@@ -273,7 +273,7 @@
     }
 
     /// Logs when proof that keys may be believed in is lost and regained.
-    pub(super) fn look_at_proof(&self) {
+    pub(in crate::gateway) fn look_at_proof(&self) {
         let age = self.proof_age_ms();
         self.metrics.proof_age_ms.set(age);
         let lost = self.proof_bound().is_some() && !self.path.believes_keys();
--- a/crates/portrack/src/gateway/adapter_demand.rs
+++ b/crates/portrack/src/gateway/orders/adapter_demand.rs
@@ -1,6 +1,6 @@
 //! How much an adapter is used at a server.
 
-use super::decay::Decayed;
+use crate::gateway::choosing::decay::Decayed;
 use crate::types::Time;
 use std::time::Duration;
 
--- a/crates/portrack/src/gateway/claim_records.rs
+++ b/crates/portrack/src/gateway/orders/claim_records.rs
@@ -2,7 +2,7 @@
 //! follows anyway, so that nobody has to try a claim to learn that a server is taken.
 
 use super::claim_record::{ClaimKey, ClaimRecord};
-use super::mirror::Mirrored;
+use crate::gateway::news::mirror::Mirrored;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
--- a/crates/portrack/src/gateway/claiming.rs
+++ b/crates/portrack/src/gateway/orders/claiming.rs
@@ -1,14 +1,14 @@
 //! Takes, keeps and gives up the right to order servers.
 
-use super::backend::Backend;
 use super::claim_record::ClaimRecord;
 use super::claim_records::SeenRecord;
 use super::claims::{Claim, Predecessor};
-use super::daemon::GatewayDaemon;
-use super::load::server_mark;
-use super::peers::Peers;
 use super::vacancies::{Candidates, ClaimTry, Claimant};
-use super::view::FleetView;
+use crate::gateway::choosing::load::server_mark;
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::peers::Peers;
+use crate::gateway::fleet::view::FleetView;
 use crate::store::{KvError, KvHeld, KvOutcome, KvPut, KvTransaction};
 use crate::types::Time;
 use std::collections::HashMap;
--- a/crates/portrack/src/gateway/order_call.rs
+++ b/crates/portrack/src/gateway/orders/order_call.rs
@@ -1,9 +1,9 @@
 //! Calls to servers about what they hold, on connections of their own.
 
-use super::answer::AnswerHead;
-use super::body::BodyDecoder;
-use super::dialect::Dialect;
-use super::pool::{Lent, Pool};
+use crate::gateway::connections::answer::AnswerHead;
+use crate::gateway::connections::body::BodyDecoder;
+use crate::gateway::connections::pool::{Lent, Pool};
+use crate::gateway::dialect::Dialect;
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 use std::io::Write as _;
@@ -16,7 +16,7 @@
 
 /// One call.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct OrderCall<'a> {
+pub(in crate::gateway) struct OrderCall<'a> {
     /// The server that is meant; another one at its address refuses.
     pub server: &'a Rc<str>,
     /// Where it listens.
@@ -33,7 +33,7 @@
 
 /// A whole answer.
 #[derive(Debug, Clone)]
-pub(super) struct CallAnswer {
+pub(in crate::gateway) struct CallAnswer {
     /// Its status.
     pub status: StatusCode,
     /// Its body.
@@ -42,7 +42,7 @@
 
 /// What became of a call.
 #[derive(Debug, Clone)]
-pub(super) enum Called {
+pub(in crate::gateway) enum Called {
     /// It was answered.
     Answer(CallAnswer),
     /// It was sent, at least in part.
@@ -52,7 +52,7 @@
 }
 
 /// Makes calls.
-pub(super) struct OrderCalls {
+pub(in crate::gateway) struct OrderCalls {
     dialect: Rc<dyn Dialect>,
     pool: Rc<Pool>,
 }
--- a/crates/portrack/src/gateway/orderers.rs
+++ b/crates/portrack/src/gateway/orders/orderers.rs
@@ -1,8 +1,8 @@
 //! Which other daemon orders a server.
 
 use super::claim_records::ClaimRecords;
-use super::load::server_mark;
-use super::peers::Peers;
+use crate::gateway::choosing::load::server_mark;
+use crate::gateway::fleet::peers::Peers;
 use crate::types::Time;
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/portrack/src/gateway/ordering.rs
+++ b/crates/portrack/src/gateway/orders/ordering.rs
@@ -2,10 +2,10 @@
 //! other daemons what came of them.
 
 use super::claims::Claims;
-use super::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind, ServerReport};
-use super::message::{NoticeState, PlacementNotice};
 use super::order_call::{Called, OrderCall, OrderCalls};
 use super::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner};
+use crate::gateway::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind, ServerReport};
+use crate::gateway::fleet::message::{NoticeState, PlacementNotice};
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -340,7 +340,7 @@
     }
 
     /// A server's report, for its load; `None` if it does not answer.
-    pub(super) async fn load_of(
+    pub(in crate::gateway) async fn load_of(
         &self,
         server: &Rc<str>,
         address: SocketAddr,
--- a/crates/portrack/src/gateway/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -1,9 +1,9 @@
 //! What the planner believes of one server that it orders.
 
 use super::adapter_demand::AdapterDemand;
-use super::backend::Backend;
-use super::config::EngineSpec;
-use super::dialect::{AdapterKey, ServerReport};
+use crate::gateway::dialect::{AdapterKey, ServerReport};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::config::EngineSpec;
 use crate::types::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/portrack/src/gateway/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -2,13 +2,13 @@
 //! or clocks.
 
 use super::adapter_demand::AdapterDemand;
-use super::backend::Backend;
-use super::config::{EngineSpec, FleetConfig};
-use super::dialect::{AdapterKey, ServerReport};
 use super::fetch_limit::FetchLimit;
 use super::load_budget::LoadBudget;
 use super::planned_server::{PlannedServer, SlotState};
-use super::view::FIRST_VERSION;
+use crate::gateway::dialect::{AdapterKey, ServerReport};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::config::{EngineSpec, FleetConfig};
+use crate::gateway::fleet::view::FIRST_VERSION;
 use crate::types::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/portrack/src/gateway/caller.rs
+++ b/crates/portrack/src/gateway/requests/caller.rs
@@ -1,6 +1,6 @@
 //! What a caller sent, and how answers go back to it.
 
-use super::dialect::RequestMeta;
+use crate::gateway::dialect::RequestMeta;
 use crate::types::Time;
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
--- a/crates/portrack/src/gateway/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -1,12 +1,12 @@
 //! One request at one server.
 
-use super::answer::{AnswerHead, Framing};
-use super::backend::Backend;
-use super::body::BodyDecoder;
 use super::caller::CallerRequest;
-use super::connection::ExchangeError;
-use super::dialect::{Dialect, ForwardMeta};
-use super::pool::{LendError, Lent, Pool};
+use crate::gateway::connections::answer::{AnswerHead, Framing};
+use crate::gateway::connections::body::BodyDecoder;
+use crate::gateway::connections::connection::ExchangeError;
+use crate::gateway::connections::pool::{LendError, Lent, Pool};
+use crate::gateway::dialect::{Dialect, ForwardMeta};
+use crate::gateway::fleet::backend::Backend;
 use actix_http::Method;
 use bytes::{Bytes, BytesMut};
 use std::io::Write as _;
--- a/crates/portrack/src/gateway/host.rs
+++ b/crates/portrack/src/gateway/requests/host.rs
@@ -1,13 +1,13 @@
 //! The daemon as its callers' connections see it.
 
-use super::admission::OrganisationMark;
 use super::caller::{CallerRequest, RefusalReason, Refused};
-use super::config::{CallerLimits, RouteKind};
-use super::daemon::GatewayDaemon;
-use super::dialect::Dialect;
 use super::ingress::{Host, Writer, serve_connection};
 use super::job::{Progress, RequestEnd, Served};
-use super::versions::VersionFields;
+use crate::gateway::admission::OrganisationMark;
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::dialect::Dialect;
+use crate::gateway::fleet::config::{CallerLimits, RouteKind};
+use crate::gateway::fleet::versions::VersionFields;
 use crate::types::Clock;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/portrack/src/gateway/ingress.rs
+++ b/crates/portrack/src/gateway/requests/ingress.rs
@@ -1,8 +1,8 @@
 //! Serves one caller's connection: reads requests, answers them, notices when the caller leaves.
 
 use super::caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
-use super::config::CallerLimits;
-use super::dialect::Dialect;
+use crate::gateway::dialect::Dialect;
+use crate::gateway::fleet::config::CallerLimits;
 use crate::types::Clock;
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
--- a/crates/portrack/src/gateway/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -1,13 +1,13 @@
 //! One request on its path: what it needs, how far it has come, how it ended.
 
-use super::admission::{Admitted, Charge};
-use super::backend::Backend;
 use super::caller::{CallerRequest, RefusalReason, Refused};
-use super::config::{Route, Service};
-use super::dialect::{AdapterKey, ModelRequest};
-use super::dispatch::{SlotEnd, SlotGuard};
 use super::timings::Timings;
-use super::versions::VersionChoice;
+use crate::gateway::admission::{Admitted, Charge};
+use crate::gateway::dialect::{AdapterKey, ModelRequest};
+use crate::gateway::dispatch::{SlotEnd, SlotGuard};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::config::{Route, Service};
+use crate::gateway::fleet::versions::VersionChoice;
 use crate::types::Time;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -117,12 +117,12 @@
         self.request.meta.model.as_ref()
     }
 
-    pub(super) fn may_have_run(&self) -> bool {
+    pub(in crate::gateway) fn may_have_run(&self) -> bool {
         self.runs > 0
     }
 
     /// The end when no other server is to be tried.
-    pub(super) fn out_of_tries(&self, reason: RefusalReason) -> RequestEnd {
+    pub(in crate::gateway) fn out_of_tries(&self, reason: RefusalReason) -> RequestEnd {
         if self.may_have_run() {
             return RequestEnd::Refused(Refused::new(RefusalReason::Lost, None));
         }
@@ -131,7 +131,7 @@
 }
 
 /// The end of a request whose time is over: not run only if nothing was ever sent.
-pub(super) fn timed_out(job: &Job<'_>) -> Refused {
+pub(in crate::gateway) fn timed_out(job: &Job<'_>) -> Refused {
     match job.server.is_some() {
         true => Refused::new(RefusalReason::TimedOut, None),
         false => Refused::new(RefusalReason::Expired, Some(BUSY_RETRY)),
--- a/crates/portrack/src/gateway/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -1,20 +1,20 @@
 //! The path of a request: route, server, tries, answer.
 
-use super::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
 use super::caller::{CallerRequest, RefusalReason, Refused, ReplySink};
-use super::config::Service;
-use super::daemons::Daemons;
-use super::demand::DemandLog;
-use super::dialect::{Dialect, ForwardMeta};
-use super::dispatch::{SlotEnd, Slots};
 use super::exchange::{NotRun, Sent, exchange, request_bytes};
 use super::job::{Choice, Job, Progress, RequestEnd, Served, timed_out};
-use super::load::LoadTable;
-use super::pool::Pool;
 use super::relay::{Relay, RelayEnd};
 use super::retries::ServiceRetries;
 use super::routes::pick_target;
-use super::view::FleetView;
+use crate::gateway::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
+use crate::gateway::choosing::demand::DemandLog;
+use crate::gateway::choosing::load::LoadTable;
+use crate::gateway::connections::pool::Pool;
+use crate::gateway::dialect::{Dialect, ForwardMeta};
+use crate::gateway::dispatch::{SlotEnd, Slots};
+use crate::gateway::fleet::config::Service;
+use crate::gateway::fleet::daemons::Daemons;
+use crate::gateway::fleet::view::FleetView;
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -226,7 +226,9 @@
         let sent = match self.slow_after(job, now) {
             Some(patience) => match actix_rt::time::timeout(patience, exchanging).await {
                 Ok(sent) => sent,
-                Err(_) => Sent::MayHaveRun(super::ExchangeError::Lost { why: "slow".into() }),
+                Err(_) => {
+                    Sent::MayHaveRun(crate::gateway::ExchangeError::Lost { why: "slow".into() })
+                }
             },
             None => exchanging.await,
         };
--- a/crates/portrack/src/gateway/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -1,11 +1,11 @@
 //! Hands a server's answer on to the caller.
 
-use super::answer::AnswerHead;
 use super::caller::{ReplyHead, ReplySink};
-use super::config::{Route, RouteKind};
 use super::events::EventSplitter;
 use super::exchange::Exchange;
 use super::job::Job;
+use crate::gateway::connections::answer::AnswerHead;
+use crate::gateway::fleet::config::{Route, RouteKind};
 use actix_http::StatusCode;
 
 /// How handing an answer on went.
--- a/crates/portrack/src/gateway/routes.rs
+++ b/crates/portrack/src/gateway/requests/routes.rs
@@ -1,6 +1,6 @@
 //! Which route a request takes.
 
-use super::config::{FleetConfig, Route, Target};
+use crate::gateway::fleet::config::{FleetConfig, Route, Target};
 use std::collections::HashMap;
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -1,8 +1,8 @@
 //! Starts and stops a gateway daemon.
 
-use super::daemon::GatewayDaemon;
-use super::dialect::Dialect;
-use super::settings::GatewaySettings;
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::dialect::Dialect;
+use crate::gateway::settings::GatewaySettings;
 use crate::http::{Limits, plain, serve};
 use crate::store::KvFeed;
 use crate::types::{Clock, Time};
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -1,8 +1,10 @@
 //! The settings file of a gateway daemon.
 
-use super::daemons::DaemonAt;
+use crate::gateway::fleet::daemons::DaemonAt;
+use crate::gateway::fleet::regions::Regions;
 use crate::settings::SettingsError;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -14,6 +16,9 @@
     pub node: String,
     /// Its data hall.
     pub hall: String,
+    /// The region of each data hall, this daemon's own among them; all are of one region if left out.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether it is ready.
@@ -84,6 +89,12 @@
     /// What an organisation may send beyond its quota in a window, whatever its size, in the quota's
     /// unit.
     pub quota_slack: f64,
+    /// A data hall's servers get nothing new so long after it was evacuated, in milliseconds.
+    pub evacuate_within_ms: u64,
+    /// In any second a cold server gets no more requests than so many times what it bears.
+    pub cold_ratio: f64,
+    /// Requests that it may get besides in that second.
+    pub cold_slack: f64,
 }
 
 impl Default for Bounds {
@@ -99,6 +110,9 @@
             config_within_ms: 2_000,
             revoke_within_ms: None,
             quota_slack: 0.0,
+            evacuate_within_ms: 5_000,
+            cold_ratio: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
@@ -106,11 +120,17 @@
 impl Bounds {
     /// How soon news from the store must be known.
     pub fn news_within(&self) -> Duration {
-        Duration::from_millis(self.drain_ms.min(self.config_within_ms))
+        let soonest = self.drain_ms.min(self.config_within_ms).min(self.evacuate_within_ms);
+        Duration::from_millis(soonest)
     }
 }
 
 impl GatewaySettings {
+    /// The regions of the data halls, seen from this daemon.
+    pub fn regions(&self) -> Regions {
+        Regions::new(&self.hall, &self.regions)
+    }
+
     /// This daemon as others know it.
     pub fn as_daemon(&self) -> DaemonAt {
         DaemonAt {
@@ -177,6 +197,15 @@
         if !sensible.contains(&bounds.config_within_ms) {
             return Some(("config_within_ms", "is not between 500 and 60000"));
         }
+        if !sensible.contains(&bounds.evacuate_within_ms) {
+            return Some(("evacuate_within_ms", "is not between 500 and 60000"));
+        }
+        if !(bounds.cold_ratio >= 0.0 && bounds.cold_ratio.is_finite()) {
+            return Some(("cold_ratio", "is negative or no number"));
+        }
+        if !(bounds.cold_slack >= 0.0 && bounds.cold_slack.is_finite()) {
+            return Some(("cold_slack", "is negative or no number"));
+        }
         if !(bounds.quota_slack >= 0.0 && bounds.quota_slack.is_finite()) {
             return Some(("quota_slack", "is negative or no number"));
         }
--- a/crates/portrack/tests/gateway/keys.rs
+++ b/crates/portrack/tests/gateway/keys.rs
@@ -26,13 +26,19 @@
         targets: Vec::new(),
         resumable: false,
         public,
+        allowed_regions: None,
     }
 }
 
 fn organisations(keys: &[(&str, &str)]) -> Organisations {
     let mut all = Organisations::default();
     for (name, key) in keys {
-        let organisation = Organisation { name: (*name).into(), priority: None, quota: None };
+        let organisation = Organisation {
+            name: (*name).into(),
+            priority: None,
+            quota: None,
+            allowed_regions: None,
+        };
         all.add(organisation, [KeyDigest::of(key)]);
     }
     all
--- a/crates/portrack/tests/gateway/planner.rs
+++ b/crates/portrack/tests/gateway/planner.rs
@@ -14,6 +14,7 @@
 
 fn report(held: &[(&str, u64)]) -> ServerReport {
     ServerReport {
+        born: None,
         orders_taken: 0,
         models: vec![MODEL.into()],
         held: held.iter().map(|(name, version)| (key(name), *version)).collect(),
--- a/crates/portrack/tests/gateway/routes.rs
+++ b/crates/portrack/tests/gateway/routes.rs
@@ -21,6 +21,7 @@
         targets: targets.collect(),
         resumable: false,
         public: false,
+        allowed_regions: None,
     })
 }
 
--- a/crates/portrack/tests/gateway/support.rs
+++ b/crates/portrack/tests/gateway/support.rs
@@ -32,9 +32,16 @@
         weights_mb: 42_000.0,
         adapter_slots,
         loads_per_second,
+        event_tokens: 2,
         models: vec![model],
     };
-    let service = Service { name: "llm".into(), max_connections: 100, engine: Some(engine) };
+    let service = Service {
+        name: "llm".into(),
+        max_connections: 100,
+        engine: Some(engine),
+        cold: None,
+        health_path: String::new(),
+    };
     let mut services = BTreeMap::new();
     services.insert(service.name.clone(), Rc::new(service));
     Rc::new(FleetConfig { version: 1, services, ..FleetConfig::default() })
@@ -53,6 +60,9 @@
         slots: 64,
         draining: false,
         leaves_in: None,
+        born: None,
+        cold_for: Duration::ZERO,
+        orders_taken: 0,
         models: vec![HeldModel { name: MODEL.into(), adapters: adapters.collect() }],
     }
 }
