--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -169,6 +169,7 @@
             slots: Rc::new(slots),
             daemons_up,
             changed: Rc::new(Notify::new()),
+            coldness: Rc::default(),
             loads,
             pool: Rc::new(Pool::default()),
             retries: RefCell::new(retries),
@@ -278,6 +279,7 @@
             }
             ViewChange::Backend(id) => {
                 if let Some(backend) = view.backend(id) {
+                    self.path.coldness.borrow_mut().listed(now, backend);
                     planner.server(now, backend);
                 }
             }
@@ -292,6 +294,7 @@
                 planner.server_gone(id);
                 self.path.pool.forget(id);
                 self.path.loads.forget(id);
+                self.path.coldness.borrow_mut().gone(id);
                 self.ordering.forget(id);
                 self.drop_claim(id);
                 log::info!(server = &**id, source = source; "server_gone");
--- /dev/null
+++ b/crates/portrack/src/gateway/fleet/coldness.rs
@@ -0,0 +1,63 @@
+//! Which servers may be slow from their start. In doubt a server is cold.
+
+use super::backend::Backend;
+use super::config::ColdStart;
+use crate::types::Time;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What is known of one server.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    /// The life that it is of.
+    born: Option<u64>,
+    /// From then on the server may have turned cold without a word of it.
+    doubted_at: Time,
+    /// It is cold until then, by its own word.
+    told_until: Time,
+}
+
+/// The servers that are cold, as far as known.
+#[derive(Debug, Clone, Default)]
+pub struct Coldness {
+    servers: HashMap<Rc<str>, Evidence>,
+}
+
+impl Coldness {
+    /// Takes a server's entry in. What it says of the remaining time is counted from now: it was
+    /// written before, so the server is cold no longer than that. A server that is new here, or has
+    /// started again, is in doubt.
+    pub fn listed(&mut self, now: Time, backend: &Backend) {
+        let told_until = now + backend.cold_for;
+        let fresh = Evidence { born: backend.born, doubted_at: now, told_until };
+        let evidence = self.servers.entry(backend.id.clone()).or_insert(fresh);
+        if evidence.born != backend.born {
+            *evidence = fresh;
+        }
+        evidence.told_until = evidence.told_until.max(told_until);
+    }
+
+    /// A server may have turned cold by now, as after a time in which it got nothing.
+    pub fn doubt(&mut self, now: Time, server: &str) {
+        if let Some(evidence) = self.servers.get_mut(server) {
+            evidence.doubted_at = now;
+        }
+    }
+
+    /// A server is gone.
+    pub fn gone(&mut self, server: &str) {
+        self.servers.remove(server);
+    }
+
+    /// Until when a server has to be taken for cold, if servers of its service are slow from their
+    /// start. One that is not known is cold.
+    pub fn until(&self, now: Time, server: &str, start: &ColdStart) -> Time {
+        let Some(evidence) = self.servers.get(server) else { return now + start.lasts };
+        evidence.told_until.max(evidence.doubted_at + start.lasts)
+    }
+
+    /// True if a server has to be taken for cold.
+    pub fn is_cold(&self, now: Time, server: &str, start: Option<&ColdStart>) -> bool {
+        start.is_some_and(|start| now < self.until(now, server, start))
+    }
+}
--- a/crates/portrack/src/gateway/fleet/mod.rs
+++ b/crates/portrack/src/gateway/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! A configuration never goes back, and a server that said it is leaving stays so for its life.
 
 pub(in crate::gateway) mod backend;
+pub(in crate::gateway) mod coldness;
 pub(in crate::gateway) mod config;
 pub(in crate::gateway) mod daemons;
 pub(in crate::gateway) mod gossip;
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -42,6 +42,7 @@
     SlotOrder, Slots,
 };
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
+pub use fleet::coldness::Coldness;
 pub use fleet::config::{
     CallerLimits, ColdStart, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
 };
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -12,6 +12,7 @@
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::{Dialect, ForwardMeta};
 use crate::gateway::dispatch::{SlotEnd, Slots};
+use crate::gateway::fleet::coldness::Coldness;
 use crate::gateway::fleet::config::Service;
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::view::FleetView;
@@ -48,6 +49,8 @@
     pub daemons_up: Rc<RefCell<Daemons>>,
     /// Woken when the view has changed.
     pub changed: Rc<Notify>,
+    /// Which servers may be slow from their start.
+    pub coldness: Rc<RefCell<Coldness>>,
     /// Load and health of the servers.
     pub loads: Rc<LoadTable>,
     /// Connections to the servers.
--- /dev/null
+++ b/crates/portrack/tests/gateway/coldness.rs
@@ -0,0 +1,44 @@
+//! Which servers are taken for cold.
+
+use crate::support::{backend, ms};
+use portrack::gateway::{Backend, ColdStart, Coldness};
+use portrack::types::Time;
+use std::time::Duration;
+
+const START: ColdStart = ColdStart { lasts: Duration::from_secs(3), per_second: 8.5 };
+
+fn server(born: u64, cold_for: Duration) -> Backend {
+    Backend { born: Some(born), cold_for, ..backend("s1", &[]) }
+}
+
+#[test]
+fn a_server_that_is_new_here_is_cold_for_a_start() {
+    let mut coldness = Coldness::default();
+    assert!(coldness.is_cold(Time(0), "s1", Some(&START)), "nothing is known of it");
+    coldness.listed(Time(1_000), &server(1, Duration::ZERO));
+    assert!(coldness.is_cold(Time(3_999), "s1", Some(&START)));
+    assert!(!coldness.is_cold(Time(4_000), "s1", Some(&START)));
+    assert!(!coldness.is_cold(Time(1_000), "s1", None), "its service has no cold start");
+}
+
+#[test]
+fn a_warm_server_is_cold_again_when_it_says_so_or_has_started_anew() {
+    let mut coldness = Coldness::default();
+    coldness.listed(Time(0), &server(1, Duration::ZERO));
+    coldness.listed(Time(10_000), &server(1, ms(2_000)));
+    assert!(coldness.is_cold(Time(11_999), "s1", Some(&START)));
+    assert!(!coldness.is_cold(Time(12_000), "s1", Some(&START)));
+    coldness.listed(Time(20_000), &server(2, Duration::ZERO));
+    assert!(coldness.is_cold(Time(22_999), "s1", Some(&START)), "a new life is in doubt");
+}
+
+#[test]
+fn a_later_word_does_not_shorten_what_was_told_and_a_doubt_begins_anew() {
+    let mut coldness = Coldness::default();
+    coldness.listed(Time(0), &server(1, ms(9_000)));
+    coldness.listed(Time(1_000), &server(1, Duration::ZERO));
+    assert!(coldness.is_cold(Time(8_999), "s1", Some(&START)), "the entry may be an older one");
+    coldness.doubt(Time(30_000), "s1");
+    assert!(coldness.is_cold(Time(32_999), "s1", Some(&START)));
+    assert!(!coldness.is_cold(Time(33_000), "s1", Some(&START)));
+}
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod claims;
+mod coldness;
 mod crowding;
 mod demand;
 mod dispatch;
