A request that comes at the very end of a stop is refused as not run

Ruled out: a deadline or a server that broke off; the request was sent on 21 ms before its connection closed.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -59,6 +59,8 @@
     pub in_flight: Cell<usize>,
     /// When a stop was asked for.
     pub stopping_since: Cell<Option<Time>>,
+    /// The stop is all but over: what is read now could not be finished.
+    pub(super) takes_no_more: Cell<bool>,
     /// Which machine orders which server, as the store tells it.
     pub records: Rc<RefCell<ClaimRecords>>,
     /// Which other daemon orders a server.
@@ -193,6 +195,7 @@
             store_seen: Cell::new(None),
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
+            takes_no_more: Cell::new(false),
             records,
             orderers,
             store_fails_since: Cell::new(None),
--- a/crates/portrack/src/gateway/requests/host.rs
+++ b/crates/portrack/src/gateway/requests/host.rs
@@ -51,6 +51,9 @@
     /// True if a request came so late in a stop that it may not be finished.
     fn is_too_late_for(&self, request: &CallerRequest) -> bool {
         let Some(since) = self.stopping_since.get() else { return false };
+        if self.takes_no_more.get() {
+            return true;
+        }
         let passed = self.now().since(since);
         let within = Duration::from_secs_f64(self.settings.bounds.stop_within_s);
         let last = match request.meta.model {
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -21,6 +21,8 @@
 const STOP_RESERVE: Duration = Duration::from_millis(700);
 /// For giving up the servers at the end of a stop.
 const RESIGN: Duration = Duration::from_millis(300);
+/// Then for writing the refusals of requests that came meanwhile.
+const REFUSED_WITHIN: Duration = Duration::from_millis(200);
 /// Between looks at what is still running.
 const STOP_LOOK: Duration = Duration::from_millis(25);
 /// Between sweeps of what is kept.
@@ -156,6 +158,16 @@
     }
 }
 
+impl GatewayDaemon {
+    /// Waits for the refusals of requests that came at the very end of a stop.
+    async fn end_refusals(&self) {
+        let began = self.now();
+        while self.in_flight.get() > 0 && self.now().since(began) < REFUSED_WITHIN {
+            actix_rt::time::sleep(STOP_LOOK).await;
+        }
+    }
+}
+
 impl RunningGateway {
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
@@ -199,7 +211,12 @@
             }
             actix_rt::time::sleep(STOP_LOOK).await;
         }
-        let _ = actix_rt::time::timeout(RESIGN, daemon.resign()).await;
+        // Nothing may be sent to a server between here and the end of the process.
+        daemon.takes_no_more.set(true);
+        if actix_rt::time::timeout(RESIGN, daemon.resign()).await.is_err() {
+            log::warn!(after_ms = RESIGN.as_millis() as u64; "servers_not_given_up");
+        }
+        daemon.end_refusals().await;
         let left = daemon.in_flight.get();
         log::info!(left = left, took_ms = daemon.now().since(began).as_millis() as u64; "stop");
         left
