A hall whose servers answer is not taken for cut off because its daemons are silent

Read from the code: only daemons counted as signs of life, so servers that live got no requests for 3 to 25 s after all daemons of their hall were killed.

--- a/crates/portrack/src/gateway/choosing/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -37,6 +37,8 @@
     own: Work,
     /// Since when nothing was heard of it although it was asked.
     silent_since: Option<Time>,
+    /// When it said something last.
+    heard_at: Option<Time>,
     failure_rate: Decayed,
     unreachable_until: Time,
 }
@@ -114,6 +116,12 @@
         since.is_some_and(|since| now.since(since) >= SILENT_AFTER)
     }
 
+    /// True if a server said something within a span.
+    pub fn heard_within(&self, now: Time, server: &str, span: Duration) -> bool {
+        let heard_at = self.servers.borrow().get(server).and_then(|entry| entry.heard_at);
+        heard_at.is_some_and(|at| now.since(at) < span)
+    }
+
     /// The share of recent requests that failed, fading with time.
     pub fn failure_rate(&self, now: Time, server: &str) -> f64 {
         self.servers.borrow().get(server).map_or(0.0, |entry| entry.rate(now))
@@ -206,6 +214,7 @@
     pub fn heard(&self, now: Time) {
         if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
             entry.silent_since = Some(now);
+            entry.heard_at = Some(now);
         }
     }
 
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -13,6 +13,9 @@
 /// Between log lines of how many peers are up.
 const PEERS_LOGGED: Duration = Duration::from_secs(2);
 
+/// A hall of which a server answered within this is not cut off: as long as its daemons are silent
+/// before they are missed.
+const HALL_ANSWERS: Duration = Duration::from_millis(900);
 /// A daemon that has heard no other one for so long is cut off, or was paused: three turns of the
 /// heartbeats of any peer.
 const CUT_OFF: Duration = Duration::from_millis(900);
@@ -89,7 +92,8 @@
     }
 
     fn look_at_halls(&self, now: Time) {
-        let silent = self.peers.borrow().silent_halls(now, &self.settings.hall);
+        let mut silent = self.peers.borrow().silent_halls(now, &self.settings.hall);
+        silent.retain(|hall| !self.hears_servers_of(now, hall));
         let before = self.path.loads.silent_halls();
         if silent != before {
             log::warn!(halls:? = silent, before:? = before; "silent_halls");
@@ -97,6 +101,15 @@
         }
     }
 
+    /// True if a server of a hall said something a moment ago: the hall is not cut off, although its
+    /// daemons, all killed or stopped at once, are silent. Without it servers that live got no
+    /// requests for 3 to 25 s.
+    fn hears_servers_of(&self, now: Time, hall: &str) -> bool {
+        let view = self.path.view.borrow();
+        let mut servers = view.backends().filter(|backend| &*backend.hall == hall);
+        servers.any(|backend| self.path.loads.heard_within(now, &backend.id, HALL_ANSWERS))
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let now = self.now();
         Heartbeat {
--- a/crates/portrack/tests/gateway/loads.rs
+++ b/crates/portrack/tests/gateway/loads.rs
@@ -4,6 +4,7 @@
 use portrack::Time;
 use portrack::gateway::{LoadTable, ServerLoad, Work, cheapest, server_mark, two_of};
 use std::rc::Rc;
+use std::time::Duration;
 
 fn chosen(loads: &LoadTable, now: u64) -> String {
     let servers = [Rc::new(backend("s1", &[])), Rc::new(backend("s2", &[]))];
@@ -43,6 +44,21 @@
     drop(later);
 }
 
+/// A hall whose daemons were all killed at once was taken for cut off for 3 to 25 s, although its
+/// servers went on answering.
+#[test]
+fn a_server_that_answers_is_heard_and_one_that_was_only_asked_is_not() {
+    let loads = Rc::new(LoadTable::default());
+    let span = Duration::from_millis(900);
+    let asked = loads.begin(Time(0), &"s1".into(), 0);
+    assert!(!loads.heard_within(Time(10), "s1", span), "a question is no answer");
+    asked.heard(Time(200));
+    drop(asked);
+    assert!(loads.heard_within(Time(1_099), "s1", span), "also when nothing is asked any more");
+    assert!(!loads.heard_within(Time(1_100), "s1", span));
+    assert!(!loads.heard_within(Time(300), "s2", span));
+}
+
 #[test]
 fn failures_are_remembered_and_fade() {
     let loads = Rc::new(LoadTable::default());
