--- /dev/null
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -0,0 +1,289 @@
+//! Decides when requests may be sent to one server.
+
+use super::asks::AskId;
+use super::cold::{ColdRule, ColdWindow};
+use super::fairness::makes_way;
+use super::message::{GrantAnswer, GrantAsk, GrantEnd, GrantOrder};
+use super::pace::ReadingPace;
+use super::promises::Promises;
+use super::reading::{ReadingLimit, ReadingWindow};
+use crate::types::Time;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A grant of which nothing is told is over after this: longer than nodes stand still.
+const FORGOTTEN_AFTER: Duration = Duration::from_millis(6_000);
+/// A rank lower waits as if it had so much more time left: urgent ones pass, and none is passed for ever.
+const RANK_HEADSTART: Duration = Duration::from_millis(50);
+/// A request that is late already has its turn, whatever else waits, after this share of the time for
+/// which somebody waits for it.
+const LATE_SHARE: f64 = 0.6;
+/// A prompt that does not fit yet lets shorter ones pass for this share of the time between events, and
+/// then none: large ones are not starved.
+const PASSED_SHARE: f64 = 0.5;
+
+/// What binds arrivals at the server at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct ServerRule {
+    /// What is believed of it, if it is of a service with a cold start.
+    pub cold: Option<ColdRule>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Given {
+    at: Time,
+    tokens: u32,
+    event_ms: u16,
+    /// The server was reading nothing.
+    alone: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    id: AskId,
+    ask: GrantAsk,
+    since: Time,
+    /// It is late if it is sent after this, reckoned with the reading of its prompt.
+    late_at: Time,
+}
+
+impl Waiting {
+    fn new(now: Time, id: AskId, ask: GrantAsk, pace: f64) -> Self {
+        let reading = Duration::from_secs_f64(f64::from(ask.tokens) / pace.max(0.001) / 1_000.0);
+        let left = Duration::from_millis(ask.left_ms.into()).saturating_sub(reading);
+        Self { id, ask, since: now, late_at: now + left }
+    }
+
+    fn left_at(&self) -> Time {
+        self.since + Duration::from_millis(self.ask.most_ms.into())
+    }
+
+    /// Its place in the order: what waits too long, what is late soon, what is late already.
+    fn order(&self, now: Time) -> (u8, Time, u32) {
+        let must = self.since + Duration::from_millis(self.ask.most_ms.into()).mul_f64(LATE_SHARE);
+        let headstart = RANK_HEADSTART * u32::from(self.ask.priority);
+        let tokens = self.ask.tokens;
+        match () {
+            () if now >= must => (0, must, tokens),
+            () if now <= self.late_at => (1, self.late_at + headstart, tokens),
+            () => (2, must + headstart, tokens),
+        }
+    }
+}
+
+/// One server's granter.
+#[derive(Debug)]
+pub struct Granter {
+    given: HashMap<AskId, Given>,
+    waiting: Vec<Waiting>,
+    cold: ColdWindow,
+    reading: ReadingWindow,
+    promises: Promises,
+}
+
+impl Granter {
+    /// Of a daemon that becomes the server's granter now, and does not know what another one gave.
+    pub fn new(now: Time) -> Self {
+        Self {
+            given: HashMap::new(),
+            waiting: Vec::new(),
+            cold: ColdWindow::new(now),
+            reading: ReadingWindow::default(),
+            promises: Promises::default(),
+        }
+    }
+
+    fn limit(ask: &GrantAsk, pace: f64) -> Option<ReadingLimit> {
+        let span = Duration::from_millis(ask.gap_ms.into());
+        let event = Duration::from_millis(ask.event_ms.into());
+        (ask.gap_ms > 0).then(|| ReadingLimit::new(span, event, pace))
+    }
+
+    fn has_room(&mut self, now: Time, rule: &ServerRule) -> bool {
+        let given = self.given.len();
+        rule.cold.is_none_or(|cold| self.cold.has_room(now, given, &cold))
+    }
+
+    fn fits(&self, now: Time, ask: &GrantAsk, pace: f64) -> bool {
+        Self::limit(ask, pace).is_none_or(|limit| self.reading.fits(now, ask.tokens, &limit))
+    }
+
+    fn give(&mut self, now: Time, id: AskId, ask: &GrantAsk, pace: f64) -> GrantOrder {
+        let backlog = self.reading.backlog(now);
+        if let Some(limit) = Self::limit(ask, pace) {
+            self.reading.take(now, ask.tokens, &limit);
+        }
+        let alone = backlog.is_zero();
+        let given = Given { at: now, tokens: ask.tokens, event_ms: ask.event_ms, alone };
+        self.given.insert(id, given);
+        (id, GrantAnswer::Granted(backlog.as_millis() as u32))
+    }
+
+    /// Decides on a request, or on another one that has to make way for it.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        ask: GrantAsk,
+        rule: &ServerRule,
+        pace: f64,
+    ) -> Vec<GrantOrder> {
+        let id = AskId { from, ask: ask.ask };
+        if self.given.contains_key(&id) || self.waiting.iter().any(|waiting| waiting.id == id) {
+            return Vec::new();
+        }
+        if self.waiting.is_empty() && self.has_room(now, rule) && self.fits(now, &ask, pace) {
+            return vec![self.give(now, id, &ask, pace)];
+        }
+        self.waiting.push(Waiting::new(now, id, ask, pace));
+        let (place, refused) = (self.waiting.len() - 1, self.over(now, rule, pace));
+        let Some(refused) = refused else {
+            return vec![(id, GrantAnswer::Waits(self.wait_ms(now, place, rule, pace)))];
+        };
+        let refused = self.waiting.swap_remove(refused).id;
+        let mut orders = vec![(refused, self.refusal(now, rule, pace))];
+        if refused != id {
+            let place = self.waiting.iter().position(|waiting| waiting.id == id);
+            let wait = place.map_or(0, |place| self.wait_ms(now, place, rule, pace));
+            orders.push((id, GrantAnswer::Waits(wait)));
+        }
+        orders
+    }
+
+    /// How long a waiting request waits, as far as can be told: for its turn in a second, and for what
+    /// is ahead of it to be read.
+    fn wait(
+        &mut self,
+        now: Time,
+        place: usize,
+        rule: &ServerRule,
+        pace: f64,
+    ) -> (Duration, Duration) {
+        let me = self.waiting[place].order(now);
+        let ahead: Vec<u32> = self
+            .waiting
+            .iter()
+            .enumerate()
+            .filter(|(other, waiting)| *other != place && waiting.order(now) < me)
+            .map(|(_, waiting)| waiting.ask.tokens)
+            .collect();
+        let given = self.given.len();
+        let cold = rule
+            .cold
+            .map_or(Duration::ZERO, |cold| self.cold.wait(now, given, ahead.len() + 1, &cold));
+        let ask = &self.waiting[place].ask;
+        let reading = Self::limit(ask, pace).map_or(Duration::ZERO, |limit| {
+            let tokens = ahead.iter().map(|tokens| f64::from(*tokens)).sum();
+            self.reading.wait(now, tokens, ask.tokens, &limit)
+        });
+        (cold, reading)
+    }
+
+    fn wait_ms(&mut self, now: Time, place: usize, rule: &ServerRule, pace: f64) -> u32 {
+        let (cold, reading) = self.wait(now, place, rule, pace);
+        cold.max(reading).as_millis() as u32
+    }
+
+    /// The place of the request that has to go now that one more waits; `None` if all may wait. For
+    /// its turn at a cold server a request waits as long as it can be in time; for reading, as long as
+    /// somebody waits for its answer.
+    fn over(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Option<usize> {
+        let last = (0..self.waiting.len()).max_by_key(|place| self.waiting[*place].order(now))?;
+        let (cold, reading) = self.wait(now, last, rule, pace);
+        let ask = &self.waiting[last].ask;
+        let in_time = cold <= Duration::from_millis(ask.left_ms.into());
+        let of_use = reading <= Duration::from_millis(ask.most_ms.into());
+        if in_time && of_use {
+            return None;
+        }
+        let waiting: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|waiting| (waiting.ask.organisation, waiting.order(now)))
+            .collect();
+        Some(makes_way(&waiting))
+    }
+
+    /// When a refused caller may come back: behind all who wait, one after the other.
+    fn refusal(&mut self, now: Time, rule: &ServerRule, pace: f64) -> GrantAnswer {
+        let places = 0..self.waiting.len();
+        let waits: Vec<u32> = places.map(|place| self.wait_ms(now, place, rule, pace)).collect();
+        let longest = Duration::from_millis(waits.into_iter().max().unwrap_or(0).into());
+        let apart = match rule.cold {
+            Some(cold) => Duration::from_secs_f64(1.0 / cold.most() as f64),
+            None => longest / (self.waiting.len() as u32 + 1),
+        };
+        let known = match rule.cold {
+            Some(cold) => self.cold.wait(now, self.given.len(), 1, &cold),
+            None => Duration::ZERO,
+        };
+        GrantAnswer::Refused(self.promises.next(now, longest.max(known), apart))
+    }
+
+    /// A request has begun to be answered, or failed, or was not sent; tells which others have their
+    /// turn.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        id: AskId,
+        end: GrantEnd,
+        rule: &ServerRule,
+        pace: &mut ReadingPace,
+    ) -> Vec<GrantOrder> {
+        self.waiting.retain(|waiting| waiting.id != id);
+        if let Some(given) = self.given.remove(&id) {
+            self.note(now, given, end, pace);
+        }
+        self.turns(now, rule, pace.get())
+    }
+
+    fn note(&mut self, now: Time, given: Given, end: GrantEnd, pace: &mut ReadingPace) {
+        match end {
+            GrantEnd::Begun(millis) => {
+                self.cold.arrived(now);
+                if given.alone && given.tokens > 0 {
+                    let reading = f64::from(millis) - f64::from(given.event_ms);
+                    pace.observe(given.tokens, reading);
+                }
+            }
+            GrantEnd::Failed => self.cold.arrived(now),
+            GrantEnd::TurnedAway | GrantEnd::Unsent | GrantEnd::Unreachable => {
+                self.reading.give_back(given.at, given.tokens);
+            }
+        }
+    }
+
+    /// Those whose turn it is, and those for which nobody waits any more.
+    fn turns(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Vec<GrantOrder> {
+        let mut orders = Vec::new();
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|waiting| waiting.order(now));
+        let mut closed = false;
+        for next in waiting {
+            if now > next.left_at() {
+                orders.push((next.id, self.refusal(now, rule, pace)));
+                continue;
+            }
+            if !closed && self.has_room(now, rule) && self.fits(now, &next.ask, pace) {
+                orders.push(self.give(now, next.id, &next.ask, pace));
+                continue;
+            }
+            let span = Duration::from_millis(next.ask.gap_ms.into());
+            closed |= now.since(next.since) >= span.mul_f64(PASSED_SHARE);
+            self.waiting.push(next);
+        }
+        orders
+    }
+
+    /// Lets time pass.
+    pub fn pass_time(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Vec<GrantOrder> {
+        self.given.retain(|_, given| now.since(given.at) < FORGOTTEN_AFTER);
+        if self.waiting.is_empty() { Vec::new() } else { self.turns(now, rule, pace) }
+    }
+
+    /// True if nothing is under way or waits.
+    pub fn is_idle(&self) -> bool {
+        self.given.is_empty() && self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -0,0 +1,388 @@
+//! Asks the granters of servers on behalf of requests, and is the granter of some for other daemons.
+
+use super::asks::{ANSWER_PATIENCE, AskId, Asks, next_answer};
+use super::granter::{Granter, ServerRule};
+use super::guard::{GrantGuard, WaitingGrant};
+use super::message::{GrantAnswer, GrantAsk, GrantMessage, GrantOrder};
+use super::pace::ReadingPace;
+use super::quantile::Quantile;
+use super::share::OwnShares;
+use crate::gateway::admission::{OrganisationMark, StoreProof};
+use crate::gateway::choosing::load::{LoadTable, server_mark};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::coldness::Coldness;
+use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
+use crate::gateway::fleet::message::PeerMessage;
+use crate::gateway::fleet::messenger::Messenger;
+use crate::gateway::fleet::regions::Regions;
+use crate::gateway::fleet::view::FleetView;
+use crate::types::{Clock, Time};
+use prometheus::{Histogram, IntCounterVec};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// A granter once found is asked for so long before it is looked for again; the daemons known change
+/// with each heartbeat.
+const GRANTER_KEPT: Duration = Duration::from_millis(300);
+/// How long a step of an engine takes, before any stream was seen: slow ones take so long.
+const FIRST_STEP_MS: f64 = 20.0;
+/// Streams disturbed by reading are no measure of the usual time of an event.
+const EVENT_SHARE: f64 = 0.3;
+
+/// What a request needs of a server.
+#[derive(Debug, Clone)]
+pub struct GrantNeed {
+    /// Whose request it is, if callers show keys.
+    pub organisation: Option<OrganisationMark>,
+    /// Tokens of its prompt.
+    pub tokens: u32,
+    /// Its rank, 0 highest.
+    pub priority: u8,
+    /// It must be sent within this to be in time.
+    pub left: Duration,
+    /// Nobody waits for its answer if it is sent later than this.
+    pub most: Duration,
+    /// The longest pause of a stream in time.
+    pub gap: Option<Duration>,
+}
+
+/// What came of asking.
+pub enum Grasp {
+    /// It may be sent.
+    Granted(GrantGuard),
+    /// It has to wait for its turn.
+    Waits(WaitingGrant),
+    /// It is not to be sent; when to come back.
+    Refused(Duration),
+    /// Nobody answers.
+    Unanswered,
+}
+
+/// What grants are counted in.
+pub struct GrantMetrics {
+    /// Asks by what came of them.
+    pub outcomes: IntCounterVec,
+    /// From the ask to the grant, in seconds.
+    pub waits: Histogram,
+}
+
+/// What grants hang on.
+pub struct GrantParts {
+    /// The monotonic clock.
+    pub clock: Rc<dyn Clock>,
+    /// What is known of the fleet.
+    pub view: Rc<RefCell<FleetView>>,
+    /// How fresh that is.
+    pub proof: Rc<StoreProof>,
+    /// Which servers may be cold.
+    pub coldness: Rc<RefCell<Coldness>>,
+    /// Load of the servers.
+    pub loads: Rc<LoadTable>,
+    /// For datagrams.
+    pub messenger: Rc<Messenger>,
+    /// This daemon.
+    pub me: DaemonAt,
+    /// Those that may be granters.
+    pub daemons: Rc<RefCell<Daemons>>,
+    /// Which hall is where.
+    pub regions: Regions,
+    /// Of what a cold server bears, it may get so many times as much.
+    pub cold_ratio: f64,
+    /// Requests that it may get besides in a second.
+    pub cold_slack: f64,
+    /// What is counted.
+    pub metrics: GrantMetrics,
+}
+
+/// A server of which this daemon is the granter.
+struct Granted {
+    id: Rc<str>,
+    born: Option<u64>,
+    granter: Granter,
+}
+
+/// Grants as one daemon sees them.
+pub struct Grants {
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) view: Rc<RefCell<FleetView>>,
+    pub(super) proof: Rc<StoreProof>,
+    pub(super) coldness: Rc<RefCell<Coldness>>,
+    loads: Rc<LoadTable>,
+    messenger: Rc<Messenger>,
+    pub(super) me: DaemonAt,
+    daemons: Rc<RefCell<Daemons>>,
+    regions: Regions,
+    pub(super) cold_ratio: f64,
+    pub(super) cold_slack: f64,
+    metrics: GrantMetrics,
+    /// Loads of servers are known late.
+    pub loads_lag: Cell<bool>,
+    pub(super) shares: RefCell<OwnShares>,
+    pub(super) asks: Asks<GrantAnswer>,
+    servers: RefCell<HashMap<u32, Granted>>,
+    paces: RefCell<HashMap<Rc<str>, ReadingPace>>,
+    events: RefCell<HashMap<Rc<str>, Quantile>>,
+    found: RefCell<HashMap<u32, (Time, SocketAddr)>>,
+}
+
+impl Grants {
+    /// Nothing granted yet.
+    pub fn new(parts: GrantParts) -> Self {
+        let started_at = parts.clock.now();
+        Self {
+            clock: parts.clock,
+            view: parts.view,
+            proof: parts.proof,
+            coldness: parts.coldness,
+            loads: parts.loads,
+            messenger: parts.messenger,
+            me: parts.me,
+            daemons: parts.daemons,
+            regions: parts.regions,
+            cold_ratio: parts.cold_ratio,
+            cold_slack: parts.cold_slack,
+            metrics: parts.metrics,
+            loads_lag: Cell::new(false),
+            shares: RefCell::new(OwnShares::new(started_at)),
+            asks: Asks::default(),
+            servers: RefCell::default(),
+            paces: RefCell::default(),
+            events: RefCell::default(),
+            found: RefCell::default(),
+        }
+    }
+
+    /// Takes in which daemons are known, silent ones among them.
+    pub fn know(&self, daemons: impl Iterator<Item = SocketAddr>) {
+        self.shares.borrow_mut().know(self.clock.now(), daemons);
+    }
+
+    /// The granter of a server: of its own hall, else of its region, else any.
+    fn granter(&self, now: Time, server: u32, hall: &str) -> Option<SocketAddr> {
+        if let Some((at, granter)) = self.found.borrow().get(&server)
+            && now.since(*at) < GRANTER_KEPT
+        {
+            return Some(*granter);
+        }
+        let granter = self.find_granter(now, server, hall)?;
+        self.found.borrow_mut().insert(server, (now, granter));
+        Some(granter)
+    }
+
+    fn find_granter(&self, now: Time, server: u32, hall: &str) -> Option<SocketAddr> {
+        let daemons = self.daemons.borrow();
+        let answers = |daemon: &DaemonAt| {
+            !self.asks.shuns(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
+        };
+        let region = self.regions.of(hall);
+        let near = |daemon: &DaemonAt| self.regions.of(&daemon.hall) == region && answers(daemon);
+        daemons
+            .first(server.into(), |daemon| &*daemon.hall == hall && answers(daemon))
+            .or_else(|| daemons.first(server.into(), near))
+            .or_else(|| daemons.first(server.into(), answers))
+    }
+
+    /// Asks whether a request may be sent to a server.
+    pub async fn ask(self: &Rc<Self>, backend: &Backend, need: &GrantNeed) -> Grasp {
+        let asked_at = self.clock.now();
+        let server = server_mark(&backend.id);
+        let Some(granter) = self.granter(asked_at, server, &backend.hall) else {
+            return Grasp::Unanswered;
+        };
+        let (ask, mut answers) = self.asks.open();
+        let guard = GrantGuard::new(self.clone(), granter, server, ask);
+        let question = GrantAsk {
+            ask,
+            server,
+            organisation: need.organisation,
+            tokens: need.tokens,
+            priority: need.priority,
+            left_ms: need.left.as_millis() as u32,
+            most_ms: need.most.as_millis() as u32,
+            gap_ms: need.gap.map_or(0, |gap| gap.as_millis() as u16),
+            event_ms: need.gap.map_or(0, |_| self.event_ms(&backend.service)),
+        };
+        self.send(granter, GrantMessage::Ask(question));
+        // The way to another region and back takes some of the time.
+        let patience = match self.regions.is_own(&backend.hall) {
+            true => ANSWER_PATIENCE,
+            false => ANSWER_PATIENCE * 2,
+        };
+        let answer = next_answer(&mut answers, patience).await;
+        // A daemon that stood still meanwhile does not know how old the answer is.
+        let in_time = self.clock.now().since(asked_at) < patience * 2;
+        let answer = answer.filter(|_| in_time);
+        self.take_answer(backend, guard, answers, answer)
+    }
+
+    /// Waits for the second answer.
+    pub async fn wait(
+        &self,
+        backend: &Backend,
+        mut waiting: WaitingGrant,
+        most: Duration,
+    ) -> Grasp {
+        let patience = most + ANSWER_PATIENCE;
+        let answer = next_answer(&mut waiting.answers, patience).await;
+        let answer = answer.filter(|answer| !matches!(answer, GrantAnswer::Waits(_)));
+        self.take_answer(backend, waiting.guard, waiting.answers, answer)
+    }
+
+    fn take_answer(
+        &self,
+        backend: &Backend,
+        guard: GrantGuard,
+        answers: UnboundedReceiver<GrantAnswer>,
+        answer: Option<GrantAnswer>,
+    ) -> Grasp {
+        let now = self.clock.now();
+        let millis = |millis: u32| Duration::from_millis(millis.into());
+        let backlog = |after: u32| self.loads.reads_until(&backend.id, now + millis(after));
+        let (outcome, grasp) = match answer {
+            Some(GrantAnswer::Granted(reading)) => {
+                backlog(reading);
+                ("granted", Grasp::Granted(guard))
+            }
+            Some(GrantAnswer::Waits(wait)) => {
+                backlog(wait);
+                let expected = millis(wait);
+                ("waits", Grasp::Waits(WaitingGrant { guard, answers, expected }))
+            }
+            Some(GrantAnswer::Refused(after)) => {
+                guard.refused();
+                log::info!(
+                    server = &*backend.id, granter:% = guard.granter, retry_after_ms = after;
+                    "grant_refused"
+                );
+                ("refused", Grasp::Refused(millis(after)))
+            }
+            None => {
+                // Once in the time for which a daemon is left alone.
+                if !self.asks.shuns(now, guard.granter) {
+                    log::warn!(server = &*backend.id, granter:% = guard.granter; "grant_unanswered");
+                }
+                self.asks.shun(now, guard.granter);
+                self.found.borrow_mut().clear();
+                ("unanswered", Grasp::Unanswered)
+            }
+        };
+        self.metrics.outcomes.with_label_values(&[outcome]).inc();
+        grasp
+    }
+
+    /// A request waited so long for its grant.
+    pub fn waited(&self, wait: Duration) {
+        self.metrics.waits.observe(wait.as_secs_f64());
+    }
+
+    fn event_ms(&self, service: &Rc<str>) -> u16 {
+        let first = || {
+            let view = self.view.borrow();
+            let engine = view.service(service).and_then(|service| service.engine.clone());
+            engine.map_or(1, |engine| engine.event_tokens.max(1))
+        };
+        let mut events = self.events.borrow_mut();
+        let event = events
+            .entry(service.clone())
+            .or_insert_with(|| Quantile::new(EVENT_SHARE, f64::from(first()) * FIRST_STEP_MS));
+        event.get().round() as u16
+    }
+
+    /// The events of a stream came so far apart on average.
+    pub fn note_event(&self, service: &Rc<str>, apart: Duration) {
+        if let Some(event) = self.events.borrow_mut().get_mut(service) {
+            event.observe(apart.as_secs_f64() * 1_000.0);
+        }
+    }
+
+    pub(super) fn send(&self, to: SocketAddr, message: GrantMessage) {
+        if to == self.me.address {
+            self.on_message(message, to);
+        } else {
+            self.messenger.tell(&PeerMessage::Grants(message), to);
+        }
+    }
+
+    /// Takes in a message of another daemon, or of this one.
+    pub fn on_message(&self, message: GrantMessage, from: SocketAddr) {
+        match message {
+            GrantMessage::Ask(ask) => self.on_ask(ask, from),
+            GrantMessage::Answer(ask, answer) => self.asks.answer(ask, answer),
+            GrantMessage::Ended(server, ask, end) => {
+                let id = AskId { from, ask };
+                self.at(server, false, |now, granter, rule, pace| {
+                    granter.ended(now, id, end, rule, pace)
+                });
+            }
+        }
+    }
+
+    /// Who does not know the server leaves the asking daemon to itself.
+    fn on_ask(&self, ask: GrantAsk, from: SocketAddr) {
+        self.at(ask.server, true, |now, granter, rule, pace| {
+            granter.ask(now, from, ask, rule, pace.get())
+        });
+    }
+
+    /// Has the granter of a server decide, and tells what it decided.
+    fn at(
+        &self,
+        server: u32,
+        begin: bool,
+        decide: impl FnOnce(Time, &mut Granter, &ServerRule, &mut ReadingPace) -> Vec<GrantOrder>,
+    ) {
+        let now = self.clock.now();
+        let orders = {
+            let mut servers = self.servers.borrow_mut();
+            let before = servers.get(&server).map(|granted| granted.id.clone());
+            if before.is_none() && !begin {
+                return;
+            }
+            let Some(backend) = self.backend(server, before.as_deref()) else {
+                servers.remove(&server);
+                return;
+            };
+            let granted = servers.entry(server).or_insert_with(|| Granted {
+                id: backend.id.clone(),
+                born: backend.born,
+                granter: Granter::new(now),
+            });
+            if granted.born != backend.born {
+                *granted = Granted {
+                    id: backend.id.clone(),
+                    born: backend.born,
+                    granter: Granter::new(now),
+                };
+            }
+            let rule = self.rule(now, &backend);
+            let mut paces = self.paces.borrow_mut();
+            let pace = paces.entry(backend.service.clone()).or_default();
+            decide(now, &mut granted.granter, &rule, pace)
+        };
+        self.carry_out(orders);
+    }
+
+    fn carry_out(&self, orders: Vec<GrantOrder>) {
+        for (id, answer) in orders {
+            self.send(id.from, GrantMessage::Answer(id.ask, answer));
+        }
+    }
+
+    /// Lets those have their turn that wait, and forgets grants whose end was never told.
+    pub fn pass_time(&self) {
+        let busy: Vec<u32> = {
+            let servers = self.servers.borrow();
+            let busy = servers.iter().filter(|(_, granted)| !granted.granter.is_idle());
+            busy.map(|(server, _)| *server).collect()
+        };
+        for server in busy {
+            self.at(server, false, |now, granter, rule, pace| {
+                granter.pass_time(now, rule, pace.get())
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/arrivals/guard.rs
@@ -0,0 +1,75 @@
+//! A grant that a request has.
+
+use super::grants::Grants;
+use super::message::{GrantAnswer, GrantEnd, GrantMessage};
+use crate::types::Time;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// A grant, or a place among those that wait for one; given back when dropped.
+pub struct GrantGuard {
+    grants: Rc<Grants>,
+    /// Who gave it.
+    pub granter: SocketAddr,
+    server: u32,
+    ask: u32,
+    sent_at: Cell<Time>,
+    /// What is told of it when it is dropped; `None` if all is told.
+    end: Cell<Option<GrantEnd>>,
+}
+
+impl GrantGuard {
+    pub(super) fn new(grants: Rc<Grants>, granter: SocketAddr, server: u32, ask: u32) -> Self {
+        let (sent_at, end) = (Cell::default(), Cell::new(Some(GrantEnd::Unsent)));
+        Self { grants, granter, server, ask, sent_at, end }
+    }
+
+    /// The request is being sent: from here on it may have arrived.
+    pub fn sent(&self, now: Time) {
+        self.sent_at.set(now);
+        self.end.set(Some(GrantEnd::Failed));
+    }
+
+    /// Takes note of how the request ended.
+    pub fn ended(&self, end: GrantEnd) {
+        if self.end.get().is_some() {
+            self.end.set(Some(end));
+        }
+    }
+
+    /// The answer begins: the prompt is read.
+    pub fn begun(&self, now: Time) {
+        let millis = now.since(self.sent_at.get()).as_millis() as u32;
+        self.ended(GrantEnd::Begun(millis));
+        self.tell();
+    }
+
+    /// Nothing is to be told: the granter has refused it.
+    pub(super) fn refused(&self) {
+        self.end.set(None);
+    }
+
+    fn tell(&self) {
+        if let Some(end) = self.end.take() {
+            self.grants.send(self.granter, GrantMessage::Ended(self.server, self.ask, end));
+        }
+    }
+}
+
+impl Drop for GrantGuard {
+    fn drop(&mut self) {
+        self.grants.asks.close(self.ask);
+        self.tell();
+    }
+}
+
+/// A request that waits for its turn.
+pub struct WaitingGrant {
+    pub(super) guard: GrantGuard,
+    pub(super) answers: UnboundedReceiver<GrantAnswer>,
+    /// How long it was told to wait.
+    pub expected: Duration,
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/arrivals/knowing.rs
@@ -0,0 +1,53 @@
+//! What a granter takes a server for.
+
+use super::cold::{ColdBound, ColdRule};
+use super::granter::ServerRule;
+use super::grants::Grants;
+use crate::gateway::choosing::load::server_mark;
+use crate::gateway::fleet::backend::Backend;
+use crate::types::Time;
+use std::rc::Rc;
+
+impl Grants {
+    /// A server by its mark; `before` is its id if it was found before.
+    pub(super) fn backend(&self, server: u32, before: Option<&str>) -> Option<Rc<Backend>> {
+        let view = self.view.borrow();
+        let known = before.and_then(|id| view.backend(id));
+        let found = known.or_else(|| view.backends().find(|all| server_mark(&all.id) == server));
+        found.cloned()
+    }
+
+    /// What binds arrivals at a server. It is in doubt too while news of it may be older than a cold
+    /// start lasts.
+    pub(super) fn rule(&self, now: Time, backend: &Backend) -> ServerRule {
+        let view = self.view.borrow();
+        let start = view.service(&backend.service).and_then(|service| service.cold);
+        let cold = start.map(|start| {
+            let told = view.config().is_some_and(|config| config.organisations.is_some());
+            let old = told && !self.proof.is_within(now, start.lasts);
+            let cold = old || self.coldness.borrow().is_cold(now, &backend.id, Some(&start));
+            let bound = ColdBound::new(&start, self.cold_ratio, self.cold_slack);
+            ColdRule { bound, cold }
+        });
+        ServerRule { cold }
+    }
+
+    /// True if arrivals at a server are granted: where it may be cold, and where engines' loads are
+    /// known late.
+    pub fn grants(&self, backend: &Backend) -> bool {
+        let view = self.view.borrow();
+        let Some(service) = view.service(&backend.service) else { return false };
+        service.cold.is_some() || (service.engine.is_some() && self.loads_lag.get())
+    }
+
+    /// True if a request whose granter does not answer may be sent: to a server that may be cold only
+    /// by this daemon's own share, if it is one of the few that have one.
+    pub fn may_send_alone(&self, backend: &Backend) -> bool {
+        let now = self.clock.now();
+        let Some(cold) = self.rule(now, backend).cold.filter(|cold| cold.cold) else { return true };
+        let server = server_mark(&backend.id);
+        let sharers = cold.bound.sharers();
+        let mut shares = self.shares.borrow_mut();
+        shares.is_sharer(server, self.me.address, sharers) && shares.take(now, server)
+    }
+}
--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -11,6 +11,8 @@
 const ALL_FAIL: f64 = 40.0;
 /// Prompt tokens that weigh as much as one running request.
 const TOKENS_A_REQUEST: f64 = 600.0;
+/// Milliseconds of reading that weigh as much as one running request.
+const READING_MS_A_REQUEST: f64 = 30.0;
 /// What a server that says nothing although it was asked costs.
 const SILENT: f64 = 80.0;
 /// What a server found unreachable a moment ago costs.
@@ -21,6 +23,7 @@
     let work = loads.work(now, &backend.id);
     let mut cost = f64::from(work.requests);
     cost += f64::from(work.waiting_tokens) / TOKENS_A_REQUEST;
+    cost += loads.backlog(now, &backend.id).as_secs_f64() * 1_000.0 / READING_MS_A_REQUEST;
     cost += loads.failure_rate(now, &backend.id) * ALL_FAIL;
     if &*backend.hall != hall {
         cost += OTHER_HALL;
--- a/crates/portrack/src/gateway/choosing/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -64,6 +64,8 @@
     silent_halls: RefCell<Vec<Rc<str>>>,
     servers: RefCell<HashMap<Rc<str>, Server>>,
     peers: RefCell<HashMap<Rc<str>, PeerWork>>,
+    /// Until when servers read, as their granters told.
+    reading: RefCell<HashMap<Rc<str>, Time>>,
 }
 
 /// The short name of a server in messages between daemons.
@@ -149,6 +151,16 @@
         }
     }
 
+    /// A server's granter told that it reads until then.
+    pub fn reads_until(&self, server: &Rc<str>, until: Time) {
+        self.reading.borrow_mut().insert(server.clone(), until);
+    }
+
+    /// How long a server reads what is waiting there, as its granter told.
+    pub fn backlog(&self, now: Time, server: &str) -> Duration {
+        self.reading.borrow().get(server).map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// This daemon's own work, for its peers.
     pub fn own(&self) -> Vec<(u32, Work)> {
         let servers = self.servers.borrow();
@@ -180,6 +192,7 @@
     /// Forgets a server that is gone.
     pub fn forget(&self, server: &str) {
         self.reported.borrow_mut().remove(&server_mark(server));
+        self.reading.borrow_mut().remove(server);
         let mut servers = self.servers.borrow_mut();
         if servers.get(server).is_some_and(|entry| entry.own.requests == 0) {
             servers.remove(server);
--- a/crates/portrack/src/gateway/choosing/mod.rs
+++ b/crates/portrack/src/gateway/choosing/mod.rs
@@ -8,6 +8,7 @@
 pub(in crate::gateway) mod crowding;
 pub(in crate::gateway) mod decay;
 pub(in crate::gateway) mod demand;
+mod granted;
 pub(in crate::gateway) mod holdings;
 pub(in crate::gateway) mod homes;
 pub(in crate::gateway) mod load;
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -61,7 +61,12 @@
             let granted = open.find(|backend| server_mark(&backend.id) == slot.server);
             if let Some(backend) = granted.filter(|backend| !job.tried.contains(&backend.id)) {
                 let backend = backend.clone();
-                return Ok(Choice { backend, adapter_version: None, slot: Some(slot) });
+                return Ok(Choice {
+                    backend,
+                    adapter_version: None,
+                    slot: Some(slot),
+                    grant: None,
+                });
             }
         }
         let open = view.open_backends(&job.service.name);
@@ -101,7 +106,7 @@
             }
             false => cheapest(now, &self.loads, &self.hall, &job.tried, open),
         }?;
-        Some(Choice { backend, adapter_version: None, slot: None })
+        Some(Choice { backend, adapter_version: None, slot: None, grant: None })
     }
 
     async fn choose_adapter(&self, job: &Job<'_>, key: &AdapterKey) -> Result<Choice, Refused> {
@@ -235,6 +240,36 @@
         sorted.into_iter().partition(|holder| holder.version >= newest)
     }
 
+    /// Another untried server that could serve the request as well as `asked`, the cheapest.
+    pub(super) fn other_holder(&self, job: &Job<'_>, asked: &str) -> Option<Choice> {
+        let now = self.clock.now();
+        let Some(key) = job.adapter().filter(|_| job.model().is_some()) else {
+            let view = self.view.borrow();
+            let model = job.model().map(|model| model.model.clone());
+            let open = view.open_backends(&job.service.name).filter(|backend| {
+                let holds = model.as_ref().is_none_or(|model| backend.model(model).is_some());
+                holds && &*backend.id != asked
+            });
+            return self.best(job, open);
+        };
+        let usable = self.view.borrow().usable_versions(now, &key);
+        let newest = usable.map_or(FIRST_VERSION, |versions| versions.newest);
+        let (current, _) = self.holders(job, &key, newest);
+        let other = current.iter().find(|holder| &*holder.backend.id != asked)?;
+        Some(chosen(job, other, usable))
+    }
+
+    /// True if a server that was chosen a while ago still takes the request.
+    pub(super) fn still_takes(&self, job: &Job<'_>, choice: &Choice) -> bool {
+        let now = self.clock.now();
+        let view = self.view.borrow();
+        let open = view.open_backends(&job.service.name).any(|all| all.id == choice.backend.id);
+        let holds = job.adapter().filter(|_| job.model().is_some()).is_none_or(|key| {
+            view.holdings.holders(now, &key).iter().any(|(id, _)| *id == choice.backend.id)
+        });
+        open && holds
+    }
+
     /// True if an adapter is asked for so much that a much idler server should have it as well.
     fn needs_copy(&self, job: &Job<'_>, key: &AdapterKey, slots: usize, cost_here: f64) -> bool {
         if !is_crowded(slots, cost_here) {
@@ -284,7 +319,12 @@
 fn chosen(job: &Job<'_>, holder: &Holder, usable: Option<UsableVersions>) -> Choice {
     let version = VersionChoice { held: holder.version, usable };
     job.progress.version.set(Some(version));
-    Choice { backend: holder.backend.clone(), adapter_version: version.demanded(), slot: None }
+    Choice {
+        backend: holder.backend.clone(),
+        adapter_version: version.demanded(),
+        slot: None,
+        grant: None,
+    }
 }
 
 /// The first of some holders, which come with the cheapest first; where loads are known late, the
@@ -296,7 +336,7 @@
 }
 
 /// How long a request may wait for its adapter before its caller gives up.
-fn patience(route: &Route) -> Duration {
+pub(super) fn patience(route: &Route) -> Duration {
     let gaps = route.gap_objective.unwrap_or_default() * 8;
     let silence = SILENCE_FLOOR.max(route.objective * 4).max(gaps);
     silence.mul_f64(SILENCE_SHARE).min(route.timeout / 2)
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -1,6 +1,7 @@
 //! One gateway daemon: the parts that its tasks share.
 
 use crate::gateway::admission::{KeyRules, Quotas, StoreProof};
+use crate::gateway::arrivals::{GrantMetrics, GrantParts, Grants};
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::connections::pool::Pool;
@@ -153,23 +154,42 @@
             view.clone(),
             loads.clone(),
             messenger.clone(),
-            me,
+            me.clone(),
             daemons_up.clone(),
         );
+        let (proof, coldness) = (Rc::<StoreProof>::default(), Rc::<RefCell<_>>::default());
+        let grants = Grants::new(GrantParts {
+            clock: clock.clone(),
+            view: view.clone(),
+            proof: proof.clone(),
+            coldness: coldness.clone(),
+            loads: loads.clone(),
+            messenger: messenger.clone(),
+            me,
+            daemons: daemons_up.clone(),
+            regions: settings.regions(),
+            cold_ratio: bounds.cold_ratio,
+            cold_slack: bounds.cold_slack,
+            metrics: GrantMetrics {
+                outcomes: metrics.grants.clone(),
+                waits: metrics.grant_waits.clone(),
+            },
+        });
         let path = RequestPath {
             clock: clock.clone(),
             dialect: dialect.clone(),
             view,
-            proof: StoreProof::default(),
+            proof,
             key_rules: KeyRules::new(
                 bounds.revoke_within_ms.map(Duration::from_millis),
                 Duration::from_millis(bounds.config_within_ms),
             ),
             quotas: Rc::new(quotas),
+            grants: Rc::new(grants),
             slots: Rc::new(slots),
             daemons_up,
             changed: Rc::new(Notify::new()),
-            coldness: Rc::default(),
+            coldness,
             loads,
             pool: Rc::new(Pool::default()),
             retries: RefCell::new(retries),
--- a/crates/portrack/src/gateway/dispatch/dispatcher.rs
+++ b/crates/portrack/src/gateway/dispatch/dispatcher.rs
@@ -5,10 +5,11 @@
 //! 24 requests queued there for 240 ms, and servers turned away 45% of what they got.
 
 use crate::gateway::admission::OrganisationMark;
+use crate::gateway::arrivals::{AskId, Promises, makes_way};
 use crate::gateway::choosing::decay::Decayed;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,17 +36,6 @@
 /// objectives are as short as a run, whatever had to wait was refused, and routes with such objectives
 /// were served a sixth as often as others on a busy day.
 const LEAST_WAIT_RUNS: f64 = 2.0;
-/// The longest time after which a refused caller is told to come back.
-const LONGEST_RETRY: Duration = Duration::from_millis(2_000);
-
-/// A request for a slot, by the daemon that asks and its count.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct AskId {
-    /// Who asks.
-    pub from: SocketAddr,
-    /// Its count of requests.
-    pub ask: u32,
-}
 
 /// What a request needs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -125,8 +115,8 @@
     waiting: Vec<Waiting>,
     /// How long requests run, on average, in milliseconds.
     run_ms: f64,
-    /// Refused callers are told to come back one after the other; the last at this time.
-    promised_until: Time,
+    /// When refused callers come back.
+    promises: Promises,
 }
 
 impl Default for Dispatcher {
@@ -137,7 +127,7 @@
             taken: HashMap::new(),
             waiting: Vec::new(),
             run_ms: FIRST_RUN.as_millis() as f64,
-            promised_until: Time::default(),
+            promises: Promises::default(),
         }
     }
 }
@@ -222,29 +212,15 @@
         orders
     }
 
-    /// The place of the waiting request that has to go: the last of the organisation that has most of
-    /// them. Requests of nobody known are no organisation's: together they would always have most.
+    /// The place of the waiting request that has to go.
     fn one_too_many(&self) -> usize {
-        let mut counts: BTreeMap<OrganisationMark, usize> = BTreeMap::new();
-        for mark in self.waiting.iter().filter_map(|waiting| waiting.ask.organisation) {
-            *counts.entry(mark).or_default() += 1;
-        }
-        let newest = self.waiting.len() - 1;
-        let most = counts.into_iter().max_by_key(|(mark, count)| {
-            (*count, self.waiting[newest].ask.organisation == Some(*mark))
-        });
-        let Some((most, _)) = most.filter(|(_, count)| *count > 1) else { return newest };
-        let places = self.waiting.iter().enumerate();
-        let of_most = places.filter(|(_, waiting)| waiting.ask.organisation == Some(most));
-        let last = of_most.max_by_key(|(place, waiting)| (waiting.until, *place));
-        last.map_or(newest, |(place, _)| place)
+        let waiting = self.waiting.iter().map(|waiting| (waiting.ask.organisation, waiting.until));
+        makes_way(&waiting.collect::<Vec<_>>())
     }
 
     fn refusal(&mut self, now: Time) -> SlotAnswer {
-        let free = now + self.wait_of(now, self.waiting.len() + 1);
-        let next = self.promised_until.max(free) + self.wait_of(now, 1);
-        self.promised_until = next.min(now + LONGEST_RETRY);
-        SlotAnswer::Refused(self.promised_until.since(now).as_millis() as u32)
+        let (free, apart) = (self.wait_of(now, self.waiting.len() + 1), self.wait_of(now, 1));
+        SlotAnswer::Refused(self.promises.next(now, free, apart))
     }
 
     /// A request at a server has ended; tells which others have their turn.
--- a/crates/portrack/src/gateway/dispatch/mod.rs
+++ b/crates/portrack/src/gateway/dispatch/mod.rs
@@ -9,5 +9,5 @@
 mod dispatcher;
 mod slots;
 
-pub use dispatcher::{AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
+pub use dispatcher::{Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
 pub use slots::{SlotGuard, SlotMessage, SlotNeed, Slots};
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -1,10 +1,11 @@
 //! Asks the dispatcher of a service on behalf of requests, and is it for other daemons.
 
-use super::dispatcher::{AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
+use super::dispatcher::{Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
 use crate::gateway::admission::OrganisationMark;
+use crate::gateway::arrivals::{ANSWER_PATIENCE, AskId, Asks, next_answer};
 use crate::gateway::choosing::load::{LoadTable, server_mark};
 use crate::gateway::fleet::backend::Backend;
-use crate::gateway::fleet::daemons::{DaemonAt, Daemons, Shunned};
+use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
 use crate::gateway::fleet::message::PeerMessage;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::fleet::view::FleetView;
@@ -16,15 +17,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Services with more slots have no dispatcher: there, servers chosen at random are nearly as evenly
 /// filled, and one daemon could not answer for all.
 const MOST_SLOTS: usize = 256;
-/// A dispatcher that says nothing for so long is taken for gone.
-const ANSWER_PATIENCE: Duration = Duration::from_millis(60);
-/// A dispatcher that did not answer is not asked for so long.
-const SHUNNED_FOR: Duration = Duration::from_millis(2_000);
 
 /// What daemons tell each other of slots.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -57,9 +54,7 @@
     me: DaemonAt,
     daemons: Rc<RefCell<Daemons>>,
     dispatchers: RefCell<HashMap<u32, Dispatcher>>,
-    waiting: RefCell<HashMap<u32, UnboundedSender<SlotAnswer>>>,
-    asked: Cell<u32>,
-    shunned: Shunned,
+    asks: Asks<SlotAnswer>,
 }
 
 impl Slots {
@@ -80,9 +75,7 @@
             me,
             daemons,
             dispatchers: RefCell::default(),
-            waiting: RefCell::default(),
-            asked: Cell::new(0),
-            shunned: Shunned::default(),
+            asks: Asks::default(),
         }
     }
 
@@ -99,7 +92,7 @@
     fn dispatcher(&self, service: u32) -> Option<SocketAddr> {
         let now = self.clock.now();
         self.daemons.borrow().first(service.into(), |daemon| {
-            !self.shunned.holds(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
+            !self.asks.shuns(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
         })
     }
 
@@ -115,13 +108,10 @@
             return Ok(None);
         }
         let Some(dispatcher) = self.dispatcher(service) else { return Ok(None) };
-        let ask = self.asked.get().wrapping_add(1);
-        self.asked.set(ask);
+        let (ask, mut answers) = self.asks.open();
         let left_ms = u32::try_from(need.left.as_millis()).unwrap_or(u32::MAX);
         let SlotNeed { organisation, left, tried } = need;
         let question = SlotAsk { ask, service, organisation, left_ms, tried };
-        let (answered, mut answers) = unbounded_channel();
-        self.waiting.borrow_mut().insert(ask, answered);
         // From here on the slot is given back, also if the caller leaves.
         let mut guard = SlotGuard {
             slots: self.clone(),
@@ -143,8 +133,7 @@
                 Err(Refused::new(RefusalReason::Busy, Some(after)))
             }
             Some(SlotAnswer::Waits) | None => {
-                let until = self.clock.now() + SHUNNED_FOR;
-                self.shunned.shun(dispatcher, until);
+                self.asks.shun(self.clock.now(), dispatcher);
                 Ok(None)
             }
         }
@@ -173,12 +162,7 @@
                 };
                 self.carry_out(orders);
             }
-            SlotMessage::Answer(ask, answer) => {
-                if let Some(waiting) = self.waiting.borrow().get(&ask) {
-                    // The request may have been given up meanwhile; its guard tells the dispatcher.
-                    let _ = waiting.send(answer);
-                }
-            }
+            SlotMessage::Answer(ask, answer) => self.asks.answer(ask, answer),
             SlotMessage::Ended(service, ask, end) => {
                 let orders = {
                     let mut dispatchers = self.dispatchers.borrow_mut();
@@ -212,11 +196,11 @@
     answers: &mut UnboundedReceiver<SlotAnswer>,
     left: Duration,
 ) -> Option<SlotAnswer> {
-    let first = actix_rt::time::timeout(ANSWER_PATIENCE, answers.recv()).await.ok()??;
+    let first = next_answer(answers, ANSWER_PATIENCE).await?;
     if first != SlotAnswer::Waits {
         return Some(first);
     }
-    actix_rt::time::timeout(left + ANSWER_PATIENCE, answers.recv()).await.ok()?
+    next_answer(answers, left + ANSWER_PATIENCE).await
 }
 
 fn slots_of(backend: &Backend) -> ServerSlots {
@@ -244,7 +228,7 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        self.slots.waiting.borrow_mut().remove(&self.ask);
+        self.slots.asks.close(self.ask);
         if let Some(end) = self.end.get() {
             self.slots.send(self.dispatcher, SlotMessage::Ended(self.service, self.ask, end));
         }
--- a/crates/portrack/src/gateway/fleet/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -20,7 +20,7 @@
 
 /// Uses are told this often.
 const USES_TOLD: Duration = Duration::from_millis(600);
-/// Between looks at requests that wait for a slot in vain.
+/// Between looks at requests that wait for a slot or a grant.
 const SLOTS_LOOK: Duration = Duration::from_millis(20);
 /// Wishes and uses in one datagram.
 const DEMAND_CHUNK: usize = 20;
@@ -43,11 +43,12 @@
         }
     }
 
-    /// Lets requests that wait for a slot have their turn, for ever.
+    /// Lets requests that wait for a slot or a grant have their turn, for ever.
     pub async fn pass_slots(self: Rc<Self>) {
         loop {
             actix_rt::time::sleep(SLOTS_LOOK).await;
             self.path.slots.pass_time();
+            self.path.grants.pass_time();
         }
     }
 
@@ -80,6 +81,7 @@
                 addresses.into_iter().for_each(|address| peers.hear_of(address));
             }
             PeerMessage::Slots(message) => self.path.slots.on_message(message, from),
+            PeerMessage::Grants(message) => self.path.grants.on_message(message, from),
             PeerMessage::Quota(message) => self.path.quotas.on_message(message, from),
         }
     }
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -69,7 +69,10 @@
         }
         let up = self.peers.borrow().up(now).count();
         self.path.daemons.set(up + 1);
-        self.path.loads_lag.set(!self.peers.borrow().all_hear_each_beat());
+        let loads_lag = !self.peers.borrow().all_hear_each_beat();
+        self.path.loads_lag.set(loads_lag);
+        self.path.grants.loads_lag.set(loads_lag);
+        self.path.grants.know(self.peers.borrow().all());
         self.look_at_halls(now);
         self.ordering.planner.borrow_mut().daemons(up + 1);
         self.metrics.peers_up.set(up as i64);
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -1,6 +1,7 @@
 //! What daemons of a gateway fleet tell each other by datagram.
 
 use crate::gateway::admission::QuotaMessage;
+use crate::gateway::arrivals::GrantMessage;
 use crate::gateway::choosing::load::Work;
 use crate::gateway::dispatch::SlotMessage;
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,8 @@
     Quota(QuotaMessage),
     /// Slots of the servers of small services.
     Slots(SlotMessage),
+    /// Arrivals at a server.
+    Grants(GrantMessage),
 }
 
 /// A sign of life.
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -185,6 +185,12 @@
         self.peers.iter().filter(move |(_, peer)| self.is_up(now, peer))
     }
 
+    /// Where all daemons known hear datagrams, silent ones among them.
+    pub fn all(&self) -> impl Iterator<Item = SocketAddr> {
+        let heard = self.peers.values().map(|peer| peer.heartbeat.address);
+        heard.chain(self.heard_of.iter().map(|other| other.address))
+    }
+
     /// Where all daemons that are up hear datagrams.
     pub fn addresses(&self, now: Time) -> Vec<SocketAddr> {
         self.up(now).map(|(_, peer)| peer.heartbeat.address).collect()
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -1,7 +1,7 @@
 //! Everything a gateway daemon counts.
 
 use crate::metrics::{self, MetricMaker};
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -48,6 +48,10 @@
     pub datagrams_dropped: IntCounter,
     /// Servers that this daemon orders.
     pub servers_ordered: IntGauge,
+    /// Asks for a server by what came of them.
+    pub grants: IntCounterVec,
+    /// From the first ask of a try to its grant.
+    pub grant_waits: Histogram,
 }
 
 impl GatewayMetrics {
@@ -81,6 +85,8 @@
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
+            grants: made.counters("grants_total", "Asks for a server by outcome", &["outcome"]),
+            grant_waits: made.histogram("grant_wait_seconds", "First ask of a try to its grant"),
             named: RefCell::default(),
             registry,
         }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: serves callers on the users' machines, word by word, over one request path.
 
 mod admission;
+mod arrivals;
 mod choosing;
 mod connections;
 mod daemon;
@@ -21,6 +22,11 @@
     QuotaMessage, QuotaReturned, QuotaUnit, Quotas, RevokedKeys, StoreProof, TokenBucket, Verdict,
     organisation_of,
 };
+pub use arrivals::{
+    AskId, Asks, ColdBound, ColdRule, ColdWindow, GrantAnswer, GrantAsk, GrantEnd, GrantMessage,
+    GrantNote, GrantOrder, Granter, Grants, OwnShares, Promises, Quantile, ReadingLimit,
+    ReadingPace, ReadingWindow, ServerRule, makes_way,
+};
 pub use choosing::choose::{cheaper_of_two, cheapest, two_of};
 pub use choosing::crowding::copy_pays;
 pub use choosing::demand::{DemandLog, Use, Wish};
@@ -38,7 +44,7 @@
     ModelRequest, Order, OrderAnswer, OrderKind, RequestMeta, ServerReport,
 };
 pub use dispatch::{
-    AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
+    Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
     SlotOrder, Slots,
 };
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -3,6 +3,7 @@
 use super::caller::{CallerRequest, RefusalReason, Refused};
 use super::timings::Timings;
 use crate::gateway::admission::{Admitted, Charge};
+use crate::gateway::arrivals::{GrantEnd, GrantGuard, GrantNote};
 use crate::gateway::dialect::{AdapterKey, ModelRequest};
 use crate::gateway::dispatch::{SlotEnd, SlotGuard};
 use crate::gateway::fleet::backend::Backend;
@@ -31,6 +32,8 @@
     pub version: Cell<Option<VersionChoice>>,
     /// When it was sent and answered.
     pub timings: Timings,
+    /// What it waited for at granters.
+    pub grant: GrantNote,
 }
 
 /// How a request ended, for logs and metrics.
@@ -86,6 +89,8 @@
     pub adapter_version: Option<u64>,
     /// The slot there, if its service has a dispatcher.
     pub slot: Option<SlotGuard>,
+    /// What lets it in there, if arrivals there are granted.
+    pub grant: Option<GrantGuard>,
 }
 
 impl Choice {
@@ -95,6 +100,27 @@
             slot.ended(end);
         }
     }
+
+    /// The request is being sent.
+    pub fn sent(&self, now: Time) {
+        if let Some(grant) = &self.grant {
+            grant.sent(now);
+        }
+    }
+
+    /// The server begins to answer.
+    pub fn begun(&self, now: Time) {
+        if let Some(grant) = &self.grant {
+            grant.begun(now);
+        }
+    }
+
+    /// Takes note of what became of the grant.
+    pub fn grant_ended(&self, end: GrantEnd) {
+        if let Some(grant) = &self.grant {
+            grant.ended(end);
+        }
+    }
 }
 
 impl Job<'_> {
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -7,6 +7,7 @@
 use super::retries::ServiceRetries;
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
+use crate::gateway::arrivals::{GrantEnd, Grants};
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::connections::pool::Pool;
@@ -38,11 +39,13 @@
     /// What is known of the fleet.
     pub view: Rc<RefCell<FleetView>>,
     /// How fresh the view is.
-    pub proof: StoreProof,
+    pub proof: Rc<StoreProof>,
     /// How fresh it must be for keys.
     pub key_rules: KeyRules,
     /// What organisations may send.
     pub quotas: Rc<Quotas>,
+    /// Arrivals at servers.
+    pub grants: Rc<Grants>,
     /// Slots of the servers of small services.
     pub slots: Rc<Slots>,
     /// The daemons that may do duties for others.
@@ -181,7 +184,7 @@
         sink: &mut impl ReplySink,
     ) -> RequestEnd {
         loop {
-            let choice = match self.choose(job).await {
+            let choice = match self.choose_granted(job).await {
                 Ok(choice) => choice,
                 Err(refused) if relay.begun() => {
                     return RequestEnd::Broken(refused.reason.name().into());
@@ -224,6 +227,7 @@
         job.sends += 1;
         job.progress.timings.sent(now);
         job.charge.may_run();
+        choice.sent(now);
         let id = &job.request.meta.id;
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
         let sent = match self.slow_after(job, now) {
@@ -241,6 +245,7 @@
             Sent::MayHaveRun(error) => {
                 job.runs += 1;
                 choice.ended(SlotEnd::Failed);
+                self.coldness.borrow_mut().doubt(self.clock.now(), &backend.id);
                 self.loads.outcome(self.clock.now(), &backend.id, true);
                 job.last_failure = error.to_string();
                 self.after_loss(job, relay)
@@ -255,8 +260,13 @@
                     let now = self.clock.now();
                     guard.heard(now);
                     timings.part(now);
+                    choice.begun(now);
                 };
                 let end = relay.answer(job, *answer, sink, heard).await;
+                choice.begun(self.clock.now());
+                if let Some(apart) = timings.event_apart() {
+                    self.grants.note_event(&job.service.name, apart);
+                }
                 drop(guard);
                 if matches!(end, RelayEnd::Failed(_) | RelayEnd::Lost(_)) {
                     choice.ended(SlotEnd::Failed);
@@ -312,14 +322,22 @@
             job.charge.has_not_run();
         }
         match why {
-            NotRun::NoConnection => job.sends -= 1,
+            NotRun::NoConnection => {
+                job.sends -= 1;
+                choice.grant_ended(GrantEnd::Unsent);
+            }
             NotRun::Unreachable(_) => {
                 job.sends -= 1;
                 choice.ended(SlotEnd::Unreachable);
+                choice.grant_ended(GrantEnd::Unreachable);
+                self.coldness.borrow_mut().doubt(now, id);
                 self.loads.unreachable(now, id);
             }
             NotRun::TurnedAway(status) => {
                 choice.ended(SlotEnd::Failed);
+                if *status == 421 {
+                    choice.grant_ended(GrantEnd::TurnedAway);
+                }
                 self.note_turned_away(job, choice, *status);
             }
         }
--- a/crates/portrack/src/gateway/requests/timings.rs
+++ b/crates/portrack/src/gateway/requests/timings.rs
@@ -4,6 +4,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+/// Parts of an answer that tell how far apart they come.
+const LEAST_PARTS: u32 = 6;
+
 /// The times of one request.
 #[derive(Debug, Default)]
 pub struct Timings {
@@ -11,6 +14,7 @@
     first_part: Cell<Option<Time>>,
     last_part: Cell<Option<Time>>,
     longest_pause: Cell<Duration>,
+    parts: Cell<u32>,
 }
 
 impl Timings {
@@ -21,6 +25,7 @@
 
     /// A part of the answer came.
     pub fn part(&self, now: Time) {
+        self.parts.set(self.parts.get() + 1);
         if self.first_part.get().is_none() {
             self.first_part.set(Some(now));
         }
@@ -40,6 +45,13 @@
         millis(arrived, self.first_part.get())
     }
 
+    /// How far apart the parts came on average; `None` if there were too few to tell.
+    pub fn event_apart(&self) -> Option<Duration> {
+        let apart = self.last_part.get()?.since(self.first_part.get()?);
+        let parts = self.parts.get();
+        (parts >= LEAST_PARTS).then(|| apart / (parts - 1))
+    }
+
     /// The longest pause between two parts.
     pub fn longest_pause(&self) -> Duration {
         self.longest_pause.get()
