--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -28,6 +28,8 @@
 /// A granter once found is asked for so long before it is looked for again; the daemons known change
 /// with each heartbeat.
 const GRANTER_KEPT: Duration = Duration::from_millis(300);
+/// Between log lines of the pace of reading.
+const PACES_LOGGED: Duration = Duration::from_secs(10);
 /// How long a step of an engine takes, before any stream was seen: slow ones take so long.
 const FIRST_STEP_MS: f64 = 20.0;
 /// Streams disturbed by reading are no measure of the usual time of an event.
@@ -127,6 +129,7 @@
     paces: RefCell<HashMap<Rc<str>, ReadingPace>>,
     events: RefCell<HashMap<Rc<str>, Quantile>>,
     found: RefCell<HashMap<u32, (Time, SocketAddr)>>,
+    paces_logged: Cell<Time>,
 }
 
 impl Grants {
@@ -153,6 +156,7 @@
             paces: RefCell::default(),
             events: RefCell::default(),
             found: RefCell::default(),
+            paces_logged: Cell::new(started_at),
         }
     }
 
@@ -194,7 +198,8 @@
             return Grasp::Unanswered;
         };
         let (ask, mut answers) = self.asks.open();
-        let guard = GrantGuard::new(self.clone(), granter, server, ask);
+        let reader = (backend.service.clone(), need.tokens);
+        let guard = GrantGuard::new(self.clone(), granter, server, ask, reader);
         let question = GrantAsk {
             ask,
             server,
@@ -245,6 +250,7 @@
         let (outcome, grasp) = match answer {
             Some(GrantAnswer::Granted(reading)) => {
                 backlog(reading);
+                guard.reads_alone(reading == 0);
                 ("granted", Grasp::Granted(guard))
             }
             Some(GrantAnswer::Waits(wait)) => {
@@ -274,6 +280,34 @@
         grasp
     }
 
+    /// How long a server of a service reads a prompt of average length; zero if that is not known.
+    pub fn reads(&self, service: &Rc<str>) -> Duration {
+        self.paces.borrow().get(service).map_or(Duration::ZERO, ReadingPace::reads)
+    }
+
+    /// A prompt was read within so long by a server that was reading nothing else.
+    pub(super) fn note_read(&self, service: &Rc<str>, tokens: u32, took: Duration) {
+        let event = f64::from(self.event_ms(service));
+        let mut paces = self.paces.borrow_mut();
+        let pace = paces.entry(service.clone()).or_default();
+        pace.observe(tokens, took.as_secs_f64() * 1_000.0 - event);
+    }
+
+    /// Tells what is reckoned with, for ever.
+    fn log_paces(&self, now: Time) {
+        if now.since(self.paces_logged.get()) < PACES_LOGGED {
+            return;
+        }
+        self.paces_logged.set(now);
+        for (service, pace) in &*self.paces.borrow() {
+            let event = self.events.borrow().get(service).map_or(0.0, Quantile::get);
+            log::info!(
+                service = &**service, tokens_per_ms = pace.get(), event_ms = event,
+                reads_ms = pace.reads().as_millis() as u64; "reading_pace"
+            );
+        }
+    }
+
     /// A request waited so long for its grant.
     pub fn waited(&self, wait: Duration) {
         self.metrics.waits.observe(wait.as_secs_f64());
@@ -372,8 +406,9 @@
         }
     }
 
-    /// Lets those have their turn that wait, and forgets grants whose end was never told.
+    /// Logs what is reckoned with; lets those have their turn that wait, and forgets grants whose end was never told.
     pub fn pass_time(&self) {
+        self.log_paces(self.clock.now());
         let busy: Vec<u32> = {
             let servers = self.servers.borrow();
             let busy = servers.iter().filter(|(_, granted)| !granted.granter.is_idle());
--- a/crates/portrack/src/gateway/arrivals/guard.rs
+++ b/crates/portrack/src/gateway/arrivals/guard.rs
@@ -16,15 +16,29 @@
     pub granter: SocketAddr,
     server: u32,
     ask: u32,
+    /// The service that reads the prompt, and its tokens.
+    reader: (Rc<str>, u32),
+    alone: Cell<bool>,
     sent_at: Cell<Time>,
     /// What is told of it when it is dropped; `None` if all is told.
     end: Cell<Option<GrantEnd>>,
 }
 
 impl GrantGuard {
-    pub(super) fn new(grants: Rc<Grants>, granter: SocketAddr, server: u32, ask: u32) -> Self {
+    pub(super) fn new(
+        grants: Rc<Grants>,
+        granter: SocketAddr,
+        server: u32,
+        ask: u32,
+        reader: (Rc<str>, u32),
+    ) -> Self {
         let (sent_at, end) = (Cell::default(), Cell::new(Some(GrantEnd::Unsent)));
-        Self { grants, granter, server, ask, sent_at, end }
+        Self { grants, granter, server, ask, reader, alone: Cell::new(false), sent_at, end }
+    }
+
+    /// The server was reading nothing else when it was granted.
+    pub(super) fn reads_alone(&self, alone: bool) {
+        self.alone.set(alone);
     }
 
     /// The request is being sent: from here on it may have arrived.
@@ -42,8 +56,14 @@
 
     /// The answer begins: the prompt is read.
     pub fn begun(&self, now: Time) {
-        let millis = now.since(self.sent_at.get()).as_millis() as u32;
-        self.ended(GrantEnd::Begun(millis));
+        if self.end.get().is_none() {
+            return;
+        }
+        let took = now.since(self.sent_at.get());
+        if self.alone.get() && self.reader.1 > 0 {
+            self.grants.note_read(&self.reader.0, self.reader.1, took);
+        }
+        self.ended(GrantEnd::Begun(took.as_millis() as u32));
         self.tell();
     }
 
--- a/crates/portrack/src/gateway/arrivals/pace.rs
+++ b/crates/portrack/src/gateway/arrivals/pace.rs
@@ -1,13 +1,14 @@
 //! How fast the servers of a service read prompts, as seen from the times to first parts.
 
 use super::quantile::Quantile;
+use std::time::Duration;
 
 /// Prompt tokens a millisecond before anything is known: slow engines read so, and what is reckoned too
 /// slow costs some waiting for the first seconds only.
 const FIRST_PACE: f64 = 8.0;
 /// Times to first parts hold a queue or a slow way now and then, which makes the pace look slower, and
 /// prompts of which a part is at hand, which makes it look faster.
-const PACE_SHARE: f64 = 0.6;
+const PACE_SHARE: f64 = 0.5;
 /// Share of one prompt in their average length.
 const LENGTH_WEIGHT: f64 = 0.05;
 
@@ -35,6 +36,11 @@
         }
     }
 
+    /// How long a prompt of average length is read; zero before any was seen.
+    pub fn reads(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_tokens / self.get().max(0.001) / 1_000.0)
+    }
+
     /// Prompt tokens a millisecond.
     pub fn get(&self) -> f64 {
         self.pace.get()
--- a/crates/portrack/src/gateway/choosing/granted.rs
+++ b/crates/portrack/src/gateway/choosing/granted.rs
@@ -5,10 +5,13 @@
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::gateway::requests::job::{Choice, Job};
 use crate::gateway::requests::path::RequestPath;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A wait that is not worth asking another server.
 const SHORT_WAIT: Duration = Duration::from_millis(20);
+/// Holders that a request asks before it waits at the best of them: each costs a way there and back.
+const ASKED_AT_ONCE: usize = 4;
 /// Choices for one try of a request, where servers stop taking requests while it waits.
 const CHOICES: usize = 3;
 /// When to come back where a cold server's granter does not answer.
@@ -53,7 +56,7 @@
             Turn::Waits(choice, waiting) if waiting.expected > SHORT_WAIT => {
                 self.sooner_turn(job, choice, waiting).await
             }
-            Turn::Refused(after) => self.turn_elsewhere(job, &asked, after).await,
+            Turn::Refused(after) => self.turn_elsewhere(job, asked, after).await,
             turn => turn,
         };
         match turn {
@@ -93,23 +96,32 @@
         }
     }
 
-    /// Another holder, if it lets the request in sooner than the one at which it waits.
-    async fn sooner_turn(&self, job: &Job<'_>, choice: Choice, waiting: WaitingGrant) -> Turn {
-        let Some(other) = self.other_holder(job, &choice.backend.id) else {
-            return Turn::Waits(choice, waiting);
-        };
-        match self.turn(job, other).await {
-            Turn::Waits(other, sooner) if sooner.expected < waiting.expected => {
-                Turn::Waits(other, sooner)
+    /// The holder that lets the request in soonest, of the one at which it waits and some others. The
+    /// place at the best one so far is kept until another one is better.
+    async fn sooner_turn(
+        &self,
+        job: &Job<'_>,
+        mut choice: Choice,
+        mut waiting: WaitingGrant,
+    ) -> Turn {
+        let mut asked = vec![choice.backend.id.clone()];
+        while asked.len() < ASKED_AT_ONCE && waiting.expected > SHORT_WAIT {
+            let Some(other) = self.other_holder(job, &asked) else { break };
+            asked.push(other.backend.id.clone());
+            match self.turn(job, other).await {
+                Turn::Send(other) => return Turn::Send(other),
+                Turn::Waits(other, sooner) if sooner.expected < waiting.expected => {
+                    (choice, waiting) = (other, sooner);
+                }
+                Turn::Waits(..) | Turn::Refused(_) => {}
             }
-            Turn::Send(other) => Turn::Send(other),
-            Turn::Waits(..) | Turn::Refused(_) => Turn::Waits(choice, waiting),
         }
+        Turn::Waits(choice, waiting)
     }
 
     /// Another holder than one that has refused.
-    async fn turn_elsewhere(&self, job: &Job<'_>, asked: &str, after: Duration) -> Turn {
-        let Some(other) = self.other_holder(job, asked) else { return Turn::Refused(after) };
+    async fn turn_elsewhere(&self, job: &Job<'_>, asked: Rc<str>, after: Duration) -> Turn {
+        let Some(other) = self.other_holder(job, &[asked]) else { return Turn::Refused(after) };
         match self.turn(job, other).await {
             Turn::Refused(other) => Turn::Refused(other.min(after)),
             turn => turn,
--- a/crates/portrack/src/gateway/choosing/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -120,6 +120,7 @@
         let demand = ReplicaDemand {
             per_second,
             runs,
+            reads: self.path.grants.reads(&view.backend(server)?.service),
             slots: view.backend(server)?.slots,
             holders: sharers.len(),
             current: all.iter().filter(|(_, version)| is_current(version)).count(),
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -240,22 +240,24 @@
         sorted.into_iter().partition(|holder| holder.version >= newest)
     }
 
-    /// Another untried server that could serve the request as well as `asked`, the cheapest.
-    pub(super) fn other_holder(&self, job: &Job<'_>, asked: &str) -> Option<Choice> {
+    /// Another untried server that could serve the request as well as those `asked`: the better of
+    /// two.
+    pub(super) fn other_holder(&self, job: &Job<'_>, asked: &[Rc<str>]) -> Option<Choice> {
         let now = self.clock.now();
         let Some(key) = job.adapter().filter(|_| job.model().is_some()) else {
             let view = self.view.borrow();
             let model = job.model().map(|model| model.model.clone());
             let open = view.open_backends(&job.service.name).filter(|backend| {
                 let holds = model.as_ref().is_none_or(|model| backend.model(model).is_some());
-                holds && &*backend.id != asked
+                holds && !asked.contains(&backend.id)
             });
             return self.best(job, open);
         };
         let usable = self.view.borrow().usable_versions(now, &key);
         let newest = usable.map_or(FIRST_VERSION, |versions| versions.newest);
-        let (current, _) = self.holders(job, &key, newest);
-        let other = current.iter().find(|holder| &*holder.backend.id != asked)?;
+        let (mut current, _) = self.holders(job, &key, newest);
+        current.retain(|holder| !asked.contains(&holder.backend.id));
+        let other = spread(&job.request.meta.id, &current, self.loads_lag.get())?;
         Some(chosen(job, other, usable))
     }
 
--- a/crates/portrack/src/gateway/choosing/replicas.rs
+++ b/crates/portrack/src/gateway/choosing/replicas.rs
@@ -8,6 +8,9 @@
 /// Share of its slots that an adapter may take of a server on average. Requests come in clumps;
 /// above about two thirds they wait for slots.
 const TARGET_SHARE: f64 = 0.45;
+/// Share of its time that a server may read for one adapter. Prompts come in clumps, and what is read
+/// within the time between events is a pause for every stream.
+const READING_SHARE: f64 = 0.3;
 /// How long a request runs if nothing is known of it yet.
 const FIRST_GUESS: Duration = Duration::from_millis(1_500);
 /// Bounds of the time that requests are taken to run.
@@ -30,6 +33,8 @@
     pub per_second: f64,
     /// How long they run.
     pub runs: Duration,
+    /// How long a server reads the prompt of one; zero if that is not known.
+    pub reads: Duration,
     /// Requests at once at one server.
     pub slots: usize,
     /// Servers that share this demand, this one included.
@@ -45,8 +50,11 @@
 impl ReplicaDemand {
     /// How many servers should hold the adapter if all holders see the same demand.
     fn wanted(&self) -> usize {
-        let at_once = self.per_second * self.holders as f64 * self.runs.as_secs_f64();
-        (at_once / (self.slots as f64 * TARGET_SHARE)).ceil() as usize
+        let per_second = self.per_second * self.holders as f64;
+        let at_once = per_second * self.runs.as_secs_f64();
+        let for_slots = at_once / (self.slots as f64 * TARGET_SHARE);
+        let for_reading = per_second * self.reads.as_secs_f64() / READING_SHARE;
+        for_slots.max(for_reading).ceil() as usize
     }
 
     /// How many replicas the daemon that orders this server asks for: its part of what is missing.
--- a/crates/portrack/tests/gateway/replicas.rs
+++ b/crates/portrack/tests/gateway/replicas.rs
@@ -8,6 +8,7 @@
     ReplicaDemand {
         per_second,
         runs: ms(1_800),
+        reads: Duration::ZERO,
         slots: 24,
         holders,
         current: holders,
