--- a/crates/portrack/src/gateway/arrivals/granter.rs
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -34,7 +34,6 @@
 struct Given {
     at: Time,
     tokens: u32,
-    event_ms: u16,
     /// The server was reading nothing.
     alone: bool,
 }
@@ -115,7 +114,7 @@
             self.reading.take(now, ask.tokens, &limit);
         }
         let alone = backlog.is_zero();
-        let given = Given { at: now, tokens: ask.tokens, event_ms: ask.event_ms, alone };
+        let given = Given { at: now, tokens: ask.tokens, alone };
         self.given.insert(id, given);
         (id, GrantAnswer::Granted(backlog.as_millis() as u32))
     }
@@ -243,8 +242,7 @@
             GrantEnd::Begun(millis) => {
                 self.cold.arrived(now);
                 if given.alone && given.tokens > 0 {
-                    let reading = f64::from(millis) - f64::from(given.event_ms);
-                    pace.observe(given.tokens, reading);
+                    pace.observe(given.tokens, f64::from(millis));
                 }
             }
             GrantEnd::Failed => self.cold.arrived(now),
--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -287,10 +287,9 @@
 
     /// A prompt was read within so long by a server that was reading nothing else.
     pub(super) fn note_read(&self, service: &Rc<str>, tokens: u32, took: Duration) {
-        let event = f64::from(self.event_ms(service));
         let mut paces = self.paces.borrow_mut();
         let pace = paces.entry(service.clone()).or_default();
-        pace.observe(tokens, took.as_secs_f64() * 1_000.0 - event);
+        pace.observe(tokens, took.as_secs_f64() * 1_000.0);
     }
 
     /// Tells what is reckoned with, for ever.
--- a/crates/portrack/tests/gateway/replicas.rs
+++ b/crates/portrack/tests/gateway/replicas.rs
@@ -2,6 +2,7 @@
 
 use crate::support::ms;
 use portrack::gateway::{ReplicaDemand, run_time};
+use std::time::Duration;
 
 /// Demand at one server of 24 slots whose requests run for 1.8 s.
 fn demand(per_second: f64, holders: usize, place: usize) -> ReplicaDemand {
