--- a/crates/portrack/src/gateway/choosing/holdings.rs
+++ b/crates/portrack/src/gateway/choosing/holdings.rs
@@ -91,6 +91,16 @@
         });
     }
 
+    /// A server has started again: it holds nothing of before, and notices of that say nothing any more.
+    pub fn born_again(&mut self, id: &str) {
+        self.forget_server(id);
+        self.adapters.retain(|_, holders| {
+            holders.listed.remove(id);
+            holders.noticed.remove(id);
+            !(holders.listed.is_empty() && holders.noticed.is_empty())
+        });
+    }
+
     /// True if a server held this version of an adapter and probably has a copy of it at hand.
     pub fn is_at_hand(&self, key: &AdapterKey, id: &str, version: u64) -> bool {
         let servers = self.held_once.get(key).into_iter().flatten();
--- a/crates/portrack/src/gateway/choosing/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -1,6 +1,7 @@
 //! How busy and how reliable each backend server is, as this daemon knows it.
 
 use super::decay::Decayed;
+use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::message::ServerLoad;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Server {
+    /// The mark of the life that all this is of.
+    life: u32,
     own: Work,
     /// Since when nothing was heard of it although it was asked.
     silent_since: Option<Time>,
@@ -60,6 +63,8 @@
 /// Load and health of the servers.
 #[derive(Debug, Default)]
 pub struct LoadTable {
+    /// The marks of the servers' present lives.
+    lives: RefCell<HashMap<Rc<str>, u32>>,
     reported: RefCell<HashMap<u32, Reported>>,
     silent_halls: RefCell<Vec<Rc<str>>>,
     servers: RefCell<HashMap<Rc<str>, Server>>,
@@ -72,34 +77,69 @@
 }
 
 impl LoadTable {
+    /// Takes in which life of a server is the present one; what is known of a former one is forgotten.
+    pub fn lives(&self, server: &Rc<str>, mark: u32) {
+        let before = self.mark(server);
+        if before == mark {
+            return;
+        }
+        self.reported.borrow_mut().remove(&before);
+        self.servers.borrow_mut().remove(server);
+        self.lives.borrow_mut().insert(server.clone(), mark);
+    }
+
+    /// The mark of a server's present life.
+    pub fn mark(&self, server: &str) -> u32 {
+        self.lives.borrow().get(server).copied().unwrap_or_else(|| server_mark(server))
+    }
+
+    /// What is known of a server's present life, for changes.
+    fn entry<T>(&self, server: &Rc<str>, change: impl FnOnce(&mut Server) -> T) -> T {
+        let life = self.mark(server);
+        let mut servers = self.servers.borrow_mut();
+        let fresh = || Server { life, ..Server::default() };
+        change(servers.entry(server.clone()).or_insert_with(fresh))
+    }
+
     /// Counts a request at a server until the guard is dropped.
     pub fn begin(self: &Rc<Self>, now: Time, server: &Rc<str>, tokens: u32) -> WorkGuard {
-        let mut servers = self.servers.borrow_mut();
-        let entry = servers.entry(server.clone()).or_default();
-        entry.silent_since.get_or_insert(now);
-        entry.own.requests += 1;
-        entry.own.waiting_tokens += tokens;
-        if let Some(reported) = self.reported.borrow_mut().get_mut(&server_mark(server)) {
+        let life = self.entry(server, |entry| {
+            entry.silent_since.get_or_insert(now);
+            entry.own.requests += 1;
+            entry.own.waiting_tokens += tokens;
+            entry.life
+        });
+        if let Some(reported) = self.reported.borrow_mut().get_mut(&life) {
             reported.own_since += 1;
         }
-        WorkGuard { table: self.clone(), server: server.clone(), tokens }
+        WorkGuard { table: self.clone(), server: server.clone(), life, tokens }
     }
 
     /// Notes an outcome of a server.
     pub fn outcome(&self, now: Time, server: &Rc<str>, failed: bool) {
-        let mut servers = self.servers.borrow_mut();
-        let entry = servers.entry(server.clone()).or_default();
-        let rate = entry.rate(now);
         let outcome = if failed { 1.0 } else { 0.0 };
-        entry.failure_rate.set(now, rate + (outcome - rate) * OUTCOME_WEIGHT);
+        self.entry(server, |entry| {
+            let rate = entry.rate(now);
+            entry.failure_rate.set(now, rate + (outcome - rate) * OUTCOME_WEIGHT);
+        });
+    }
+
+    /// Notes an outcome of one life of a server; that of a former one says nothing of the present one.
+    pub fn outcome_of(&self, now: Time, backend: &Backend, failed: bool) {
+        if self.is_present(backend) {
+            self.outcome(now, &backend.id, failed);
+        }
+    }
+
+    /// True unless the server has started again since.
+    pub fn is_present(&self, backend: &Backend) -> bool {
+        self.mark(&backend.id) == backend.mark()
     }
 
     /// Notes that a server could not be reached.
     pub fn unreachable(&self, now: Time, server: &Rc<str>) {
         self.outcome(now, server, true);
-        let mut servers = self.servers.borrow_mut();
-        let entry = servers.entry(server.clone()).or_default();
-        entry.unreachable_until = now + UNREACHABLE_FOR;
+        self.entry(server, |entry| entry.unreachable_until = now + UNREACHABLE_FOR);
     }
 
     /// True if the server was found unreachable a moment ago.
@@ -122,7 +162,7 @@
     /// What all daemons have at a server, as far as known.
     pub fn work(&self, now: Time, server: &str) -> Work {
         let own = self.servers.borrow().get(server).map(|entry| entry.own).unwrap_or_default();
-        let mark = server_mark(server);
+        let mark = self.mark(server);
         if let Some(reported) = self.reported(now, mark) {
             let requests = (reported.requests + reported.own_since).max(own.requests);
             return Work { requests, ..own };
@@ -152,8 +192,8 @@
     /// This daemon's own work, for its peers.
     pub fn own(&self) -> Vec<(u32, Work)> {
         let servers = self.servers.borrow();
-        let busy = servers.iter().filter(|(_, entry)| entry.own.requests > 0);
-        busy.map(|(id, entry)| (server_mark(id), entry.own)).collect()
+        let busy = servers.values().filter(|entry| entry.own.requests > 0);
+        busy.map(|entry| (entry.life, entry.own)).collect()
     }
 
     /// Takes a peer's work in.
@@ -179,11 +219,13 @@
 
     /// Forgets a server that is gone.
     pub fn forget(&self, server: &str) {
-        self.reported.borrow_mut().remove(&server_mark(server));
+        self.reported.borrow_mut().remove(&self.mark(server));
         let mut servers = self.servers.borrow_mut();
-        if servers.get(server).is_some_and(|entry| entry.own.requests == 0) {
-            servers.remove(server);
+        if servers.get(server).is_some_and(|entry| entry.own.requests > 0) {
+            return;
         }
+        servers.remove(server);
+        self.lives.borrow_mut().remove(server);
     }
 }
 
@@ -198,34 +240,41 @@
 pub struct WorkGuard {
     table: Rc<LoadTable>,
     server: Rc<str>,
+    life: u32,
     tokens: u32,
 }
 
 impl WorkGuard {
+    /// Changes what is known of the server, unless it has started again.
+    fn change(&self, change: impl FnOnce(&mut Server)) {
+        let mut servers = self.table.servers.borrow_mut();
+        if let Some(entry) = servers.get_mut(&self.server).filter(|entry| entry.life == self.life) {
+            change(entry);
+        }
+    }
+
     /// The server said something.
     pub fn heard(&self, now: Time) {
-        if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
-            entry.silent_since = Some(now);
-        }
+        self.change(|entry| entry.silent_since = Some(now));
     }
 
     /// The server has begun to answer: the prompt is read.
     pub fn begun(&mut self) {
         let tokens = std::mem::take(&mut self.tokens);
-        if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
+        self.change(|entry| {
             entry.own.waiting_tokens = entry.own.waiting_tokens.saturating_sub(tokens);
-        }
+        });
     }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         self.begun();
-        if let Some(entry) = self.table.servers.borrow_mut().get_mut(&self.server) {
+        self.change(|entry| {
             entry.own.requests = entry.own.requests.saturating_sub(1);
             if entry.own.requests == 0 {
                 entry.silent_since = None;
             }
-        }
+        });
     }
 }
--- a/crates/portrack/src/gateway/choosing/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -3,11 +3,11 @@
 
 use super::crowding::{is_idle, is_overloaded};
 use super::demand::Wish;
-use super::load::server_mark;
 use super::replicas::{ReplicaDemand, run_time};
 use crate::gateway::daemon::GatewayDaemon;
-use crate::gateway::dialect::AdapterKey;
+use crate::gateway::dialect::{AdapterKey, ServerReport};
 use crate::gateway::fleet::message::{PeerMessage, ServerLoad};
+use crate::gateway::orders::ordering::ReportedLife;
 use crate::types::Time;
 use futures_util::future::join_all;
 use std::collections::HashMap;
@@ -27,7 +27,7 @@
             if !self.path.loads_lag.get() {
                 continue;
             }
-            let loads = self.read_loads().await;
+            let loads = self.clone().read_loads().await;
             if loads.is_empty() {
                 continue;
             }
@@ -39,21 +39,33 @@
         }
     }
 
-    async fn read_loads(&self) -> Vec<ServerLoad> {
+    async fn read_loads(self: Rc<Self>) -> Vec<ServerLoad> {
         let servers: Vec<_> = {
             let view = self.path.view.borrow();
             let ordered = self.ordering.claims.borrow().orderable(self.now());
             let backends = ordered.iter().filter_map(|id| view.backend(id));
             backends.map(|backend| (backend.id.clone(), backend.address)).collect()
         };
+        let daemon = &self;
         let reading = servers.iter().map(|(server, address)| async move {
-            let report = self.ordering.load_of(server, *address).await?;
+            let report = daemon.ordering.load_of(server, *address).await?;
+            daemon.look_at_life(server, &report)?;
             let requests = u16::try_from(report.requests).unwrap_or(u16::MAX);
-            Some(ServerLoad { server: server_mark(server), requests })
+            Some(ServerLoad { server: daemon.path.loads.mark(server), requests })
         });
         join_all(reading).await.into_iter().flatten().collect()
     }
 
+    /// Takes in what a report tells of a server's life; `None` if it is of a former one.
+    fn look_at_life(self: &Rc<Self>, server: &Rc<str>, report: &ServerReport) -> Option<()> {
+        match self.ordering.reported_life(server, report) {
+            ReportedLife::Former => return None,
+            ReportedLife::Newer(born) => self.learn_life(server, born),
+            ReportedLife::Present => self.ordering.compare_count(server, report),
+        }
+        Some(())
+    }
+
     /// Asks for replicas of the adapters that need them, at the idlest servers.
     fn wish_for_replicas(&self, loads: &[ServerLoad]) {
         let now = self.now();
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -4,7 +4,6 @@
 use super::crowding::{copy_pays, is_crowded};
 use super::demand::Wish;
 use super::homes::{Home, home};
-use super::load::server_mark;
 use crate::gateway::dialect::AdapterKey;
 use crate::gateway::dispatch::SlotNeed;
 use crate::gateway::fleet::backend::Backend;
@@ -58,7 +57,7 @@
         let view = self.view.borrow();
         let mut open = view.open_backends(&job.service.name);
         if let Some(slot) = slot {
-            let granted = open.find(|backend| server_mark(&backend.id) == slot.server);
+            let granted = open.find(|backend| backend.mark() == slot.server);
             if let Some(backend) = granted.filter(|backend| !job.tried.contains(&backend.id)) {
                 let backend = backend.clone();
                 return Ok(Choice { backend, adapter_version: None, slot: Some(slot) });
@@ -77,7 +76,7 @@
         SlotNeed {
             organisation: job.admitted.organisation.as_ref().map(|all| all.mark()),
             left,
-            tried: job.tried.iter().map(|id| server_mark(id)).collect(),
+            tried: job.tried.iter().map(|id| self.loads.mark(id)).collect(),
         }
     }
 
@@ -264,6 +263,9 @@
     pub(in crate::gateway) fn note_turned_away(&self, job: &Job<'_>, choice: &Choice, status: u16) {
         let Some(key) = job.adapter().filter(|_| status == 421) else { return };
         let now = self.clock.now();
+        if !self.loads.is_present(&choice.backend) {
+            return;
+        }
         let (server, version) = (&choice.backend.id, choice.adapter_version);
         let mut view = self.view.borrow_mut();
         view.holdings.turned_away(now, &key, server, version, now + FOUND_HOLDS);
--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -13,6 +13,8 @@
 struct ServerPool {
     idle: Vec<Connection>,
     open: usize,
+    /// How often the server was forgotten: connections lent before that are not kept.
+    forgotten: u32,
 }
 
 /// Pools by the server's id.
@@ -26,6 +28,7 @@
 pub struct Lent {
     pool: Rc<Pool>,
     server: Rc<str>,
+    forgotten: u32,
     connection: Option<Connection>,
 }
 
@@ -40,7 +43,7 @@
         let Some(connection) = self.connection.take() else { return };
         let mut servers = self.pool.servers.borrow_mut();
         let Some(server) = servers.get_mut(&self.server) else { return };
-        if server.idle.len() < IDLE_KEPT {
+        if server.idle.len() < IDLE_KEPT && server.forgotten == self.forgotten {
             server.idle.push(connection);
         } else {
             server.open = server.open.saturating_sub(1);
@@ -89,7 +92,8 @@
     }
 
     fn lent(self: &Rc<Self>, server: &Rc<str>, connection: Connection) -> Lent {
-        Lent { pool: self.clone(), server: server.clone(), connection: Some(connection) }
+        let forgotten = self.servers.borrow().get(server).map_or(0, |pool| pool.forgotten);
+        Lent { pool: self.clone(), server: server.clone(), forgotten, connection: Some(connection) }
     }
 
     fn clean(&self, server: &Rc<str>) -> Option<Connection> {
@@ -125,12 +129,14 @@
         servers.retain(|_, server| server.open > 0);
     }
 
-    /// Closes the idle connections to a server that is gone.
+    /// Closes the idle connections to a server that is gone or has started again; those that are lent
+    /// are closed when they come back.
     pub fn forget(&self, server: &str) {
         let mut servers = self.servers.borrow_mut();
         let Some(pool) = servers.get_mut(server) else { return };
         let idle = pool.idle.len();
         pool.idle.clear();
+        pool.forgotten += 1;
         pool.open = pool.open.saturating_sub(idle);
     }
 }
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -100,6 +100,8 @@
     })
 }
 
+/// Of what is wrong with an entry so much is logged, in characters: another writer chose the text.
+const WHY_LENGTH: usize = 160;
 /// The store counts as reachable if it answered within this.
 const STORE_SEEN_WITHIN: Duration = Duration::from_millis(4_500);
 
@@ -251,21 +253,29 @@
             };
             let applied = self.path.view.borrow_mut().apply(learned_at, &*self.dialect, change);
             match applied {
-                Ok(Some(change)) => {
-                    changed = true;
-                    self.note(now, &change, source);
+                Ok(changes) => {
+                    changed |= !changes.is_empty();
+                    changes.iter().for_each(|change| self.note(now, change, source));
                 }
-                Ok(None) => {}
                 Err(error) => {
                     log::error!(key = key.as_str(), error:% = error, source = source; "store_item_refused");
                 }
             }
         }
+        let refused = self.path.view.borrow().refused_entries();
+        self.metrics.entries_refused.set(refused as i64);
         if changed {
             self.path.changed.notify_waiters();
         }
     }
 
+    /// A server itself has told of a life that the store has not told of yet.
+    pub(in crate::gateway) fn learn_life(self: &Rc<Self>, server: &Rc<str>, born: u64) {
+        let changes = self.path.view.borrow_mut().learn_life(server, born);
+        changes.iter().for_each(|change| self.note(self.now(), change, "report"));
+        self.path.changed.notify_waiters();
+    }
+
     fn note(self: &Rc<Self>, now: Time, change: &ViewChange, source: &str) {
         let view = self.path.view.borrow();
         let mut planner = self.ordering.planner.borrow_mut();
@@ -280,16 +290,33 @@
             ViewChange::Backend(id) => {
                 if let Some(backend) = view.backend(id) {
                     self.path.coldness.borrow_mut().listed(now, backend);
+                    self.path.loads.lives(id, backend.mark());
                     planner.server(now, backend);
                 }
             }
             ViewChange::Draining(id) => {
                 if let Some(backend) = view.backend(id) {
+                    self.path.loads.lives(id, backend.mark());
                     planner.server(now, backend);
                 }
                 self.path.pool.forget(id);
                 log::info!(server = &**id, source = source; "server_draining");
             }
+            ViewChange::BornAgain { server, before } => {
+                planner.born_again(now, server);
+                self.path.pool.forget(server);
+                self.ordering.forget(server);
+                self.metrics.servers_born_again.inc();
+                let (born, before) = (view.born(server).unwrap_or(0), before.unwrap_or(0));
+                log::info!(server = &**server, born = born, before = before, source = source; "server_born_again");
+            }
+            ViewChange::BackendOlder(id) => {
+                log::info!(server = &**id, source = source; "server_entry_older");
+            }
+            ViewChange::BackendRefused { server, why } => {
+                let why: String = why.chars().take(WHY_LENGTH).collect();
+                log::warn!(server:? = server, why = why.as_str(), source = source; "server_entry_refused");
+            }
             ViewChange::BackendGone(id) => {
                 planner.server_gone(id);
                 self.path.pool.forget(id);
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -220,7 +220,7 @@
 }
 
 fn slots_of(backend: &Backend) -> ServerSlots {
-    ServerSlots { server: server_mark(&backend.id), slots: backend.slots.max(1) }
+    ServerSlots { server: backend.mark(), slots: backend.slots.max(1) }
 }
 
 /// A slot that a request has; given back when dropped.
--- a/crates/portrack/src/gateway/fleet/backend.rs
+++ b/crates/portrack/src/gateway/fleet/backend.rs
@@ -1,5 +1,6 @@
 //! A backend server as the platform lists it.
 
+use crate::gateway::choosing::load::server_mark;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,17 +29,32 @@
     pub cold_for: Duration,
     /// Orders that it had taken in this life when the entry was written.
     pub orders_taken: u64,
+    /// It says what it holds, as servers with models have to.
+    pub tells_models: bool,
     /// What it holds.
     pub models: Vec<HeldModel>,
 }
 
 impl Backend {
+    /// The short name of this life in messages between daemons: what is told of a former one fits nothing.
+    pub fn mark(&self) -> u32 {
+        life_mark(&self.id, self.born)
+    }
+
     /// What it holds of a model.
     pub fn model(&self, name: &str) -> Option<&HeldModel> {
         self.models.iter().find(|model| &*model.name == name)
     }
 }
 
+/// The short name of one life of a server; of its only one where servers do not tell lives apart.
+pub fn life_mark(id: &str, born: Option<u64>) -> u32 {
+    match born {
+        None => server_mark(id),
+        Some(born) => xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), born) as u32,
+    }
+}
+
 /// A base model at a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldModel {
--- a/crates/portrack/src/gateway/fleet/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -91,6 +91,7 @@
         for wish in wishes {
             let server: Rc<str> = wish.server.as_str().into();
             let key = key_of(&wish.model, &wish.adapter);
+            let born = self.path.view.borrow().born(&server);
             let ours = self.ordering.claims.borrow().may_order(now, &server).is_some();
             let answer = match ours {
                 true => {
@@ -111,6 +112,7 @@
                 model: wish.model.clone(),
                 adapter: wish.adapter.clone(),
                 state,
+                born,
             });
         }
         match from {
@@ -142,11 +144,14 @@
         self.feed.push_loads(loads);
     }
 
-    /// Applies what other daemons have changed at servers.
+    /// Applies what other daemons have changed at servers, if it is of the life that is known here.
     pub(in crate::gateway) fn on_notices(&self, notices: &[PlacementNotice]) {
         let now = self.now();
         let mut view = self.path.view.borrow_mut();
         for notice in notices {
+            if view.backend(&notice.server).is_none_or(|backend| backend.born != notice.born) {
+                continue;
+            }
             let key = key_of(&notice.model, &notice.adapter);
             let presence = match notice.state {
                 NoticeState::Held(version) => Presence::Held(version),
@@ -283,6 +288,10 @@
         let addresses = self.peers.borrow().notice_targets(self.now());
         self.tell_notices(&notices, &addresses);
     }
+
+    fn newer_life(self: &Rc<Self>, server: &Rc<str>, born: u64) {
+        self.learn_life(server, born);
+    }
 }
 
 fn key_of(model: &str, adapter: &str) -> AdapterKey {
--- /dev/null
+++ b/crates/portrack/src/gateway/fleet/lives.rs
@@ -0,0 +1,124 @@
+//! Which life of a server an entry is of. A server that starts again may keep its id.
+
+use super::backend::Backend;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// Servers that are gone and whose newest life is remembered: more than twice a fleet of 1,500. Without
+/// it a late entry of a former life is taken for a new server.
+pub const GONE_REMEMBERED: usize = 4_096;
+
+/// What an entry is to what is known of its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing is known of the server.
+    First,
+    /// It is of the life that is known, and not older than what is known of it.
+    Same,
+    /// The server has started again since.
+    BornAgain {
+        /// The start of the life before.
+        before: Option<u64>,
+    },
+    /// It is of a former life, or was written before what is known.
+    Older,
+}
+
+#[derive(Debug, Clone)]
+struct Life {
+    born: Option<u64>,
+    orders_taken: u64,
+    draining: bool,
+    /// The number of its removal, if the server is gone.
+    gone: Option<u64>,
+}
+
+/// The newest known life of each server.
+#[derive(Debug, Clone, Default)]
+pub struct Lives {
+    newest: BTreeMap<Rc<str>, Life>,
+    /// Servers that went, the earliest first, each with the number of its removal.
+    gone: VecDeque<(u64, Rc<str>)>,
+    removals: u64,
+}
+
+impl Lives {
+    /// Takes an entry in, unless it is older than what is known. A server that once said it is leaving
+    /// stays so for the rest of its life.
+    pub fn take(&mut self, backend: &mut Backend) -> Standing {
+        let known = self.newest.get(&backend.id);
+        let standing = known.map_or(Standing::First, |life| life.standing(backend));
+        match standing {
+            Standing::Older => return standing,
+            Standing::Same => backend.draining |= known.is_some_and(|life| life.draining),
+            Standing::First | Standing::BornAgain { .. } => {}
+        }
+        let life = Life {
+            born: backend.born,
+            orders_taken: backend.orders_taken,
+            draining: backend.draining,
+            gone: None,
+        };
+        self.newest.insert(backend.id.clone(), life);
+        standing
+    }
+
+    /// A server is gone. Its newest life is remembered if its entries tell lives apart.
+    pub fn gone(&mut self, id: &str) {
+        let Some((id, life)) = self.newest.get_key_value(id) else { return };
+        let (id, told) = (id.clone(), life.born.is_some());
+        if !told {
+            self.newest.remove(&id);
+            return;
+        }
+        self.removals += 1;
+        if let Some(life) = self.newest.get_mut(&id) {
+            life.gone = Some(self.removals);
+        }
+        self.gone.push_back((self.removals, id));
+        self.forget_earliest();
+    }
+
+    fn forget_earliest(&mut self) {
+        while self.gone.len() > GONE_REMEMBERED {
+            let Some((removal, id)) = self.gone.pop_front() else { return };
+            if self.newest.get(&id).is_some_and(|life| life.gone == Some(removal)) {
+                self.newest.remove(&id);
+            }
+        }
+    }
+
+    /// The start of the newest life of a server, if it tells that.
+    pub fn born(&self, id: &str) -> Option<u64> {
+        self.newest.get(id)?.born
+    }
+
+    /// How many servers are remembered, those that are gone included.
+    pub fn len(&self) -> usize {
+        self.newest.len()
+    }
+
+    /// True if nothing is known of any server.
+    pub fn is_empty(&self) -> bool {
+        self.newest.is_empty()
+    }
+}
+
+impl Life {
+    /// What an entry is to this life.
+    fn standing(&self, backend: &Backend) -> Standing {
+        match (self.born, backend.born) {
+            // Servers that do not tell lives apart have a new id with each.
+            (None, None) => Standing::Same,
+            (Some(_), None) => Standing::Older,
+            (None, Some(_)) => Standing::BornAgain { before: None },
+            (Some(known), Some(told)) => match told.cmp(&known) {
+                Ordering::Greater => Standing::BornAgain { before: self.born },
+                Ordering::Less => Standing::Older,
+                Ordering::Equal if backend.orders_taken < self.orders_taken => Standing::Older,
+                Ordering::Equal => Standing::Same,
+            },
+        }
+    }
+}
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -53,7 +53,7 @@
     pub watches: bool,
     /// The servers that it may order now, by their marks.
     pub orders: Vec<u32>,
-    /// Its requests at servers.
+    /// Its requests at servers, by the marks of their lives.
     pub work: Vec<(u32, Work)>,
     /// Some daemons it knows.
     pub known: Vec<SocketAddr>,
@@ -96,7 +96,7 @@
 /// How busy a server says it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
-    /// The server, by its mark.
+    /// The server, by the mark of its life.
     pub server: u32,
     /// Requests that run there or wait to run.
     pub requests: u16,
@@ -113,6 +113,10 @@
     pub adapter: String,
     /// What holds now.
     pub state: NoticeState,
+    /// The life of the server that it holds for, by its start; see [`Backend::born`].
+    ///
+    /// [`Backend::born`]: super::backend::Backend::born
+    pub born: Option<u64>,
 }
 
 /// What holds of an adapter at a server.
--- a/crates/portrack/src/gateway/fleet/mod.rs
+++ b/crates/portrack/src/gateway/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! What is known of the fleet: other daemons, backend servers, the configuration.
 //!
 //! In come items of the store and datagrams of other daemons; out go the view of the fleet and messages.
-//! A configuration never goes back, and a server that said it is leaving stays so for its life.
+//! A configuration never goes back, a server that said it is leaving stays so for its life, and a former
+//! life of a server never comes back.
 
 pub(in crate::gateway) mod backend;
 pub(in crate::gateway) mod coldness;
@@ -9,6 +10,7 @@
 pub(in crate::gateway) mod daemons;
 pub(in crate::gateway) mod gossip;
 pub(in crate::gateway) mod heartbeats;
+pub(in crate::gateway) mod lives;
 pub(in crate::gateway) mod message;
 pub(in crate::gateway) mod messenger;
 pub(in crate::gateway) mod peers;
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -2,6 +2,7 @@
 
 use super::backend::Backend;
 use super::config::{FleetConfig, Route, Service};
+use super::lives::{Lives, Standing};
 use super::versions::{NamedVersions, UsableVersions};
 use crate::gateway::admission::RevokedKeys;
 use crate::gateway::choosing::holdings::Holdings;
@@ -24,8 +25,24 @@
     Backend(Rc<str>),
     /// A server says that it is leaving.
     Draining(Rc<str>),
-    /// A server's entry is gone.
+    /// A server has started again under its id: nothing of before holds.
+    BornAgain {
+        /// The server.
+        server: Rc<str>,
+        /// The start of the life before.
+        before: Option<u64>,
+    },
+    /// An entry is of a former life, or older than what is known; it changes nothing.
+    BackendOlder(Rc<str>),
+    /// A server's entry is gone, or names no server any more.
     BackendGone(Rc<str>),
+    /// An entry names no server to use.
+    BackendRefused {
+        /// The id in its key.
+        server: Rc<str>,
+        /// What is wrong with it.
+        why: String,
+    },
     /// A newer version of an adapter is named.
     Version(AdapterKey, u64),
 }
@@ -35,7 +52,13 @@
 pub struct FleetView {
     config: Option<Rc<FleetConfig>>,
     routes: RouteTable,
+    /// The servers in use.
     backends: BTreeMap<Rc<str>, Rc<Backend>>,
+    /// Well-formed entries, also those of services that the configuration does not name.
+    listed: BTreeMap<Rc<str>, Rc<Backend>>,
+    /// Entries that name no server to use.
+    refused: BTreeSet<Rc<str>>,
+    lives: Lives,
     versions: HashMap<AdapterKey, NamedVersions>,
     /// Keys that configurations have taken away.
     pub revoked: RevokedKeys,
@@ -69,6 +92,16 @@
         self.backends.values()
     }
 
+    /// The start of the newest life of a server, if it tells that.
+    pub fn born(&self, id: &str) -> Option<u64> {
+        self.lives.born(id)
+    }
+
+    /// How many entries name no server to use.
+    pub fn refused_entries(&self) -> usize {
+        self.refused.len()
+    }
+
     /// How many data halls have servers.
     pub fn halls(&self) -> usize {
         let halls: BTreeSet<&str> = self.backends.values().map(|backend| &*backend.hall).collect();
@@ -93,66 +126,157 @@
         self.versions.get(key).map_or(FIRST_VERSION, NamedVersions::newest)
     }
 
-    /// Takes a change of the mirror in. `learned_at` is `None` for what may be of any age.
+    /// Takes a change of the mirror in. `learned_at` is `None` for what may be of any age. What cannot be
+    /// read is an error and changes nothing, but for a server's entry: that one names no server any more.
     pub fn apply(
         &mut self,
         learned_at: Option<Time>,
         dialect: &dyn Dialect,
         change: Mirrored,
-    ) -> Result<Option<ViewChange>, DialectError> {
-        match change {
-            Mirrored::Put(held) => match dialect.item(&held.key, &held.value)? {
-                Some(Item::Config(config)) => Ok(self.apply_config(*config)),
-                Some(Item::Backend(backend)) => Ok(Some(self.apply_backend(*backend))),
-                Some(Item::AdapterVersion(key, version)) => {
-                    Ok(self.apply_version(learned_at, key, version))
+    ) -> Result<Vec<ViewChange>, DialectError> {
+        let held = match change {
+            Mirrored::Put(held) => held,
+            Mirrored::Gone(key) => return Ok(self.apply_gone(dialect.key(&key))),
+        };
+        match dialect.item(&held.key, &held.value) {
+            Ok(Some(Item::Config(config))) => Ok(self.apply_config(*config)),
+            Ok(Some(Item::Backend(backend))) => Ok(self.apply_backend(*backend)),
+            Ok(Some(Item::AdapterVersion(key, version))) => {
+                Ok(self.apply_version(learned_at, key, version).into_iter().collect())
+            }
+            Ok(Some(Item::EvacuatedHall(_)) | None) => Ok(Vec::new()),
+            Err(error) => match dialect.key(&held.key) {
+                ItemKey::Backend(id) => {
+                    self.listed.remove(&id);
+                    Ok(self.refuse(id, error.to_string()))
                 }
-                Some(Item::EvacuatedHall(_)) | None => Ok(None),
-            },
-            Mirrored::Gone(key) => match dialect.key(&key) {
-                ItemKey::Backend(id) => Ok(self.remove_backend(&id)),
                 ItemKey::Config
                 | ItemKey::AdapterVersion
                 | ItemKey::EvacuatedHall(_)
-                | ItemKey::Unknown => Ok(None),
+                | ItemKey::Unknown => Err(error),
             },
         }
     }
 
+    fn apply_gone(&mut self, key: ItemKey) -> Vec<ViewChange> {
+        match key {
+            ItemKey::Backend(id) => self.remove_backend(&id),
+            ItemKey::Config
+            | ItemKey::AdapterVersion
+            | ItemKey::EvacuatedHall(_)
+            | ItemKey::Unknown => Vec::new(),
+        }
+    }
+
     /// A lower version never replaces a higher one.
-    fn apply_config(&mut self, config: FleetConfig) -> Option<ViewChange> {
+    fn apply_config(&mut self, config: FleetConfig) -> Vec<ViewChange> {
         let version = config.version;
         if self.config.as_ref().is_some_and(|held| held.version >= version) {
-            return None;
+            return Vec::new();
         }
         let before = self.config.as_ref().and_then(|held| held.organisations.as_ref());
         self.revoked.note(before, config.organisations.as_ref());
         self.routes = RouteTable::new(&config);
         self.config = Some(Rc::new(config));
-        Some(ViewChange::Config(version))
+        let mut changes = vec![ViewChange::Config(version)];
+        changes.extend(self.fit_again());
+        changes
+    }
+
+    /// The servers that the configuration in force takes into use, and those that it takes out.
+    fn fit_again(&mut self) -> Vec<ViewChange> {
+        let fits = |backend: &&Rc<Backend>| {
+            self.misfit(backend).is_none() != self.backends.contains_key(&backend.id)
+        };
+        let turned: Vec<Rc<Backend>> = self.listed.values().filter(fits).cloned().collect();
+        turned.into_iter().flat_map(|backend| self.fit(backend)).collect()
+    }
+
+    /// Why a well-formed entry names no server to use under the configuration in force.
+    fn misfit(&self, backend: &Backend) -> Option<&'static str> {
+        match self.service(&backend.service) {
+            None => Some("unknown service"),
+            Some(service) if service.engine.is_some() && !backend.tells_models => {
+                Some("no word of what it holds")
+            }
+            Some(_) => None,
+        }
+    }
+
+    fn apply_backend(&mut self, mut backend: Backend) -> Vec<ViewChange> {
+        let id = backend.id.clone();
+        let standing = self.lives.take(&mut backend);
+        let mut changes = Vec::new();
+        match standing {
+            Standing::Older => return vec![ViewChange::BackendOlder(id)],
+            Standing::BornAgain { before } => {
+                self.holdings.born_again(&id);
+                self.backends.remove(&id);
+                changes.push(ViewChange::BornAgain { server: id.clone(), before });
+            }
+            Standing::First | Standing::Same => {}
+        }
+        let backend = Rc::new(backend);
+        self.listed.insert(id, backend.clone());
+        changes.extend(self.fit(backend));
+        changes
     }
 
-    /// A server that once said it is leaving stays so for the rest of its life.
-    fn apply_backend(&mut self, mut backend: Backend) -> ViewChange {
+    /// Takes a server into use, if it fits the configuration.
+    fn fit(&mut self, backend: Rc<Backend>) -> Vec<ViewChange> {
         let id = backend.id.clone();
-        let before = self.backends.get(&id).cloned();
-        let was_draining = before.as_ref().is_some_and(|b| b.draining);
-        backend.draining |= was_draining;
-        let began_draining = backend.draining && !was_draining;
+        if self.config.is_none() {
+            return Vec::new();
+        }
+        if let Some(why) = self.misfit(&backend) {
+            return self.refuse(id, why.into());
+        }
+        self.refused.remove(&id);
+        let before = self.backends.insert(id.clone(), backend.clone());
         self.holdings.list(before.as_deref(), Some(&backend));
-        self.backends.insert(id.clone(), Rc::new(backend));
+        let began_draining = backend.draining && before.is_none_or(|before| !before.draining);
         match began_draining {
-            true => ViewChange::Draining(id),
-            false => ViewChange::Backend(id),
+            true => vec![ViewChange::Draining(id)],
+            false => vec![ViewChange::Backend(id)],
         }
     }
 
-    fn remove_backend(&mut self, id: &str) -> Option<ViewChange> {
+    /// Takes a server out of use whose entry names none. Said once, not with each such entry.
+    fn refuse(&mut self, id: Rc<str>, why: String) -> Vec<ViewChange> {
+        let gone = self.take_out(&id);
+        let news = self.refused.insert(id.clone());
+        let refused = news.then_some(ViewChange::BackendRefused { server: id, why });
+        gone.into_iter().chain(refused).collect()
+    }
+
+    fn take_out(&mut self, id: &str) -> Option<ViewChange> {
         let removed = self.backends.remove(id)?;
         self.holdings.list(Some(&removed), None);
         Some(ViewChange::BackendGone(removed.id.clone()))
     }
 
+    fn remove_backend(&mut self, id: &str) -> Vec<ViewChange> {
+        self.refused.remove(id);
+        self.listed.remove(id);
+        self.lives.gone(id);
+        self.take_out(id).into_iter().collect()
+    }
+
+    /// A server itself has told of a life that started later than what the store tells. What else it says
+    /// of this life comes with its entry.
+    pub fn learn_life(&mut self, id: &str, born: u64) -> Vec<ViewChange> {
+        let newer = self.lives.born(id).is_none_or(|known| born > known);
+        let Some(before) = self.listed.get(id).filter(|_| newer) else { return Vec::new() };
+        self.apply_backend(Backend {
+            born: Some(born),
+            draining: false,
+            leaves_in: None,
+            orders_taken: 0,
+            models: Vec::new(),
+            ..Backend::clone(before)
+        })
+    }
+
     fn apply_version(
         &mut self,
         learned_at: Option<Time>,
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -48,6 +48,10 @@
     pub datagrams_dropped: IntCounter,
     /// Servers that this daemon orders.
     pub servers_ordered: IntGauge,
+    /// Servers that started again under their id.
+    pub servers_born_again: IntCounter,
+    /// Entries that name no server to use.
+    pub entries_refused: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -81,6 +85,10 @@
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
+            servers_born_again: made
+                .counter("servers_born_again_total", "Servers that started again under their id"),
+            entries_refused: made
+                .gauge("server_entries_refused", "Entries that name no server to use"),
             named: RefCell::default(),
             registry,
         }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -41,12 +41,13 @@
     AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
     SlotOrder, Slots,
 };
-pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
+pub use fleet::backend::{Backend, HeldAdapter, HeldModel, life_mark};
 pub use fleet::coldness::Coldness;
 pub use fleet::config::{
     CallerLimits, ColdStart, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
 };
 pub use fleet::daemons::{DaemonAt, Daemons};
+pub use fleet::lives::{GONE_REMEMBERED, Lives, Standing};
 pub use fleet::message::{
     AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
     ServerLoad, decode as decode_message, encode as encode_message,
--- a/crates/portrack/src/gateway/orders/ordering.rs
+++ b/crates/portrack/src/gateway/orders/ordering.rs
@@ -46,10 +46,23 @@
     Uncounted,
 }
 
-/// Who hears of what was ordered.
+/// Who hears of what was ordered, and of what servers report.
 pub trait NoticeSink {
     /// Takes notices of one step.
     fn notices(&self, notices: Vec<PlacementNotice>);
+    /// A server reports of a life that started later than the one believed in.
+    fn newer_life(self: &Rc<Self>, server: &Rc<str>, born: u64);
+}
+
+/// Which life a report is of, compared with the one believed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::gateway) enum ReportedLife {
+    /// That one, as far as it tells.
+    Present,
+    /// One that started later.
+    Newer(u64),
+    /// One that is over.
+    Former,
 }
 
 #[derive(Default)]
@@ -63,7 +76,7 @@
 impl ServerLine {
     /// The server has taken an order after `count` others.
     fn took(&self, now: Time, count: u64) {
-        self.orders_taken.set(Some(count + 1));
+        self.orders_taken.set(Some(count.saturating_add(1)));
         self.ordered_at.set(now);
     }
 }
@@ -100,7 +113,7 @@
         }
     }
 
-    /// Forgets a server that is gone.
+    /// Forgets a server that is gone or has started again.
     pub fn forget(&self, server: &str) {
         self.lines.borrow_mut().remove(server);
         self.calls.forget(server);
@@ -122,30 +135,40 @@
         let now = self.clock.now();
         let orderable = self.claims.borrow().orderable(now);
         for (server, address) in self.planner.borrow().unsurveyed(&orderable) {
-            self.begin_survey(server, address);
+            self.begin_survey(server, address, sink);
         }
         let (plans, given_up) = self.planner.borrow_mut().plan(now, &orderable);
         for plan in plans {
             let (ordering, sink) = (self.clone(), sink.clone());
             actix_rt::spawn(async move { ordering.carry_out(plan, &*sink).await });
         }
+        let born = |server: &str| self.planner.borrow().life(server).flatten();
         let refused = given_up.iter().map(|(server, key)| PlacementNotice {
             server: server.to_string(),
             model: key.model.to_string(),
             adapter: key.adapter.to_string(),
             state: NoticeState::Refused,
+            born: born(server),
         });
-        sink.notices(refused.collect());
+        let refused = refused.collect();
+        sink.notices(refused);
     }
 
-    fn begin_survey(self: &Rc<Self>, server: Rc<str>, address: SocketAddr) {
+    fn begin_survey(
+        self: &Rc<Self>,
+        server: Rc<str>,
+        address: SocketAddr,
+        sink: &Rc<impl NoticeSink + 'static>,
+    ) {
         let line = self.line(&server);
         if line.surveying.replace(true) {
             return;
         }
-        let ordering = self.clone();
+        let (ordering, sink) = (self.clone(), sink.clone());
         actix_rt::spawn(async move {
-            ordering.survey(&server, address, &line).await;
+            if let Some(born) = ordering.survey(&server, address, &line).await {
+                sink.newer_life(&server, born);
+            }
             line.surveying.set(false);
         });
     }
@@ -309,6 +332,10 @@
             if ordered != Ordered::Unknown {
                 break;
             }
+            self.note_unanswered(plan, &order);
+        }
+        if !self.is_same_life(plan) {
+            return Ordered::NotSent;
         }
         match ordered {
             Ordered::Answer(OrderAnswer::Accepted) => line.took(self.clock.now(), count),
@@ -321,6 +348,21 @@
         ordered
     }
 
+    /// An unload without an answer may be carried out at the server's next life as well.
+    fn note_unanswered(&self, plan: &Plan, order: &Order) {
+        let Some(adapter) = order.adapter.clone().filter(|_| order.kind == OrderKind::Unload)
+        else {
+            return;
+        };
+        let key = AdapterKey { model: order.model.clone(), adapter };
+        self.planner.borrow_mut().unload_unanswered(self.clock.now(), &plan.server, &key);
+    }
+
+    /// True unless the server is gone or has started again since the step was planned.
+    fn is_same_life(&self, plan: &Plan) -> bool {
+        self.planner.borrow().life(&plan.server) == Some(plan.born)
+    }
+
     /// The server's state is not known any more: its report is read before the next order.
     fn unsure(&self, server: &str, line: &ServerLine) {
         line.orders_taken.set(None);
@@ -328,15 +370,50 @@
         self.planner.borrow_mut().unsure(server);
     }
 
-    /// Reads a server's report, once it can no longer be older than this daemon's last orders.
-    async fn survey(&self, server: &Rc<str>, address: SocketAddr, line: &ServerLine) {
+    /// Reads a server's report, once it can no longer be older than this daemon's last orders. Returns the
+    /// start of a newer life if the report is of one.
+    async fn survey(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+        line: &Rc<ServerLine>,
+    ) -> Option<u64> {
         let age = self.clock.now().since(line.ordered_at.get());
         actix_rt::time::sleep(REPORT_LAG.saturating_sub(age)).await;
         let _turn = line.turn.lock().await;
         let read = self.read_report(server, address, REPORT_PATIENCE).await;
-        let Some(report) = read else { return };
+        let report = read.filter(|_| Rc::ptr_eq(line, &self.line(server)))?;
+        match self.reported_life(server, &report) {
+            ReportedLife::Newer(born) => return Some(born),
+            ReportedLife::Former => return None,
+            ReportedLife::Present => {}
+        }
         line.orders_taken.set(Some(report.orders_taken));
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
+        None
+    }
+
+    /// Which life of a server a report is of.
+    pub(in crate::gateway) fn reported_life(
+        &self,
+        server: &str,
+        report: &ServerReport,
+    ) -> ReportedLife {
+        let believed = self.planner.borrow().life(server).flatten();
+        match (report.born, believed) {
+            (Some(told), Some(believed)) if told < believed => ReportedLife::Former,
+            (Some(told), Some(believed)) if told > believed => ReportedLife::Newer(told),
+            _ => ReportedLife::Present,
+        }
+    }
+
+    /// A report counts more orders than were sent from here: a late one was carried out, and what the
+    /// server holds has to be asked.
+    pub(in crate::gateway) fn compare_count(&self, server: &Rc<str>, report: &ServerReport) {
+        let line = self.line(server);
+        if line.orders_taken.get().is_some_and(|known| report.orders_taken > known) {
+            self.unsure(server, &line);
+        }
     }
 
     /// A server's report, for its load; `None` if it does not answer.
@@ -362,7 +439,10 @@
     }
 
     async fn send(&self, plan: &Plan, order: &mut Order, patience: Duration) -> Ordered {
-        let may_order = || self.claims.borrow().may_order(self.clock.now(), &plan.server);
+        let may_order = || {
+            let fence = self.claims.borrow().may_order(self.clock.now(), &plan.server);
+            fence.filter(|_| self.is_same_life(plan))
+        };
         let Some(fence) = may_order() else { return Ordered::NotSent };
         order.fence = fence;
         let (path, body) = self.dialect.order(order);
@@ -402,5 +482,6 @@
         model: key.model.to_string(),
         adapter: key.adapter.to_string(),
         state,
+        born: plan.born,
     }
 }
--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -59,11 +59,22 @@
     pub users: Vec<(SocketAddr, Time)>,
 }
 
+/// An order without an answer is carried out up to 12 s later, also at the next life of its server if
+/// that has then taken just as many orders; the rest is for the way and for the news of the new life.
+pub const LATE_ORDERS: Duration = Duration::from_secs(14);
+/// Places for adapters kept free in that time: a late load fits in, and one that follows it. Beyond its
+/// places a server falls, with all requests that run there.
+pub const LATE_ROOM: usize = 2;
+/// In that time the server is asked so often what it holds.
+const LATE_SURVEYS: Duration = Duration::from_secs(2);
+
 /// One server.
 #[derive(Debug, Clone)]
 pub struct PlannedServer {
     /// Its service.
     pub service: Rc<str>,
+    /// The life that all this is of, by its start.
+    pub born: Option<u64>,
     /// Where it listens.
     pub address: SocketAddr,
     /// It takes no new work.
@@ -78,6 +89,11 @@
     pub surveyed: bool,
     held_once: Vec<(AdapterKey, u64)>,
     resting_until: Time,
+    /// Until then orders of its former life may be carried out.
+    late_until: Time,
+    /// Adapters whose late unload may be among them.
+    late_unloads: Vec<AdapterKey>,
+    surveyed_at: Time,
 }
 
 impl PlannedServer {
@@ -85,6 +101,7 @@
     pub fn new(now: Time, backend: &Backend) -> Self {
         let mut server = Self {
             service: backend.service.clone(),
+            born: backend.born,
             address: backend.address,
             draining: false,
             models: Vec::new(),
@@ -93,11 +110,31 @@
             surveyed: false,
             held_once: Vec::new(),
             resting_until: Time(0),
+            late_until: Time(0),
+            late_unloads: Vec::new(),
+            surveyed_at: Time(0),
         };
         server.listed(now, backend);
         server
     }
 
+    /// Orders of its former life may be carried out until a time, unloads of these adapters among them.
+    pub fn expect_late_orders(&mut self, until: Time, unloads: Vec<AdapterKey>) {
+        self.late_until = until;
+        self.late_unloads = unloads;
+    }
+
+    /// True if an order of its former life may have changed what it holds since it was last asked.
+    pub fn doubts_survey(&self, now: Time) -> bool {
+        let last_look = self.late_until + LATE_SURVEYS;
+        self.surveyed && now < last_look && now.since(self.surveyed_at) >= LATE_SURVEYS
+    }
+
+    /// True if an adapter that is loaded now may be dropped by an order of the former life.
+    pub fn may_be_dropped(&self, now: Time, key: &AdapterKey) -> bool {
+        now < self.late_until && self.late_unloads.contains(key)
+    }
+
     /// Takes the store's list in. It may be older than any order, so it says nothing of the
     /// adapters at a server whose report was read: only this daemon's orders change those.
     pub fn listed(&mut self, now: Time, backend: &Backend) {
@@ -128,6 +165,7 @@
     /// Takes a report in, which is newer than the list but may be older than the last orders.
     pub fn reported(&mut self, now: Time, report: &ServerReport) {
         self.surveyed = true;
+        self.surveyed_at = now;
         self.models = report.models.clone();
         let told = |key: &AdapterKey| {
             report.held.iter().chain(&report.pending).any(|(told, _)| told == key)
@@ -236,13 +274,28 @@
         holds && self.takes_orders(now) && pending < MOST_PENDING
     }
 
-    /// Free places. A version that is being replaced may need a place beside the newer one. No
-    /// place is kept for orders that are carried out late: each order names the number of orders
-    /// before it, so a late one is carried out only if none was accepted since.
-    pub fn free(&self, spec: &EngineSpec, model: &str) -> usize {
+    /// Free places. No place is kept for late orders of the same life: each order names the number of
+    /// orders before it, so a late one is carried out only if none was accepted since.
+    pub fn free(&self, now: Time, spec: &EngineSpec, model: &str) -> usize {
+        self.room(now, spec, model).saturating_sub(self.filled())
+    }
+
+    /// True if it may drop one adapter for another: not while late orders may come and the places kept
+    /// for them are filled.
+    pub fn may_swap(&self, now: Time, spec: &EngineSpec, model: &str) -> bool {
+        self.filled() <= self.room(now, spec, model) || now >= self.late_until
+    }
+
+    fn room(&self, now: Time, spec: &EngineSpec, model: &str) -> usize {
         let room = spec.model(model).map_or(0, |model| spec.adapter_room(model));
+        let kept = if now < self.late_until { LATE_ROOM } else { 0 };
+        room.saturating_sub(kept)
+    }
+
+    /// Places in use. A version that is being replaced may need a place beside the newer one.
+    fn filled(&self) -> usize {
         let replacing = self.slots.values().filter(|slot| slot.replaces.is_some()).count();
-        room.saturating_sub(self.slots.len() + replacing)
+        self.slots.len() + replacing
     }
 
     /// How many adapters could make way for `wanted`.
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -4,7 +4,7 @@
 use super::adapter_demand::AdapterDemand;
 use super::fetch_limit::FetchLimit;
 use super::load_budget::LoadBudget;
-use super::planned_server::{PlannedServer, SlotState};
+use super::planned_server::{LATE_ORDERS, PlannedServer, SlotState};
 use crate::gateway::dialect::{AdapterKey, ServerReport};
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::{EngineSpec, FleetConfig};
@@ -39,6 +39,8 @@
 pub struct Plan {
     /// The server.
     pub server: Rc<str>,
+    /// The life of it that is meant, by its start.
+    pub born: Option<u64>,
     /// Where it listens.
     pub address: SocketAddr,
     /// The adapter that makes way.
@@ -117,6 +119,10 @@
     budgets: HashMap<Rc<str>, LoadBudget>,
     wishes: BTreeMap<(Rc<str>, AdapterKey), Wish>,
     missed: HashMap<AdapterKey, AdapterDemand>,
+    /// Unloads without an answer, by their servers, which may be carried out yet.
+    late_unloads: HashMap<Rc<str>, Vec<(AdapterKey, Time)>>,
+    /// When this daemon learned that a server has started again, while late orders may come.
+    born_again: HashMap<Rc<str>, Time>,
     servers_ordered: usize,
     fetches: FetchLimit,
 }
@@ -142,12 +148,34 @@
 
     /// Takes a server's entry in.
     pub fn server(&mut self, now: Time, backend: &Backend) {
-        match self.servers.get_mut(&backend.id) {
-            Some(server) => server.listed(now, backend),
-            None => {
-                self.servers.insert(backend.id.clone(), PlannedServer::new(now, backend));
-            }
+        if let Some(server) = self.servers.get_mut(&backend.id) {
+            return server.listed(now, backend);
+        }
+        let mut server = PlannedServer::new(now, backend);
+        if let Some(at) = self.born_again.get(&backend.id) {
+            let unloads = self.late_unloads.get(&backend.id).into_iter().flatten();
+            let unloads = unloads.map(|(key, _)| key.clone()).collect();
+            server.expect_late_orders(*at + LATE_ORDERS, unloads);
         }
+        self.servers.insert(backend.id.clone(), server);
+    }
+
+    /// A server has started again: nothing of before holds but what was ordered and may come late.
+    pub fn born_again(&mut self, now: Time, id: &Rc<str>) {
+        self.server_gone(id);
+        self.born_again.insert(id.clone(), now);
+    }
+
+    /// An unload got no answer: it may be carried out late.
+    pub fn unload_unanswered(&mut self, now: Time, id: &Rc<str>, key: &AdapterKey) {
+        let unloads = self.late_unloads.entry(id.clone()).or_default();
+        unloads.retain(|(late, _)| late != key);
+        unloads.push((key.clone(), now));
+    }
+
+    /// The life of a server that is believed in, by its start; `None` if the server is not known.
+    pub fn life(&self, id: &str) -> Option<Option<u64>> {
+        Some(self.servers.get(id)?.born)
     }
 
     /// A server is gone.
@@ -214,7 +242,7 @@
         requests: u16,
     ) -> WishAnswer {
         let Some(server) = self.servers.get_mut(id) else { return WishAnswer::Refused };
-        if server.draining || server.models.is_empty() {
+        if server.draining || server.models.is_empty() || server.may_be_dropped(now, key) {
             return WishAnswer::Refused;
         }
         let version = version.max(self.versions.get(key).copied().unwrap_or(FIRST_VERSION));
@@ -237,7 +265,9 @@
         }
         let room = self.config.as_ref().and_then(|config| {
             let spec = config.services.get(&server.service)?.engine.as_ref()?;
-            Some(server.free(spec, &key.model) + server.idle(now, key))
+            let idle =
+                if server.may_swap(now, spec, &key.model) { server.idle(now, key) } else { 0 };
+            Some(server.free(now, spec, &key.model) + idle)
         });
         let promised = self.wishes.keys().filter(|(at, other)| at == id && other != key).count();
         if room.is_some_and(|room| room <= promised) {
@@ -278,8 +308,14 @@
         held.map(|(key, slot)| (key.clone(), slot.demand.per_second(now))).collect()
     }
 
-    /// Forgets what nobody asks for any more.
+    /// Forgets what nobody asks for any more, and late orders that can come no more.
     pub fn sweep(&mut self, now: Time) {
+        let may_come = |at: Time| now.since(at) < LATE_ORDERS;
+        self.born_again.retain(|_, at| may_come(*at));
+        self.late_unloads.retain(|_, unloads| {
+            unloads.retain(|(_, at)| may_come(*at));
+            !unloads.is_empty()
+        });
         self.missed.retain(|_, missed| missed.rate(now) > FORGET_RATE);
     }
 
@@ -291,8 +327,10 @@
     ) -> (Vec<Plan>, Vec<(Rc<str>, AdapterKey)>) {
         let Some(config) = self.config.clone() else { return (Vec::new(), Vec::new()) };
         self.servers_ordered = orderable.len();
-        for server in self.servers.values_mut().filter(|server| server.waits_for_runs(now)) {
-            server.surveyed = false;
+        for server in self.servers.values_mut() {
+            if server.waits_for_runs(now) || server.doubts_survey(now) {
+                server.surveyed = false;
+            }
         }
         let mut plans = Vec::new();
         for id in orderable {
@@ -351,6 +389,7 @@
         server.base_ordered_at = Some(now);
         Some(Plan {
             server: id.clone(),
+            born: server.born,
             address: server.address,
             evict: None,
             load: PlannedLoad::Base(model.name.clone()),
@@ -371,7 +410,10 @@
         if server.slots.get(key).is_some_and(|slot| slot.state != SlotState::Held) {
             return None;
         }
-        let evict = match server.free(spec, &key.model) {
+        if server.may_be_dropped(now, key) || !server.may_swap(now, spec, &key.model) {
+            return None;
+        }
+        let evict = match server.free(now, spec, &key.model) {
             0 => Some(server.victim(now, key, newest)?),
             _ => None,
         };
@@ -386,6 +428,7 @@
         server.set(now, key, version, SlotState::Loading);
         Some(Plan {
             server: id.clone(),
+            born: server.born,
             address: server.address,
             evict,
             load: PlannedLoad::Adapter(key.clone(), version),
@@ -419,7 +462,8 @@
                 None => self.fetches.give_back(),
             }
         }
-        let Some(server) = self.servers.get_mut(&plan.server) else { return };
+        let server = self.servers.get_mut(&plan.server);
+        let Some(server) = server.filter(|server| server.born == plan.born) else { return };
         match end {
             PlanEnd::Unknown => server.silent(now),
             PlanEnd::Busy => server.busy(now),
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -12,6 +12,7 @@
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::{Dialect, ForwardMeta};
 use crate::gateway::dispatch::{SlotEnd, Slots};
+use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::coldness::Coldness;
 use crate::gateway::fleet::config::Service;
 use crate::gateway::fleet::daemons::Daemons;
@@ -241,7 +242,7 @@
             Sent::MayHaveRun(error) => {
                 job.runs += 1;
                 choice.ended(SlotEnd::Failed);
-                self.loads.outcome(self.clock.now(), &backend.id, true);
+                self.loads.outcome_of(self.clock.now(), backend, true);
                 job.last_failure = error.to_string();
                 self.after_loss(job, relay)
             }
@@ -261,7 +262,7 @@
                 if matches!(end, RelayEnd::Failed(_) | RelayEnd::Lost(_)) {
                     choice.ended(SlotEnd::Failed);
                 }
-                self.after_relay(job, &backend.id, end, relay)
+                self.after_relay(job, backend, end, relay)
             }
         }
     }
@@ -316,7 +317,9 @@
             NotRun::Unreachable(_) => {
                 job.sends -= 1;
                 choice.ended(SlotEnd::Unreachable);
-                self.loads.unreachable(now, id);
+                if self.loads.is_present(&choice.backend) {
+                    self.loads.unreachable(now, id);
+                }
             }
             NotRun::TurnedAway(status) => {
                 choice.ended(SlotEnd::Failed);
@@ -346,24 +349,24 @@
     fn after_relay(
         &self,
         job: &mut Job<'_>,
-        server: &Rc<str>,
+        server: &Backend,
         end: RelayEnd,
         relay: &mut Relay,
     ) -> Next {
         let now = self.clock.now();
         match end {
             RelayEnd::Whole(status) => {
-                self.loads.outcome(now, server, status >= 500);
+                self.loads.outcome_of(now, server, status >= 500);
                 Next::End(RequestEnd::Answered(status))
             }
             RelayEnd::CallerGone => Next::End(RequestEnd::CallerGone),
             RelayEnd::Failed(status) => {
-                self.loads.outcome(now, server, true);
+                self.loads.outcome_of(now, server, true);
                 job.last_failure = format!("status {status}");
                 Next::Again
             }
             RelayEnd::Lost(why) => {
-                self.loads.outcome(now, server, true);
+                self.loads.outcome_of(now, server, true);
                 job.last_failure = why;
                 job.last_event = relay.last_event().map(str::to_owned).or(job.last_event.take());
                 self.after_loss(job, relay)
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod holdings;
 mod homes;
 mod keys;
+mod lives;
 mod loads;
 mod logs;
 mod messages;
--- a/crates/portrack/tests/gateway/messages.rs
+++ b/crates/portrack/tests/gateway/messages.rs
@@ -31,6 +31,7 @@
         model: "m".into(),
         adapter: "a1".into(),
         state: NoticeState::Coming(3, 250),
+        born: Some(1_780_108_591_036),
     };
     for message in [heartbeat(12), PeerMessage::Placement(vec![notice])] {
         let bytes = encode_message(&message).expect("short enough");
