--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -8,7 +8,7 @@
 use super::quantile::Quantile;
 use super::share::OwnShares;
 use crate::gateway::admission::{OrganisationMark, StoreProof};
-use crate::gateway::choosing::load::{LoadTable, server_mark};
+use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::coldness::Coldness;
 use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
@@ -193,7 +193,7 @@
     /// Asks whether a request may be sent to a server.
     pub async fn ask(self: &Rc<Self>, backend: &Backend, need: &GrantNeed) -> Grasp {
         let asked_at = self.clock.now();
-        let server = server_mark(&backend.id);
+        let server = backend.mark();
         let Some(granter) = self.granter(asked_at, server, &backend.hall) else {
             return Grasp::Unanswered;
         };
--- a/crates/portrack/src/gateway/arrivals/knowing.rs
+++ b/crates/portrack/src/gateway/arrivals/knowing.rs
@@ -3,7 +3,6 @@
 use super::cold::{ColdBound, ColdRule};
 use super::granter::ServerRule;
 use super::grants::Grants;
-use crate::gateway::choosing::load::server_mark;
 use crate::gateway::fleet::backend::Backend;
 use crate::types::Time;
 use std::rc::Rc;
@@ -12,8 +11,8 @@
     /// A server by its mark; `before` is its id if it was found before.
     pub(super) fn backend(&self, server: u32, before: Option<&str>) -> Option<Rc<Backend>> {
         let view = self.view.borrow();
-        let known = before.and_then(|id| view.backend(id));
-        let found = known.or_else(|| view.backends().find(|all| server_mark(&all.id) == server));
+        let known = before.and_then(|id| view.backend(id)).filter(|all| all.mark() == server);
+        let found = known.or_else(|| view.backends().find(|all| all.mark() == server));
         found.cloned()
     }
 
@@ -45,7 +44,7 @@
     pub fn may_send_alone(&self, backend: &Backend) -> bool {
         let now = self.clock.now();
         let Some(cold) = self.rule(now, backend).cold.filter(|cold| cold.cold) else { return true };
-        let server = server_mark(&backend.id);
+        let server = backend.mark();
         let sharers = cold.bound.sharers();
         let mut shares = self.shares.borrow_mut();
         shares.is_sharer(server, self.me.address, sharers) && shares.take(now, server)
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -52,6 +52,10 @@
     pub grants: IntCounterVec,
     /// From the first ask of a try to its grant.
     pub grant_waits: Histogram,
+    /// Servers that started again under their id.
+    pub servers_born_again: IntCounter,
+    /// Entries that name no server to use.
+    pub entries_refused: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -87,6 +91,10 @@
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
             grants: made.counters("grants_total", "Asks for a server by outcome", &["outcome"]),
             grant_waits: made.histogram("grant_wait_seconds", "First ask of a try to its grant"),
+            servers_born_again: made
+                .counter("servers_born_again_total", "Servers that started again under their id"),
+            entries_refused: made
+                .gauge("server_entries_refused", "Entries that name no server to use"),
             named: RefCell::default(),
             registry,
         }
