Evacuated halls get nothing new: left first, closed by the age of the evidence

Choosing, wishing, replicas, dispatching and the planner do without their servers; what only they hold is copied elsewhere, hottest first; a request is held back right before it is written. Catching up tells what a peer cannot know to be gone.

--- a/crates/portrack/src/gateway/choosing/demand.rs
+++ b/crates/portrack/src/gateway/choosing/demand.rs
@@ -90,19 +90,20 @@
         *count = count.saturating_add(1);
     }
 
-    /// Wishes for an adapter at a server, unless that was just done.
-    pub fn wish(&self, now: Time, mut wish: Wish) {
+    /// Wishes for an adapter at a server, unless that was just done; true if it is wished for now.
+    pub fn wish(&self, now: Time, mut wish: Wish) -> bool {
         let mut wished_at = self.wished_at.borrow_mut();
         let place = (wish.key.clone(), wish.server.clone());
         let last = wished_at.insert(place.clone(), now);
         if let Some(last) = last.filter(|last| now.since(*last) < WISH_AGAIN) {
             wished_at.insert(place, last);
-            return;
+            return false;
         }
         let missed = self.missed.borrow_mut().remove(&wish.key).unwrap_or(0);
         wish.requests = wish.requests.saturating_add(missed);
         self.wishes.borrow_mut().push(wish);
         self.wished.notify_one();
+        true
     }
 
     /// Waits for a wish.
--- a/crates/portrack/src/gateway/choosing/holdings.rs
+++ b/crates/portrack/src/gateway/choosing/holdings.rs
@@ -161,12 +161,20 @@
 
     /// When the adapter is expected at some server, if it is on its way.
     pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
-        let holders = self.adapters.get(key)?;
-        let coming = holders.noticed.values().filter_map(|notice| match notice.presence {
-            Presence::Coming(_, at) if notice.fresh(now) => Some(at),
+        self.coming_to(now, key).map(|(_, at)| at).min()
+    }
+
+    /// The servers to which the adapter is on its way, and when it is expected there.
+    pub fn coming_to<'a>(
+        &'a self,
+        now: Time,
+        key: &AdapterKey,
+    ) -> impl Iterator<Item = (&'a Rc<str>, Time)> + 'a {
+        let notices = self.adapters.get(key).into_iter().flat_map(|held| &held.noticed);
+        notices.filter_map(move |(id, notice)| match notice.presence {
+            Presence::Coming(_, at) if notice.fresh(now) => Some((id, at)),
             _ => None,
-        });
-        coming.min()
+        })
     }
 }
 
--- a/crates/portrack/src/gateway/choosing/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -100,7 +100,7 @@
     }
 
     /// The demand for an adapter at a server, with the adapter's newest version; `None` if the server
-    /// is not known to hold it. Servers with an older version share their demand among themselves.
+    /// is not known to hold it, or takes no new work. Servers with an older version share their demand among themselves.
     fn replica_demand(
         &self,
         now: Time,
@@ -112,6 +112,7 @@
         let view = self.path.view.borrow();
         let newest = view.newest_version(key);
         let mut all = view.holdings.holders(now, key);
+        all.retain(|(id, _)| view.backend(id).is_some_and(|holder| view.is_open(holder)));
         all.sort();
         let (_, mine) = all.iter().find(|(id, _)| id == server)?;
         let is_current = |version: &u64| *version >= newest;
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -10,7 +10,7 @@
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::Route;
 use crate::gateway::fleet::versions::{UsableVersions, VersionChoice};
-use crate::gateway::fleet::view::FIRST_VERSION;
+use crate::gateway::fleet::view::{FIRST_VERSION, FleetView};
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::gateway::requests::job::{Choice, Job};
 use crate::gateway::requests::path::RequestPath;
@@ -119,13 +119,16 @@
             if let Some(choice) = self.holder(job, key) {
                 return Ok(choice);
             }
+            if !self.has_home(job) {
+                return Err(no_server());
+            }
             if !missed {
                 missed = true;
                 self.demand.missed(key);
             }
             self.wish(job, key);
             let now = self.clock.now();
-            let expected = self.view.borrow().holdings.expected(now, key);
+            let expected = self.view.borrow().expected(now, key);
             self.note_adapter(job, now, expected);
             let fast = now < sign_by && job.sends == 0;
             let until = match expected {
@@ -152,16 +155,35 @@
         };
     }
 
+    /// True if some server could be given an adapter: where all are closed or cut off, waiting is of
+    /// no use.
+    fn has_home(&self, job: &Job<'_>) -> bool {
+        let view = self.view.borrow();
+        let mut open = view.open_backends(&job.service.name);
+        open.any(|backend| !self.loads.is_hall_silent(&backend.hall))
+    }
+
     /// Wishes for an adapter at its home, if some daemon may order a server for it.
     fn wish(&self, job: &Job<'_>, key: &AdapterKey) {
-        let now = self.clock.now();
+        self.wish_for(self.clock.now(), &job.service.name, key, 0);
+    }
+
+    /// Wishes for an adapter at its home for some requests besides those that missed it; true if that
+    /// was done.
+    pub(in crate::gateway) fn wish_for(
+        &self,
+        now: Time,
+        service: &str,
+        key: &AdapterKey,
+        requests: u16,
+    ) -> bool {
         let view = self.view.borrow();
-        if view.holdings.expected(now, key).is_some() {
-            return;
+        if view.expected(now, key).is_some() {
+            return false;
         }
         let version = view.newest_version(key);
         let outdated = view.holdings.holders(now, key);
-        let open = view.open_backends(&job.service.name).filter(|backend| {
+        let open = view.open_backends(service).filter(|backend| {
             let holds = backend.model(&key.model).is_some();
             let old = outdated.iter().any(|(id, _)| *id == backend.id);
             let refused = view.holdings.is_refused(now, key, &backend.id);
@@ -176,26 +198,37 @@
                 at_hand: view.holdings.is_at_hand(key, &backend.id, version),
             })
             .collect();
-        let server = home(key, &homes).or_else(|| self.replaceable(&outdated));
-        if let Some(server) = server {
-            self.demand.wish(now, Wish { server, key: key.clone(), version, requests: 0 });
-        }
+        let server = home(key, &homes).or_else(|| self.replaceable(&view, &outdated));
+        let Some(server) = server else { return false };
+        self.demand.wish(now, Wish { server, key: key.clone(), version, requests })
     }
 
     /// A server that holds an older version, for an adapter that has no other home.
-    fn replaceable(&self, outdated: &[(Rc<str>, u64)]) -> Option<Rc<str>> {
-        let ordered = outdated.iter().find(|(id, _)| (self.is_ordered)(id));
+    fn replaceable(&self, view: &FleetView, outdated: &[(Rc<str>, u64)]) -> Option<Rc<str>> {
+        let is_open = |id: &str| view.backend(id).is_some_and(|backend| view.is_open(backend));
+        let ordered = outdated.iter().find(|(id, _)| is_open(id) && (self.is_ordered)(id));
         ordered.map(|(id, _)| id.clone())
     }
 
+    /// A server that holds the adapter and takes new work, or one whose data hall is being left.
+    fn holder(&self, job: &Job<'_>, key: &AdapterKey) -> Option<Choice> {
+        if let Some(open) = self.holder_among(job, key, |view, _, one| view.is_open(one)) {
+            return Some(open);
+        }
+        let leaving = self.holder_among(job, key, FleetView::is_leaving)?;
+        self.demand.missed(key);
+        self.wish(job, key);
+        Some(leaving)
+    }
+
     /// The cheapest server that holds the adapter: the newest version, or an older one for a while
     /// where the newest is missing or its servers are crowded.
-    fn holder(&self, job: &Job<'_>, key: &AdapterKey) -> Option<Choice> {
+    fn holder_among(&self, job: &Job<'_>, key: &AdapterKey, takes: Takes) -> Option<Choice> {
         let now = self.clock.now();
         let usable = self.view.borrow().usable_versions(now, key);
         let newest = usable.map_or(FIRST_VERSION, |versions| versions.newest);
         let oldest = usable.map_or(FIRST_VERSION, |versions| versions.oldest);
-        let (current, outdated) = self.holders(job, key, newest);
+        let (current, outdated) = self.holders(job, key, newest, takes);
         let id = &job.request.meta.id;
         let lag = self.loads_lag.get();
         let best = spread(id, &current, lag);
@@ -218,14 +251,20 @@
 
     /// The untried servers that hold an adapter, those with the newest version and the others; the
     /// cheapest first.
-    fn holders(&self, job: &Job<'_>, key: &AdapterKey, newest: u64) -> (Vec<Holder>, Vec<Holder>) {
+    fn holders(
+        &self,
+        job: &Job<'_>,
+        key: &AdapterKey,
+        newest: u64,
+        takes: Takes,
+    ) -> (Vec<Holder>, Vec<Holder>) {
         let now = self.clock.now();
         let view = self.view.borrow();
         let holders = view.holdings.holders(now, key).into_iter();
         let untried = holders.filter_map(|(id, version)| {
             let backend = view.backend(&id)?;
             let cut = self.loads.is_hall_silent(&backend.hall);
-            let open = !backend.draining && !cut && backend.service == job.service.name;
+            let open = takes(&view, now, backend) && !cut && backend.service == job.service.name;
             let cost = cost(now, &self.loads, &self.hall, backend);
             let holder = Holder { backend: backend.clone(), cost, version };
             (open && !job.tried.contains(&backend.id)).then_some(holder)
@@ -270,6 +309,9 @@
     }
 }
 
+/// Whether a server takes a request, as the view tells it.
+type Takes = fn(&FleetView, Time, &Backend) -> bool;
+
 /// A server that holds an adapter.
 #[derive(Debug, Clone)]
 struct Holder {
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -177,6 +177,7 @@
             hall: settings.hall.clone(),
             daemons: Cell::new(1),
             loads_lag: Cell::new(false),
+            held_back: metrics.held_back.clone(),
             is_ordered: is_ordered(clock.clone(), ordering.clone(), orderers.clone()),
         };
         Self {
@@ -254,6 +255,7 @@
                 Ok(Some(change)) => {
                     changed = true;
                     self.note(now, &change, source);
+                    self.note_evacuation(now, &change, source);
                 }
                 Ok(None) => {}
                 Err(error) => {
@@ -303,6 +305,7 @@
                 planner.named(key, *version);
                 log::info!(adapter = &*key.adapter, version = version, source = source; "adapter_version");
             }
+            ViewChange::HallEvacuated(_) | ViewChange::HallTakenBack(..) => {}
         }
     }
 }
--- /dev/null
+++ b/crates/portrack/src/gateway/evacuation/leaving.rs
@@ -0,0 +1,83 @@
+//! What a daemon does when a data hall is evacuated or taken back.
+
+use super::halls::Evacuation;
+use crate::gateway::choosing::load::server_mark;
+use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::fleet::view::ViewChange;
+use crate::types::Time;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+impl GatewayDaemon {
+    /// Takes in what a change of the view means for evacuated halls.
+    pub(in crate::gateway) fn note_evacuation(&self, now: Time, change: &ViewChange, source: &str) {
+        match change {
+            ViewChange::HallEvacuated(hall) => self.hall_evacuated(now, hall, source),
+            ViewChange::HallTakenBack(hall, evacuation) => {
+                self.hall_taken_back(now, hall, *evacuation, source);
+            }
+            ViewChange::Backend(id) => {
+                let view = self.path.view.borrow();
+                let evacuated = view.backend(id).is_some_and(|one| view.is_evacuated(one));
+                self.ordering.planner.borrow_mut().set_evacuated(id, evacuated);
+            }
+            _ => {}
+        }
+    }
+
+    fn hall_evacuated(&self, now: Time, hall: &Rc<str>, source: &str) {
+        let within = Duration::from_millis(self.settings.bounds.evacuate_within_ms);
+        // Proof is renewed only after the news that came with it has been taken in.
+        self.path.view.borrow_mut().evacuated.date(hall, now, &self.path.proof, within);
+        self.set_evacuated(hall, true);
+        let (age_ms, running) = (self.proof_age_ms(), self.running_in(hall));
+        log::info!(
+            hall = &**hall, source = source, age_ms = age_ms, running = running;
+            "hall_evacuated"
+        );
+    }
+
+    fn hall_taken_back(&self, now: Time, hall: &Rc<str>, evacuation: Evacuation, source: &str) {
+        self.set_evacuated(hall, false);
+        let view = self.path.view.borrow();
+        let mut coldness = self.path.coldness.borrow_mut();
+        view.backends_of(hall).for_each(|backend| coldness.doubt(now, &backend.id));
+        let evacuated_ms = now.since(evacuation.learned_at).as_millis() as u64;
+        log::info!(
+            hall = &**hall, source = source, evacuated_ms = evacuated_ms;
+            "hall_taken_back"
+        );
+    }
+
+    fn set_evacuated(&self, hall: &str, evacuated: bool) {
+        let view = self.path.view.borrow();
+        let mut planner = self.ordering.planner.borrow_mut();
+        view.backends_of(hall).for_each(|one| planner.set_evacuated(&one.id, evacuated));
+        self.metrics.evacuated_halls.set(view.evacuated.all().count() as i64);
+    }
+
+    /// This daemon's requests that run at the servers of a hall.
+    fn running_in(&self, hall: &str) -> u32 {
+        let view = self.path.view.borrow();
+        let marks: HashSet<u32> = view.backends_of(hall).map(|one| server_mark(&one.id)).collect();
+        let own = self.path.loads.own().into_iter();
+        own.filter(|(mark, _)| marks.contains(mark)).map(|(_, work)| work.requests).sum()
+    }
+
+    /// Tells which halls have closed, and what runs in evacuated ones.
+    pub(in crate::gateway) fn look_at_evacuated(&self, now: Time) {
+        let closed = self.path.view.borrow_mut().evacuated.newly_closed(now);
+        for (hall, evacuation) in closed {
+            let left_ms = evacuation.closes_at.since(evacuation.learned_at).as_millis() as u64;
+            let running = self.running_in(&hall);
+            log::info!(hall = &*hall, left_ms = left_ms, running = running; "hall_closed");
+        }
+        let halls: Vec<Rc<str>> = {
+            let view = self.path.view.borrow();
+            view.evacuated.all().map(|(hall, _)| hall.clone()).collect()
+        };
+        let running: u32 = halls.iter().map(|hall| self.running_in(hall)).sum();
+        self.metrics.evacuated_running.set(running.into());
+    }
+}
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -6,6 +6,7 @@
 use crate::gateway::admission::RevokedKeys;
 use crate::gateway::choosing::holdings::Holdings;
 use crate::gateway::dialect::{AdapterKey, Dialect, DialectError, Item, ItemKey};
+use crate::gateway::evacuation::halls::{EvacuatedHalls, Evacuation};
 use crate::gateway::news::mirror::Mirrored;
 use crate::gateway::requests::routes::RouteTable;
 use crate::types::Time;
@@ -28,6 +29,10 @@
     BackendGone(Rc<str>),
     /// A newer version of an adapter is named.
     Version(AdapterKey, u64),
+    /// A data hall is evacuated.
+    HallEvacuated(Rc<str>),
+    /// A data hall is not evacuated any more, after this evacuation.
+    HallTakenBack(Rc<str>, Evacuation),
 }
 
 /// The view.
@@ -41,6 +46,8 @@
     pub revoked: RevokedKeys,
     /// Which server holds which adapter.
     pub holdings: Holdings,
+    /// Data halls whose servers get nothing new.
+    pub evacuated: EvacuatedHalls,
 }
 
 impl FleetView {
@@ -80,7 +87,40 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
-        self.backends.values().filter(move |b| &*b.service == service && !b.draining)
+        self.backends.values().filter(move |b| &*b.service == service && self.is_open(b))
+    }
+
+    /// The servers of a data hall.
+    pub fn backends_of<'a>(&'a self, hall: &'a str) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
+        self.backends.values().filter(move |backend| &*backend.hall == hall)
+    }
+
+    /// True if a server takes new work.
+    pub fn is_open(&self, backend: &Backend) -> bool {
+        !backend.draining && !self.is_evacuated(backend)
+    }
+
+    /// True if a server's data hall is evacuated.
+    pub fn is_evacuated(&self, backend: &Backend) -> bool {
+        self.evacuated.has(&backend.hall)
+    }
+
+    /// True if a server of an evacuated data hall may still get what no open server can serve.
+    pub fn is_leaving(&self, now: Time, backend: &Backend) -> bool {
+        !backend.draining && self.evacuated.is_leaving(now, &backend.hall)
+    }
+
+    /// True if a request may be sent to a server at this moment.
+    pub fn may_get(&self, now: Time, id: &str) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|backend| self.is_open(backend) || self.is_leaving(now, backend))
+    }
+
+    /// When an adapter is expected at a server that takes new work, if it is on its way to one.
+    pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
+        let coming = self.holdings.coming_to(now, key);
+        let open = |id: &str| self.backends.get(id).is_none_or(|backend| self.is_open(backend));
+        coming.filter(|(id, _)| open(id)).map(|(_, at)| at).min()
     }
 
     /// The versions of an adapter that may be used now; `None` if nobody named one: it is at the first.
@@ -107,14 +147,19 @@
                 Some(Item::AdapterVersion(key, version)) => {
                     Ok(self.apply_version(learned_at, key, version))
                 }
-                Some(Item::EvacuatedHall(_)) | None => Ok(None),
+                Some(Item::EvacuatedHall(hall)) => {
+                    let is_new = self.evacuated.evacuate(&hall);
+                    Ok(is_new.then_some(ViewChange::HallEvacuated(hall)))
+                }
+                None => Ok(None),
             },
             Mirrored::Gone(key) => match dialect.key(&key) {
                 ItemKey::Backend(id) => Ok(self.remove_backend(&id)),
-                ItemKey::Config
-                | ItemKey::AdapterVersion
-                | ItemKey::EvacuatedHall(_)
-                | ItemKey::Unknown => Ok(None),
+                ItemKey::EvacuatedHall(hall) => {
+                    let evacuation = self.evacuated.take_back(&hall);
+                    Ok(evacuation.map(|before| ViewChange::HallTakenBack(hall, before)))
+                }
+                ItemKey::Config | ItemKey::AdapterVersion | ItemKey::Unknown => Ok(None),
             },
         }
     }
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -48,6 +48,14 @@
     pub datagrams_dropped: IntCounter,
     /// Servers that this daemon orders.
     pub servers_ordered: IntGauge,
+    /// Data halls that are evacuated.
+    pub evacuated_halls: IntGauge,
+    /// This daemon's requests that run in evacuated data halls.
+    pub evacuated_running: IntGauge,
+    /// Copies wished for elsewhere of adapters that only evacuated data halls hold.
+    pub evacuation_copies: IntCounter,
+    /// Requests held back right before they were sent, their servers having closed.
+    pub held_back: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -81,6 +89,19 @@
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
+            evacuated_halls: made.gauge("evacuated_halls", "Data halls that are evacuated"),
+            evacuated_running: made.gauge(
+                "evacuated_requests_running",
+                "Requests of this daemon that run in evacuated data halls",
+            ),
+            evacuation_copies: made.counter(
+                "evacuation_copies_total",
+                "Copies wished for of adapters that only evacuated data halls hold",
+            ),
+            held_back: made.counter(
+                "held_back_requests_total",
+                "Requests held back right before they were sent to a server that has closed",
+            ),
             named: RefCell::default(),
             registry,
         }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod dialect;
 mod dispatch;
+mod evacuation;
 mod fleet;
 mod logging;
 mod metrics;
@@ -41,6 +42,7 @@
     AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
     SlotOrder, Slots,
 };
+pub use evacuation::halls::{EvacuatedHalls, Evacuation};
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
 pub use fleet::coldness::Coldness;
 pub use fleet::config::{
@@ -73,6 +75,7 @@
     CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink,
 };
 pub use requests::events::EventSplitter;
+pub use requests::exchange::{Exchange, NotRun, Sent, exchange};
 pub use requests::job::{Progress, RequestEnd, Served};
 pub use requests::path::RequestPath;
 pub use requests::retries::{RetryBounds, ServiceRetries};
--- a/crates/portrack/src/gateway/news/sync.rs
+++ b/crates/portrack/src/gateway/news/sync.rs
@@ -3,7 +3,7 @@
 use super::following::NewsSource;
 use super::frames::{read_frame, write_frame};
 use super::hall_feed::PeerAsk;
-use super::mirror::MirrorItem;
+use super::mirror::{MirrorItem, MirrorNews};
 use super::pacing::WatchPacing;
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::dialect::ItemKey;
@@ -48,6 +48,8 @@
     revision: u64,
     /// The age of its proof that this is the newest, in milliseconds, if it has any.
     proof_age_ms: Option<u32>,
+    /// `items` are all there are: what is not among them is gone.
+    whole: bool,
     items: Vec<MirrorItem>,
 }
 
@@ -259,7 +261,10 @@
         let changes = {
             let mut mirror = self.mirror.borrow_mut();
             mirror.whole_up_to(reply.revision);
-            mirror.apply_items(reply.items)
+            match reply.whole {
+                true => mirror.apply_whole(self.dialect.prefix(), reply.revision, reply.items),
+                false => mirror.apply_items(reply.items),
+            }
         };
         log::info!(
             peer:% = peer, revision = reply.revision, changes = changes.len(),
@@ -304,11 +309,9 @@
             PeerAsk::CatchUp { after } => {
                 let reply = {
                     let mirror = self.mirror.borrow();
-                    CatchUpReply {
-                        revision: mirror.revision(),
-                        proof_age_ms: self.path.proof.age_to_tell(self.now()),
-                        items: mirror.items_after(after),
-                    }
+                    let MirrorNews { revision, whole, items } = mirror.news_after(after);
+                    let proof_age_ms = self.path.proof.age_to_tell(self.now());
+                    CatchUpReply { revision, proof_age_ms, whole, items }
                 };
                 actix_rt::time::timeout(CATCH_UP, write_frame(&mut stream, &reply)).await.ok()?
             }
--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -68,6 +68,8 @@
     pub address: SocketAddr,
     /// It takes no new work.
     pub draining: bool,
+    /// Its data hall is evacuated.
+    pub evacuated: bool,
     /// The base models it holds.
     pub models: Vec<Rc<str>>,
     /// Its adapters.
@@ -87,6 +89,7 @@
             service: backend.service.clone(),
             address: backend.address,
             draining: false,
+            evacuated: false,
             models: Vec::new(),
             slots: HashMap::new(),
             base_ordered_at: None,
@@ -224,9 +227,14 @@
         self.resting_until = self.resting_until.max(now + REST_AFTER_BUSY);
     }
 
+    /// True if it gets new work.
+    pub fn is_open(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
+
     /// True if it takes orders at all.
     pub fn takes_orders(&self, now: Time) -> bool {
-        self.surveyed && !self.draining && now >= self.resting_until
+        self.surveyed && self.is_open() && now >= self.resting_until
     }
 
     /// True if it takes a further adapter of a model now.
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -150,6 +150,15 @@
         }
     }
 
+    /// Notes whether a server's data hall is evacuated. Nothing that was wished for there comes.
+    pub fn set_evacuated(&mut self, id: &str, evacuated: bool) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.evacuated = evacuated;
+        if evacuated {
+            self.wishes.retain(|(server, _), _| &**server != id);
+        }
+    }
+
     /// A server is gone.
     pub fn server_gone(&mut self, id: &str) {
         self.servers.remove(id);
@@ -214,7 +223,7 @@
         requests: u16,
     ) -> WishAnswer {
         let Some(server) = self.servers.get_mut(id) else { return WishAnswer::Refused };
-        if server.draining || server.models.is_empty() {
+        if !server.is_open() || server.models.is_empty() {
             return WishAnswer::Refused;
         }
         let version = version.max(self.versions.get(key).copied().unwrap_or(FIRST_VERSION));
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -35,6 +35,8 @@
 pub enum NotRun {
     /// This daemon's share of the server's connections is in use.
     NoConnection,
+    /// The server is to get nothing any more, as became known before the request was written.
+    Closed,
     /// The server could not be reached.
     Unreachable(ExchangeError),
     /// The server turned it away with this status.
@@ -106,7 +108,7 @@
     out
 }
 
-/// Sends a request and reads the head of its answer.
+/// Sends a request and reads the head of its answer. `may_send` is asked once the connection is there.
 pub async fn exchange(
     dialect: &dyn Dialect,
     pool: &Rc<Pool>,
@@ -114,6 +116,7 @@
     most_connections: usize,
     request_id: &str,
     bytes: &[u8],
+    may_send: impl Fn() -> bool,
 ) -> Sent {
     let lent = pool.lend(&backend.id, backend.address, most_connections).await;
     let mut lent = match lent {
@@ -121,6 +124,9 @@
         Err(LendError::Full) => return Sent::NotRun(NotRun::NoConnection),
         Err(LendError::Unreachable(error)) => return Sent::NotRun(NotRun::Unreachable(error)),
     };
+    if !may_send() {
+        return Sent::NotRun(NotRun::Closed);
+    }
     let sent_whole = match lent.connection().send(bytes).await {
         Ok(whole) => whole,
         Err(error) => return Sent::MayHaveRun(error),
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -17,6 +17,7 @@
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::view::FleetView;
 use crate::types::{Clock, Time};
+use prometheus::IntCounter;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,6 +69,8 @@
     /// The loads of servers are known some hundred milliseconds late, as in fleets where not every
     /// heartbeat reaches all.
     pub loads_lag: Cell<bool>,
+    /// Counts requests held back right before they were sent, their servers having closed.
+    pub held_back: IntCounter,
 }
 
 /// What follows after a try.
@@ -225,7 +228,9 @@
         job.progress.timings.sent(now);
         job.charge.may_run();
         let id = &job.request.meta.id;
-        let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
+        // What is known of the server may have changed while a connection was opened.
+        let may_send = || self.view.borrow().may_get(self.clock.now(), &backend.id);
+        let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes, may_send);
         let sent = match self.slow_after(job, now) {
             Some(patience) => match actix_rt::time::timeout(patience, exchanging).await {
                 Ok(sent) => sent,
@@ -313,6 +318,11 @@
         }
         match why {
             NotRun::NoConnection => job.sends -= 1,
+            NotRun::Closed => {
+                job.sends -= 1;
+                choice.ended(SlotEnd::Unreachable);
+                self.held_back.inc();
+            }
             NotRun::Unreachable(_) => {
                 job.sends -= 1;
                 choice.ended(SlotEnd::Unreachable);
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crowding;
 mod demand;
 mod dispatch;
+mod evacuation;
 mod fetches;
 mod following;
 mod history;
