--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -201,6 +201,7 @@
             hall: settings.hall.clone(),
             daemons: Cell::new(1),
             loads_lag: Cell::new(false),
+            held_back: metrics.held_back.clone(),
             is_ordered: is_ordered(clock.clone(), ordering.clone(), orderers.clone()),
         };
         Self {
@@ -278,7 +279,10 @@
             match applied {
                 Ok(changes) => {
                     changed |= !changes.is_empty();
-                    changes.iter().for_each(|change| self.note(now, change, source));
+                    for change in &changes {
+                        self.note(now, change, source);
+                        self.note_evacuation(now, change, source);
+                    }
                 }
                 Err(error) => {
                     log::error!(key = key.as_str(), error:% = error, source = source; "store_item_refused");
@@ -353,6 +357,7 @@
                 planner.named(key, *version);
                 log::info!(adapter = &*key.adapter, version = version, source = source; "adapter_version");
             }
+            ViewChange::HallEvacuated(_) | ViewChange::HallTakenBack(..) => {}
         }
     }
 }
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -7,6 +7,7 @@
 use crate::gateway::admission::RevokedKeys;
 use crate::gateway::choosing::holdings::Holdings;
 use crate::gateway::dialect::{AdapterKey, Dialect, DialectError, Item, ItemKey};
+use crate::gateway::evacuation::halls::{EvacuatedHalls, Evacuation};
 use crate::gateway::news::mirror::Mirrored;
 use crate::gateway::requests::routes::RouteTable;
 use crate::types::Time;
@@ -45,6 +46,10 @@
     },
     /// A newer version of an adapter is named.
     Version(AdapterKey, u64),
+    /// A data hall is evacuated.
+    HallEvacuated(Rc<str>),
+    /// A data hall is not evacuated any more, after this evacuation.
+    HallTakenBack(Rc<str>, Evacuation),
 }
 
 /// The view.
@@ -64,6 +69,8 @@
     pub revoked: RevokedKeys,
     /// Which server holds which adapter.
     pub holdings: Holdings,
+    /// Data halls whose servers get nothing new.
+    pub evacuated: EvacuatedHalls,
 }
 
 impl FleetView {
@@ -113,7 +120,40 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
-        self.backends.values().filter(move |b| &*b.service == service && !b.draining)
+        self.backends.values().filter(move |b| &*b.service == service && self.is_open(b))
+    }
+
+    /// The servers of a data hall.
+    pub fn backends_of<'a>(&'a self, hall: &'a str) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
+        self.backends.values().filter(move |backend| &*backend.hall == hall)
+    }
+
+    /// True if a server takes new work.
+    pub fn is_open(&self, backend: &Backend) -> bool {
+        !backend.draining && !self.is_evacuated(backend)
+    }
+
+    /// True if a server's data hall is evacuated.
+    pub fn is_evacuated(&self, backend: &Backend) -> bool {
+        self.evacuated.has(&backend.hall)
+    }
+
+    /// True if a server of an evacuated data hall may still get what no open server can serve.
+    pub fn is_leaving(&self, now: Time, backend: &Backend) -> bool {
+        !backend.draining && self.evacuated.is_leaving(now, &backend.hall)
+    }
+
+    /// True if a request may be sent to a server at this moment.
+    pub fn may_get(&self, now: Time, id: &str) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|backend| self.is_open(backend) || self.is_leaving(now, backend))
+    }
+
+    /// When an adapter is expected at a server that takes new work, if it is on its way to one.
+    pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
+        let coming = self.holdings.coming_to(now, key);
+        let open = |id: &str| self.backends.get(id).is_none_or(|backend| self.is_open(backend));
+        coming.filter(|(id, _)| open(id)).map(|(_, at)| at).min()
     }
 
     /// The versions of an adapter that may be used now; `None` if nobody named one: it is at the first.
@@ -144,7 +184,11 @@
             Ok(Some(Item::AdapterVersion(key, version))) => {
                 Ok(self.apply_version(learned_at, key, version).into_iter().collect())
             }
-            Ok(Some(Item::EvacuatedHall(_)) | None) => Ok(Vec::new()),
+            Ok(Some(Item::EvacuatedHall(hall))) => {
+                let is_new = self.evacuated.evacuate(&hall);
+                Ok(is_new.then_some(ViewChange::HallEvacuated(hall)).into_iter().collect())
+            }
+            Ok(None) => Ok(Vec::new()),
             Err(error) => match dialect.key(&held.key) {
                 ItemKey::Backend(id) => {
                     self.listed.remove(&id);
@@ -161,10 +205,11 @@
     fn apply_gone(&mut self, key: ItemKey) -> Vec<ViewChange> {
         match key {
             ItemKey::Backend(id) => self.remove_backend(&id),
-            ItemKey::Config
-            | ItemKey::AdapterVersion
-            | ItemKey::EvacuatedHall(_)
-            | ItemKey::Unknown => Vec::new(),
+            ItemKey::EvacuatedHall(hall) => {
+                let before = self.evacuated.take_back(&hall);
+                before.map(|before| ViewChange::HallTakenBack(hall, before)).into_iter().collect()
+            }
+            ItemKey::Config | ItemKey::AdapterVersion | ItemKey::Unknown => Vec::new(),
         }
     }
 
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -56,6 +56,14 @@
     pub servers_born_again: IntCounter,
     /// Entries that name no server to use.
     pub entries_refused: IntGauge,
+    /// Data halls that are evacuated.
+    pub evacuated_halls: IntGauge,
+    /// This daemon's requests that run in evacuated data halls.
+    pub evacuated_running: IntGauge,
+    /// Copies wished for elsewhere of adapters that only evacuated data halls hold.
+    pub evacuation_copies: IntCounter,
+    /// Requests held back right before they were sent, their servers having closed.
+    pub held_back: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -95,6 +103,19 @@
                 .counter("servers_born_again_total", "Servers that started again under their id"),
             entries_refused: made
                 .gauge("server_entries_refused", "Entries that name no server to use"),
+            evacuated_halls: made.gauge("evacuated_halls", "Data halls that are evacuated"),
+            evacuated_running: made.gauge(
+                "evacuated_requests_running",
+                "Requests of this daemon that run in evacuated data halls",
+            ),
+            evacuation_copies: made.counter(
+                "evacuation_copies_total",
+                "Copies wished for of adapters that only evacuated data halls hold",
+            ),
+            held_back: made.counter(
+                "held_back_requests_total",
+                "Requests held back right before they were sent to a server that has closed",
+            ),
             named: RefCell::default(),
             registry,
         }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod dialect;
 mod dispatch;
+mod evacuation;
 mod fleet;
 mod logging;
 mod metrics;
@@ -47,6 +48,7 @@
     Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
     SlotOrder, Slots,
 };
+pub use evacuation::halls::{EvacuatedHalls, Evacuation};
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel, life_mark};
 pub use fleet::coldness::Coldness;
 pub use fleet::config::{
@@ -80,6 +82,7 @@
     CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink,
 };
 pub use requests::events::EventSplitter;
+pub use requests::exchange::{Exchange, NotRun, Sent, exchange};
 pub use requests::job::{Progress, RequestEnd, Served};
 pub use requests::path::RequestPath;
 pub use requests::retries::{RetryBounds, ServiceRetries};
