--- a/crates/portrack-bench/src/adapters/gateway.rs
+++ b/crates/portrack-bench/src/adapters/gateway.rs
@@ -179,6 +179,7 @@
                 slots: SLOTS,
                 cost: servers.running(n) as f64,
                 at_hand: false,
+                is_near: true,
             })
             .collect();
         if let Some(server) = home(&key(request.adapter), &homes) {
--- /dev/null
+++ b/crates/portrack/src/gateway/choosing/candidates.rs
@@ -0,0 +1,54 @@
+//! Which servers a request may be given at all: every choice, wish and dispatch begins here.
+
+use super::load::server_mark;
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::view::FleetView;
+use crate::gateway::requests::caller::{RefusalReason, Refused};
+use crate::gateway::requests::job::Job;
+use crate::gateway::requests::path::RequestPath;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When to come back while no server is left in the regions that a request may be served in.
+const NO_ALLOWED_RETRY: Duration = Duration::from_millis(1_000);
+
+impl RequestPath {
+    /// True if a server is one that may serve a request, at its first send and at every other one.
+    pub(in crate::gateway) fn may_serve(&self, job: &Job<'_>, backend: &Backend) -> bool {
+        let regions = self.place.regions();
+        backend.service == job.service.name && job.region_bounds().permit(regions, &backend.hall)
+    }
+
+    /// The servers that take new work and may serve a request.
+    pub(in crate::gateway) fn candidates<'a>(
+        &'a self,
+        view: &'a FleetView,
+        job: &'a Job<'a>,
+    ) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
+        let open = view.open_backends(&job.service.name);
+        open.filter(move |backend| self.may_serve(job, backend))
+    }
+
+    /// The servers that a dispatcher must not give a request, by their marks: those that have failed it,
+    /// and those that may not serve it.
+    pub(in crate::gateway) fn barred(&self, job: &Job<'_>) -> Vec<u32> {
+        let view = self.view.borrow();
+        let tried = job.tried.iter().map(|id| server_mark(id));
+        let open = view.open_backends(&job.service.name);
+        let outside = open.filter(|backend| !self.may_serve(job, backend));
+        tried.chain(outside.map(|backend| server_mark(&backend.id))).collect()
+    }
+
+    /// Refuses a request that is bound to regions in which no server can be reached.
+    pub(in crate::gateway) fn look_for_allowed(&self, job: &Job<'_>) -> Result<(), Refused> {
+        if !job.region_bounds().bind() {
+            return Ok(());
+        }
+        let view = self.view.borrow();
+        let mut candidates = self.candidates(&view, job);
+        match candidates.any(|backend| !self.loads.is_hall_silent(&backend.hall)) {
+            true => Ok(()),
+            false => Err(Refused::new(RefusalReason::NoAllowedServer, Some(NO_ALLOWED_RETRY))),
+        }
+    }
+}
--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -1,12 +1,12 @@
 //! Which server takes a request.
 
+use super::crowding::is_crowded;
 use super::load::LoadTable;
 use crate::gateway::fleet::backend::Backend;
+use crate::gateway::regions::place::Place;
 use crate::types::Time;
 use std::rc::Rc;
 
-/// What a server in another data hall costs, in requests waiting.
-const OTHER_HALL: f64 = 1.0;
 /// What a server that fails every request costs, in requests waiting.
 const ALL_FAIL: f64 = 40.0;
 /// Prompt tokens that weigh as much as one running request.
@@ -17,14 +17,12 @@
 const UNREACHABLE: f64 = 10_000.0;
 
 /// What a request would cost at a server, in requests waiting there.
-pub fn cost(now: Time, loads: &LoadTable, hall: &str, backend: &Backend) -> f64 {
+pub fn cost(now: Time, loads: &LoadTable, place: &Place, backend: &Backend) -> f64 {
     let work = loads.work(now, &backend.id);
     let mut cost = f64::from(work.requests);
     cost += f64::from(work.waiting_tokens) / TOKENS_A_REQUEST;
     cost += loads.failure_rate(now, &backend.id) * ALL_FAIL;
-    if &*backend.hall != hall {
-        cost += OTHER_HALL;
-    }
+    cost += place.way(&backend.hall);
     if loads.is_silent(now, &backend.id) || loads.is_hall_silent(&backend.hall) {
         cost += SILENT;
     }
@@ -49,23 +47,56 @@
     Some([first as usize, second as usize])
 }
 
-/// The place to take among candidates with these costs, the cheapest first: the better of two that a
-/// request's id chooses among those that are not in trouble, or the first if all are.
-pub(in crate::gateway) fn better_of_two(id: &str, costs: impl Iterator<Item = f64>) -> usize {
-    let sound = costs.take_while(|cost| *cost < SILENT).count();
-    two_of(id, sound).map_or(0, |[first, second]| first.min(second))
+/// What is weighed of one candidate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Offer {
+    /// What the request would cost there.
+    pub cost: f64,
+    /// It is of this daemon's region.
+    pub is_near: bool,
+    /// Requests begin to slow each other down there.
+    pub is_crowded: bool,
+}
+
+impl Offer {
+    /// A server at this cost.
+    pub fn new(cost: f64, place: &Place, backend: &Backend) -> Self {
+        let is_crowded = is_crowded(backend.slots, cost);
+        Self { cost, is_near: !place.is_far(&backend.hall), is_crowded }
+    }
+
+    fn is_sound(&self) -> bool {
+        self.cost < SILENT
+    }
+}
+
+/// The place to take among candidates that come with the cheapest first: the better of two that a
+/// request's id chooses among those that are not in trouble, or the first if all are. Where some are of
+/// other regions, those of this one are taken while any of them is not crowded.
+pub fn better_of_two(id: &str, offers: &[Offer]) -> usize {
+    let places = |fits: &dyn Fn(&Offer) -> bool| -> Vec<usize> {
+        let fitting = offers.iter().enumerate().filter(|(_, offer)| fits(offer));
+        fitting.map(|(place, _)| place).collect()
+    };
+    let sound = places(&Offer::is_sound);
+    let near = match sound.iter().all(|place| offers[*place].is_near) {
+        true => Vec::new(),
+        false => places(&|offer| offer.is_sound() && offer.is_near && !offer.is_crowded),
+    };
+    let among = if near.is_empty() { sound } else { near };
+    two_of(id, among.len()).map_or(0, |[first, second]| among[first.min(second)])
 }
 
 /// The cheapest server of those not tried yet.
 pub fn cheapest<'a>(
     now: Time,
     loads: &LoadTable,
-    hall: &str,
+    place: &Place,
     tried: &[Rc<str>],
     backends: impl Iterator<Item = &'a Rc<Backend>>,
 ) -> Option<Rc<Backend>> {
     let untried = backends.filter(|backend| !tried.contains(&backend.id));
-    let costed = untried.map(|backend| (cost(now, loads, hall, backend), backend));
+    let costed = untried.map(|backend| (cost(now, loads, place, backend), backend));
     let best = costed.min_by(|(a, _), (b, _)| a.total_cmp(b));
     best.map(|(_, backend)| backend.clone())
 }
@@ -77,15 +108,16 @@
 pub fn cheaper_of_two<'a>(
     now: Time,
     loads: &LoadTable,
-    hall: &str,
+    place: &Place,
     id: &str,
     tried: &[Rc<str>],
     backends: impl Iterator<Item = &'a Rc<Backend>>,
 ) -> Option<Rc<Backend>> {
     let untried = backends.filter(|backend| !tried.contains(&backend.id));
     let mut costed: Vec<_> =
-        untried.map(|backend| (cost(now, loads, hall, backend), backend)).collect();
+        untried.map(|backend| (cost(now, loads, place, backend), backend)).collect();
     costed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    let at = better_of_two(id, costed.iter().map(|(cost, _)| *cost));
-    costed.get(at).map(|(_, backend)| (*backend).clone())
+    let offers: Vec<Offer> =
+        costed.iter().map(|(cost, backend)| Offer::new(*cost, place, backend)).collect();
+    costed.get(better_of_two(id, &offers)).map(|(_, backend)| (*backend).clone())
 }
--- a/crates/portrack/src/gateway/choosing/crowding.rs
+++ b/crates/portrack/src/gateway/choosing/crowding.rs
@@ -16,6 +16,17 @@
 /// A later home is taken only if it is idler by this share of the slots.
 const HOME_IDLER_SHARE: f64 = 0.4;
 
+/// Requests of the last seconds, fading, that this daemon must have seen for an adapter that only the
+/// other region holds: what one of a region's daemons is asked for twice, its others are asked for as
+/// well, and a copy spares all of them the way.
+const LEAST_ASKS_FROM_AFAR: f64 = 1.5;
+
+/// True if an adapter that was asked for `asks` times lately is worth a copy in this region beside the
+/// one in another.
+pub fn near_copy_pays(asks: f64) -> bool {
+    asks >= LEAST_ASKS_FROM_AFAR
+}
+
 /// True if a server with `cost` requests waiting is crowded.
 pub fn is_crowded(slots: usize, cost: f64) -> bool {
     cost > slots as f64 * CROWDED_SHARE
--- a/crates/portrack/src/gateway/choosing/homes.rs
+++ b/crates/portrack/src/gateway/choosing/homes.rs
@@ -23,32 +23,37 @@
     pub cost: f64,
     /// It held the adapter before and has it at hand: no fetch is needed.
     pub at_hand: bool,
+    /// It is of the region that asks.
+    pub is_near: bool,
 }
 
 impl Home {
-    /// What loading an adapter here costs if this is the server of a rank in its rendezvous order;
-    /// `None` if it is not to be loaded here.
-    fn load_cost(&self, rank: usize) -> Option<f64> {
+    /// What loading an adapter here costs if this is the server of a rank in its rendezvous order, or of
+    /// none; `None` if it is not to be loaded here.
+    fn load_cost(&self, rank: Option<usize>) -> Option<f64> {
         if self.at_hand {
             return Some(self.cost - FETCH_COST);
         }
-        match rank {
+        match rank? {
             0 => Some(self.cost),
-            _ if rank < CHOICES => Some(self.cost + home_margin(self.slots)),
+            rank if rank < CHOICES => Some(self.cost + home_margin(self.slots)),
             _ => None,
         }
     }
 }
 
 /// The home of an adapter: the first in its rendezvous order, unless that is much busier than the
-/// next one, or a server that has the adapter at hand is not much busier.
+/// next one, or a server that has the adapter at hand is not much busier. The order is of the servers of
+/// the region that asks, if it has any: a fetch costs the same there, and the way is spared.
 pub fn home(key: &AdapterKey, open: &[Home]) -> Option<Rc<str>> {
-    let order = ranked(&key.adapter, open.iter().map(|home| &*home.server));
+    let any_near = open.iter().any(|home| home.is_near);
+    let ranking = open.iter().filter(|home| home.is_near || !any_near);
+    let order = ranked(&key.adapter, ranking.map(|home| &*home.server));
     let ranks: HashMap<&str, usize> =
         order.into_iter().enumerate().map(|(rank, server)| (server, rank)).collect();
     let costed = open.iter().filter_map(|home| {
-        let rank = *ranks.get(&*home.server)?;
-        Some((home.load_cost(rank)?, rank, home))
+        let rank = ranks.get(&*home.server).copied();
+        Some((home.load_cost(rank)?, rank.unwrap_or(open.len()), home))
     });
     let best = costed.min_by(|(a, x, _), (b, y, _)| a.total_cmp(b).then(x.cmp(y)));
     best.map(|(_, _, home)| home.server.clone())
--- a/crates/portrack/src/gateway/choosing/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -8,6 +8,7 @@
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::dialect::AdapterKey;
 use crate::gateway::fleet::message::{PeerMessage, ServerLoad};
+use crate::gateway::fleet::view::FleetView;
 use crate::types::Time;
 use futures_util::future::join_all;
 use std::collections::HashMap;
@@ -112,6 +113,8 @@
         let view = self.path.view.borrow();
         let newest = view.newest_version(key);
         let mut all = view.holdings.holders(now, key);
+        // Daemons of other regions use holders of their own, if they have any.
+        all.retain(|(id, _)| self.share_region(&view, id, server));
         all.sort();
         let (_, mine) = all.iter().find(|(id, _)| id == server)?;
         let is_current = |version: &u64| *version >= newest;
@@ -129,12 +132,19 @@
         Some((demand, newest))
     }
 
-    /// The servers of the same service that could take a replica, the idlest first.
+    fn share_region(&self, view: &FleetView, one: &str, other: &str) -> bool {
+        let regions = self.path.place.regions();
+        let region = |id: &str| view.backend(id).map(|backend| regions.serving(&backend.hall));
+        !regions.are_many() || region(one) == region(other)
+    }
+
+    /// The servers of the same service that could take a replica: those of this region first, the idlest
+    /// first.
     fn idle_servers(&self, now: Time, server: &Rc<str>, key: &AdapterKey) -> Vec<Rc<str>> {
         let view = self.path.view.borrow();
         let Some(backend) = view.backend(server) else { return Vec::new() };
         let holders = view.holdings.holders(now, key);
-        let mut idle: Vec<(u32, Rc<str>)> = view
+        let mut idle: Vec<(bool, u32, Rc<str>)> = view
             .open_backends(&backend.service)
             .filter(|other| other.model(&key.model).is_some())
             .filter(|other| !holders.iter().any(|(id, _)| *id == other.id))
@@ -143,9 +153,9 @@
             .map(|other| (self.path.loads.work(now, &other.id).requests, other))
             .filter(|(load, other)| is_idle(other.slots, *load))
             .filter(|(_, other)| (self.path.is_ordered)(&other.id))
-            .map(|(load, other)| (load, other.id.clone()))
+            .map(|(load, other)| (self.path.place.is_far(&other.hall), load, other.id.clone()))
             .collect();
         idle.sort();
-        idle.into_iter().map(|(_, id)| id).collect()
+        idle.into_iter().map(|(_, _, id)| id).collect()
     }
 }
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -1,7 +1,7 @@
 //! Chooses the server of a request, and waits for its adapter where that is worth it.
 
-use super::choose::{better_of_two, cheaper_of_two, cheapest, cost};
-use super::crowding::{copy_pays, is_crowded};
+use super::choose::{Offer, better_of_two, cheaper_of_two, cheapest, cost};
+use super::crowding::{copy_pays, is_crowded, near_copy_pays};
 use super::demand::Wish;
 use super::homes::{Home, home};
 use super::load::server_mark;
@@ -10,7 +10,7 @@
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::Route;
 use crate::gateway::fleet::versions::{UsableVersions, VersionChoice};
-use crate::gateway::fleet::view::FIRST_VERSION;
+use crate::gateway::fleet::view::{FIRST_VERSION, FleetView};
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::gateway::requests::job::{Choice, Job};
 use crate::gateway::requests::path::RequestPath;
@@ -42,6 +42,7 @@
 impl RequestPath {
     /// A server for the next try.
     pub(in crate::gateway) async fn choose(&self, job: &Job<'_>) -> Result<Choice, Refused> {
+        self.look_for_allowed(job)?;
         if job.model().is_none() {
             return self.choose_plain(job).await;
         }
@@ -56,7 +57,7 @@
     async fn choose_plain(&self, job: &Job<'_>) -> Result<Choice, Refused> {
         let slot = self.slots.take(&job.service.name, self.slot_need(job)).await?;
         let view = self.view.borrow();
-        let mut open = view.open_backends(&job.service.name);
+        let mut open = self.candidates(&view, job);
         if let Some(slot) = slot {
             let granted = open.find(|backend| server_mark(&backend.id) == slot.server);
             if let Some(backend) = granted.filter(|backend| !job.tried.contains(&backend.id)) {
@@ -64,8 +65,7 @@
                 return Ok(Choice { backend, adapter_version: None, slot: Some(slot) });
             }
         }
-        let open = view.open_backends(&job.service.name);
-        self.best(job, open).ok_or_else(no_server)
+        self.best(job, self.candidates(&view, job)).ok_or_else(no_server)
     }
 
     fn slot_need(&self, job: &Job<'_>) -> SlotNeed {
@@ -77,14 +77,14 @@
         SlotNeed {
             organisation: job.admitted.organisation.as_ref().map(|all| all.mark()),
             left,
-            tried: job.tried.iter().map(|id| server_mark(id)).collect(),
+            tried: self.barred(job),
         }
     }
 
     fn choose_base(&self, job: &Job<'_>) -> Result<Choice, Refused> {
         let view = self.view.borrow();
         let model = job.model().map(|model| model.model.clone()).unwrap_or_default();
-        let open = view.open_backends(&job.service.name);
+        let open = self.candidates(&view, job);
         let holding = open.filter(|backend| backend.model(&model).is_some());
         self.best(job, holding).ok_or_else(no_server)
     }
@@ -97,9 +97,10 @@
         let now = self.clock.now();
         let backend = match self.loads_lag.get() {
             true => {
-                cheaper_of_two(now, &self.loads, &self.hall, &job.request.meta.id, &job.tried, open)
+                let id = &job.request.meta.id;
+                cheaper_of_two(now, &self.loads, &self.place, id, &job.tried, open)
             }
-            false => cheapest(now, &self.loads, &self.hall, &job.tried, open),
+            false => cheapest(now, &self.loads, &self.place, &job.tried, open),
         }?;
         Some(Choice { backend, adapter_version: None, slot: None })
     }
@@ -123,7 +124,7 @@
                 missed = true;
                 self.demand.missed(key);
             }
-            self.wish(job, key);
+            self.wish(job, key, Where::Anywhere);
             let now = self.clock.now();
             let expected = self.view.borrow().holdings.expected(now, key);
             self.note_adapter(job, now, expected);
@@ -153,7 +154,7 @@
     }
 
     /// Wishes for an adapter at its home, if some daemon may order a server for it.
-    fn wish(&self, job: &Job<'_>, key: &AdapterKey) {
+    fn wish(&self, job: &Job<'_>, key: &AdapterKey, at: Where) {
         let now = self.clock.now();
         let view = self.view.borrow();
         if view.holdings.expected(now, key).is_some() {
@@ -161,30 +162,44 @@
         }
         let version = view.newest_version(key);
         let outdated = view.holdings.holders(now, key);
-        let open = view.open_backends(&job.service.name).filter(|backend| {
+        let open = self.candidates(&view, job).filter(|backend| {
+            let here = at == Where::Anywhere || !self.place.is_far(&backend.hall);
             let holds = backend.model(&key.model).is_some();
             let old = outdated.iter().any(|(id, _)| *id == backend.id);
             let refused = view.holdings.is_refused(now, key, &backend.id);
             let cut = self.loads.is_hall_silent(&backend.hall);
-            holds && !old && !refused && !cut && (self.is_ordered)(&backend.id)
+            here && holds && !old && !refused && !cut && (self.is_ordered)(&backend.id)
         });
         let homes: Vec<Home> = open
             .map(|backend| Home {
                 server: backend.id.clone(),
                 slots: backend.slots,
-                cost: cost(now, &self.loads, &self.hall, backend),
+                cost: cost(now, &self.loads, &self.place, backend),
+                is_near: !self.place.is_far(&backend.hall),
                 at_hand: view.holdings.is_at_hand(key, &backend.id, version),
             })
             .collect();
-        let server = home(key, &homes).or_else(|| self.replaceable(&outdated));
+        let replaceable = || match at {
+            Where::Anywhere => self.replaceable(job, &view, &outdated),
+            Where::Near => None,
+        };
+        let server = home(key, &homes).or_else(replaceable);
         if let Some(server) = server {
             self.demand.wish(now, Wish { server, key: key.clone(), version, requests: 0 });
         }
     }
 
     /// A server that holds an older version, for an adapter that has no other home.
-    fn replaceable(&self, outdated: &[(Rc<str>, u64)]) -> Option<Rc<str>> {
-        let ordered = outdated.iter().find(|(id, _)| (self.is_ordered)(id));
+    fn replaceable(
+        &self,
+        job: &Job<'_>,
+        view: &FleetView,
+        outdated: &[(Rc<str>, u64)],
+    ) -> Option<Rc<str>> {
+        let may_serve =
+            |id: &str| view.backend(id).is_none_or(|backend| self.may_serve(job, backend));
+        let mut ordered = outdated.iter();
+        let ordered = ordered.find(|(id, _)| (self.is_ordered)(id) && may_serve(id));
         ordered.map(|(id, _)| id.clone())
     }
 
@@ -198,20 +213,22 @@
         let (current, outdated) = self.holders(job, key, newest);
         let id = &job.request.meta.id;
         let lag = self.loads_lag.get();
-        let best = spread(id, &current, lag);
+        let best = self.spread(id, &current, lag);
         let crowded = best.is_none_or(|best| is_crowded(best.backend.slots, best.cost));
         // An older version must not begin late: a request for it goes only where it need not wait.
         let older = outdated.iter().filter(|old| old.version >= oldest);
         let older = older.filter(|old| !is_crowded(old.backend.slots, old.cost));
         let older: Vec<Holder> = older.filter(|_| crowded).cloned().collect();
-        if let Some(old) = spread(id, &older, lag) {
+        if let Some(old) = self.spread(id, &older, lag) {
             self.demand.missed(key);
-            self.wish(job, key);
+            self.wish(job, key, Where::Anywhere);
             return Some(chosen(job, old, usable));
         }
         let best = best?;
         if self.needs_copy(job, key, best.backend.slots, best.cost) {
-            self.wish(job, key);
+            self.wish(job, key, Where::Anywhere);
+        } else if self.needs_near_copy(key, &current) {
+            self.wish(job, key, Where::Near);
         }
         Some(chosen(job, best, usable))
     }
@@ -225,8 +242,8 @@
         let untried = holders.filter_map(|(id, version)| {
             let backend = view.backend(&id)?;
             let cut = self.loads.is_hall_silent(&backend.hall);
-            let open = !backend.draining && !cut && backend.service == job.service.name;
-            let cost = cost(now, &self.loads, &self.hall, backend);
+            let open = !backend.draining && !cut && self.may_serve(job, backend);
+            let cost = cost(now, &self.loads, &self.place, backend);
             let holder = Holder { backend: backend.clone(), cost, version };
             (open && !job.tried.contains(&backend.id)).then_some(holder)
         });
@@ -242,19 +259,34 @@
         }
         let now = self.clock.now();
         let view = self.view.borrow();
-        let open = view.open_backends(&job.service.name);
-        let costs = open.map(|backend| cost(now, &self.loads, &self.hall, backend));
+        let open = self.candidates(&view, job);
+        let costs = open.map(|backend| cost(now, &self.loads, &self.place, backend));
         let idlest = costs.fold(f64::MAX, f64::min);
         copy_pays(slots, cost_here, idlest, self.demand.asks(now, key))
     }
 
+    /// True if only servers of other regions hold an adapter that is asked for again and again here.
+    fn needs_near_copy(&self, key: &AdapterKey, holders: &[Holder]) -> bool {
+        let far = holders.iter().all(|holder| self.place.is_far(&holder.backend.hall));
+        far && near_copy_pays(self.demand.asks(self.clock.now(), key))
+    }
+
+    /// The first of some holders, which come with the cheapest first; where loads are known late, the
+    /// better of two that are chosen at random among those that are not in trouble.
+    fn spread<'a>(&self, id: &str, holders: &'a [Holder], loads_lag: bool) -> Option<&'a Holder> {
+        let offer = |holder: &Holder| Offer::new(holder.cost, &self.place, &holder.backend);
+        let offers = || holders.iter().map(offer).collect::<Vec<Offer>>();
+        let at = if loads_lag { better_of_two(id, &offers()) } else { 0 };
+        holders.get(at)
+    }
+
     /// True if a server is left that was not tried.
     pub(in crate::gateway) fn has_untried(&self, job: &Job<'_>) -> bool {
         match job.adapter() {
             Some(_) if job.model().is_some() => true,
             _ => {
                 let view = self.view.borrow();
-                let mut open = view.open_backends(&job.service.name);
+                let mut open = self.candidates(&view, job);
                 open.any(|backend| !job.tried.contains(&backend.id))
             }
         }
@@ -270,6 +302,15 @@
     }
 }
 
+/// Where an adapter is wished for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Where {
+    /// At its home.
+    Anywhere,
+    /// At its home in this region, beside copies in others.
+    Near,
+}
+
 /// A server that holds an adapter.
 #[derive(Debug, Clone)]
 struct Holder {
@@ -287,14 +328,6 @@
     Choice { backend: holder.backend.clone(), adapter_version: version.demanded(), slot: None }
 }
 
-/// The first of some holders, which come with the cheapest first; where loads are known late, the
-/// better of two that are chosen at random among those that are not in trouble.
-fn spread<'a>(id: &str, holders: &'a [Holder], loads_lag: bool) -> Option<&'a Holder> {
-    let costs = holders.iter().map(|holder| holder.cost);
-    let at = if loads_lag { better_of_two(id, costs) } else { 0 };
-    holders.get(at)
-}
-
 /// How long a request may wait for its adapter before its caller gives up.
 fn patience(route: &Route) -> Duration {
     let gaps = route.gap_objective.unwrap_or_default() * 8;
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -18,6 +18,8 @@
 use crate::gateway::orders::orderers::Orderers;
 use crate::gateway::orders::ordering::Ordering;
 use crate::gateway::orders::vacancies::Vacancies;
+use crate::gateway::regions::place::Place;
+use crate::gateway::regions::traffic::RegionTraffic;
 use crate::gateway::requests::path::RequestPath;
 use crate::gateway::requests::retries::{RetryBounds, ServiceRetries};
 use crate::gateway::settings::GatewaySettings;
@@ -127,15 +129,18 @@
         );
         let member_port = settings.members.port();
         let seeds = settings.seeds.iter().map(|seed| (seed.ip(), member_port).into()).collect();
-        let peers =
-            Rc::new(RefCell::new(Peers::new(settings.members, settings.limits.capacity(), seeds)));
+        let peers = Peers::new(settings.members, settings.limits.capacity(), seeds);
+        let peers = Rc::new(RefCell::new(peers.with_regions(settings.regions())));
+        let place = Rc::new(Place::new(&settings.hall, settings.regions()));
+        let traffic = Rc::new(RegionTraffic::new(place.clone(), metrics.region_bytes.clone()));
         let node: Rc<str> = settings.node.as_str().into();
         let records = Rc::new(RefCell::default());
         let orderers = Orderers { peers: peers.clone(), records: records.clone() };
         let ordering = Rc::new(Ordering::new(clock.clone(), dialect.clone(), node, claims));
         let started_at = clock.now();
         let view = Rc::new(RefCell::new(FleetView::default()));
-        let messenger = Rc::new(Messenger::new(socket, metrics.peer_bytes.clone()));
+        let messenger =
+            Rc::new(Messenger::new(socket, metrics.peer_bytes.clone(), traffic.clone()));
         let me = settings.as_daemon();
         let daemons_up = Rc::new(RefCell::new(Daemons::new(vec![me.clone()])));
         let quotas = Quotas::new(
@@ -154,6 +159,7 @@
             loads.clone(),
             messenger.clone(),
             me,
+            place.clone(),
             daemons_up.clone(),
         );
         let path = RequestPath {
@@ -174,7 +180,8 @@
             pool: Rc::new(Pool::default()),
             retries: RefCell::new(retries),
             demand: Rc::new(DemandLog::default()),
-            hall: settings.hall.clone(),
+            place,
+            traffic,
             daemons: Cell::new(1),
             loads_lag: Cell::new(false),
             is_ordered: is_ordered(clock.clone(), ordering.clone(), orderers.clone()),
--- a/crates/portrack/src/gateway/dispatch/mod.rs
+++ b/crates/portrack/src/gateway/dispatch/mod.rs
@@ -1,5 +1,5 @@
-//! Choosing the server of a request of a small service: one daemon for the whole service knows which
-//! slots are taken.
+//! Choosing the server of a request of a small service: one daemon of each region knows which slots of
+//! its servers are taken.
 //!
 //! In come requests for a slot, how the requests at the servers ended, and which servers there are; out
 //! go a server, a wait of bounded length, or a refusal with the time to come back. A server must never
@@ -8,6 +8,8 @@
 
 mod dispatcher;
 mod slots;
+mod whom;
 
 pub use dispatcher::{AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
 pub use slots::{SlotGuard, SlotMessage, SlotNeed, Slots};
+pub use whom::{Whom, dispatchers};
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -1,6 +1,7 @@
 //! Asks the dispatcher of a service on behalf of requests, and is it for other daemons.
 
 use super::dispatcher::{AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
+use super::whom::{Whom, dispatchers};
 use crate::gateway::admission::OrganisationMark;
 use crate::gateway::choosing::load::{LoadTable, server_mark};
 use crate::gateway::fleet::backend::Backend;
@@ -8,6 +9,7 @@
 use crate::gateway::fleet::message::PeerMessage;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::fleet::view::FleetView;
+use crate::gateway::regions::place::Place;
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::types::Clock;
 use serde::{Deserialize, Serialize};
@@ -55,6 +57,7 @@
     loads: Rc<LoadTable>,
     messenger: Rc<Messenger>,
     me: DaemonAt,
+    place: Rc<Place>,
     daemons: Rc<RefCell<Daemons>>,
     dispatchers: RefCell<HashMap<u32, Dispatcher>>,
     waiting: RefCell<HashMap<u32, UnboundedSender<SlotAnswer>>>,
@@ -70,6 +73,7 @@
         loads: Rc<LoadTable>,
         messenger: Rc<Messenger>,
         me: DaemonAt,
+        place: Rc<Place>,
         daemons: Rc<RefCell<Daemons>>,
     ) -> Self {
         Self {
@@ -78,6 +82,7 @@
             loads,
             messenger,
             me,
+            place,
             daemons,
             dispatchers: RefCell::default(),
             waiting: RefCell::default(),
@@ -86,35 +91,71 @@
         }
     }
 
-    /// The servers of a service that take work, if it is small enough for a dispatcher.
-    fn servers(&self, service: u32) -> Option<Vec<ServerSlots>> {
+    /// The servers of a service that take work, if it is small enough for a dispatcher, with their halls.
+    fn servers(&self, service: u32) -> Option<Vec<(Rc<str>, ServerSlots)>> {
         let view = self.view.borrow();
         let name = view.config()?.services.keys().find(|name| server_mark(name) == service)?;
         let open = view.open_backends(name);
-        let servers: Vec<ServerSlots> = open.map(|backend| slots_of(backend)).collect();
-        let all: usize = servers.iter().map(|server| server.slots).sum();
+        let servers: Vec<_> =
+            open.map(|backend| (backend.hall.clone(), slots_of(backend))).collect();
+        let all: usize = servers.iter().map(|(_, server)| server.slots).sum();
         (1..=MOST_SLOTS).contains(&all).then_some(servers)
     }
 
-    fn dispatcher(&self, service: u32) -> Option<SocketAddr> {
+    /// Those whose slots this daemon gives out if it is asked: the ones of its region.
+    fn dispatched(&self, service: u32) -> Option<Vec<ServerSlots>> {
+        let regions = self.place.regions();
+        let ours = |hall: &str| !regions.are_many() || regions.serving(hall) == regions.own();
+        let servers = self.servers(service)?.into_iter();
+        Some(servers.filter(|(hall, _)| ours(hall)).map(|(_, server)| server).collect())
+    }
+
+    /// Whom to ask for a slot at a server that is not among `tried`; `None` for a service that has no
+    /// dispatchers.
+    fn whom(&self, service: u32, tried: &[u32]) -> Option<Vec<Whom>> {
+        let servers = self.servers(service)?.into_iter();
+        let left = servers.filter(|(_, server)| !tried.contains(&server.server));
+        let halls: Vec<Rc<str>> = left.map(|(hall, _)| hall).collect();
         let now = self.clock.now();
-        self.daemons.borrow().first(service.into(), |daemon| {
+        let fits = |daemon: &DaemonAt| {
             !self.shunned.holds(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
-        })
+        };
+        Some(dispatchers(service.into(), &self.place, &self.daemons.borrow(), &halls, fits))
     }
 
     /// A slot for a request: `Ok(None)` if the service has no dispatcher that answers, and the daemon
-    /// has to choose by itself.
+    /// has to choose by itself. Where one region refuses, the next is asked while there is time.
     pub async fn take(
         self: &Rc<Self>,
         service: &str,
         need: SlotNeed,
     ) -> Result<Option<SlotGuard>, Refused> {
         let service = server_mark(service);
-        if self.servers(service).is_none() {
-            return Ok(None);
+        let began = self.clock.now();
+        let mut refused = None;
+        for whom in self.whom(service, &need.tried).unwrap_or_default() {
+            let passed = self.clock.now().since(began);
+            let left = need.left.saturating_sub(passed + whom.way);
+            if refused.is_some() && left.is_zero() {
+                break;
+            }
+            match self.ask(whom, service, SlotNeed { left, ..need.clone() }).await {
+                Ok(slot) => return Ok(slot),
+                Err(refusal) => {
+                    refused.get_or_insert(refusal);
+                }
+            }
         }
-        let Some(dispatcher) = self.dispatcher(service) else { return Ok(None) };
+        refused.map_or(Ok(None), Err)
+    }
+
+    async fn ask(
+        self: &Rc<Self>,
+        whom: Whom,
+        service: u32,
+        need: SlotNeed,
+    ) -> Result<Option<SlotGuard>, Refused> {
+        let Whom { dispatcher, way } = whom;
         let ask = self.asked.get().wrapping_add(1);
         self.asked.set(ask);
         let left_ms = u32::try_from(need.left.as_millis()).unwrap_or(u32::MAX);
@@ -132,7 +173,7 @@
             end: Cell::new(Some(SlotEnd::Answered)),
         };
         self.send(dispatcher, SlotMessage::Ask(question));
-        match last_answer(&mut answers, left).await {
+        match last_answer(&mut answers, way, left).await {
             Some(SlotAnswer::Granted(server)) => {
                 guard.server = server;
                 Ok(Some(guard))
@@ -164,7 +205,7 @@
         match message {
             SlotMessage::Ask(ask) => {
                 // Who does not know the servers leaves the asking daemon to itself.
-                let Some(servers) = self.servers(ask.service) else { return };
+                let Some(servers) = self.dispatched(ask.service) else { return };
                 let orders = {
                     let mut dispatchers = self.dispatchers.borrow_mut();
                     let dispatcher = dispatchers.entry(ask.service).or_default();
@@ -210,13 +251,15 @@
 /// What a dispatcher says in the end; `None` if it falls silent.
 async fn last_answer(
     answers: &mut UnboundedReceiver<SlotAnswer>,
+    way: Duration,
     left: Duration,
 ) -> Option<SlotAnswer> {
-    let first = actix_rt::time::timeout(ANSWER_PATIENCE, answers.recv()).await.ok()??;
+    let patience = ANSWER_PATIENCE + way;
+    let first = actix_rt::time::timeout(patience, answers.recv()).await.ok()??;
     if first != SlotAnswer::Waits {
         return Some(first);
     }
-    actix_rt::time::timeout(left + ANSWER_PATIENCE, answers.recv()).await.ok()?
+    actix_rt::time::timeout(left + patience, answers.recv()).await.ok()?
 }
 
 fn slots_of(backend: &Backend) -> ServerSlots {
--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -47,6 +47,11 @@
         Self(all)
     }
 
+    /// All of them.
+    pub fn all(&self) -> impl Iterator<Item = &DaemonAt> {
+        self.0.iter()
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.0.len()
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -5,6 +5,7 @@
 use super::peers::{BEAT, PeerChange};
 use crate::gateway::choosing::load::server_mark;
 use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::regions::silence::log_change;
 use crate::types::Time;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -73,7 +74,9 @@
         self.look_at_halls(now);
         self.ordering.planner.borrow_mut().daemons(up + 1);
         self.metrics.peers_up.set(up as i64);
-        self.path.daemons_up.replace(self.daemons_that_stay(now));
+        let daemons = self.daemons_that_stay(now);
+        self.path.traffic.set_daemons(&daemons);
+        self.path.daemons_up.replace(daemons);
     }
 
     /// The daemons that may do duties for others, this one included.
@@ -93,6 +96,7 @@
         let before = self.path.loads.silent_halls();
         if silent != before {
             log::warn!(halls:? = silent, before:? = before; "silent_halls");
+            log_change(self.path.place.regions(), &before, &silent);
             self.path.loads.set_silent_halls(silent);
         }
     }
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -32,6 +32,22 @@
     Slots(SlotMessage),
 }
 
+impl PeerMessage {
+    /// The kind of message, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeats",
+            Self::Wishes(_) => "wishes",
+            Self::Uses(_) => "uses",
+            Self::Placement(_) => "notices",
+            Self::Loads(_) => "loads",
+            Self::Known(_) => "known",
+            Self::Quota(_) => "quotas",
+            Self::Slots(_) => "slots",
+        }
+    }
+}
+
 /// A sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/crates/portrack/src/gateway/fleet/messenger.rs
+++ b/crates/portrack/src/gateway/fleet/messenger.rs
@@ -1,20 +1,23 @@
 //! Sends datagrams to other daemons.
 
 use super::message::{PeerMessage, encode};
+use crate::gateway::regions::traffic::RegionTraffic;
 use prometheus::IntCounter;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::UdpSocket;
 
 /// A socket whose bytes are counted.
 pub struct Messenger {
     socket: UdpSocket,
     sent_bytes: IntCounter,
+    traffic: Rc<RegionTraffic>,
 }
 
 impl Messenger {
-    /// Sends by a socket and counts in `sent_bytes`.
-    pub fn new(socket: UdpSocket, sent_bytes: IntCounter) -> Self {
-        Self { socket, sent_bytes }
+    /// Sends by a socket and counts in `sent_bytes`, and in `traffic` what goes to other regions.
+    pub fn new(socket: UdpSocket, sent_bytes: IntCounter, traffic: Rc<RegionTraffic>) -> Self {
+        Self { socket, sent_bytes, traffic }
     }
 
     /// Sends one datagram; a full socket buffer loses it.
@@ -25,6 +28,7 @@
         };
         let _ = self.socket.try_send_to(&bytes, to);
         self.sent_bytes.inc_by(bytes.len() as u64);
+        self.traffic.with_daemon(message.kind(), to, bytes.len());
     }
 
     /// Waits for a datagram, and tells its length and sender.
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -1,10 +1,11 @@
 //! The other daemons: who is there, and whom to tell. A state machine without sockets.
 
 use super::message::Heartbeat;
+use super::regions::Regions;
 use crate::gateway::choosing::load::server_mark;
 use crate::membership::ranked;
 use crate::types::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 const ORDERS_FRESH: Duration = Duration::from_millis(1_400);
 /// Daemons that one heartbeat goes to; in small fleets that is all of them.
 const FAN_OUT: usize = 12;
+/// Of these, so many are of other regions where there are several: what daemons tell each other across
+/// is needed less often there, and paid for by volume.
+const FAN_OUT_FAR: usize = 3;
 /// Up to so many daemons all hear every notice.
 const NOTICE_ALL: usize = 24;
 /// Daemons of a hall that notices go to: the two that watch for it, and one that may just have
@@ -59,6 +63,8 @@
     pub heartbeat: Heartbeat,
     /// When that came.
     pub heard_at: Time,
+    /// The region of its data hall.
+    region: Rc<str>,
 }
 
 /// Why a heartbeat changed something.
@@ -88,6 +94,11 @@
     /// When any other daemon was heard last.
     heard_at: Option<Time>,
     turn: usize,
+    /// Moves on through the daemons of other regions.
+    far_turn: usize,
+    regions: Regions,
+    /// How many daemons are known of each region.
+    of_region: BTreeMap<Rc<str>, usize>,
     /// Heartbeats sent so far.
     beats: usize,
     /// Moves on through the daemons that newcomers are told of.
@@ -110,28 +121,68 @@
             peers: BTreeMap::new(),
             heard_at: None,
             turn,
+            far_turn: turn,
+            regions: Regions::default(),
+            of_region: BTreeMap::new(),
             beats: 0,
             newcomer_turn: 0,
             proof_turn: turn,
         }
     }
 
-    /// How long each daemon takes until its heartbeats have reached all others once.
-    fn round(&self) -> Duration {
-        let turns = self.peers.len().div_ceil(FAN_OUT).max(1);
-        BEAT * u32::try_from(turns).unwrap_or(u32::MAX)
+    /// Knows which data halls lie in which region, seen from this daemon.
+    pub fn with_regions(self, regions: Regions) -> Self {
+        Self { regions, ..self }
     }
 
-    fn orders_fresh(&self) -> Duration {
-        ORDERS_FRESH.max(self.round() * TURNS_FRESH)
+    /// The region that a hall counts to; one for all halls where there are not several.
+    fn region(&self, hall: &str) -> Rc<str> {
+        match self.regions.are_many() {
+            true => self.regions.serving(hall).clone(),
+            false => self.regions.own().clone(),
+        }
+    }
+
+    /// How many daemons are known of a region.
+    fn known_of(&self, region: &str) -> usize {
+        self.of_region.get(region).copied().unwrap_or(0)
+    }
+
+    fn count_regions(&mut self) {
+        self.of_region.clear();
+        for peer in self.peers.values() {
+            *self.of_region.entry(peer.region.clone()).or_default() += 1;
+        }
+    }
+
+    /// True if heartbeats go to daemons of other regions less often.
+    fn spares_far(&self) -> bool {
+        let own = self.known_of(self.regions.own());
+        self.peers.len() > FAN_OUT && own < self.peers.len()
+    }
+
+    /// How long each daemon of a region takes until its heartbeats have reached all others once, those
+    /// of this daemon's region among them.
+    fn round(&self, region: &str) -> Duration {
+        let own = *region == **self.regions.own();
+        let turns = match (self.spares_far(), own) {
+            (false, _) => self.peers.len().div_ceil(FAN_OUT),
+            (true, true) => self.known_of(region).div_ceil(FAN_OUT - FAN_OUT_FAR),
+            (true, false) => (self.peers.len() + 1 - self.known_of(region)).div_ceil(FAN_OUT_FAR),
+        };
+        BEAT * u32::try_from(turns.max(1)).unwrap_or(u32::MAX)
     }
 
-    fn gone_after(&self) -> Duration {
-        GONE_AFTER.max(self.round() * TURNS_GONE)
+    fn orders_fresh(&self, peer: &Peer) -> Duration {
+        ORDERS_FRESH.max(self.round(&peer.region) * TURNS_FRESH)
+    }
+
+    fn gone_after(&self, peer: &Peer) -> Duration {
+        GONE_AFTER.max(self.round(&peer.region) * TURNS_GONE)
     }
 
     fn is_up(&self, now: Time, peer: &Peer) -> bool {
-        now.since(peer.heard_at) < self.gone_after()
+        now.since(peer.heard_at) < self.gone_after(peer)
     }
 
     /// Takes a heartbeat in.
@@ -152,7 +203,12 @@
         let was_up = before.is_some_and(|peer| self.is_up(now, peer));
         let was_leaving = before.is_some_and(|peer| peer.heartbeat.leaving);
         let leaving = heartbeat.leaving;
-        self.peers.insert(name, Peer { heartbeat, heard_at: now });
+        let region = self.region(&heartbeat.hall);
+        let moved = before.is_none_or(|peer| peer.region != region);
+        self.peers.insert(name, Peer { heartbeat, heard_at: now, region });
+        if moved {
+            self.count_regions();
+        }
         match (leaving, was_leaving, was_up) {
             (true, false, _) => Some(PeerChange::Leaving),
             (false, _, false) => Some(PeerChange::Up),
@@ -173,10 +229,11 @@
     /// Forgets daemons not heard for long. Returns those that have just gone silent.
     pub fn sweep(&mut self, now: Time, since: Time) -> Vec<Rc<str>> {
         let silent = self.peers.iter().filter(|(_, peer)| {
-            !self.is_up(now, peer) && since.since(peer.heard_at) < self.gone_after()
+            !self.is_up(now, peer) && since.since(peer.heard_at) < self.gone_after(peer)
         });
         let silent: Vec<Rc<str>> = silent.map(|(name, _)| name.clone()).collect();
         self.peers.retain(|_, peer| now.since(peer.heard_at) < FORGOTTEN_AFTER);
+        self.count_regions();
         silent
     }
 
@@ -192,14 +249,8 @@
 
     /// Where the next heartbeat goes: some daemons in turn, and whoever was only heard of.
     pub fn targets(&mut self, now: Time) -> Vec<SocketAddr> {
-        let mut all: Vec<SocketAddr> =
-            self.peers.values().map(|peer| peer.heartbeat.address).collect();
-        if all.len() > FAN_OUT {
-            let start = self.turn % all.len();
-            all.rotate_left(start);
-            all.truncate(FAN_OUT);
-            self.turn = self.turn.wrapping_add(FAN_OUT);
-        }
+        let spares_far = self.spares_far();
+        let mut all = self.whose_turn();
         let greeted = self.heard_of.len().min(GREETED_AT_ONCE);
         for other in &mut self.heard_of[..greeted] {
             all.push(other.address);
@@ -214,12 +265,28 @@
             all.extend(unheard);
         }
         self.beats += 1;
-        if all.len() <= FAN_OUT {
+        if all.len() <= FAN_OUT && !spares_far {
             self.turn = self.turn.wrapping_add(1);
         }
         all
     }
 
+    fn whose_turn(&mut self) -> Vec<SocketAddr> {
+        let address = |peer: &&Peer| peer.heartbeat.address;
+        if !self.spares_far() {
+            let all = self.peers.values().map(|peer| address(&peer)).collect();
+            return some_in_turn(&mut self.turn, all, FAN_OUT);
+        }
+        let own = self.regions.own();
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            self.peers.values().partition(|peer| peer.region == *own);
+        let near = near.iter().map(address).collect();
+        let far = far.iter().map(address).collect();
+        let mut all = some_in_turn(&mut self.turn, near, FAN_OUT - FAN_OUT_FAR);
+        all.extend(some_in_turn(&mut self.far_turn, far, FAN_OUT_FAR));
+        all
+    }
+
     /// Some daemons to tell others of.
     pub fn known(&self, now: Time) -> Vec<SocketAddr> {
         let all = self.addresses(now);
@@ -241,9 +308,8 @@
 
     /// The daemon that may order a server, as far as heard lately.
     pub fn orderer(&self, now: Time, mark: u32) -> Option<(&Rc<str>, &Peer)> {
-        let fresh_for = self.orders_fresh();
         self.peers.iter().find(|(_, peer)| {
-            let fresh = now.since(peer.heard_at) < fresh_for;
+            let fresh = now.since(peer.heard_at) < self.orders_fresh(peer);
             fresh && !peer.heartbeat.leaving && peer.heartbeat.orders.contains(&mark)
         })
     }
@@ -269,7 +335,8 @@
         if !self.peers.contains_key(node) {
             return address.parse().ok();
         }
-        let peer = self.machine(now, machine, self.orders_fresh())?;
+        let span = self.orders_fresh(self.peers.get(node)?);
+        let peer = self.machine(now, machine, span)?;
         (!peer.heartbeat.leaving).then_some(peer.heartbeat.address)
     }
 
@@ -288,19 +355,42 @@
             *known += 1;
             *heard_at = peer.heard_at.max(*heard_at);
         }
-        let round = self.round();
         let is_silent = |hall: &str| {
             halls.get(hall).is_some_and(|(known, at)| {
-                let expected = round / u32::try_from(*known).unwrap_or(u32::MAX);
-                let silence = HALL_SILENT.max(expected * HALL_BEATS_MISSED);
-                *known >= HALL_KNOWN && now.since(*at) >= silence
+                self.is_silence(&self.region(hall), *known, now.since(*at))
             })
         };
         if is_silent(mine) || !halls.contains_key(mine) {
             return Vec::new();
         }
         let others = halls.keys().filter(|hall| **hall != mine && is_silent(hall));
-        others.map(|hall| Rc::from(*hall)).collect()
+        let mut silent: BTreeSet<Rc<str>> = others.map(|hall| Rc::from(*hall)).collect();
+        for region in self.silent_regions(now, &halls) {
+            silent.extend(self.regions.halls(&region).cloned());
+        }
+        silent.into_iter().collect()
+    }
+
+    /// True if nothing was heard for so long of `known` daemons of a region that they are cut off.
+    fn is_silence(&self, region: &str, known: usize, since: Duration) -> bool {
+        let expected = self.round(region) / u32::try_from(known.max(1)).unwrap_or(u32::MAX);
+        known >= HALL_KNOWN && since >= HALL_SILENT.max(expected * HALL_BEATS_MISSED)
+    }
+
+    /// The other regions of which nothing is heard, of whichever hall: a cut region is found sooner than
+    /// each of its halls by itself.
+    fn silent_regions(&self, now: Time, halls: &BTreeMap<&str, (usize, Time)>) -> Vec<Rc<str>> {
+        let mut regions: BTreeMap<Rc<str>, (usize, Time)> = BTreeMap::new();
+        for (hall, (known, heard_at)) in halls {
+            let (all, last) = regions.entry(self.region(hall)).or_default();
+            *all += known;
+            *last = (*last).max(*heard_at);
+        }
+        regions.remove(self.regions.own());
+        let silent = regions
+            .into_iter()
+            .filter(|(region, (known, at))| self.is_silence(region, *known, now.since(*at)));
+        silent.map(|(region, _)| region).collect()
     }
 
     /// True if every heartbeat reaches all daemons.
@@ -398,6 +488,17 @@
     }
 }
 
+/// Some of a list, from where the last turn ended.
+fn some_in_turn(turn: &mut usize, mut all: Vec<SocketAddr>, most: usize) -> Vec<SocketAddr> {
+    if all.len() > most {
+        let start = *turn % all.len();
+        all.rotate_left(start);
+        all.truncate(most);
+        *turn = turn.wrapping_add(most);
+    }
+    all
+}
+
 /// A machine by its daemon's name and address; stays the same over restarts.
 pub fn machine_name(heartbeat: &Heartbeat) -> String {
     format!("{}|{}", heartbeat.node, heartbeat.address)
--- a/crates/portrack/src/gateway/fleet/regions.rs
+++ b/crates/portrack/src/gateway/fleet/regions.rs
@@ -58,6 +58,24 @@
 
     /// True if there is more than one region.
     pub fn are_many(&self) -> bool {
-        self.halls.values().any(|region| *region != self.own)
+        let mut named = self.halls.values();
+        let first = named.next();
+        named.any(|region| Some(region) != first)
+    }
+
+    /// All regions by name.
+    pub fn names(&self) -> BTreeSet<&Rc<str>> {
+        self.halls.values().collect()
+    }
+
+    /// The halls of a region.
+    pub fn halls<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Rc<str>> + 'a {
+        self.halls.iter().filter(move |(_, of)| ***of == *region).map(|(hall, _)| hall)
+    }
+
+    /// The region that does duties for the servers of a hall: its own, or the first by name for a hall
+    /// that the settings do not name, so that everybody knows the same one.
+    pub fn serving(&self, hall: &str) -> &Rc<str> {
+        self.of(hall).or_else(|| self.names().first().copied()).unwrap_or(&self.own)
     }
 }
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
     pub peers_up: IntGauge,
     /// Bytes sent to other daemons by datagram.
     pub peer_bytes: IntCounter,
+    /// Bytes to daemons and servers of other regions, and of answers from there, by kind.
+    pub region_bytes: IntCounterVec,
     /// Datagrams that are no message.
     pub datagrams_dropped: IntCounter,
     /// Servers that this daemon orders.
@@ -79,6 +81,11 @@
             ),
             peers_up: made.gauge("peers_up", "Other daemons that are up"),
             peer_bytes: made.counter("peer_bytes_sent_total", "Bytes sent to other daemons"),
+            region_bytes: made.counters(
+                "region_bytes_total",
+                "Bytes between this daemon and other regions",
+                &["kind"],
+            ),
             datagrams_dropped: made.counter("datagrams_dropped_total", "Datagrams dropped"),
             servers_ordered: made.gauge("servers_ordered", "Servers that this daemon orders"),
             named: RefCell::default(),
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod news;
 mod orders;
+mod regions;
 mod requests;
 mod run;
 mod settings;
@@ -21,12 +22,12 @@
     QuotaMessage, QuotaReturned, QuotaUnit, Quotas, RevokedKeys, StoreProof, TokenBucket, Verdict,
     organisation_of,
 };
-pub use choosing::choose::{cheaper_of_two, cheapest, two_of};
+pub use choosing::choose::{Offer, better_of_two, cheaper_of_two, cheapest, two_of};
 pub use choosing::crowding::copy_pays;
 pub use choosing::demand::{DemandLog, Use, Wish};
 pub use choosing::holdings::{Holdings, Presence};
 pub use choosing::homes::{Home, home};
-pub use choosing::load::{LoadTable, Work, server_mark};
+pub use choosing::load::{LoadTable, Work, WorkGuard, server_mark};
 pub use choosing::replicas::{ReplicaDemand, run_time};
 pub use connections::answer::{AnswerError, AnswerHead, Framing, take_head};
 pub use connections::body::{BodyDecoder, Step};
@@ -39,7 +40,7 @@
 };
 pub use dispatch::{
     AskId, Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotGuard, SlotMessage, SlotNeed,
-    SlotOrder, Slots,
+    SlotOrder, Slots, Whom, dispatchers,
 };
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
 pub use fleet::coldness::Coldness;
@@ -69,6 +70,9 @@
 pub use orders::ordering::{NoticeSink, Ordering};
 pub use orders::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use orders::vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
+pub use regions::allowed::RegionBounds;
+pub use regions::place::Place;
+pub use regions::silence::silent_regions;
 pub use requests::caller::{
     CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink,
 };
--- /dev/null
+++ b/crates/portrack/src/gateway/regions/silence.rs
@@ -0,0 +1,23 @@
+//! Which regions are silent.
+
+use crate::gateway::fleet::regions::Regions;
+use std::rc::Rc;
+
+/// The other regions all of whose halls are among the silent ones.
+pub fn silent_regions(regions: &Regions, silent_halls: &[Rc<str>]) -> Vec<Rc<str>> {
+    let others = regions.names().into_iter().filter(|region| *region != regions.own());
+    let silent =
+        others.filter(|region| regions.halls(region).all(|hall| silent_halls.contains(hall)));
+    silent.cloned().collect()
+}
+
+/// Logs each region that has fallen silent, and each that is heard again.
+pub fn log_change(regions: &Regions, before: &[Rc<str>], now: &[Rc<str>]) {
+    let (before, now) = (silent_regions(regions, before), silent_regions(regions, now));
+    for region in now.iter().filter(|region| !before.contains(region)) {
+        log::warn!(region = &**region, halls = regions.halls(region).count(); "region_silent");
+    }
+    for region in before.iter().filter(|region| !now.contains(region)) {
+        log::warn!(region = &**region, halls = regions.halls(region).count(); "region_heard");
+    }
+}
--- a/crates/portrack/src/gateway/requests/caller.rs
+++ b/crates/portrack/src/gateway/requests/caller.rs
@@ -81,6 +81,8 @@
     NoRoute,
     /// The route's service has no server that takes work.
     NoServer,
+    /// No server that takes work is left in the regions in which it may be served.
+    NoAllowedServer,
     /// The adapter is not loaded, and will not be in time.
     NotLoaded,
     /// Every server turned it away.
@@ -120,6 +122,7 @@
             Self::NoConfig => "no_config",
             Self::NoRoute => "no_route",
             Self::NoServer => "no_server",
+            Self::NoAllowedServer => "no_allowed_server",
             Self::NotLoaded => "not_loaded",
             Self::Busy => "busy",
             Self::Expired => "expired",
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -8,6 +8,7 @@
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::{Route, Service};
 use crate::gateway::fleet::versions::VersionChoice;
+use crate::gateway::regions::allowed::RegionBounds;
 use crate::types::Time;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -104,6 +105,15 @@
         organisation.and_then(|all| all.priority).unwrap_or(self.route.priority)
     }
 
+    /// The regions that it may be served in.
+    pub(in crate::gateway) fn region_bounds(&self) -> RegionBounds<'_> {
+        let organisation = self.admitted.organisation.as_ref();
+        RegionBounds {
+            route: self.route.allowed_regions.as_ref(),
+            organisation: organisation.and_then(|all| all.allowed_regions.as_ref()),
+        }
+    }
+
     /// The adapter asked for, if any.
     pub fn adapter(&self) -> Option<AdapterKey> {
         let model = self.request.meta.model.as_ref()?;
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -16,6 +16,8 @@
 use crate::gateway::fleet::config::Service;
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::view::FleetView;
+use crate::gateway::regions::place::Place;
+use crate::gateway::regions::traffic::RegionTraffic;
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -61,8 +63,10 @@
     pub demand: Rc<DemandLog>,
     /// True if some daemon, as far as known, may order this server.
     pub is_ordered: Box<dyn Fn(&str) -> bool>,
-    /// This daemon's data hall.
-    pub hall: String,
+    /// Where this daemon is.
+    pub place: Rc<Place>,
+    /// What goes to other regions.
+    pub traffic: Rc<RegionTraffic>,
     /// Daemons that share the servers' connections and the retry budget.
     pub daemons: Cell<usize>,
     /// The loads of servers are known some hundred milliseconds late, as in fleets where not every
@@ -224,6 +228,7 @@
         job.sends += 1;
         job.progress.timings.sent(now);
         job.charge.may_run();
+        self.traffic.with_server("requests", &backend.hall, bytes.len());
         let id = &job.request.meta.id;
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes);
         let sent = match self.slow_after(job, now) {
@@ -257,6 +262,7 @@
                     timings.part(now);
                 };
                 let end = relay.answer(job, *answer, sink, heard).await;
+                self.traffic.with_server("answers", &backend.hall, relay.take_received());
                 drop(guard);
                 if matches!(end, RelayEnd::Failed(_) | RelayEnd::Lost(_)) {
                     choice.ended(SlotEnd::Failed);
--- a/crates/portrack/src/gateway/requests/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -26,13 +26,15 @@
 pub struct Relay {
     begun: bool,
     events: Option<EventSplitter>,
+    /// Bytes of answers' bodies that servers sent.
+    received: usize,
 }
 
 impl Relay {
     /// A relay for a request on this route.
     pub fn new(route: &Route) -> Self {
         let resumable = route.kind == RouteKind::Stream && route.resumable;
-        Self { begun: false, events: resumable.then(EventSplitter::default) }
+        Self { begun: false, events: resumable.then(EventSplitter::default), received: 0 }
     }
 
     /// True if the caller has the head of an answer.
@@ -40,6 +42,11 @@
         self.begun
     }
 
+    /// Takes the count of bytes that came since the last look.
+    pub fn take_received(&mut self) -> usize {
+        std::mem::take(&mut self.received)
+    }
+
     /// The id of the last event handed on.
     pub fn last_event(&self) -> Option<&str> {
         self.events.as_ref().and_then(EventSplitter::last_id)
@@ -81,6 +88,7 @@
             Ok(body) => body,
             Err(error) => return RelayEnd::Lost(error.to_string()),
         };
+        self.received += body.len();
         let status = exchange.head.status.as_u16();
         let head = reply_head(&exchange.head, Some(body.len() as u64));
         exchange.finish();
@@ -120,6 +128,7 @@
                 }
             };
             heard();
+            self.received += part.len();
             let whole = match self.events.as_mut() {
                 Some(events) => events.push(&part),
                 None => Some(part),
--- a/crates/portrack/tests/gateway/homes.rs
+++ b/crates/portrack/tests/gateway/homes.rs
@@ -13,6 +13,7 @@
             slots: 64,
             cost: *cost,
             at_hand: false,
+            is_near: true,
         })
         .collect()
 }
--- a/crates/portrack/tests/gateway/loads.rs
+++ b/crates/portrack/tests/gateway/loads.rs
@@ -2,12 +2,15 @@
 
 use crate::support::backend;
 use portrack::Time;
-use portrack::gateway::{LoadTable, ServerLoad, Work, cheapest, server_mark, two_of};
+use portrack::gateway::{
+    LoadTable, Place, Regions, ServerLoad, Work, cheapest, server_mark, two_of,
+};
 use std::rc::Rc;
 
 fn chosen(loads: &LoadTable, now: u64) -> String {
     let servers = [Rc::new(backend("s1", &[])), Rc::new(backend("s2", &[]))];
-    let best = cheapest(Time(now), loads, "a", &[], servers.iter()).expect("one of them");
+    let place = Place::new("a", Regions::default());
+    let best = cheapest(Time(now), loads, &place, &[], servers.iter()).expect("one of them");
     best.id.to_string()
 }
 
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod planner;
 mod quotas;
+mod regions;
 mod replicas;
 mod retries;
 mod routes;
