--- a/crates/portrack/src/gateway/fleet/regions.rs
+++ b/crates/portrack/src/gateway/fleet/regions.rs
@@ -24,6 +24,8 @@
 pub struct Regions {
     own: Rc<str>,
     halls: BTreeMap<Rc<str>, Rc<str>>,
+    /// More than one region is named.
+    many: bool,
 }
 
 impl Regions {
@@ -34,7 +36,8 @@
             .map(|(hall, region)| (hall.as_str().into(), region.as_str().into()))
             .collect();
         let own = halls.get(own).cloned().unwrap_or_default();
-        Self { own, halls }
+        let many = halls.values().collect::<BTreeSet<_>>().len() > 1;
+        Self { own, halls, many }
     }
 
     /// The region of this daemon's hall; empty where the settings name none.
@@ -58,9 +61,7 @@
 
     /// True if there is more than one region.
     pub fn are_many(&self) -> bool {
-        let mut named = self.halls.values();
-        let first = named.next();
-        named.any(|region| Some(region) != first)
+        self.many
     }
 
     /// All regions by name.
