--- a/crates/portrack/src/gateway/choosing/homes.rs
+++ b/crates/portrack/src/gateway/choosing/homes.rs
@@ -46,7 +46,7 @@
 /// next one, or a server that has the adapter at hand is not much busier. The order is of the servers of
 /// the region that asks, if it has any: a fetch costs the same there, and the way is spared.
 pub fn home(key: &AdapterKey, open: &[Home]) -> Option<Rc<str>> {
-    let any_near = false;
+    let any_near = open.iter().any(|home| home.is_near);
     let ranking = open.iter().filter(|home| home.is_near || !any_near);
     let order = ranked(&key.adapter, ranking.map(|home| &*home.server));
     let ranks: HashMap<&str, usize> =
