--- a/crates/portrack/src/gateway/evacuation/copying.rs
+++ b/crates/portrack/src/gateway/evacuation/copying.rs
@@ -24,7 +24,7 @@
             for (service, key, pace) in self.held_only_in_leaving(now) {
                 // At least one, or it would come after what nobody uses.
                 let requests = (pace.round() as u16).max(1);
-                if self.path.wish_for(now, &service, &key, requests) {
+                if self.path.wish_for(&service, &key, requests) {
                     self.metrics.evacuation_copies.inc();
                 }
             }
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -35,6 +35,23 @@
     Grants(GrantMessage),
 }
 
+impl PeerMessage {
+    /// The kind of message, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeats",
+            Self::Wishes(_) => "wishes",
+            Self::Uses(_) => "uses",
+            Self::Placement(_) => "notices",
+            Self::Loads(_) => "loads",
+            Self::Known(_) => "known",
+            Self::Quota(_) => "quotas",
+            Self::Slots(_) => "slots",
+            Self::Grants(_) => "grants",
+        }
+    }
+}
+
 /// A sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/crates/portrack/src/gateway/fleet/regions.rs
+++ b/crates/portrack/src/gateway/fleet/regions.rs
@@ -24,6 +24,8 @@
 pub struct Regions {
     own: Rc<str>,
     halls: BTreeMap<Rc<str>, Rc<str>>,
+    /// More than one region is named.
+    many: bool,
 }
 
 impl Regions {
@@ -34,7 +36,8 @@
             .map(|(hall, region)| (hall.as_str().into(), region.as_str().into()))
             .collect();
         let own = halls.get(own).cloned().unwrap_or_default();
-        Self { own, halls }
+        let many = halls.values().collect::<BTreeSet<_>>().len() > 1;
+        Self { own, halls, many }
     }
 
     /// The region of this daemon's hall; empty where the settings name none.
@@ -58,6 +61,22 @@
 
     /// True if there is more than one region.
     pub fn are_many(&self) -> bool {
-        self.halls.values().any(|region| *region != self.own)
+        self.many
+    }
+
+    /// All regions by name.
+    pub fn names(&self) -> BTreeSet<&Rc<str>> {
+        self.halls.values().collect()
+    }
+
+    /// The halls of a region.
+    pub fn halls<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Rc<str>> + 'a {
+        self.halls.iter().filter(move |(_, of)| ***of == *region).map(|(hall, _)| hall)
+    }
+
+    /// The region that does duties for the servers of a hall: its own, or the first by name for a hall
+    /// that the settings do not name, so that everybody knows the same one.
+    pub fn serving(&self, hall: &str) -> &Rc<str> {
+        self.of(hall).or_else(|| self.names().first().copied()).unwrap_or(&self.own)
     }
 }
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -18,6 +18,8 @@
 use crate::gateway::fleet::config::Service;
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::view::FleetView;
+use crate::gateway::regions::place::Place;
+use crate::gateway::regions::traffic::RegionTraffic;
 use crate::types::{Clock, Time};
 use prometheus::IntCounter;
 use std::cell::{Cell, RefCell};
@@ -66,8 +68,10 @@
     pub demand: Rc<DemandLog>,
     /// True if some daemon, as far as known, may order this server.
     pub is_ordered: Box<dyn Fn(&str) -> bool>,
-    /// This daemon's data hall.
-    pub hall: String,
+    /// Where this daemon is.
+    pub place: Rc<Place>,
+    /// What goes to other regions.
+    pub traffic: Rc<RegionTraffic>,
     /// Daemons that share the servers' connections and the retry budget.
     pub daemons: Cell<usize>,
     /// The loads of servers are known some hundred milliseconds late, as in fleets where not every
@@ -232,6 +236,7 @@
         job.progress.timings.sent(now);
         job.charge.may_run();
         choice.sent(now);
+        self.traffic.with_server("requests", &backend.hall, bytes.len());
         let id = &job.request.meta.id;
         // What is known of the server may have changed while a connection was opened.
         let may_send = || self.view.borrow().may_get(self.clock.now(), &backend.id);
@@ -273,6 +278,7 @@
                 if let Some(apart) = timings.event_apart() {
                     self.grants.note_event(&job.service.name, apart);
                 }
+                self.traffic.with_server("answers", &backend.hall, relay.take_received());
                 drop(guard);
                 if matches!(end, RelayEnd::Failed(_) | RelayEnd::Lost(_)) {
                     choice.ended(SlotEnd::Failed);
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod planner;
 mod quotas;
+mod regions;
 mod replicas;
 mod retries;
 mod routes;
