--- a/crates/portrack/src/gateway/choosing/crowding.rs
+++ b/crates/portrack/src/gateway/choosing/crowding.rs
@@ -19,7 +19,7 @@
 /// Requests of the last seconds, fading, that this daemon must have seen for an adapter that only the
 /// other region holds: what one of a region's daemons is asked for twice, its others are asked for as
 /// well, and a copy spares all of them the way.
-const LEAST_ASKS_FROM_AFAR: f64 = 0.0;
+const LEAST_ASKS_FROM_AFAR: f64 = 1.5;
 
 /// True if an adapter that was asked for `asks` times lately is worth a copy in this region beside the
 /// one in another.
