--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -63,11 +63,14 @@
     pub fn beat(&self) {
         let now = self.now();
         let heartbeat = self.heartbeat();
-        let message = PeerMessage::Heartbeat(heartbeat);
         let targets = self.peers.borrow_mut().targets(now);
-        for target in targets {
-            self.tell(&message, target);
-        }
+        // To other regions requests at servers would come too seldom to count; orderers tell loads there.
+        let spares_far = self.peers.borrow().spares_far();
+        let (far, near): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            targets.into_iter().partition(|target| spares_far && self.path.traffic.is_far(*target));
+        let brief = Heartbeat { work: Vec::new(), ..heartbeat.clone() };
+        near.into_iter().for_each(|to| self.tell(&PeerMessage::Heartbeat(heartbeat.clone()), to));
+        far.into_iter().for_each(|to| self.tell(&PeerMessage::Heartbeat(brief.clone()), to));
         let up = self.peers.borrow().up(now).count();
         self.path.daemons.set(up + 1);
         self.path.loads_lag.set(!self.peers.borrow().all_hear_each_beat());
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -156,7 +156,7 @@
     }
 
     /// True if heartbeats go to daemons of other regions less often.
-    fn spares_far(&self) -> bool {
+    pub fn spares_far(&self) -> bool {
         let own = self.known_of(self.regions.own());
         self.peers.len() > FAN_OUT && own < self.peers.len()
     }
--- a/crates/portrack/src/gateway/regions/traffic.rs
+++ b/crates/portrack/src/gateway/regions/traffic.rs
@@ -29,9 +29,14 @@
         self.far.replace(far.map(|daemon| daemon.address).collect());
     }
 
+    /// True for a daemon that is known to be in another region.
+    pub fn is_far(&self, daemon: SocketAddr) -> bool {
+        self.far.borrow().contains(&daemon)
+    }
+
     /// Counts bytes to or from a daemon.
     pub fn with_daemon(&self, kind: &str, daemon: SocketAddr, bytes: usize) {
-        if self.far.borrow().contains(&daemon) {
+        if self.is_far(daemon) {
             self.count(kind, bytes);
         }
     }
