--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -51,9 +51,6 @@
         let mut logged = 0;
         loop {
             actix_rt::time::sleep(PEERS_LOGGED).await;
-            let text = self.metrics.text();
-            let bytes: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("portrack_gateway_region_bytes_total")).collect();
-            log::info!(bytes:? = bytes; "trial");
             let up = self.peers.borrow().up(self.now()).count();
             if up != logged && !self.logs_each_peer() {
                 log::info!(up = up, before = logged; "peers");
