--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -1,6 +1,7 @@
 //! Which server takes a request.
 
 use super::load::LoadTable;
+use crate::gateway::filling::cold::COLD;
 use crate::gateway::fleet::backend::Backend;
 use crate::types::Time;
 use std::rc::Rc;
@@ -21,6 +22,7 @@
     let work = loads.work(now, &backend.id);
     let mut cost = f64::from(work.requests);
     cost += f64::from(work.waiting_tokens) / TOKENS_A_REQUEST;
+    cost += loads.cold_cost(now, &backend.id, work.requests);
     cost += loads.failure_rate(now, &backend.id) * ALL_FAIL;
     if &*backend.hall != hall {
         cost += OTHER_HALL;
@@ -50,9 +52,14 @@
 }
 
 /// The place to take among candidates with these costs, the cheapest first: the better of two that a
-/// request's id chooses among those that are not in trouble, or the first if all are.
+/// request's id chooses among those that are not in trouble, the warm ones if there are any, or the
+/// first if all are in trouble.
 pub(in crate::gateway) fn better_of_two(id: &str, costs: impl Iterator<Item = f64>) -> usize {
-    let sound = costs.take_while(|cost| *cost < SILENT).count();
+    let mut costs = costs.peekable();
+    // Cold servers are no choice beside a warm one that is not full.
+    let warm = costs.peek().is_some_and(|first| *first < COLD);
+    let most = if warm { COLD } else { SILENT };
+    let sound = costs.take_while(|cost| *cost < most).count();
     two_of(id, sound).map_or(0, |[first, second]| first.min(second))
 }
 
--- a/crates/portrack/src/gateway/choosing/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -1,6 +1,7 @@
 //! How busy and how reliable each backend server is, as this daemon knows it.
 
 use super::decay::Decayed;
+use crate::gateway::filling::cold::ColdServer;
 use crate::gateway::fleet::message::ServerLoad;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -62,6 +63,7 @@
 pub struct LoadTable {
     reported: RefCell<HashMap<u32, Reported>>,
     silent_halls: RefCell<Vec<Rc<str>>>,
+    cold: RefCell<HashMap<Rc<str>, ColdServer>>,
     servers: RefCell<HashMap<Rc<str>, Server>>,
     peers: RefCell<HashMap<Rc<str>, PeerWork>>,
 }
@@ -162,6 +164,35 @@
         self.peers.borrow_mut().insert(peer.clone(), work);
     }
 
+    /// Updates which servers have to be taken for cold.
+    pub fn set_cold(&self, cold: HashMap<Rc<str>, ColdServer>) {
+        self.cold.replace(cold);
+    }
+
+    /// Updates whether one server has to be taken for cold.
+    pub fn set_one_cold(&self, server: &Rc<str>, cold: Option<ColdServer>) {
+        let mut all = self.cold.borrow_mut();
+        match cold {
+            Some(cold) => all.insert(server.clone(), cold),
+            None => all.remove(server),
+        };
+    }
+
+    /// True if some server has to be taken for cold.
+    pub fn any_cold(&self, now: Time) -> bool {
+        self.cold.borrow().values().any(|cold| now < cold.until)
+    }
+
+    /// True if a server has to be taken for cold.
+    pub fn is_cold(&self, now: Time, server: &str) -> bool {
+        self.cold.borrow().get(server).is_some_and(|cold| now < cold.until)
+    }
+
+    /// What a request costs besides if its server is cold and has so many requests.
+    pub fn cold_cost(&self, now: Time, server: &str, requests: u32) -> f64 {
+        self.cold.borrow().get(server).map_or(0.0, |cold| cold.cost(now, requests))
+    }
+
     /// Updates from which data halls nothing is heard.
     pub fn set_silent_halls(&self, halls: Vec<Rc<str>>) {
         self.silent_halls.replace(halls);
--- a/crates/portrack/src/gateway/choosing/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -130,12 +130,12 @@
         Some((demand, newest))
     }
 
-    /// The servers of the same service that could take a replica, the idlest first.
+    /// The servers of the same service that could take a replica, warm ones before cold ones and the idlest first.
     fn idle_servers(&self, now: Time, server: &Rc<str>, key: &AdapterKey) -> Vec<Rc<str>> {
         let view = self.path.view.borrow();
         let Some(backend) = view.backend(server) else { return Vec::new() };
         let holders = view.holdings.holders(now, key);
-        let mut idle: Vec<(u32, Rc<str>)> = view
+        let mut idle: Vec<(bool, u32, Rc<str>)> = view
             .open_backends(&backend.service)
             .filter(|other| other.model(&key.model).is_some())
             .filter(|other| !holders.iter().any(|(id, _)| *id == other.id))
@@ -144,9 +144,9 @@
             .map(|other| (self.path.loads.work(now, &other.id).requests, other))
             .filter(|(load, other)| is_idle(other.slots, *load))
             .filter(|(_, other)| (self.path.is_ordered)(&other.id))
-            .map(|(load, other)| (load, other.id.clone()))
+            .map(|(load, other)| (self.path.loads.is_cold(now, &other.id), load, other.id.clone()))
             .collect();
         idle.sort();
-        idle.into_iter().map(|(_, id)| id).collect()
+        idle.into_iter().map(|(_, _, id)| id).collect()
     }
 }
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -282,6 +282,7 @@
             ViewChange::Backend(id) => {
                 if let Some(backend) = view.backend(id) {
                     self.path.coldness.borrow_mut().listed(now, backend);
+                    self.path.loads.set_one_cold(id, self.cold_server(now, &view, backend));
                     planner.server(now, backend);
                 }
             }
--- a/crates/portrack/src/gateway/evacuation/leaving.rs
+++ b/crates/portrack/src/gateway/evacuation/leaving.rs
@@ -43,6 +43,8 @@
         let view = self.path.view.borrow();
         let mut coldness = self.path.coldness.borrow_mut();
         view.backends_of(hall).for_each(|backend| coldness.doubt(now, &backend.id));
+        drop(coldness);
+        self.look_at_cold(now);
         let evacuated_ms = now.since(evacuation.learned_at).as_millis() as u64;
         log::info!(
             hall = &**hall, source = source, evacuated_ms = evacuated_ms;
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod dialect;
 mod dispatch;
 mod evacuation;
+mod filling;
 mod fleet;
 mod logging;
 mod metrics;
@@ -43,6 +44,7 @@
     SlotOrder, Slots,
 };
 pub use evacuation::halls::{EvacuatedHalls, Evacuation};
+pub use filling::cold::ColdServer;
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
 pub use fleet::coldness::Coldness;
 pub use fleet::config::{
--- /dev/null
+++ b/crates/portrack/tests/gateway/filling.rs
@@ -0,0 +1,73 @@
+//! Cold servers are spared, and chosen only where there is no warm one.
+//!
+//! A hall whose servers came back cold together was idle, so everybody sent there, and each server got
+//! more requests a second than it bears.
+
+use crate::support::{backend, ms};
+use portrack::Time;
+use portrack::gateway::{Backend, ColdServer, LoadTable, cheaper_of_two, cheapest};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+const COLD: ColdServer = ColdServer { until: Time(3_000), weight: 2.5 };
+
+fn servers(count: usize) -> Vec<Rc<Backend>> {
+    (0..count).map(|n| Rc::new(backend(&format!("s{n}"), &[]))).collect()
+}
+
+fn table(cold: &[&str]) -> Rc<LoadTable> {
+    let loads = Rc::new(LoadTable::default());
+    let cold: HashMap<Rc<str>, ColdServer> = cold.iter().map(|id| ((*id).into(), COLD)).collect();
+    loads.set_cold(cold);
+    loads
+}
+
+#[test]
+fn a_cold_server_weighs_what_it_bears_against_its_slots() {
+    let cold = ColdServer::new(Time(3_000), 24, 8.0);
+    assert!(cold.cost(Time(0), 0) > 24.0, "more than a full server's requests");
+    assert!((cold.cost(Time(0), 5) - cold.cost(Time(0), 0) - 10.0).abs() < 1e-9);
+    assert!(cold.cost(Time(3_000), 5).abs() < f64::EPSILON, "it is warm");
+    let strong = ColdServer::new(Time(3_000), 4, 100.0);
+    assert!((strong.weight - 1.0).abs() < f64::EPSILON, "it bears more than it has slots");
+}
+
+#[test]
+fn a_warm_server_that_is_not_full_comes_before_idle_cold_ones() {
+    let all = servers(3);
+    let loads = table(&["s1", "s2"]);
+    let busy: Vec<_> = (0..20).map(|_| loads.begin(Time(0), &"s0".into(), 0)).collect();
+    for n in 0..50 {
+        let id = format!("r{n}");
+        let two = cheaper_of_two(Time(0), &loads, "a", &id, &[], all.iter());
+        assert_eq!(two.expect("a server").id.as_ref(), "s0", "{id}");
+    }
+    let one = cheapest(Time(0), &loads, "a", &[], all.iter()).expect("a server");
+    assert_eq!(one.id.as_ref(), "s0");
+    drop(busy);
+}
+
+#[test]
+fn where_all_are_cold_they_share_the_requests() {
+    let all = servers(6);
+    let ids: Vec<&str> = all.iter().map(|backend| &*backend.id).collect();
+    let loads = table(&ids);
+    let mut chosen: HashMap<String, usize> = HashMap::new();
+    for n in 0..300 {
+        let id = format!("r{n}");
+        let two = cheaper_of_two(Time(0), &loads, "a", &id, &[], all.iter()).expect("a server");
+        *chosen.entry(two.id.to_string()).or_default() += 1;
+    }
+    assert!(chosen.len() >= 5, "{chosen:?}");
+    assert!(chosen.values().all(|count| *count < 150), "{chosen:?}");
+}
+
+#[test]
+fn a_cold_server_whose_time_is_over_is_one_like_others() {
+    let loads = table(&["s0"]);
+    assert!(
+        loads.any_cold(Time(0)) && loads.is_cold(Time(0), "s0") && !loads.is_cold(Time(0), "s1")
+    );
+    let later = COLD.until + ms(1);
+    assert!(!loads.any_cold(later) && !loads.is_cold(later, "s0"));
+}
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod evacuation;
 mod fetches;
+mod filling;
 mod following;
 mod history;
 mod holdings;
