--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -2,6 +2,7 @@
 
 use super::crowding::is_crowded;
 use super::load::LoadTable;
+use crate::gateway::filling::cold::COLD;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::regions::place::Place;
 use crate::types::Time;
@@ -24,6 +25,7 @@
     let mut cost = f64::from(work.requests);
     cost += f64::from(work.waiting_tokens) / TOKENS_A_REQUEST;
     cost += loads.backlog(now, &backend.id).as_secs_f64() * 1_000.0 / READING_MS_A_REQUEST;
+    cost += loads.cold_cost(now, &backend.id, work.requests);
     cost += loads.failure_rate(now, &backend.id) * ALL_FAIL;
     cost += place.way(&backend.hall);
     if loads.is_silent(now, &backend.id) || loads.is_hall_silent(&backend.hall) {
@@ -67,25 +69,24 @@
         let is_crowded = is_crowded(backend.slots, cost);
         Self { cost, is_near: !place.is_far(&backend.hall), is_crowded }
     }
-
-    fn is_sound(&self) -> bool {
-        self.cost < SILENT
-    }
 }
 
 /// The place to take among candidates that come with the cheapest first: the better of two that a
-/// request's id chooses among those that are not in trouble, or the first if all are. Where some are of
-/// other regions, two of this one are compared, as far as they are not crowded; if there is only one, it
+/// request's id chooses among those that are not in trouble, the warm ones if there are any, or the first
+/// if all are in trouble. Where some are of other regions, two of this one are compared, as far as they are not crowded; if there is only one, it
 /// and one of the others, which has to make up for the way.
 pub fn better_of_two(id: &str, offers: &[Offer]) -> usize {
     let places = |fits: &dyn Fn(&Offer) -> bool| -> Vec<usize> {
         let fitting = offers.iter().enumerate().filter(|(_, offer)| fits(offer));
         fitting.map(|(place, _)| place).collect()
     };
-    let sound = places(&Offer::is_sound);
+    // Cold servers are no choice beside a warm one that is not full.
+    let warm = offers.first().is_some_and(|first| first.cost < COLD);
+    let most = if warm { COLD } else { SILENT };
+    let sound = places(&|offer| offer.cost < most);
     let near = match sound.iter().all(|place| offers[*place].is_near) {
         true => Vec::new(),
-        false => places(&|offer| offer.is_sound() && offer.is_near && !offer.is_crowded),
+        false => places(&|offer| offer.cost < most && offer.is_near && !offer.is_crowded),
     };
     let [own, other] = match &near[..] {
         [] => return two_of(id, sound.len()).map_or(0, |[one, two]| sound[one.min(two)]),
--- a/crates/portrack/src/gateway/choosing/load_reports.rs
+++ b/crates/portrack/src/gateway/choosing/load_reports.rs
@@ -152,13 +152,13 @@
         !regions.are_many() || region(one) == region(other)
     }
 
-    /// The servers of the same service that could take a replica: those of this region first, the idlest
-    /// first.
+    /// The servers of the same service that could take a replica: those of this region first, warm
+    /// ones before cold ones and the idlest first.
     fn idle_servers(&self, now: Time, server: &Rc<str>, key: &AdapterKey) -> Vec<Rc<str>> {
         let view = self.path.view.borrow();
         let Some(backend) = view.backend(server) else { return Vec::new() };
         let holders = view.holdings.holders(now, key);
-        let mut idle: Vec<(bool, u32, Rc<str>)> = view
+        let mut idle: Vec<(bool, bool, u32, Rc<str>)> = view
             .open_backends(&backend.service)
             .filter(|other| other.model(&key.model).is_some())
             .filter(|other| !holders.iter().any(|(id, _)| *id == other.id))
@@ -167,9 +167,12 @@
             .map(|other| (self.path.loads.work(now, &other.id).requests, other))
             .filter(|(load, other)| is_idle(other.slots, *load))
             .filter(|(_, other)| (self.path.is_ordered)(&other.id))
-            .map(|(load, other)| (self.path.place.is_far(&other.hall), load, other.id.clone()))
+            .map(|(load, other)| {
+                let far = self.path.place.is_far(&other.hall);
+                (far, self.path.loads.is_cold(now, &other.id), load, other.id.clone())
+            })
             .collect();
         idle.sort();
-        idle.into_iter().map(|(_, _, id)| id).collect()
+        idle.into_iter().map(|(_, _, _, id)| id).collect()
     }
 }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod dialect;
 mod dispatch;
 mod evacuation;
+mod filling;
 mod fleet;
 mod logging;
 mod metrics;
@@ -50,6 +51,7 @@
     SlotOrder, Slots, Whom, dispatchers,
 };
 pub use evacuation::halls::{EvacuatedHalls, Evacuation};
+pub use filling::cold::ColdServer;
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel, life_mark};
 pub use fleet::coldness::Coldness;
 pub use fleet::config::{
