Granted arrivals: equal shares of organisations that wait, late asks of ended requests, tests

Tests: bound at a cold server under lost, late, doubled messages, restarts and two granters; pauses by a small engine model; large prompts; a hot organisation.

--- a/crates/portrack/src/gateway/arrivals/fairness.rs
+++ b/crates/portrack/src/gateway/arrivals/fairness.rs
@@ -1,7 +1,7 @@
-//! Who makes way where too many wait.
+//! Shares of organisations where too many wait.
 
 use crate::gateway::admission::OrganisationMark;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// The place of the waiting request that has to go: the last of the organisation that has most of them,
 /// by the order given with each; the newest, which comes last, if none has several. Requests of nobody
@@ -20,3 +20,41 @@
     let last = of_most.max_by(|(a, (_, x)), (b, (_, y))| x.cmp(y).then(a.cmp(b)));
     last.map_or(newest, |(place, _)| place)
 }
+
+/// Equal shares of a server for organisations that wait for it, by start-time fair queueing: each
+/// request begins, in the work done so far, when the one before it of its organisation is over.
+#[derive(Debug, Clone, Default)]
+pub struct FairShares {
+    done: f64,
+    ends: HashMap<OrganisationMark, f64>,
+}
+
+impl FairShares {
+    /// Where a request of so much work begins.
+    pub fn begin(&mut self, organisation: Option<OrganisationMark>, work: f64) -> f64 {
+        let Some(organisation) = organisation else { return self.done };
+        let done = self.done;
+        self.ends.retain(|_, end| *end > done);
+        let end = self.ends.entry(organisation).or_insert(done);
+        let begins = *end;
+        *end += work;
+        begins
+    }
+
+    /// A request has its turn.
+    pub fn turn(&mut self, begins: f64) {
+        self.done = self.done.max(begins);
+    }
+
+    /// A request is given up that had not had its turn.
+    pub fn give_up(&mut self, organisation: Option<OrganisationMark>, work: f64) {
+        if let Some(end) = organisation.and_then(|mark| self.ends.get_mut(&mark)) {
+            *end -= work;
+        }
+    }
+
+    /// How many whole rounds of `work` a request comes behind what is due now; before it if negative.
+    pub fn round(&self, begins: f64, work: f64) -> i64 {
+        ((begins - self.done) / work.max(1.0)).floor() as i64
+    }
+}
--- a/crates/portrack/src/gateway/arrivals/granter.rs
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -2,11 +2,12 @@
 
 use super::asks::AskId;
 use super::cold::{ColdRule, ColdWindow};
-use super::fairness::makes_way;
+use super::fairness::{FairShares, makes_way};
 use super::message::{GrantAnswer, GrantAsk, GrantEnd, GrantOrder};
 use super::pace::ReadingPace;
 use super::promises::Promises;
 use super::reading::{ReadingLimit, ReadingWindow};
+use crate::gateway::admission::OrganisationMark;
 use crate::types::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,6 +15,10 @@
 
 /// A grant of which nothing is told is over after this: longer than nodes stand still.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(6_000);
+/// Messages that come later than this after the end of their request are not expected.
+const OVER_KEPT: Duration = Duration::from_millis(2_000);
+/// The same in requests where no prompts are read.
+const REQUESTS_A_ROUND: f64 = 3.0;
 /// A rank lower waits as if it had so much more time left: urgent ones pass, and none is passed for ever.
 const RANK_HEADSTART: Duration = Duration::from_millis(50);
 /// A request that is late already has its turn, whatever else waits, after this share of the time for
@@ -45,13 +50,15 @@
     since: Time,
     /// It is late if it is sent after this, reckoned with the reading of its prompt.
     late_at: Time,
+    /// Where it begins by its organisation's share.
+    begins: f64,
 }
 
 impl Waiting {
-    fn new(now: Time, id: AskId, ask: GrantAsk, pace: f64) -> Self {
+    fn new(now: Time, id: AskId, ask: GrantAsk, pace: f64, begins: f64) -> Self {
         let reading = Duration::from_secs_f64(f64::from(ask.tokens) / pace.max(0.001) / 1_000.0);
         let left = Duration::from_millis(ask.left_ms.into()).saturating_sub(reading);
-        Self { id, ask, since: now, late_at: now + left }
+        Self { id, ask, since: now, late_at: now + left, begins }
     }
 
     fn left_at(&self) -> Time {
@@ -75,10 +82,23 @@
 #[derive(Debug)]
 pub struct Granter {
     given: HashMap<AskId, Given>,
+    /// Requests that ended lately: an ask that comes after that, late or doubled, is nobody's.
+    over: HashMap<AskId, Time>,
     waiting: Vec<Waiting>,
     cold: ColdWindow,
     reading: ReadingWindow,
     promises: Promises,
+    shares: FairShares,
+}
+
+/// What a request costs a server: its prompt, or itself where prompts are not read.
+fn work(ask: &GrantAsk) -> f64 {
+    if ask.gap_ms > 0 { f64::from(ask.tokens) } else { 1.0 }
+}
+
+/// What an organisation may have ahead of the others' next: what is read within one pause.
+fn round_work(ask: &GrantAsk, pace: f64) -> f64 {
+    Granter::limit(ask, pace).map_or(REQUESTS_A_ROUND, |limit| limit.tokens)
 }
 
 impl Granter {
@@ -86,10 +106,12 @@
     pub fn new(now: Time) -> Self {
         Self {
             given: HashMap::new(),
+            over: HashMap::new(),
             waiting: Vec::new(),
             cold: ColdWindow::new(now),
             reading: ReadingWindow::default(),
             promises: Promises::default(),
+            shares: FairShares::default(),
         }
     }
 
@@ -129,95 +151,127 @@
         pace: f64,
     ) -> Vec<GrantOrder> {
         let id = AskId { from, ask: ask.ask };
-        if self.given.contains_key(&id) || self.waiting.iter().any(|waiting| waiting.id == id) {
+        let waits = self.waiting.iter().any(|waiting| waiting.id == id);
+        if waits || self.given.contains_key(&id) || self.over.contains_key(&id) {
             return Vec::new();
         }
+        let begins = self.shares.begin(ask.organisation, work(&ask));
         if self.waiting.is_empty() && self.has_room(now, rule) && self.fits(now, &ask, pace) {
+            self.shares.turn(begins);
             return vec![self.give(now, id, &ask, pace)];
         }
-        self.waiting.push(Waiting::new(now, id, ask, pace));
-        let (place, refused) = (self.waiting.len() - 1, self.over(now, rule, pace));
-        let Some(refused) = refused else {
-            return vec![(id, GrantAnswer::Waits(self.wait_ms(now, place, rule, pace)))];
-        };
-        let refused = self.waiting.swap_remove(refused).id;
-        let mut orders = vec![(refused, self.refusal(now, rule, pace))];
-        if refused != id {
-            let place = self.waiting.iter().position(|waiting| waiting.id == id);
-            let wait = place.map_or(0, |place| self.wait_ms(now, place, rule, pace));
-            orders.push((id, GrantAnswer::Waits(wait)));
+        self.waiting.push(Waiting::new(now, id, ask, pace, begins));
+        self.deal_beginnings(now);
+        let refused = self.over_bounds(now, rule, pace);
+        let refused = refused.map(|place| self.give_up(place));
+        let mut orders: Vec<GrantOrder> = Vec::new();
+        if let Some(refused) = refused {
+            orders.push((refused, self.refusal(now, rule, pace)));
+        }
+        if refused != Some(id) {
+            orders.push((id, GrantAnswer::Waits(self.wait_ms(now, id, rule, pace))));
         }
         orders
     }
 
-    /// How long a waiting request waits, as far as can be told: for its turn in a second, and for what
-    /// is ahead of it to be read.
+    fn give_up(&mut self, place: usize) -> AskId {
+        let gone = self.waiting.remove(place);
+        self.shares.give_up(gone.ask.organisation, work(&gone.ask));
+        gone.id
+    }
+
+    /// Of what an organisation has waiting, the most urgent begins first.
+    fn deal_beginnings(&mut self, now: Time) {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_cached_key(|place| self.waiting[*place].order(now));
+        let mut begins: HashMap<Option<OrganisationMark>, Vec<f64>> = HashMap::new();
+        for waiting in &self.waiting {
+            begins.entry(waiting.ask.organisation).or_default().push(waiting.begins);
+        }
+        begins.values_mut().for_each(|all| all.sort_by(|a, b| b.total_cmp(a)));
+        for place in order {
+            let waiting = &mut self.waiting[place];
+            let first = begins.get_mut(&waiting.ask.organisation).and_then(Vec::pop);
+            waiting.begins = first.unwrap_or(waiting.begins);
+        }
+    }
+
+    /// Those that wait, by their places, in the order in which they have their turns. What an
+    /// organisation sends beyond its share while others wait comes after these.
+    fn turn_order(&self, now: Time, pace: f64) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_cached_key(|place| {
+            let waiting = &self.waiting[*place];
+            let round = self.shares.round(waiting.begins, round_work(&waiting.ask, pace));
+            (round, waiting.order(now))
+        });
+        order
+    }
+
+    /// How long a request waits behind those `ahead` of it, as far as can be told: for its turn in a
+    /// second, and for what is ahead of it to be read.
     fn wait(
         &mut self,
         now: Time,
+        ahead: &[usize],
         place: usize,
         rule: &ServerRule,
         pace: f64,
     ) -> (Duration, Duration) {
-        let me = self.waiting[place].order(now);
-        let ahead: Vec<u32> = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(other, waiting)| *other != place && waiting.order(now) < me)
-            .map(|(_, waiting)| waiting.ask.tokens)
-            .collect();
         let given = self.given.len();
         let cold = rule
             .cold
             .map_or(Duration::ZERO, |cold| self.cold.wait(now, given, ahead.len() + 1, &cold));
         let ask = &self.waiting[place].ask;
         let reading = Self::limit(ask, pace).map_or(Duration::ZERO, |limit| {
-            let tokens = ahead.iter().map(|tokens| f64::from(*tokens)).sum();
+            let tokens = ahead.iter().map(|other| f64::from(self.waiting[*other].ask.tokens)).sum();
             self.reading.wait(now, tokens, ask.tokens, &limit)
         });
         (cold, reading)
     }
 
-    fn wait_ms(&mut self, now: Time, place: usize, rule: &ServerRule, pace: f64) -> u32 {
-        let (cold, reading) = self.wait(now, place, rule, pace);
+    fn wait_ms(&mut self, now: Time, id: AskId, rule: &ServerRule, pace: f64) -> u32 {
+        let order = self.turn_order(now, pace);
+        let Some(at) = order.iter().position(|place| self.waiting[*place].id == id) else {
+            return 0;
+        };
+        let (cold, reading) = self.wait(now, &order[..at], order[at], rule, pace);
         cold.max(reading).as_millis() as u32
     }
 
     /// The place of the request that has to go now that one more waits; `None` if all may wait. For
     /// its turn at a cold server a request waits as long as it can be in time; for reading, as long as
     /// somebody waits for its answer.
-    fn over(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Option<usize> {
-        let last = (0..self.waiting.len()).max_by_key(|place| self.waiting[*place].order(now))?;
-        let (cold, reading) = self.wait(now, last, rule, pace);
-        let ask = &self.waiting[last].ask;
+    fn over_bounds(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Option<usize> {
+        let order = self.turn_order(now, pace);
+        let (last, ahead) = order.split_last()?;
+        let (cold, reading) = self.wait(now, ahead, *last, rule, pace);
+        let ask = &self.waiting[*last].ask;
         let in_time = cold <= Duration::from_millis(ask.left_ms.into());
         let of_use = reading <= Duration::from_millis(ask.most_ms.into());
         if in_time && of_use {
             return None;
         }
-        let waiting: Vec<_> = self
-            .waiting
-            .iter()
-            .map(|waiting| (waiting.ask.organisation, waiting.order(now)))
-            .collect();
+        let turn = |place| order.iter().position(|other| *other == place);
+        let waiting = self.waiting.iter().enumerate();
+        let waiting: Vec<_> =
+            waiting.map(|(place, waiting)| (waiting.ask.organisation, turn(place))).collect();
         Some(makes_way(&waiting))
     }
 
     /// When a refused caller may come back: behind all who wait, one after the other.
     fn refusal(&mut self, now: Time, rule: &ServerRule, pace: f64) -> GrantAnswer {
-        let places = 0..self.waiting.len();
-        let waits: Vec<u32> = places.map(|place| self.wait_ms(now, place, rule, pace)).collect();
-        let longest = Duration::from_millis(waits.into_iter().max().unwrap_or(0).into());
-        let apart = match rule.cold {
-            Some(cold) => Duration::from_secs_f64(1.0 / cold.most() as f64),
-            None => longest / (self.waiting.len() as u32 + 1),
-        };
-        let known = match rule.cold {
-            Some(cold) => self.cold.wait(now, self.given.len(), 1, &cold),
-            None => Duration::ZERO,
+        let last = self.turn_order(now, pace).last().map(|place| self.waiting[*place].id);
+        let longest = last.map_or(0, |last| self.wait_ms(now, last, rule, pace));
+        let longest = Duration::from_millis(longest.into());
+        let (room, apart) = match rule.cold {
+            Some(cold) => {
+                let room = self.cold.wait(now, self.given.len(), self.waiting.len() + 1, &cold);
+                (room, Duration::from_secs_f64(1.0 / cold.most() as f64))
+            }
+            None => (Duration::ZERO, longest / (self.waiting.len() as u32 + 1)),
         };
-        GrantAnswer::Refused(self.promises.next(now, longest.max(known), apart))
+        GrantAnswer::Refused(self.promises.next(now, longest.max(room), apart))
     }
 
     /// A request has begun to be answered, or failed, or was not sent; tells which others have their
@@ -230,7 +284,10 @@
         rule: &ServerRule,
         pace: &mut ReadingPace,
     ) -> Vec<GrantOrder> {
-        self.waiting.retain(|waiting| waiting.id != id);
+        if let Some(place) = self.waiting.iter().position(|waiting| waiting.id == id) {
+            self.give_up(place);
+        }
+        self.over.insert(id, now);
         if let Some(given) = self.given.remove(&id) {
             self.note(now, given, end, pace);
         }
@@ -245,7 +302,7 @@
                     pace.observe(given.tokens, f64::from(millis));
                 }
             }
-            GrantEnd::Failed => self.cold.arrived(now),
+            GrantEnd::Failed | GrantEnd::Lost => self.cold.arrived(now),
             GrantEnd::TurnedAway | GrantEnd::Unsent | GrantEnd::Unreachable => {
                 self.reading.give_back(given.at, given.tokens);
             }
@@ -255,15 +312,19 @@
     /// Those whose turn it is, and those for which nobody waits any more.
     fn turns(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Vec<GrantOrder> {
         let mut orders = Vec::new();
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| waiting.order(now));
+        self.deal_beginnings(now);
+        let order = self.turn_order(now, pace);
+        let waiting = std::mem::take(&mut self.waiting);
+        let waiting: Vec<Waiting> = order.into_iter().map(|place| waiting[place].clone()).collect();
         let mut closed = false;
         for next in waiting {
             if now > next.left_at() {
+                self.shares.give_up(next.ask.organisation, work(&next.ask));
                 orders.push((next.id, self.refusal(now, rule, pace)));
                 continue;
             }
             if !closed && self.has_room(now, rule) && self.fits(now, &next.ask, pace) {
+                self.shares.turn(next.begins);
                 orders.push(self.give(now, next.id, &next.ask, pace));
                 continue;
             }
@@ -276,12 +337,13 @@
 
     /// Lets time pass.
     pub fn pass_time(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Vec<GrantOrder> {
+        self.over.retain(|_, at| now.since(*at) < OVER_KEPT);
         self.given.retain(|_, given| now.since(given.at) < FORGOTTEN_AFTER);
         if self.waiting.is_empty() { Vec::new() } else { self.turns(now, rule, pace) }
     }
 
     /// True if nothing is under way or waits.
     pub fn is_idle(&self) -> bool {
-        self.given.is_empty() && self.waiting.is_empty()
+        self.given.is_empty() && self.waiting.is_empty() && self.over.is_empty()
     }
 }
--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -3,7 +3,7 @@
 use super::asks::{ANSWER_PATIENCE, AskId, Asks, next_answer};
 use super::granter::{Granter, ServerRule};
 use super::guard::{GrantGuard, WaitingGrant};
-use super::message::{GrantAnswer, GrantAsk, GrantMessage, GrantOrder};
+use super::message::{GrantAnswer, GrantAsk, GrantEnd, GrantMessage, GrantOrder};
 use super::pace::ReadingPace;
 use super::quantile::Quantile;
 use super::share::OwnShares;
@@ -347,6 +347,9 @@
             GrantMessage::Answer(ask, answer) => self.asks.answer(ask, answer),
             GrantMessage::Ended(server, ask, end) => {
                 let id = AskId { from, ask };
+                if matches!(end, GrantEnd::Lost | GrantEnd::Unreachable) {
+                    self.doubt(server);
+                }
                 self.at(server, false, |now, granter, rule, pace| {
                     granter.ended(now, id, end, rule, pace)
                 });
@@ -399,6 +402,14 @@
         self.carry_out(orders);
     }
 
+    /// A server that broke off or could not be reached may have started again.
+    fn doubt(&self, server: u32) {
+        let id = self.servers.borrow().get(&server).map(|granted| granted.id.clone());
+        if let Some(id) = id {
+            self.coldness.borrow_mut().doubt(self.clock.now(), &id);
+        }
+    }
+
     fn carry_out(&self, orders: Vec<GrantOrder>) {
         for (id, answer) in orders {
             self.send(id.from, GrantMessage::Answer(id.ask, answer));
--- a/crates/portrack/src/gateway/arrivals/message.rs
+++ b/crates/portrack/src/gateway/arrivals/message.rs
@@ -48,6 +48,8 @@
     Begun(u32),
     /// It was sent, and no good answer came.
     Failed,
+    /// It was sent, and the connection broke off: the server may have started again.
+    Lost,
     /// The server does not have what it needs, and turned it away.
     TurnedAway,
     /// It was not sent.
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -245,6 +245,7 @@
             Sent::MayHaveRun(error) => {
                 job.runs += 1;
                 choice.ended(SlotEnd::Failed);
+                choice.grant_ended(GrantEnd::Lost);
                 self.coldness.borrow_mut().doubt(self.clock.now(), &backend.id);
                 self.loads.outcome(self.clock.now(), &backend.id, true);
                 job.last_failure = error.to_string();
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway's decisions, without sockets, clocks or the platform.
 
 mod answers;
+mod arrivals;
 mod claims;
 mod coldness;
 mod crowding;
