--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -256,6 +256,7 @@
             Sent::MayHaveRun(error) => {
                 job.runs += 1;
                 choice.ended(SlotEnd::Failed);
+                choice.grant_ended(GrantEnd::Lost);
                 self.coldness.borrow_mut().doubt(self.clock.now(), &backend.id);
                 self.loads.outcome_of(self.clock.now(), backend, true);
                 job.last_failure = error.to_string();
