News of known age: whom a daemon follows is decided on evidence, and its news has a stated bound

Change: heartbeats carry how old the sender's news is, whether it watches, and the evidence of up to four watchers. NewsCourse (no sockets, injected time) decides who watches, whom to follow, when to leave and when to ask the store; NewsBounds shares out the least of the bounds; a daemon that does not watch redirects; one that begins to watch says so at once. The age counts from the sending of the question that was answered, for feeds, peers, keys and metrics alike (NewsAge).

The model of a fleet (news_fleet.rs) checks the bound and that no claim is false.

--- a/crates/portrack/src/gateway/admission/proof.rs
+++ b/crates/portrack/src/gateway/admission/proof.rs
@@ -33,6 +33,11 @@
         self.renew_at(millis(asked_at).saturating_sub(age));
     }
 
+    /// The moment, in milliseconds on this daemon's clock; it may be before the clock's start.
+    pub fn moment(&self) -> Option<i64> {
+        self.sent_at.get()
+    }
+
     /// How old it is; `None` if there was none since this daemon started.
     pub fn age(&self, now: Time) -> Option<Duration> {
         let age = self.sent_at.get().map(|at| millis(now).saturating_sub(at));
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -11,6 +11,9 @@
 use crate::gateway::fleet::peers::Peers;
 use crate::gateway::fleet::view::{FleetView, ViewChange};
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::news::age::NewsAge;
+use crate::gateway::news::bounds::NewsBounds;
+use crate::gateway::news::course::NewsCourse;
 use crate::gateway::news::hall_feed::HallFeed;
 use crate::gateway::news::mirror::{Mirror, Mirrored};
 use crate::gateway::orders::claim_records::ClaimRecords;
@@ -24,8 +27,6 @@
 use crate::store::{CountedStore, KvFeed};
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -63,18 +64,18 @@
     pub records: Rc<RefCell<ClaimRecords>>,
     /// Which other daemon orders a server.
     pub orderers: Orderers,
-    /// Since when all watches of the store have failed.
-    pub store_fails_since: Cell<Option<Time>>,
     /// This daemon watches the store itself.
     pub watches: Cell<bool>,
+    /// From whom it learns what changes in the store.
+    pub(super) course: RefCell<NewsCourse>,
+    /// The last look found news that is old.
+    pub(super) news_old: Cell<bool>,
     /// The last look found no proof that keys may be believed in.
     pub(super) proof_lost: Cell<bool>,
     /// What it passes on to others of its hall.
     pub(super) feed: HallFeed,
     /// Woken when other daemons are heard again after this one was cut off.
     pub(super) reconnected: Notify,
-    /// Daemons whose feeds were of no use, each until a time.
-    pub(super) shunned: RefCell<HashMap<SocketAddr, Time>>,
     /// Servers that nobody orders.
     pub vacancies: RefCell<Vacancies>,
     /// When this daemon began.
@@ -147,6 +148,7 @@
             incarnation,
             bounds.quota_slack,
         );
+        let course = NewsCourse::new(settings.members, NewsBounds::new(bounds.news_within()));
         let loads = Rc::new(LoadTable::default());
         let slots = Slots::new(
             clock.clone(),
@@ -195,12 +197,12 @@
             stopping_since: Cell::new(None),
             records,
             orderers,
-            store_fails_since: Cell::new(None),
             watches: Cell::new(false),
+            course: RefCell::new(course),
+            news_old: Cell::new(false),
             proof_lost: Cell::new(false),
             feed: HallFeed::default(),
             reconnected: Notify::new(),
-            shunned: RefCell::default(),
             vacancies: RefCell::default(),
             started_at,
             closing: Rc::new(Notify::new()),
@@ -232,8 +234,12 @@
 
     /// How old the proof is that the configuration is the newest, in milliseconds; -1 for none.
     pub fn proof_age_ms(&self) -> i64 {
-        let age = self.path.proof.age(self.now()).map(|age| age.as_millis());
-        age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1)
+        self.news_age().millis()
+    }
+
+    /// How old what this daemon knows of the store may be.
+    pub fn news_age(&self) -> NewsAge {
+        self.path.news_age()
     }
 
     /// Takes changes of the mirror in; `source` is for logs.
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -97,7 +97,8 @@
         }
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    /// What this daemon tells of itself.
+    pub(in crate::gateway) fn heartbeat(&self) -> Heartbeat {
         let now = self.now();
         Heartbeat {
             node: self.settings.node.clone(),
@@ -113,6 +114,7 @@
             known: self.peers.borrow().known(now),
             capacity: self.settings.limits.capacity(),
             heard: u16::try_from(self.peers.borrow().up(now).count()).unwrap_or(u16::MAX),
+            news: std::iter::once(self.own_news()).chain(self.news_of_others()).collect(),
         }
     }
 
@@ -131,6 +133,9 @@
         }
         self.path.loads.peer(now, &node, heartbeat.work.clone());
         self.look_for_reconnection(now);
+        if let Some((own, of_others)) = heartbeat.news.split_first() {
+            self.course.borrow_mut().heard(now, own, of_others);
+        }
         let (heard, address) = (heartbeat.heard.into(), heartbeat.address);
         let change = self.peers.borrow_mut().heard(now, heartbeat);
         self.introduce_to(now, address, heard);
@@ -146,7 +151,7 @@
     fn look_for_reconnection(&self, now: Time) {
         if let Some(silent) = self.cut_off_for(now) {
             log::info!(silent_ms = silent.as_millis() as u64; "reconnected");
-            self.shunned.borrow_mut().clear();
+            self.course.borrow_mut().reconnected();
             self.reconnected.notify_waiters();
         }
     }
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -3,6 +3,7 @@
 use crate::gateway::admission::QuotaMessage;
 use crate::gateway::choosing::load::Work;
 use crate::gateway::dispatch::SlotMessage;
+use crate::gateway::news::report::NewsReport;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -61,6 +62,8 @@
     pub heard: u16,
     /// How much work for others its node is suited to, compared with others.
     pub capacity: u32,
+    /// How fresh its news of the store is, and then that of some others that watch.
+    pub news: Vec<NewsReport>,
 }
 
 /// An adapter wished for at a server.
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -92,8 +92,6 @@
     beats: usize,
     /// Moves on through the daemons that newcomers are told of.
     newcomer_turn: usize,
-    /// Moves on through the daemons that are asked for proof.
-    proof_turn: usize,
 }
 
 impl Peers {
@@ -112,7 +110,6 @@
             turn,
             beats: 0,
             newcomer_turn: 0,
-            proof_turn: turn,
         }
     }
 
@@ -311,8 +308,20 @@
     /// Where the daemons of a hall are, in the order in which they watch the store for the others;
     /// `node`, this daemon, is among them.
     pub fn watch_order(&self, now: Time, hall: &str, node: &str) -> Vec<SocketAddr> {
+        self.group_order(now, hall, node, |other| other == hall)
+    }
+
+    /// The same for a group of halls with a name of its own.
+    pub fn group_order(
+        &self,
+        now: Time,
+        group: &str,
+        node: &str,
+        is_of_group: impl Fn(&str) -> bool,
+    ) -> Vec<SocketAddr> {
         let up = self.up(now).filter(|(_, peer)| {
-            peer.heartbeat.hall == hall && !peer.heartbeat.leaving && &*peer.heartbeat.node != node
+            let heartbeat = &peer.heartbeat;
+            is_of_group(&heartbeat.hall) && !heartbeat.leaving && heartbeat.node != node
         });
         let mut names: Vec<&str> = up.map(|(name, _)| &**name).collect();
         names.push(node);
@@ -320,15 +329,15 @@
             true => Some(self.me),
             false => self.peers.get(name).map(|peer| peer.heartbeat.address),
         };
-        self.by_capacity(hall, names).into_iter().filter_map(address).collect()
+        self.by_capacity(group, names).into_iter().filter_map(address).collect()
     }
 
-    /// Where the daemons of other halls than `hall` are that watch the store.
-    pub fn watching_abroad(&self, now: Time, hall: &str) -> Vec<SocketAddr> {
-        let abroad = self.up(now).filter(|(_, peer)| {
-            peer.heartbeat.watches && !peer.heartbeat.leaving && peer.heartbeat.hall != hall
-        });
-        abroad.map(|(_, peer)| peer.heartbeat.address).collect()
+    /// The daemons that are up and stay: where each is and in which hall, the best suited first.
+    pub fn staying(&self, now: Time) -> Vec<(SocketAddr, &str)> {
+        let up = self.up(now).map(|(_, peer)| &peer.heartbeat);
+        let mut staying: Vec<&Heartbeat> = up.filter(|heartbeat| !heartbeat.leaving).collect();
+        staying.sort_by_key(|heartbeat| std::cmp::Reverse(heartbeat.capacity));
+        staying.into_iter().map(|heartbeat| (heartbeat.address, &*heartbeat.hall)).collect()
     }
 
     /// Daemons of a hall in the order in which they work for others of it: those of the best suited
@@ -369,15 +378,6 @@
         best.map(|(_, peer)| peer.heartbeat.address)
     }
 
-    /// A daemon to ask for its proof of what the store holds: one of those that say that they see it,
-    /// another one each time.
-    pub fn proof_source(&mut self, now: Time) -> Option<SocketAddr> {
-        let seeing: Vec<SocketAddr> =
-            self.able_peers(now).map(|(_, peer)| peer.heartbeat.address).collect();
-        self.proof_turn = self.proof_turn.wrapping_add(1);
-        seeing.get(self.proof_turn % seeing.len().max(1)).copied()
-    }
-
     /// All daemons that could order servers: up, seeing the store and not leaving.
     pub fn able(&self, now: Time) -> Vec<Rc<str>> {
         self.able_peers(now).map(|(name, _)| name.clone()).collect()
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -36,6 +36,8 @@
     pub config_version: IntGauge,
     /// The age of proof that the configuration is the newest, in milliseconds; -1 for none.
     pub proof_age_ms: IntGauge,
+    /// The age of the news of the store, by its source, each second; news of no known age is not counted.
+    pub news_age: HistogramVec,
     /// Requests by organisation and how they ended.
     organisations: IntCounterVec,
     /// Organisations that are counted by name.
@@ -72,6 +74,7 @@
             store_failures: made.counters("store_failures_total", "Failed calls", &["trouble"]),
             config_version: made.gauge("config_version", "Configuration in force"),
             proof_age_ms: made.gauge("proof_age_ms", "Age of proof of the configuration"),
+            news_age: made.histograms("news_age_seconds", "Age of news of the store", &["source"]),
             organisations: made.counters(
                 "organisation_requests_total",
                 "Requests by organisation and end",
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -57,9 +57,13 @@
 pub use fleet::view::{FIRST_VERSION, FleetView, ViewChange};
 pub use logging::{LogSink, log_field};
 pub use metrics::GatewayMetrics;
-pub use news::following::{NewsSource, Watching, news_source};
+pub use news::age::NewsAge;
+pub use news::bounds::NewsBounds;
+pub use news::course::{Distance, NewsCourse, NewsSource, SourceLost, Surroundings};
+pub use news::evidence::{Evidence, EvidenceTable};
 pub use news::mirror::{Mirror, MirrorItem, MirrorNews, Mirrored};
 pub use news::pacing::WatchPacing;
+pub use news::report::{NewsReport, Standing};
 pub use orders::claim_record::{ClaimKey, ClaimRecord};
 pub use orders::claim_records::{ClaimRecords, SeenRecord};
 pub use orders::claims::{Claim, Claims, Predecessor};
--- a/crates/portrack/src/gateway/news/following.rs
+++ b/crates/portrack/src/gateway/news/following.rs
@@ -1,198 +1,187 @@
-//! Who watches the store for a data hall, and how the others follow.
+//! Connections over which daemons follow others that watch the store.
 
+use super::bounds::NewsBounds;
+use super::course::{Distance, NewsSource, SourceLost, Surroundings};
 use super::frames::{FrameError, read_frame, write_frame};
-use super::hall_feed::{FeedFrame, Freshness, FreshnessQuestion, PeerAsk};
+use super::hall_feed::{
+    FeedFrame, FeedMessage, Freshness, FreshnessQuestion, HeardQuestion, PeerAsk,
+};
 use super::mirror::MirrorNews;
+use super::report::{NewsReport, Standing};
 use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::fleet::message::PeerMessage;
 use crate::types::Time;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
-/// Daemons of a hall that watch the store: with two, the loss of one costs its followers a new
-/// connection and no call.
-const WATCHERS: usize = 2;
-/// In a hall of so many daemons all watch: there is next to nothing to save.
-const ALL_WATCH: usize = 4;
-/// Between frames of a feed that has news.
+/// A region of so many daemons is one group, in which two watch the store; in larger ones each data
+/// hall is. All of them hear every heartbeat, and two can feed the others.
+const SMALL_REGION: usize = 12;
+/// Between frames of a feed that has news, at most.
 const FRAME_EVERY: Duration = Duration::from_millis(100);
-/// Between frames of a feed without news, so that followers know that it lives.
-const IDLE_FRAME_EVERY: Duration = Duration::from_millis(400);
-/// A feed that says nothing for so long is left: two idle frames are late.
-const FEED_SILENT: Duration = Duration::from_millis(1_000);
-/// A feed is left if the store has not answered its daemon for longer: a watch and some slack.
-const FEED_STALE: Duration = Duration::from_millis(1_700);
-/// For the connection to a feed, within a data centre.
-const CONNECT: Duration = Duration::from_millis(400);
 /// A follower that does not take a frame within this is cut off: over a link of 10 Mbit/s the
 /// largest configuration takes half of it.
 const FRAME_TAKEN: Duration = Duration::from_secs(4);
-/// A daemon that does not watch, or whose feed fell silent, is not asked again for so long.
-const SHUNNED_FOR: Duration = Duration::from_secs(3);
-/// The same for one that could not be reached or has lost the store, which takes longer to pass.
-const LOST_FOR: Duration = Duration::from_secs(10);
 /// Between tries of a daemon that is cut off, unless it hears others before.
 const CUT_OFF_PAUSE: Duration = Duration::from_millis(400);
-/// After a feed that ended, so that a daemon which has just learned that it is to watch does so.
-const CLOSED_PAUSE: Duration = Duration::from_millis(300);
-/// A watcher whose calls have failed for so long tells its followers that it has lost the store. One
-/// lost answer is no reason: all 39 daemons of a hall would turn to the store at once.
-const STORE_LOST_AFTER: Duration = Duration::from_millis(700);
-/// Between a follower's questions how fresh its source is; frames come as often at least.
-const QUESTION_EVERY: Duration = Duration::from_millis(300);
-/// The same where keys must be proved, and for frames, as a share of the age that proof may have.
-const PROOF_FRAME_SHARE: f64 = 0.1;
+/// Daemons beyond its group that are told at once of one that has found the store again: a burst of
+/// 20 KB.
+const TOLD_AT_ONCE: usize = 64;
 /// A follower that asks nothing for so long is gone.
 const FOLLOWER_SILENT: Duration = Duration::from_secs(8);
-/// Between looks whether this daemon should watch by itself.
-const LOOK_AGAIN: Duration = Duration::from_secs(2);
 
-/// From whom this daemon learns what changes in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NewsSource {
-    /// From the store itself.
-    Store,
-    /// From a daemon that watches the store, of its own hall or of another one.
-    Peer(SocketAddr),
-}
-
-/// Whom a daemon could follow.
-#[derive(Debug, Clone, Copy)]
-pub struct Watching<'a> {
-    /// The daemons of its hall, itself included, in the order in which they watch for the others.
-    pub hall: &'a [SocketAddr],
-    /// Daemons of other halls that watch.
-    pub abroad: &'a [SocketAddr],
-}
+impl GatewayDaemon {
+    /// True if other daemons may follow this one while it watches.
+    pub(in crate::gateway) fn feeds_others(&self) -> bool {
+        self.surroundings().group.len() > 1
+    }
 
-/// Whom a daemon follows: one of the first two of its hall. `shunned` tells which daemons are of no
-/// use now, itself if it has lost the store. If both are, the next two of the hall watch, and the
-/// others follow daemons of other halls, which watch already and mostly have good links: one after
-/// the other of 36 small nodes was asked in vain for 2.9 s. Where those are of no use either, the
-/// hall's daemons find out two at a time whether the store is back.
-pub fn news_source(
-    watching: Watching<'_>,
-    me: SocketAddr,
-    shunned: impl Fn(SocketAddr) -> bool,
-) -> NewsSource {
-    let Watching { hall, abroad } = watching;
-    if hall.len() <= ALL_WATCH {
-        return NewsSource::Store;
+    /// The daemons that are up and stay, and which of them watch for whom.
+    pub(in crate::gateway) fn surroundings(&self) -> Surroundings {
+        let (now, hall, regions) = (self.now(), &*self.settings.hall, self.settings.regions());
+        let peers = self.peers.borrow();
+        let distance = |other: &str| match (other == hall, regions.is_own(other)) {
+            (true, _) => Distance::Hall,
+            (false, true) => Distance::Region,
+            (false, false) => Distance::Far,
+        };
+        let staying = peers.staying(now);
+        let near = staying.iter().filter(|peer| distance(peer.1) != Distance::Far);
+        let is_small = near.count() < SMALL_REGION;
+        let of_group = |other: &str| match is_small {
+            true => distance(other) != Distance::Far,
+            false => other == hall,
+        };
+        let group: &str = if is_small { regions.own() } else { hall };
+        Surroundings {
+            group: peers.group_order(now, group, &self.settings.node, of_group),
+            others: staying.iter().map(|(peer, hall)| (*peer, distance(hall))).collect(),
+        }
     }
-    let place = hall.iter().position(|address| *address == me).unwrap_or_default();
-    let usable = |all: &[SocketAddr]| -> Vec<SocketAddr> {
-        all.iter().copied().filter(|address| !shunned(*address)).collect()
-    };
-    let spread = |all: &[SocketAddr]| all.get(place % all.len().max(1)).copied();
-    let next: Vec<SocketAddr> = usable(hall).into_iter().take(WATCHERS).collect();
-    if next.contains(&me) {
-        return NewsSource::Store;
+
+    /// From whom to learn now.
+    pub(in crate::gateway) fn news_source(&self) -> NewsSource {
+        let around = self.surroundings();
+        let source = self.course.borrow_mut().decide(self.now(), &around, self.path.proof.moment());
+        self.note_watching(false);
+        source
     }
-    let first = usable(&hall[..WATCHERS]);
-    let source = spread(&first).or_else(|| spread(&usable(abroad))).or_else(|| spread(&next));
-    source.map_or(NewsSource::Store, NewsSource::Peer)
-}
 
-impl GatewayDaemon {
-    /// True if other daemons may follow this one while it watches.
-    pub(in crate::gateway) fn feeds_others(&self) -> bool {
-        self.watch_order().len() > ALL_WATCH
+    /// Tells the group at once if this daemon has begun or ceased to watch, and others too if it had
+    /// old news before, since theirs may be: heartbeats take a round to reach all of a large fleet.
+    pub(in crate::gateway) fn note_watching(&self, had_old_news: bool) {
+        let watches = self.course.borrow().watches();
+        if watches == self.watches.replace(watches) {
+            return;
+        }
+        let message = PeerMessage::Heartbeat(self.heartbeat());
+        let Surroundings { group, others } = self.surroundings();
+        let others = others.into_iter().map(|(peer, _)| peer).filter(|peer| !group.contains(peer));
+        let far = if had_old_news { TOLD_AT_ONCE } else { 0 };
+        for peer in group.iter().copied().chain(others.take(far)) {
+            if peer != self.settings.members {
+                self.tell(&message, peer);
+            }
+        }
     }
 
-    fn watch_order(&self) -> Vec<SocketAddr> {
-        let settings = &self.settings;
-        self.peers.borrow().watch_order(self.now(), &settings.hall, &settings.node)
+    /// What this daemon tells of its own news.
+    pub(in crate::gateway) fn own_news(&self) -> NewsReport {
+        NewsReport {
+            address: self.settings.members,
+            incarnation: self.incarnation,
+            age_ms: self.path.proof.age_to_tell(self.now()),
+            standing: self.course.borrow().standing(),
+        }
     }
 
-    fn watching_abroad(&self) -> Vec<SocketAddr> {
-        self.peers.borrow().watching_abroad(self.now(), &self.settings.hall)
+    /// What it tells of others' news.
+    pub(in crate::gateway) fn news_of_others(&self) -> Vec<NewsReport> {
+        self.course.borrow().to_tell(self.now(), &self.surroundings())
     }
 
-    /// From whom to learn now.
-    pub(in crate::gateway) fn news_source(&self) -> NewsSource {
-        let now = self.now();
-        let (hall, abroad) = (self.watch_order(), self.watching_abroad());
-        let shunned = self.shunned.borrow();
-        let is_shunned = |address: SocketAddr| shunned.get(&address).is_some_and(|at| now < *at);
-        let watching = Watching { hall: &hall, abroad: &abroad };
-        news_source(watching, self.settings.members, is_shunned)
+    pub(in crate::gateway) fn news_bounds(&self) -> NewsBounds {
+        self.course.borrow().bounds()
     }
 
-    /// Follows a daemon that watches until it is of no use, or this daemon is to watch by itself.
+    /// Follows a daemon that watches until it is of no use, or there is a better way.
     pub(in crate::gateway) async fn follow_peer(self: &Rc<Self>, source: SocketAddr) {
-        self.watches.set(false);
         let why = self.read_feed(source).await;
-        let of_no_use = !matches!(why, FeedEnd::ToWatch | FeedEnd::Nearer);
-        if of_no_use && self.is_cut_off() {
+        let lost = match why {
+            FeedEnd::NoConnection | FeedEnd::Silent => Some(SourceLost::Unreachable),
+            FeedEnd::Closed | FeedEnd::Redirected => Some(SourceLost::Ended),
+            FeedEnd::Better => None,
+        };
+        log::info!(
+            feed:% = source, why:? = why, revision = self.mirror.borrow().revision(),
+            news_age_ms = self.news_age().millis();
+            "feed_left"
+        );
+        let Some(lost) = lost else { return };
+        if self.is_cut_off() {
             // That is no fault of the source: it is asked again as soon as anybody is heard.
             let _ = actix_rt::time::timeout(CUT_OFF_PAUSE, self.reconnected.notified()).await;
-        } else if of_no_use {
-            let span = match why {
-                FeedEnd::NoConnection | FeedEnd::Stale => LOST_FOR,
-                _ => SHUNNED_FOR,
-            };
-            if why == FeedEnd::Closed {
-                actix_rt::time::sleep(CLOSED_PAUSE).await;
-            }
-            let until = self.now() + span;
-            self.shunned.borrow_mut().insert(source, until);
+        } else {
+            self.course.borrow_mut().left(self.now(), source, lost);
         }
-        log::info!(feed:% = source, why:? = why, revision = self.mirror.borrow().revision(); "feed_left");
-    }
-
-    /// True if a daemon is of this daemon's hall, as far as known.
-    fn is_near(&self, address: SocketAddr) -> bool {
-        !self.watching_abroad().contains(&address)
     }
 
     async fn read_feed(self: &Rc<Self>, source: SocketAddr) -> FeedEnd {
-        let connecting = actix_rt::time::timeout(CONNECT, TcpStream::connect(source));
+        let bounds = self.news_bounds();
+        let connecting = actix_rt::time::timeout(bounds.patience(), TcpStream::connect(source));
         let Ok(Ok(mut stream)) = connecting.await else { return FeedEnd::NoConnection };
+        let (mut read, mut write) = stream.split();
         let mut question = FreshnessQuestion { sent_at: self.now() };
         let ask = PeerAsk::Follow { after: self.mirror.borrow().revision(), question };
-        if write_frame(&mut stream, &ask).await.is_none() {
+        if write_frame(&mut write, &ask).await.is_none() {
             return FeedEnd::NoConnection;
         }
-        let mut looked_at = self.now();
         loop {
-            let now = self.now();
-            let question_every = self.for_proof(QUESTION_EVERY, PROOF_FRAME_SHARE);
-            if now.since(question.sent_at) >= question_every {
-                question = FreshnessQuestion { sent_at: now };
-                let asking = write_frame(&mut stream, &question);
-                match actix_rt::time::timeout(FEED_SILENT, asking).await {
-                    Ok(Some(())) => {}
-                    Ok(None) => return FeedEnd::Closed,
-                    Err(_) => return FeedEnd::Silent,
+            let mut reading = pin!(read_frame(&mut read, bounds.silent()));
+            let message = loop {
+                tokio::select! {
+                    message = &mut reading => break message,
+                    () = actix_rt::time::sleep(bounds.answer()) => {}
                 }
-            }
-            let frame: FeedFrame = match read_frame(&mut stream, FEED_SILENT).await {
-                Ok(frame) => frame,
-                Err(FrameError::Silent) => return FeedEnd::Silent,
-                Err(FrameError::Broken) => return FeedEnd::Closed,
-            };
-            let age = Duration::from_millis(frame.store_age_ms.into());
-            self.take_frame(frame);
-            if age > FEED_STALE {
-                return FeedEnd::Stale;
-            }
-            if self.now().since(looked_at) >= LOOK_AGAIN {
-                looked_at = self.now();
-                match self.news_source() {
-                    NewsSource::Store => return FeedEnd::ToWatch,
-                    NewsSource::Peer(other) if self.is_near(other) && !self.is_near(source) => {
-                        return FeedEnd::Nearer;
+                if self.news_source() != NewsSource::Peer(source) {
+                    return FeedEnd::Better;
+                }
+                if self.now().since(question.sent_at) >= bounds.question() {
+                    question = FreshnessQuestion { sent_at: self.now() };
+                    let asking = write_frame(&mut write, &question);
+                    match actix_rt::time::timeout(bounds.silent(), asking).await {
+                        Ok(Some(())) => {}
+                        Ok(None) => return FeedEnd::Closed,
+                        Err(_) => return FeedEnd::Silent,
                     }
-                    NewsSource::Peer(_) => {}
                 }
+            };
+            match message {
+                Ok(FeedMessage::News(frame)) => self.take_frame(source, frame),
+                Ok(FeedMessage::Redirect(reports)) => {
+                    self.take_redirect(source, question.sent_at, &reports);
+                    return FeedEnd::Redirected;
+                }
+                Err(FrameError::Silent) => return FeedEnd::Silent,
+                Err(FrameError::Broken) => return FeedEnd::Closed,
             }
         }
     }
 
-    fn take_frame(self: &Rc<Self>, frame: FeedFrame) {
+    fn take_redirect(&self, source: SocketAddr, asked_at: Time, reports: &[NewsReport]) {
+        log::info!(
+            feed:% = source, watching:? = reports.iter().skip(1).map(|told| told.address).collect::<Vec<_>>();
+            "feed_redirected"
+        );
+        self.course.borrow_mut().redirected(self.now(), asked_at, reports);
+    }
+
+    fn take_frame(self: &Rc<Self>, source: SocketAddr, frame: FeedFrame) {
         let now = self.now();
         self.path.loads.report(now, &frame.loads);
         if !frame.notices.is_empty() {
@@ -208,9 +197,12 @@
             changes
         };
         self.apply(changes, "feed");
-        if let Some(Freshness { question, age_ms }) = frame.freshness {
+        if let Some(Freshness { question, age_ms, incarnation }) = frame.freshness {
             let age = Duration::from_millis(age_ms.into());
             self.path.proof.renew_from(question.sent_at, age);
+            let (age_ms, standing) = (Some(age_ms), Standing::Watches);
+            let told = NewsReport { address: source, incarnation, age_ms, standing };
+            self.course.borrow_mut().redirected(now, question.sent_at, &[told]);
         }
         // Only now: how old the news can be is told by when the store was heard of before it.
         if frame.store_age_ms != u32::MAX {
@@ -227,11 +219,11 @@
         after: u64,
         question: FreshnessQuestion,
     ) -> Option<()> {
-        let question = Cell::new(question);
+        let question = Cell::new(HeardQuestion { question, heard_at: self.now() });
         let (mut read, mut write) = stream.split();
         tokio::select! {
             ended = self.write_feed(&mut write, after, &question) => ended,
-            ended = hear_questions(&mut read, &question) => ended,
+            ended = self.hear_questions(&mut read, &question) => ended,
         }
     }
 
@@ -239,77 +231,76 @@
         &self,
         stream: &mut WriteHalf<'_>,
         after: u64,
-        question: &Cell<FreshnessQuestion>,
+        question: &Cell<HeardQuestion>,
     ) -> Option<()> {
         let mut place = self.feed.end();
         let mut told = after;
         let mut told_at: Option<Time> = None;
-        while self.watches.get() {
+        let mut told_proof = None;
+        while self.watches.get() && !self.stopping() {
             let now = self.now();
             let (notices, loads) = self.feed.after(&mut place);
             let unchanged = self.mirror.borrow().revision() <= told;
-            let silent = notices.is_empty() && loads.is_empty() && unchanged;
-            let idle_every = self.for_proof(IDLE_FRAME_EVERY, PROOF_FRAME_SHARE);
-            if silent && told_at.is_some_and(|at| now.since(at) < idle_every) {
-                actix_rt::time::sleep(FRAME_EVERY).await;
+            let proof = self.path.proof.moment();
+            let silent = notices.is_empty() && loads.is_empty() && unchanged && proof == told_proof;
+            let bounds = self.news_bounds();
+            let frame_every = FRAME_EVERY.min(bounds.answer());
+            if silent && told_at.is_some_and(|at| now.since(at) < bounds.question()) {
+                actix_rt::time::sleep(frame_every).await;
                 continue;
             }
             let MirrorNews { revision, whole, items } = self.mirror.borrow().news_after(told);
             let store_age_ms = self.store_age();
-            let freshness = self.path.proof.age_to_tell(now);
-            let freshness = freshness.map(|age_ms| Freshness { question: question.get(), age_ms });
+            let freshness = self.freshness(question.get());
             let frame =
                 FeedFrame { revision, store_age_ms, freshness, whole, items, notices, loads };
-            (told, told_at) = (revision, Some(now));
-            let writing = write_frame(stream, &frame);
+            (told, told_at, told_proof) = (revision, Some(now), proof);
+            let message = FeedMessage::News(frame);
+            let writing = write_frame(stream, &message);
             actix_rt::time::timeout(FRAME_TAKEN, writing).await.ok()??;
-            actix_rt::time::sleep(FRAME_EVERY).await;
+            actix_rt::time::sleep(frame_every).await;
         }
-        Some(())
+        let reports = std::iter::once(self.own_news()).chain(self.news_of_others());
+        let message = FeedMessage::Redirect(reports.collect());
+        actix_rt::time::timeout(FRAME_TAKEN, write_frame(stream, &message)).await.ok()?
     }
 
-    /// True if all watches of the store have failed for a while.
-    pub(in crate::gateway) fn has_lost_store(&self) -> bool {
-        let fails = self.store_fails_since.get();
-        fails.is_some_and(|since| self.now().since(since) >= STORE_LOST_AFTER)
+    /// How old this daemon's proof was when it had a question. The follower counts from its sending,
+    /// so that nothing is added for the time that the question lay here.
+    fn freshness(&self, heard: HeardQuestion) -> Option<Freshness> {
+        let age_ms = self.path.proof.age_to_tell(heard.heard_at)?;
+        Some(Freshness { question: heard.question, age_ms, incarnation: self.incarnation })
     }
 
-    /// A watcher that has lost the store leaves watching to others and follows them.
-    pub(in crate::gateway) fn leave_watching(&self) {
-        let until = self.now() + LOST_FOR;
-        self.shunned.borrow_mut().insert(self.settings.members, until);
-        self.store_fails_since.set(None);
+    /// Keeps the newest question of a follower until it is gone.
+    async fn hear_questions(
+        &self,
+        stream: &mut ReadHalf<'_>,
+        newest: &Cell<HeardQuestion>,
+    ) -> Option<()> {
+        loop {
+            let question = read_frame(stream, FOLLOWER_SILENT).await.ok()?;
+            newest.set(HeardQuestion { question, heard_at: self.now() });
+        }
     }
 
-    /// How long ago the store answered, in milliseconds, for followers; very long if it is lost.
+    /// How long ago the store answered, in milliseconds, for followers.
     fn store_age(&self) -> u32 {
-        if self.has_lost_store() {
-            return u32::MAX;
-        }
         u32::try_from(self.store_age_ms()).unwrap_or(u32::MAX)
     }
 }
 
-/// Keeps the newest question of a follower until it is gone.
-async fn hear_questions(stream: &mut ReadHalf<'_>, newest: &Cell<FreshnessQuestion>) -> Option<()> {
-    loop {
-        newest.set(read_frame(stream, FOLLOWER_SILENT).await.ok()?);
-    }
-}
-
 /// Why a feed was left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum FeedEnd {
     /// It could not be reached.
     NoConnection,
-    /// It was ended by the other side, which does not watch or is gone.
+    /// It was ended by the other side, which is gone.
     Closed,
+    /// Its daemon does not watch, and said who does.
+    Redirected,
     /// Nothing came for a while.
     Silent,
-    /// Its daemon does not hear from the store.
-    Stale,
-    /// This daemon is to watch the store by itself.
-    ToWatch,
-    /// It is of another hall, and one of this hall can be followed again.
-    Nearer,
+    /// Another daemon is nearer or knows more, or this one is to watch the store by itself.
+    Better,
 }
--- a/crates/portrack/src/gateway/news/hall_feed.rs
+++ b/crates/portrack/src/gateway/news/hall_feed.rs
@@ -4,6 +4,7 @@
 //! 48 s. Two daemons of each hall watch; the others follow one of them over a connection.
 
 use super::mirror::MirrorItem;
+use super::report::NewsReport;
 use crate::gateway::fleet::message::{PlacementNotice, ServerLoad};
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,15 @@
     pub sent_at: Time,
 }
 
+/// A question as it was heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::gateway) struct HeardQuestion {
+    /// The question.
+    pub question: FreshnessQuestion,
+    /// When it came, on the clock of the daemon that was asked.
+    pub heard_at: Time,
+}
+
 /// How fresh the copy of the store is that a frame brings a follower up to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(in crate::gateway) struct Freshness {
@@ -46,6 +56,18 @@
     pub question: FreshnessQuestion,
     /// The age of the sender's own proof when it had this question, in milliseconds.
     pub age_ms: u32,
+    /// The sender's life.
+    pub incarnation: u64,
+}
+
+/// What comes over a feed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(in crate::gateway) enum FeedMessage {
+    /// News.
+    News(FeedFrame),
+    /// The sender does not watch, or does not any more: what it says of itself, then who is known to
+    /// watch. It is the last message.
+    Redirect(Vec<NewsReport>),
 }
 
 /// News for a follower.
--- a/crates/portrack/src/gateway/news/sync.rs
+++ b/crates/portrack/src/gateway/news/sync.rs
@@ -1,6 +1,8 @@
 //! Follows the store, and catches up from peers while it is away.
 
-use super::following::NewsSource;
+use super::age::NewsAge;
+use super::bounds::NewsBounds;
+use super::course::NewsSource;
 use super::frames::{read_frame, write_frame};
 use super::hall_feed::PeerAsk;
 use super::mirror::MirrorItem;
@@ -16,10 +18,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// How long one watch waits; a lost one is noticed this late at most.
-const WATCH: Duration = Duration::from_millis(2_500);
-/// The same where other daemons follow this one: they must learn soon that it has lost the store.
-const FEED_WATCH: Duration = Duration::from_millis(1_000);
 /// First pause after a failed call; doubles up to the cap.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failed calls.
@@ -30,18 +28,12 @@
 /// next may be of any age. With [`VERSION_GRACE`](crate::gateway::VERSION_GRACE) it stays below the 5 s after
 /// which users allow no older version.
 const STORE_SILENT: Duration = Duration::from_millis(3_100);
-/// How long one watch waits where keys must be proved, as a share of the age that proof may have. With
-/// the pause between watches, proof is 1.4 s old at most in a calm store where it may be 4 s old, and
-/// one failed watch is borne.
-const PROOF_WATCH_SHARE: f64 = 0.125;
-/// The longest pause between watches there, as such a share.
-const PROOF_PAUSE_SHARE: f64 = 0.2;
-/// A peer is asked for proof once this daemon's is older than this share of what keys allow.
-const PROOF_WANTED_SHARE: f64 = 0.5;
 /// The longest catching up from one peer.
 const CATCH_UP: Duration = Duration::from_millis(1_500);
-/// The same where proof is asked for: others can be asked.
-const PROOF_PATIENCE: Duration = Duration::from_millis(400);
+/// Peers that are asked at once where news is old: one of them may be of no use.
+const ASKED_AT_ONCE: usize = 3;
+/// The store is back if it answers after so long.
+const STORE_AWAY: Duration = Duration::from_millis(5_000);
 /// What a peer knows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct CatchUpReply {
@@ -77,6 +69,7 @@
                     self.follow_peer(source).await;
                     watch.after = Some(self.mirror.borrow().revision()).filter(|at| *at > 0);
                 }
+                NewsSource::Nobody => actix_rt::time::sleep(self.news_bounds().answer()).await,
             }
         }
     }
@@ -84,9 +77,10 @@
     /// One watch of the store, or a whole reading, and the pause after it.
     async fn watch_store(self: &Rc<Self>, watch: &mut StoreWatch) {
         let prefix = self.dialect.prefix();
+        let bounds = self.news_bounds();
+        // One that begins has old news, and wants proof at once.
+        let wait = if self.watches.get() { bounds.watch() } else { Duration::ZERO };
         let asked_at = self.now();
-        let feeds = self.feeds_others();
-        let wait = self.watch_wait(feeds);
         let asking = async {
             match watch.after {
                 None => self.read_all(prefix).await,
@@ -97,20 +91,22 @@
             result = asking => result,
             // A call from before a cut may hang for as long as a watch and its patience last.
             () = self.reconnected.notified() => Err(FeedError::Silent),
+            () = self.is_outrun(asked_at + wait + bounds.silent()) => Err(FeedError::Silent),
         };
         let waited = watch.after.map(|_| self.now().since(asked_at));
         match result {
             Ok(revision) => {
                 self.store_answered(prefix);
+                let had_old_news = !self.news_age().is_within(bounds.calm());
                 // Not the time of the answer: that may have been on its way for long.
                 self.path.proof.renew(asked_at);
-                self.watches.set(true);
-                self.store_fails_since.set(None);
+                self.course.borrow_mut().store_answered();
+                self.note_watching(had_old_news);
                 watch.after = Some(revision);
                 watch.pause = PAUSE;
                 self.mirror.borrow_mut().whole_up_to(revision);
-                let pause = watch.pacing.after(waited, feeds);
-                actix_rt::time::sleep(self.for_proof(pause, PROOF_PAUSE_SHARE)).await;
+                let pause = watch.pacing.after(waited, self.feeds_others());
+                actix_rt::time::sleep(pause.min(bounds.pause())).await;
                 // The store was not silent while it was not asked.
                 self.store_seen.set(Some(self.now()));
             }
@@ -121,21 +117,34 @@
                     actix_rt::time::sleep(PAUSE).await;
                     return;
                 }
-                let since = self.store_fails_since.get().unwrap_or(self.now());
-                self.store_fails_since.set(Some(since));
-                if feeds && self.has_lost_store() {
-                    self.leave_watching();
-                    return;
+                self.course.borrow_mut().store_failed(self.now(), asked_at);
+                self.note_watching(false);
+                if self.watches.get() {
+                    actix_rt::time::sleep(watch.pause).await;
+                    watch.pause = (watch.pause * 2).min(PAUSE_CAP);
                 }
-                actix_rt::time::sleep(watch.pause).await;
-                watch.pause = (watch.pause * 2).min(PAUSE_CAP);
             }
         }
     }
 
-    fn watch_wait(&self, feeds: bool) -> Duration {
-        let wait = if feeds { FEED_WATCH } else { WATCH };
-        self.for_proof(wait, PROOF_WATCH_SHARE)
+    /// Waits until the store's answer is late and the news old, and somebody else is known to know
+    /// more. A call that was given up as soon as somebody seemed to know more left a daemon without
+    /// news that the store would have answered.
+    async fn is_outrun(&self, late_at: Time) {
+        loop {
+            actix_rt::time::sleep(self.news_bounds().answer()).await;
+            let is_old = !self.news_age().is_within(self.news_bounds().calm());
+            let is_late = self.now() >= late_at;
+            if is_old && is_late && !self.who_knows_more(1).is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Peers that provably know more of the store than this daemon.
+    fn who_knows_more(&self, some: usize) -> Vec<SocketAddr> {
+        let (around, known_at) = (self.surroundings(), self.path.proof.moment());
+        self.course.borrow().know_more(self.now(), &around, known_at, some)
     }
 
     /// How old proof may be, where callers show keys that must be proved.
@@ -145,15 +154,11 @@
         organisations.and(self.path.key_rules.keyed)
     }
 
-    /// A span that is usual elsewhere, cut to a share of the age that proof may have.
-    pub(in crate::gateway) fn for_proof(&self, usual: Duration, share: f64) -> Duration {
-        self.proof_bound().map_or(usual, |bound| usual.min(bound.mul_f64(share)))
-    }
-
-    /// True if the proof is so old that a peer is to be asked for its own.
-    fn wants_proof(&self, now: Time) -> bool {
-        self.proof_bound()
-            .is_some_and(|bound| !self.path.proof.is_within(now, bound.mul_f64(PROOF_WANTED_SHARE)))
+    /// Keys that must be proved make news urgent, too.
+    fn set_news_bounds(&self) {
+        let within = self.settings.bounds.news_within();
+        let within = self.proof_bound().map_or(within, |bound| bound.min(within));
+        self.course.borrow_mut().set_bounds(NewsBounds::new(within));
     }
 
     async fn read_all(self: &Rc<Self>, prefix: &str) -> Result<u64, FeedError> {
@@ -206,7 +211,7 @@
     fn store_answered(&self, prefix: &str) {
         let before = self.store_seen.replace(Some(self.now()));
         let away = before.map_or(Duration::MAX, |at| self.now().since(at));
-        if before.is_none() || away > WATCH * 2 {
+        if before.is_none() || away > STORE_AWAY {
             let away_ms = before.map_or(0, |_| away.as_millis() as u64);
             log::info!(prefix = prefix, away_ms = away_ms; "store_regained");
         }
@@ -229,22 +234,25 @@
     /// Catches up from peers while the store does not answer, for ever.
     pub async fn follow_peers(self: Rc<Self>) {
         loop {
-            actix_rt::time::sleep(PEER_LOOK).await;
+            actix_rt::time::sleep(PEER_LOOK.min(self.news_bounds().answer())).await;
+            self.set_news_bounds();
+            self.look_at_news();
+            if self.news_age().is_within(self.news_bounds().calm()) {
+                continue;
+            }
             let now = self.now();
-            let quiet = self.store_seen.get().is_none_or(|at| now.since(at) > STORE_SILENT);
-            let lacks_config = self.path.view.borrow().config().is_none();
             let mine = self.mirror.borrow().revision();
             let informed = self.peers.borrow().better_informed(now, mine);
-            match informed.filter(|_| quiet || lacks_config) {
-                Some(peer) => self.catch_up(peer, CATCH_UP).await,
-                None if self.wants_proof(now) => {
-                    let peer = self.peers.borrow_mut().proof_source(now);
-                    if let Some(peer) = peer {
-                        self.catch_up(peer, PROOF_PATIENCE).await;
-                    }
-                }
-                None => {}
+            let mut asked = self.who_knows_more(ASKED_AT_ONCE);
+            if asked.is_empty() {
+                asked.extend(informed);
             }
+            let patience = match self.path.view.borrow().config() {
+                Some(_) => self.news_bounds().patience(),
+                None => CATCH_UP,
+            };
+            let asking = asked.into_iter().map(|peer| self.catch_up(peer, patience));
+            futures_util::future::join_all(asking).await;
         }
     }
 
@@ -254,6 +262,7 @@
         let mine = self.mirror.borrow().revision();
         let Ok(Some(reply)) = actix_rt::time::timeout(patience, ask(peer, mine)).await else {
             log::warn!(peer:% = peer; "peer_did_not_answer");
+            self.course.borrow_mut().unanswered(self.now(), peer);
             return;
         };
         let changes = {
@@ -272,8 +281,36 @@
         }
     }
 
+    /// Logs when news of the store is old, and when it is fresh again.
+    fn look_at_news(&self) {
+        let (age, bounds) = (self.news_age(), self.news_bounds());
+        let is_old = !age.is_within(bounds.old());
+        if is_old == self.news_old.replace(is_old) {
+            return;
+        }
+        let (news_age_ms, bound_ms) = (age.millis(), bounds.most().as_millis() as u64);
+        let source = self.course.borrow().source();
+        match is_old {
+            true => log::warn!(news_age_ms, bound_ms, source:? = source; "news_old"),
+            false => log::info!(news_age_ms, bound_ms, source:? = source; "news_fresh"),
+        }
+    }
+
+    /// Counts how old the news is.
+    fn count_news_age(&self) {
+        let source = match self.course.borrow().source() {
+            NewsSource::Store => "store",
+            NewsSource::Peer(_) => "peer",
+            NewsSource::Nobody => "nobody",
+        };
+        if let NewsAge::Proven(age) = self.news_age() {
+            self.metrics.news_age.with_label_values(&[source]).observe(age.as_secs_f64());
+        }
+    }
+
     /// Logs when proof that keys may be believed in is lost and regained.
     pub(in crate::gateway) fn look_at_proof(&self) {
+        self.count_news_age();
         let age = self.proof_age_ms();
         self.metrics.proof_age_ms.set(age);
         let lost = self.proof_bound().is_some() && !self.path.believes_keys();
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -16,6 +16,8 @@
 mod logs;
 mod messages;
 mod mirror;
+mod news;
+mod news_fleet;
 mod pacing;
 mod peers;
 mod planner;
--- a/crates/portrack/tests/gateway/messages.rs
+++ b/crates/portrack/tests/gateway/messages.rs
@@ -1,11 +1,20 @@
 //! Datagrams between daemons.
 
 use portrack::gateway::{
-    Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice, decode_message,
-    encode_message,
+    Heartbeat, MAX_DATAGRAM, NewsReport, NoticeState, PeerMessage, PlacementNotice, Standing,
+    decode_message, encode_message,
 };
 use proptest::prelude::*;
 
+fn news(last: u8) -> NewsReport {
+    NewsReport {
+        address: ([10, 1, 0, last], 7_380).into(),
+        incarnation: 1_772_255_030_017,
+        age_ms: Some(1_400),
+        standing: Standing::Watches,
+    }
+}
+
 fn heartbeat(servers: u32) -> PeerMessage {
     PeerMessage::Heartbeat(Heartbeat {
         node: "front-sala-centro-1".into(),
@@ -21,6 +30,7 @@
         known: vec!["10.1.0.39:7380".parse().expect("an address"); 8],
         heard: 3,
         capacity: 100,
+        news: (1..=5).map(news).collect(),
     })
 }
 
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -23,6 +23,7 @@
         known: vec![address(last + 100)],
         heard: 3,
         capacity: 100,
+        news: Vec::new(),
     }
 }
 
