--- a/crates/portrack/src/gateway/fleet/lives.rs
+++ b/crates/portrack/src/gateway/fleet/lives.rs
@@ -11,7 +11,7 @@
 
 /// What an entry is to what is known of its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
+pub enum EntryLife {
     /// Nothing is known of the server.
     First,
     /// It is of the life that is known, and not older than what is known of it.
@@ -46,13 +46,13 @@
 impl Lives {
     /// Takes an entry in, unless it is older than what is known. A server that once said it is leaving
     /// stays so for the rest of its life.
-    pub fn take(&mut self, backend: &mut Backend) -> Standing {
+    pub fn take(&mut self, backend: &mut Backend) -> EntryLife {
         let known = self.newest.get(&backend.id);
-        let standing = known.map_or(Standing::First, |life| life.standing(backend));
-        match standing {
-            Standing::Older => return standing,
-            Standing::Same => backend.draining |= known.is_some_and(|life| life.draining),
-            Standing::First | Standing::BornAgain { .. } => {}
+        let entry_life = known.map_or(EntryLife::First, |life| life.entry_life(backend));
+        match entry_life {
+            EntryLife::Older => return entry_life,
+            EntryLife::Same => backend.draining |= known.is_some_and(|life| life.draining),
+            EntryLife::First | EntryLife::BornAgain { .. } => {}
         }
         let life = Life {
             born: backend.born,
@@ -61,7 +61,7 @@
             gone: None,
         };
         self.newest.insert(backend.id.clone(), life);
-        standing
+        entry_life
     }
 
     /// A server is gone. Its newest life is remembered if its entries tell lives apart.
@@ -107,17 +107,17 @@
 
 impl Life {
     /// What an entry is to this life.
-    fn standing(&self, backend: &Backend) -> Standing {
+    fn entry_life(&self, backend: &Backend) -> EntryLife {
         match (self.born, backend.born) {
             // Servers that do not tell lives apart have a new id with each.
-            (None, None) => Standing::Same,
-            (Some(_), None) => Standing::Older,
-            (None, Some(_)) => Standing::BornAgain { before: None },
+            (None, None) => EntryLife::Same,
+            (Some(_), None) => EntryLife::Older,
+            (None, Some(_)) => EntryLife::BornAgain { before: None },
             (Some(known), Some(told)) => match told.cmp(&known) {
-                Ordering::Greater => Standing::BornAgain { before: self.born },
-                Ordering::Less => Standing::Older,
-                Ordering::Equal if backend.orders_taken < self.orders_taken => Standing::Older,
-                Ordering::Equal => Standing::Same,
+                Ordering::Greater => EntryLife::BornAgain { before: self.born },
+                Ordering::Less => EntryLife::Older,
+                Ordering::Equal if backend.orders_taken < self.orders_taken => EntryLife::Older,
+                Ordering::Equal => EntryLife::Same,
             },
         }
     }
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -2,7 +2,7 @@
 
 use super::backend::Backend;
 use super::config::{FleetConfig, Route, Service};
-use super::lives::{Lives, Standing};
+use super::lives::{EntryLife, Lives};
 use super::versions::{NamedVersions, UsableVersions};
 use crate::gateway::admission::RevokedKeys;
 use crate::gateway::choosing::holdings::Holdings;
@@ -250,16 +250,16 @@
 
     fn apply_backend(&mut self, mut backend: Backend) -> Vec<ViewChange> {
         let id = backend.id.clone();
-        let standing = self.lives.take(&mut backend);
+        let entry_life = self.lives.take(&mut backend);
         let mut changes = Vec::new();
-        match standing {
-            Standing::Older => return vec![ViewChange::BackendOlder(id)],
-            Standing::BornAgain { before } => {
+        match entry_life {
+            EntryLife::Older => return vec![ViewChange::BackendOlder(id)],
+            EntryLife::BornAgain { before } => {
                 self.holdings.born_again(&id);
                 self.backends.remove(&id);
                 changes.push(ViewChange::BornAgain { server: id.clone(), before });
             }
-            Standing::First | Standing::Same => {}
+            EntryLife::First | EntryLife::Same => {}
         }
         let backend = Rc::new(backend);
         self.listed.insert(id, backend.clone());
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -58,7 +58,7 @@
     CallerLimits, ColdStart, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
 };
 pub use fleet::daemons::{DaemonAt, Daemons};
-pub use fleet::lives::{GONE_REMEMBERED, Lives, Standing};
+pub use fleet::lives::{EntryLife, GONE_REMEMBERED, Lives};
 pub use fleet::message::{
     AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
     ServerLoad, decode as decode_message, encode as encode_message,
@@ -69,9 +69,13 @@
 pub use fleet::view::{FIRST_VERSION, FleetView, ViewChange};
 pub use logging::{LogSink, log_field};
 pub use metrics::GatewayMetrics;
-pub use news::following::{NewsSource, Watching, news_source};
+pub use news::age::NewsAge;
+pub use news::bounds::NewsBounds;
+pub use news::course::{Distance, NewsCourse, NewsSource, SourceLost, Surroundings};
+pub use news::evidence::{Evidence, EvidenceTable};
 pub use news::mirror::{Mirror, MirrorItem, MirrorNews, Mirrored};
 pub use news::pacing::WatchPacing;
+pub use news::report::{NewsReport, Standing};
 pub use orders::claim_record::{ClaimKey, ClaimRecord};
 pub use orders::claim_records::{ClaimRecords, SeenRecord};
 pub use orders::claims::{Claim, Claims, Predecessor};
--- a/crates/portrack/tests/gateway/filling.rs
+++ b/crates/portrack/tests/gateway/filling.rs
@@ -5,7 +5,7 @@
 
 use crate::support::{backend, ms};
 use portrack::Time;
-use portrack::gateway::{Backend, ColdServer, LoadTable, cheaper_of_two, cheapest};
+use portrack::gateway::{Backend, ColdServer, LoadTable, Place, Regions, cheaper_of_two, cheapest};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -15,6 +15,11 @@
     (0..count).map(|n| Rc::new(backend(&format!("s{n}"), &[]))).collect()
 }
 
+/// The hall of the servers; all are of one region.
+fn place() -> Place {
+    Place::new("a", Regions::default())
+}
+
 fn table(cold: &[&str]) -> Rc<LoadTable> {
     let loads = Rc::new(LoadTable::default());
     let cold: HashMap<Rc<str>, ColdServer> = cold.iter().map(|id| ((*id).into(), COLD)).collect();
@@ -39,10 +44,10 @@
     let busy: Vec<_> = (0..20).map(|_| loads.begin(Time(0), &"s0".into(), 0)).collect();
     for n in 0..50 {
         let id = format!("r{n}");
-        let two = cheaper_of_two(Time(0), &loads, "a", &id, &[], all.iter());
+        let two = cheaper_of_two(Time(0), &loads, &place(), &id, &[], all.iter());
         assert_eq!(two.expect("a server").id.as_ref(), "s0", "{id}");
     }
-    let one = cheapest(Time(0), &loads, "a", &[], all.iter()).expect("a server");
+    let one = cheapest(Time(0), &loads, &place(), &[], all.iter()).expect("a server");
     assert_eq!(one.id.as_ref(), "s0");
     drop(busy);
 }
@@ -55,7 +60,8 @@
     let mut chosen: HashMap<String, usize> = HashMap::new();
     for n in 0..300 {
         let id = format!("r{n}");
-        let two = cheaper_of_two(Time(0), &loads, "a", &id, &[], all.iter()).expect("a server");
+        let two =
+            cheaper_of_two(Time(0), &loads, &place(), &id, &[], all.iter()).expect("a server");
         *chosen.entry(two.id.to_string()).or_default() += 1;
     }
     assert!(chosen.len() >= 5, "{chosen:?}");
--- a/crates/portrack/tests/gateway/lives.rs
+++ b/crates/portrack/tests/gateway/lives.rs
@@ -3,8 +3,8 @@
 use crate::support::{MODEL, backend, config, key, ms};
 use portrack::Time;
 use portrack::gateway::{
-    Backend, GONE_REMEMBERED, Holdings, Lives, LoadTable, Plan, PlanEnd, PlannedLoad, Planner,
-    Presence, ServerLoad, ServerReport, Standing, WishAnswer, Work, life_mark,
+    Backend, EntryLife, GONE_REMEMBERED, Holdings, Lives, LoadTable, Plan, PlanEnd, PlannedLoad,
+    Planner, Presence, ServerLoad, ServerReport, WishAnswer, Work, life_mark,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -59,7 +59,7 @@
                 Change::Gone => lives.gone("s1"),
                 Change::Entry { born, orders_taken, draining } => {
                     let mut entry = life("s1", Some(born), orders_taken, draining);
-                    let counted = lives.take(&mut entry) != Standing::Older;
+                    let counted = lives.take(&mut entry) != EntryLife::Older;
                     let expected = plain.take((born, orders_taken, draining));
                     prop_assert_eq!(counted.then_some(entry.draining), expected);
                 }
@@ -223,15 +223,15 @@
 #[test]
 fn a_later_life_replaces_all_and_a_former_one_nothing() {
     let mut lives = Lives::default();
-    assert_eq!(lives.take(&mut life("s1", Some(10), 7, true)), Standing::First);
+    assert_eq!(lives.take(&mut life("s1", Some(10), 7, true)), EntryLife::First);
     let mut again = life("s1", Some(20), 0, false);
-    assert_eq!(lives.take(&mut again), Standing::BornAgain { before: Some(10) });
+    assert_eq!(lives.take(&mut again), EntryLife::BornAgain { before: Some(10) });
     assert!(!again.draining, "that the former life was leaving says nothing of this one");
-    assert_eq!(lives.take(&mut life("s1", Some(10), 9, false)), Standing::Older);
-    assert_eq!(lives.take(&mut life("s1", None, 9, false)), Standing::Older);
+    assert_eq!(lives.take(&mut life("s1", Some(10), 9, false)), EntryLife::Older);
+    assert_eq!(lives.take(&mut life("s1", None, 9, false)), EntryLife::Older);
     lives.gone("s1");
-    assert_eq!(lives.take(&mut life("s1", Some(10), 9, false)), Standing::Older, "also when gone");
-    assert_eq!(lives.take(&mut life("s1", Some(20), 0, false)), Standing::Same);
+    assert_eq!(lives.take(&mut life("s1", Some(10), 9, false)), EntryLife::Older, "also when gone");
+    assert_eq!(lives.take(&mut life("s1", Some(20), 0, false)), EntryLife::Same);
 }
 
 #[test]
@@ -239,7 +239,7 @@
     let mut lives = Lives::default();
     lives.take(&mut life("s1", None, 7, true));
     let mut entry = life("s1", None, 3, false);
-    assert_eq!(lives.take(&mut entry), Standing::Same);
+    assert_eq!(lives.take(&mut entry), EntryLife::Same);
     assert!(entry.draining);
     lives.gone("s1");
     assert!(lives.is_empty());
@@ -256,7 +256,7 @@
     }
     assert!(lives.len() <= GONE_REMEMBERED);
     let last = format!("s{}", 2 * GONE_REMEMBERED - 1);
-    assert_eq!(lives.take(&mut life(&last, Some(0), 0, false)), Standing::Older);
+    assert_eq!(lives.take(&mut life(&last, Some(0), 0, false)), EntryLife::Older);
 }
 
 #[test]
--- a/crates/portrack/tests/gateway/regions.rs
+++ b/crates/portrack/tests/gateway/regions.rs
@@ -269,6 +269,7 @@
         orders: Vec::new(),
         work: Vec::new(),
         known: Vec::new(),
+        news: Vec::new(),
         heard: 76,
         capacity: 100,
     };
