--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -185,10 +185,11 @@
 
     /// The servers that the configuration in force takes into use, and those that it takes out.
     fn fit_again(&mut self) -> Vec<ViewChange> {
-        let fits = |backend: &&Rc<Backend>| {
-            self.misfit(backend).is_none() != self.backends.contains_key(&backend.id)
+        let turned = |backend: &&Rc<Backend>| match self.misfit(backend) {
+            None => !self.backends.contains_key(&backend.id),
+            Some(_) => !self.refused.contains(&backend.id),
         };
-        let turned: Vec<Rc<Backend>> = self.listed.values().filter(fits).cloned().collect();
+        let turned: Vec<Rc<Backend>> = self.listed.values().filter(turned).cloned().collect();
         turned.into_iter().flat_map(|backend| self.fit(backend)).collect()
     }
 
--- a/crates/portrack/src/gateway/orders/ordering.rs
+++ b/crates/portrack/src/gateway/orders/ordering.rs
@@ -384,9 +384,13 @@
         let read = self.read_report(server, address, REPORT_PATIENCE).await;
         let report = read.filter(|_| Rc::ptr_eq(line, &self.line(server)))?;
         match self.reported_life(server, &report) {
-            ReportedLife::Newer(born) => return Some(born),
-            ReportedLife::Former => return None,
             ReportedLife::Present => {}
+            ReportedLife::Newer(born) => return Some(born),
+            ReportedLife::Former => {
+                // Asked again after the lag of a report, not at once.
+                line.ordered_at.set(self.clock.now());
+                return None;
+            }
         }
         line.orders_taken.set(Some(report.orders_taken));
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
--- a/crates/portrack/tests/gateway/lives.rs
+++ b/crates/portrack/tests/gateway/lives.rs
@@ -79,6 +79,9 @@
     }
 }
 
+/// No order of the former life comes later than this after the new life was heard of: 12 s after it was
+/// sent, and a second more.
+const LAST_LATE: u64 = 13_000;
 /// Places of the server in these tests.
 const PLACES: usize = 5;
 const NAMES: [&str; 12] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
@@ -148,8 +151,12 @@
         most
     }
 
-    /// Carries late orders out; one that does not fit yet is tried again, as if it came later.
+    /// Carries late orders out; one that does not fit yet is tried again, as if it came later, until none
+    /// can come any more.
     fn arrive(&mut self, now: u64) {
+        if now > LAST_LATE {
+            return;
+        }
         let due = |late: &LateOrder, count: u64| late.at <= now && late.expected == count;
         while let Some(at) = self.late.iter().position(|late| due(late, self.count) && self.based) {
             let late = self.late.remove(at);
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -5,4 +5,5 @@
 mod judge;
 mod keys;
 mod series;
+mod servers;
 mod versions;
