--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -61,13 +61,28 @@
     pub is_near: bool,
     /// Requests begin to slow each other down there.
     pub is_crowded: bool,
+    /// It is slow from its start.
+    pub is_cold: bool,
 }
 
 impl Offer {
     /// A server at this cost.
-    pub fn new(cost: f64, place: &Place, backend: &Backend) -> Self {
-        let is_crowded = is_crowded(backend.slots, cost);
-        Self { cost, is_near: !place.is_far(&backend.hall), is_crowded }
+    pub fn new(now: Time, cost: f64, loads: &LoadTable, place: &Place, backend: &Backend) -> Self {
+        Self {
+            cost,
+            is_near: !place.is_far(&backend.hall),
+            is_crowded: is_crowded(backend.slots, cost),
+            is_cold: loads.is_cold(now, &backend.id),
+        }
+    }
+
+    fn is_sound(&self) -> bool {
+        self.cost < SILENT
+    }
+
+    /// It is warm and not full: cold servers are no choice beside it.
+    fn outdoes_cold(&self) -> bool {
+        !self.is_cold && self.cost < COLD
     }
 }
 
@@ -80,13 +95,12 @@
         let fitting = offers.iter().enumerate().filter(|(_, offer)| fits(offer));
         fitting.map(|(place, _)| place).collect()
     };
-    // Cold servers are no choice beside a warm one that is not full.
-    let warm = offers.first().is_some_and(|first| first.cost < COLD);
-    let most = if warm { COLD } else { SILENT };
-    let sound = places(&|offer| offer.cost < most);
+    let warm = offers.iter().any(Offer::outdoes_cold);
+    let is_choice = |offer: &Offer| offer.is_sound() && !(warm && offer.is_cold);
+    let sound = places(&is_choice);
     let near = match sound.iter().all(|place| offers[*place].is_near) {
         true => Vec::new(),
-        false => places(&|offer| offer.cost < most && offer.is_near && !offer.is_crowded),
+        false => places(&|offer| is_choice(offer) && offer.is_near && !offer.is_crowded),
     };
     let [own, other] = match &near[..] {
         [] => return two_of(id, sound.len()).map_or(0, |[one, two]| sound[one.min(two)]),
@@ -130,7 +144,9 @@
     let mut costed: Vec<_> =
         untried.map(|backend| (cost(now, loads, place, backend), backend)).collect();
     costed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    let offers: Vec<Offer> =
-        costed.iter().map(|(cost, backend)| Offer::new(*cost, place, backend)).collect();
+    let offers: Vec<Offer> = costed
+        .iter()
+        .map(|(cost, backend)| Offer::new(now, *cost, loads, place, backend))
+        .collect();
     costed.get(better_of_two(id, &offers)).map(|(_, backend)| (*backend).clone())
 }
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -358,7 +358,10 @@
     /// The first of some holders, which come with the cheapest first; where loads are known late, the
     /// better of two that are chosen at random among those that are not in trouble.
     fn spread<'a>(&self, id: &str, holders: &'a [Holder], loads_lag: bool) -> Option<&'a Holder> {
-        let offer = |holder: &Holder| Offer::new(holder.cost, &self.place, &holder.backend);
+        let now = self.clock.now();
+        let offer = |holder: &Holder| {
+            Offer::new(now, holder.cost, &self.loads, &self.place, &holder.backend)
+        };
         let offers = || holders.iter().map(offer).collect::<Vec<Offer>>();
         let at = if loads_lag { better_of_two(id, &offers()) } else { 0 };
         holders.get(at)
