--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -57,6 +57,8 @@
     pub organisations: Vec<(String, Vec<String>)>,
     /// Data halls, each with the region that it is in.
     pub halls: Vec<(&'static str, &'static str)>,
+    /// Places for adapters at each server.
+    pub places: usize,
     /// Of the orders to a server each so manieth is carried out late; none if 0.
     pub late_orders: u64,
     /// How a server is that has just started, if the servers are ever cold.
@@ -71,6 +73,7 @@
             servers,
             organisations: Vec::new(),
             halls: vec![(ONE_HALL, ONE_HALL)],
+            places: PLACES,
             late_orders: 0,
             cold: None,
         }
@@ -161,7 +164,7 @@
             service: SERVICE.into(),
             model: MODEL.into(),
             slots: SLOTS,
-            places: PLACES,
+            places: plan.places,
             organisations: plan.organisations.clone(),
             cold: plan.cold,
             home: plan.halls[0].1.into(),
@@ -182,7 +185,7 @@
                 slots: SLOTS,
                 load_time: LOAD_TIME,
                 adapters: adapters.map(|adapter| format!("a{adapter}")).collect(),
-                places: PLACES,
+                places: plan.places,
                 late_orders: plan.late_orders,
                 cold_for: plan.cold.map(|cold| cold.lasts).unwrap_or_default(),
             };
--- a/crates/portrackd/tests/soak/servers.rs
+++ b/crates/portrackd/tests/soak/servers.rs
@@ -28,7 +28,9 @@
 /// A server whose entry names none gets nothing new after this: the users' least bound on leaving servers.
 const UNNAMED_WITHIN: Duration = Duration::from_millis(3_000);
 /// Each so manieth order gets no answer and is carried out late.
-const LATE_ORDERS: u64 = 5;
+const LATE_ORDERS: u64 = 3;
+/// Places for adapters, fewer than a server is asked for: a late order comes to a full server.
+const PLACES: usize = 3;
 const COLD: ColdPlan = ColdPlan { lasts: Duration::from_secs(3), per_second: 8.0 };
 /// Requests that one region alone may serve.
 const HOME_SHARE: f64 = 0.2;
@@ -190,6 +192,7 @@
 async fn play(seed: u64) -> Result<String, String> {
     let plan = FleetPlan {
         halls: HALLS.to_vec(),
+        places: PLACES,
         late_orders: LATE_ORDERS,
         cold: Some(COLD),
         ..FleetPlan::new(DAEMONS, SERVERS)
