--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -72,8 +72,7 @@
 
 /// The place to take among candidates that come with the cheapest first: the better of two that a
 /// request's id chooses among those that are not in trouble, or the first if all are. Where some are of
-/// other regions, two of this one are compared, as far as they are not crowded; if there is only one, it
-/// and one of the others, which has to make up for the way.
+/// other regions, those of this one are taken while any of them is not crowded.
 pub fn better_of_two(id: &str, offers: &[Offer]) -> usize {
     let places = |fits: &dyn Fn(&Offer) -> bool| -> Vec<usize> {
         let fitting = offers.iter().enumerate().filter(|(_, offer)| fits(offer));
@@ -84,16 +83,8 @@
         true => Vec::new(),
         false => places(&|offer| offer.is_sound() && offer.is_near && !offer.is_crowded),
     };
-    let [own, other] = match &near[..] {
-        [] => return two_of(id, sound.len()).map_or(0, |[one, two]| sound[one.min(two)]),
-        [only] => {
-            let far: Vec<usize> =
-                sound.into_iter().filter(|place| !offers[*place].is_near).collect();
-            [*only, two_of(id, far.len()).map_or(*only, |[one, _]| far[one])]
-        }
-        _ => two_of(id, near.len()).map_or([0, 0], |[one, two]| [near[one], near[two]]),
-    };
-    own.min(other)
+    let among = if near.is_empty() { sound } else { near };
+    two_of(id, among.len()).map_or(0, |[first, second]| among[first.min(second)])
 }
 
 /// The cheapest server of those not tried yet.
--- a/crates/portrack/src/gateway/choosing/homes.rs
+++ b/crates/portrack/src/gateway/choosing/homes.rs
@@ -42,29 +42,19 @@
     }
 }
 
-/// The home of an adapter: the first in the rendezvous order of the region that asks, unless that is much
-/// busier than the next one, or than the first of another region with the way there, or a server that has
-/// the adapter at hand is not much busier.
+/// The home of an adapter: the first in its rendezvous order, unless that is much busier than the
+/// next one, or a server that has the adapter at hand is not much busier. The order is of the servers of
+/// the region that asks, if it has any: a fetch costs the same there, and the way is spared.
 pub fn home(key: &AdapterKey, open: &[Home]) -> Option<Rc<str>> {
     let any_near = open.iter().any(|home| home.is_near);
-    let near = ranks(key, open, |home| home.is_near || !any_near);
-    let far = ranks(key, open, |home| any_near && !home.is_near);
-    let first_far = |home: &Home| far.get(&*home.server).copied().filter(|rank| *rank == 0);
+    let ranking = open.iter().filter(|home| home.is_near || !any_near);
+    let order = ranked(&key.adapter, ranking.map(|home| &*home.server));
+    let ranks: HashMap<&str, usize> =
+        order.into_iter().enumerate().map(|(rank, server)| (server, rank)).collect();
     let costed = open.iter().filter_map(|home| {
-        let rank = near.get(&*home.server).copied().or_else(|| first_far(home));
+        let rank = ranks.get(&*home.server).copied();
         Some((home.load_cost(rank)?, rank.unwrap_or(open.len()), home))
     });
     let best = costed.min_by(|(a, x, _), (b, y, _)| a.total_cmp(b).then(x.cmp(y)));
     best.map(|(_, _, home)| home.server.clone())
 }
-
-/// The places of some servers in an adapter's rendezvous order.
-fn ranks<'a>(
-    key: &AdapterKey,
-    open: &'a [Home],
-    fits: impl Fn(&Home) -> bool,
-) -> HashMap<&'a str, usize> {
-    let fitting = open.iter().filter(|home| fits(home));
-    let order = ranked(&key.adapter, fitting.map(|home| &*home.server));
-    order.into_iter().enumerate().map(|(rank, server)| (server, rank)).collect()
-}
