--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -322,9 +322,13 @@
         known.then_some(peer)
     }
 
-    /// True if a machine, by its daemon's name and address, was heard within `span`.
+    /// True if a machine, by its daemon's name and address, was heard within `span`, or within a round of
+    /// its heartbeats if it is of another region.
     pub fn heard_within(&self, now: Time, machine: &str, span: Duration) -> bool {
-        self.machine(now, machine, span).is_some()
+        let own = self.regions.own();
+        let Some(peer) = self.machine(now, machine, Duration::MAX) else { return false };
+        let span = if peer.region == *own { span } else { span.max(self.round(&peer.region)) };
+        now.since(peer.heard_at) < span
     }
 
     /// Where a machine hears datagrams; `None` if it is leaving or has fallen silent. One that was
--- a/crates/portrack/tests/gateway/regions.rs
+++ b/crates/portrack/tests/gateway/regions.rs
@@ -305,6 +305,19 @@
     assert!(peers.sweep(Time(5 * far_round + 300), Time(5 * far_round - 300)).len() > 30);
 }
 
+/// Heartbeats from there come each 4.2 s, and a machine that was not heard for 2.5 s counts as gone
+/// where its server is to be claimed.
+#[test]
+fn a_machine_of_the_other_region_is_heard_while_its_next_heartbeat_is_not_due() {
+    let peers = fleet(regions());
+    let within = |at: u64, machine: &str| {
+        peers.heard_within(Time(at), machine, Duration::from_millis(2_500))
+    };
+    assert!(within(2_400, "n0|10.0.0.0:7000") && !within(2_600, "n0|10.0.0.0:7000"));
+    assert!(within(4_100, "n3|10.0.0.3:7000") && !within(4_300, "n3|10.0.0.3:7000"));
+    assert!(!within(100, "n3|10.0.0.4:7000"), "another machine");
+}
+
 #[test]
 fn a_region_cut_off_is_silent_at_once_with_all_its_halls_and_heard_again_together() {
     let mut peers = fleet(regions());
