--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -13,7 +13,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::news::age::NewsAge;
 use crate::gateway::news::bounds::NewsBounds;
-use crate::gateway::news::course::NewsCourse;
+use crate::gateway::news::course::{NewsCourse, Surroundings};
 use crate::gateway::news::hall_feed::HallFeed;
 use crate::gateway::news::mirror::{Mirror, Mirrored};
 use crate::gateway::orders::claim_records::ClaimRecords;
@@ -68,6 +68,8 @@
     pub watches: Cell<bool>,
     /// From whom it learns what changes in the store.
     pub(super) course: RefCell<NewsCourse>,
+    /// The other daemons as this one saw them at its last heartbeat.
+    pub(super) around: RefCell<Rc<Surroundings>>,
     /// The last look found news that is old.
     pub(super) news_old: Cell<bool>,
     /// The last look found no proof that keys may be believed in.
@@ -199,6 +201,7 @@
             orderers,
             watches: Cell::new(false),
             course: RefCell::new(course),
+            around: RefCell::default(),
             news_old: Cell::new(false),
             proof_lost: Cell::new(false),
             feed: HallFeed::default(),
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -61,6 +61,7 @@
     /// Sends one heartbeat to the peers whose turn it is.
     pub fn beat(&self) {
         let now = self.now();
+        self.look_around();
         let heartbeat = self.heartbeat();
         let message = PeerMessage::Heartbeat(heartbeat);
         let targets = self.peers.borrow_mut().targets(now);
--- a/crates/portrack/src/gateway/news/course.rs
+++ b/crates/portrack/src/gateway/news/course.rs
@@ -135,7 +135,9 @@
         for report in of_others.iter().filter(|report| report.address != self.me) {
             self.evidence.heard_of(now, report);
         }
-        self.evidence.forget_before(Time(now.0.saturating_sub(KEPT.as_millis() as u64)));
+        let kept_since = Time(now.0.saturating_sub(KEPT.as_millis() as u64));
+        self.evidence.forget_before(kept_since);
+        self.lost.retain(|_, lost| lost.at >= kept_since);
     }
 
     /// A daemon that was asked at `asked_at` does not watch, and says who does.
--- a/crates/portrack/src/gateway/news/following.rs
+++ b/crates/portrack/src/gateway/news/following.rs
@@ -42,7 +42,17 @@
     }
 
     /// The daemons that are up and stay, and which of them watch for whom.
-    pub(in crate::gateway) fn surroundings(&self) -> Surroundings {
+    pub(in crate::gateway) fn surroundings(&self) -> Rc<Surroundings> {
+        self.around.borrow().clone()
+    }
+
+    /// Looks at them anew, with each heartbeat: 17 times a second it would cost a small node more.
+    pub(in crate::gateway) fn look_around(&self) {
+        let around = Rc::new(self.seen_around());
+        self.around.replace(around);
+    }
+
+    fn seen_around(&self) -> Surroundings {
         let (now, hall, regions) = (self.now(), &*self.settings.hall, self.settings.regions());
         let peers = self.peers.borrow();
         let distance = |other: &str| match (other == hall, regions.is_own(other)) {
@@ -80,8 +90,9 @@
             return;
         }
         let message = PeerMessage::Heartbeat(self.heartbeat());
-        let Surroundings { group, others } = self.surroundings();
-        let others = others.into_iter().map(|(peer, _)| peer).filter(|peer| !group.contains(peer));
+        let around = self.surroundings();
+        let Surroundings { group, others } = &*around;
+        let others = others.iter().map(|(peer, _)| *peer).filter(|peer| !group.contains(peer));
         let far = if had_old_news { TOLD_AT_ONCE } else { 0 };
         for peer in group.iter().copied().chain(others.take(far)) {
             if peer != self.settings.members {
@@ -144,10 +155,12 @@
         loop {
             let mut reading = pin!(read_frame(&mut read, bounds.silent()));
             let message = loop {
-                tokio::select! {
-                    message = &mut reading => break message,
-                    () = actix_rt::time::sleep(bounds.answer()) => {}
-                }
+                let message = tokio::select! {
+                    message = &mut reading => Some(message),
+                    () = actix_rt::time::sleep(bounds.answer()) => None,
+                };
+                // Also while frames keep coming: a feed that had always something to tell was never
+                // asked how fresh it is.
                 if self.news_source() != NewsSource::Peer(source) {
                     return FeedEnd::Better;
                 }
@@ -160,6 +173,9 @@
                         Err(_) => return FeedEnd::Silent,
                     }
                 }
+                if let Some(message) = message {
+                    break message;
+                }
             };
             match message {
                 Ok(FeedMessage::News(frame)) => self.take_frame(source, frame),
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::dialect::Dialect;
+use crate::gateway::news::age::NewsAge;
 use crate::gateway::settings::GatewaySettings;
 use crate::http::{Limits, plain, serve};
 use crate::store::KvFeed;
@@ -172,6 +173,11 @@
         self.daemon.settings.members
     }
 
+    /// How old what the daemon knows of the store may be.
+    pub fn news_age(&self) -> NewsAge {
+        self.daemon.news_age()
+    }
+
     /// Tells the daemon of another one.
     pub fn introduce(&self, peer: SocketAddr) {
         self.daemon.peers.borrow_mut().hear_of(peer);
