A daemon that the store turned away asks it again each 4 s, the first two of a group that has old news each 0.8 s

And a peer that did not answer was asked again each 0.45 s by a hall that is cut off; it is left alone for 3 s.

--- a/crates/portrack/src/gateway/news/course.rs
+++ b/crates/portrack/src/gateway/news/course.rs
@@ -11,10 +11,9 @@
 /// Daemons of a group that watch the store while all is well: with two, the loss of one costs its
 /// followers a new connection and no call.
 const WATCHERS: usize = 2;
-/// A store that turned this daemon away is not asked for so long; doubles up to the most.
-const TURNED_AWAY: Duration = Duration::from_millis(1_000);
-/// The most: a daemon that only the store can help learns so late that it is back.
-const TURNED_AWAY_MOST: Duration = Duration::from_millis(4_000);
+/// A store that turned this daemon away is not asked for so long: one that only the store can help
+/// learns so late that it is back. All daemons of a fleet ask a store that is away, at a price.
+const TURNED_AWAY: Duration = Duration::from_millis(4_000);
 /// The same for one of the first two of a group, if nobody has fresh news.
 const NEEDED_AGAIN: Duration = Duration::from_millis(800);
 /// What a daemon said of being turned away counts for so long: it tries again by then.
@@ -72,12 +71,6 @@
     until: Time,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct TurnedAway {
-    at: Time,
-    pause: Duration,
-}
-
 /// What a daemon does to have fresh news: whether it watches the store, and whom it follows else.
 #[derive(Debug, Clone)]
 pub struct NewsCourse {
@@ -85,7 +78,8 @@
     bounds: NewsBounds,
     evidence: EvidenceTable,
     lost: BTreeMap<SocketAddr, Lost>,
-    turned_away: Option<TurnedAway>,
+    /// When the store turned this daemon away, if it has not answered since.
+    turned_away_at: Option<Time>,
     /// Since when all calls to the store have failed.
     fails_since: Option<Time>,
     source: NewsSource,
@@ -105,7 +99,7 @@
             bounds,
             evidence: EvidenceTable::default(),
             lost: BTreeMap::new(),
-            turned_away: None,
+            turned_away_at: None,
             fails_since: None,
             source: NewsSource::Nobody,
             chosen_at: Time(0),
@@ -165,13 +159,13 @@
     /// Other daemons are heard again after a silence: what could not be reached is tried again.
     pub fn reconnected(&mut self) {
         self.lost.clear();
-        self.turned_away = None;
+        self.turned_away_at = None;
     }
 
     /// The store answered a call of this daemon.
     pub fn store_answered(&mut self) {
         self.watches = true;
-        self.turned_away = None;
+        self.turned_away_at = None;
         self.fails_since = None;
     }
 
@@ -182,12 +176,15 @@
         if self.watches && now.since(since) < self.bounds.silent() {
             return;
         }
-        let pause = self.turned_away.map_or(TURNED_AWAY, |before| before.pause * 2);
-        let pause = pause.min(TURNED_AWAY_MOST);
-        self.turned_away = Some(TurnedAway { at: now, pause });
+        self.turned_away_at = Some(now);
         self.watches = false;
     }
 
+    /// True if a daemon was of no use a moment ago.
+    pub fn is_left_alone(&self, now: Time, peer: SocketAddr) -> bool {
+        self.lost.get(&peer).is_some_and(|lost| now < lost.until)
+    }
+
     /// From whom it learns now.
     pub fn source(&self) -> NewsSource {
         self.source
@@ -196,15 +193,13 @@
     /// True if the store is not to be asked now, since it turned this daemon away. One that others look
     /// to and that has old news asks again sooner.
     fn is_turned_away(&self, now: Time, is_needed: bool) -> bool {
-        self.turned_away.is_some_and(|held| {
-            let pause = if is_needed { NEEDED_AGAIN } else { held.pause };
-            now.since(held.at) < pause
-        })
+        let pause = if is_needed { NEEDED_AGAIN } else { TURNED_AWAY };
+        self.turned_away_at.is_some_and(|at| now.since(at) < pause)
     }
 
     /// Where this daemon has its news from, for others.
     pub fn standing(&self) -> Standing {
-        match (self.watches, self.turned_away, self.source) {
+        match (self.watches, self.turned_away_at, self.source) {
             (true, _, _) => Standing::Watches,
             (false, Some(_), _) => Standing::TurnedAway,
             (false, None, NewsSource::Peer(_)) => Standing::Follows,
@@ -377,7 +372,7 @@
         let worth = known_at.map_or(i64::MIN, |at| at + millis(self.bounds.question()));
         let others = around.others.iter().map(|(peer, _)| *peer);
         let mut known: Vec<(i64, SocketAddr)> = others
-            .filter(|peer| self.lost.get(peer).is_none_or(|lost| now >= lost.until))
+            .filter(|peer| !self.is_left_alone(now, *peer))
             .filter_map(|peer| Some((self.evidence.of(peer)?.known_at?, peer)))
             .filter(|(at, _)| *at > worth)
             .collect();
--- a/crates/portrack/src/gateway/news/sync.rs
+++ b/crates/portrack/src/gateway/news/sync.rs
@@ -245,7 +245,8 @@
             let informed = self.peers.borrow().better_informed(now, mine);
             let mut asked = self.who_knows_more(ASKED_AT_ONCE);
             if asked.is_empty() {
-                asked.extend(informed);
+                let alone = |peer: &SocketAddr| self.course.borrow().is_left_alone(now, *peer);
+                asked.extend(informed.filter(|peer| !alone(peer)));
             }
             let patience = match self.path.view.borrow().config() {
                 Some(_) => self.news_bounds().patience(),
