--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -65,6 +65,7 @@
     /// Sends one heartbeat to the peers whose turn it is.
     pub fn beat(&self) {
         let now = self.now();
+        self.look_around();
         let heartbeat = self.heartbeat();
         let targets = self.peers.borrow_mut().targets(now);
         // To other regions requests at servers would come too seldom to count; orderers tell loads there.
