--- a/crates/portrack-bench/src/main.rs
+++ b/crates/portrack-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures portrack.
 
 mod adapters;
+mod arrivals;
 mod capacity;
 mod credit;
 mod days;
@@ -32,6 +33,7 @@
     Credit(Credit),
     Adapters(Adapters),
     Quotas(Quotas),
+    Arrivals(Arrivals),
 }
 
 /// one hall of real daemon processes on loopback, measured from outside
@@ -121,6 +123,18 @@
     nodes: usize,
 }
 
+/// ways to agree on what one server gets, on the same simulated demand and troubles
+#[derive(FromArgs)]
+#[argh(subcommand, name = "arrivals")]
+struct Arrivals {
+    /// plays of each trouble (default 3)
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// nodes, given once for each size (default 6, 64, 360)
+    #[argh(option)]
+    nodes: Vec<usize>,
+}
+
 /// where the credit of a day on the users' bench went, by cause
 #[derive(FromArgs)]
 #[argh(subcommand, name = "credit")]
@@ -153,6 +167,10 @@
         }
         Command::Adapters(args) => print!("{}", adapters::report(args.seeds, args.seconds)),
         Command::Quotas(args) => print!("{}", quotas::report(args.seeds, args.nodes)),
+        Command::Arrivals(args) => {
+            let sizes = if args.nodes.is_empty() { vec![6, 64, 360] } else { args.nodes };
+            print!("{}", arrivals::report(args.seeds, &sizes));
+        }
         Command::Credit(args) => {
             print!("{}", credit::text(&args.report, args.log.as_deref())?);
         }
