--- a/crates/portrack/src/gateway/arrivals/reading.rs
+++ b/crates/portrack/src/gateway/arrivals/reading.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Of the time for reading, this share is used: what is reckoned is never quite what the server does.
-const SURE_SHARE: f64 = 0.9;
+const SURE_SHARE: f64 = 1.0;
 
 /// How many tokens may begin within which time.
 #[derive(Debug, Clone, Copy, PartialEq)]
