--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -1,7 +1,6 @@
 //! Which server takes a request.
 
 use super::load::LoadTable;
-use crate::gateway::filling::cold::COLD;
 use crate::gateway::fleet::backend::Backend;
 use crate::types::Time;
 use std::rc::Rc;
@@ -52,14 +51,9 @@
 }
 
 /// The place to take among candidates with these costs, the cheapest first: the better of two that a
-/// request's id chooses among those that are not in trouble, the warm ones if there are any, or the
-/// first if all are in trouble.
+/// request's id chooses among those that are not in trouble, or the first if all are.
 pub(in crate::gateway) fn better_of_two(id: &str, costs: impl Iterator<Item = f64>) -> usize {
-    let mut costs = costs.peekable();
-    // Cold servers are no choice beside a warm one that is not full.
-    let warm = costs.peek().is_some_and(|first| *first < COLD);
-    let most = if warm { COLD } else { SILENT };
-    let sound = costs.take_while(|cost| *cost < most).count();
+    let sound = costs.take_while(|cost| *cost < SILENT).count();
     two_of(id, sound).map_or(0, |[first, second]| first.min(second))
 }
 
--- a/crates/portrack/src/gateway/filling/cold.rs
+++ b/crates/portrack/src/gateway/filling/cold.rs
@@ -5,9 +5,8 @@
 use crate::gateway::fleet::view::FleetView;
 use crate::types::Time;
 
-/// What a cold server costs, in requests waiting: more than the wait at a warm one before that is full.
-/// It bears few requests a second, and nobody knows how many others send.
-pub const COLD: f64 = 40.0;
+/// What a cold server costs, in requests waiting, so that of two that are as idle the warm one is taken.
+const COLD: f64 = 4.0;
 
 /// A server that is slow from its start.
 #[derive(Debug, Clone, Copy, PartialEq)]
