--- a/crates/portrack/src/gateway/evacuation/copying.rs
+++ b/crates/portrack/src/gateway/evacuation/copying.rs
@@ -21,6 +21,7 @@
             actix_rt::time::sleep(LOOK_EVERY).await;
             let now = self.now();
             self.look_at_evacuated(now);
+            self.look_at_cold(now);
             for (service, key, pace) in self.held_only_in_leaving(now) {
                 // At least one, or it would come after what nobody uses.
                 let requests = (pace.round() as u16).max(1);
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -90,7 +90,6 @@
     actix_rt::spawn(daemon.clone().renew_lease());
     actix_rt::spawn(daemon.clone().plan_steps());
     actix_rt::spawn(daemon.clone().see_to_evacuated());
-    actix_rt::spawn(daemon.clone().fill_cold());
     actix_rt::spawn(daemon.clone().sweep());
     actix_rt::spawn(daemon.clone().accept_callers(callers));
     actix_rt::spawn(answer_readiness(daemon.clone(), readiness));
