What the store tells of a server leaves no doubt whether it is cold

An entry read from the store, or from a daemon that watches it, is evidence; one heard of from a peer that catches others up is not.

--- a/crates/portrack/src/gateway/choosing/choose.rs
+++ b/crates/portrack/src/gateway/choosing/choose.rs
@@ -2,7 +2,6 @@
 
 use super::crowding::is_crowded;
 use super::load::LoadTable;
-use crate::gateway::filling::cold::COLD;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::regions::place::Place;
 use crate::types::Time;
@@ -61,46 +60,35 @@
     pub is_near: bool,
     /// Requests begin to slow each other down there.
     pub is_crowded: bool,
-    /// It is slow from its start.
-    pub is_cold: bool,
 }
 
 impl Offer {
     /// A server at this cost.
-    pub fn new(now: Time, cost: f64, loads: &LoadTable, place: &Place, backend: &Backend) -> Self {
+    pub fn new(cost: f64, place: &Place, backend: &Backend) -> Self {
         Self {
             cost,
             is_near: !place.is_far(&backend.hall),
             is_crowded: is_crowded(backend.slots, cost),
-            is_cold: loads.is_cold(now, &backend.id),
         }
     }
 
     fn is_sound(&self) -> bool {
         self.cost < SILENT
     }
-
-    /// It is warm and not full: cold servers are no choice beside it.
-    fn outdoes_cold(&self) -> bool {
-        !self.is_cold && self.cost < COLD
-    }
 }
 
 /// The place to take among candidates that come with the cheapest first: the better of two that a
-/// request's id chooses among those that are not in trouble, the warm ones if there are any, or the first
-/// if all are in trouble. Where some are of other regions, those of this one are taken while any of them
-/// is not crowded.
+/// request's id chooses among those that are not in trouble, or the first if all are. Where some are of
+/// other regions, those of this one are taken while any of them is not crowded.
 pub fn better_of_two(id: &str, offers: &[Offer]) -> usize {
     let places = |fits: &dyn Fn(&Offer) -> bool| -> Vec<usize> {
         let fitting = offers.iter().enumerate().filter(|(_, offer)| fits(offer));
         fitting.map(|(place, _)| place).collect()
     };
-    let warm = offers.iter().any(Offer::outdoes_cold);
-    let is_choice = |offer: &Offer| offer.is_sound() && !(warm && offer.is_cold);
-    let sound = places(&is_choice);
+    let sound = places(&Offer::is_sound);
     let near = match sound.iter().all(|place| offers[*place].is_near) {
         true => Vec::new(),
-        false => places(&|offer| is_choice(offer) && offer.is_near && !offer.is_crowded),
+        false => places(&|offer| offer.is_sound() && offer.is_near && !offer.is_crowded),
     };
     let among = if near.is_empty() { sound } else { near };
     two_of(id, among.len()).map_or(0, |[first, second]| among[first.min(second)])
@@ -136,9 +124,7 @@
     let mut costed: Vec<_> =
         untried.map(|backend| (cost(now, loads, place, backend), backend)).collect();
     costed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    let offers: Vec<Offer> = costed
-        .iter()
-        .map(|(cost, backend)| Offer::new(now, *cost, loads, place, backend))
-        .collect();
+    let offers: Vec<Offer> =
+        costed.iter().map(|(cost, backend)| Offer::new(*cost, place, backend)).collect();
     costed.get(better_of_two(id, &offers)).map(|(_, backend)| (*backend).clone())
 }
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -7,6 +7,7 @@
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::dispatch::Slots;
+use crate::gateway::fleet::coldness::EntrySource;
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::fleet::peers::Peers;
@@ -110,6 +111,17 @@
 
 /// Of what is wrong with an entry so much is logged, in characters: another writer chose the text.
 const WHY_LENGTH: usize = 160;
+/// How entries from a source of news were learned.
+fn entry_source(source: &str) -> EntrySource {
+    match source {
+        PEER_NEWS => EntrySource::HeardOf,
+        _ => EntrySource::Watched,
+    }
+}
+
+/// The name, in logs, of news that a daemon caught up with from another one.
+pub(in crate::gateway) const PEER_NEWS: &str = "peer";
+
 /// The store counts as reachable if it answered within this.
 const STORE_SEEN_WITHIN: Duration = Duration::from_millis(4_500);
 
@@ -332,7 +344,8 @@
             }
             ViewChange::Backend(id) => {
                 if let Some(backend) = view.backend(id) {
-                    self.path.coldness.borrow_mut().listed(now, backend);
+                    let entry = entry_source(source);
+                    self.path.coldness.borrow_mut().listed(now, backend, entry);
                     self.path.loads.lives(id, backend.mark());
                     self.path.loads.set_one_cold(id, self.cold_server(now, &view, backend));
                     planner.server(now, backend);
--- a/crates/portrack/src/gateway/fleet/coldness.rs
+++ b/crates/portrack/src/gateway/fleet/coldness.rs
@@ -1,4 +1,7 @@
 //! Which servers may be slow from their start. In doubt a server is cold.
+//!
+//! In doubt are servers that are not known, whose entry may be an old one, that broke off, or that got
+//! nothing for a while.
 
 use super::backend::Backend;
 use super::config::ColdStart;
@@ -6,13 +9,22 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// How a server's entry was learned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntrySource {
+    /// From the store, or from a daemon that watches it: what the entry says holds now.
+    Watched,
+    /// From a daemon that may know an older one.
+    HeardOf,
+}
+
 /// What is known of one server.
 #[derive(Debug, Clone, Copy)]
 struct Evidence {
     /// The life that it is of.
     born: Option<u64>,
-    /// From then on the server may have turned cold without a word of it.
-    doubted_at: Time,
+    /// From then on the server may have turned cold without a word of it; `None` for no such moment.
+    doubted_at: Option<Time>,
     /// It is cold until then, by its own word.
     told_until: Time,
 }
@@ -26,10 +38,12 @@
 impl Coldness {
     /// Takes a server's entry in. What it says of the remaining time is counted from now: it was
     /// written before, so the server is cold no longer than that. A server that is new here, or has
-    /// started again, is in doubt.
-    pub fn listed(&mut self, now: Time, backend: &Backend) {
+    /// started again, is in doubt where the entry may be an old one. After all daemons of a fleet had
+    /// been killed, each took all servers for cold, and callers were refused for four seconds.
+    pub fn listed(&mut self, now: Time, backend: &Backend, source: EntrySource) {
         let told_until = now + backend.cold_for;
-        let fresh = Evidence { born: backend.born, doubted_at: now, told_until };
+        let doubted_at = (source == EntrySource::HeardOf).then_some(now);
+        let fresh = Evidence { born: backend.born, doubted_at, told_until };
         let evidence = self.servers.entry(backend.id.clone()).or_insert(fresh);
         if evidence.born != backend.born {
             *evidence = fresh;
@@ -40,7 +54,7 @@
     /// A server may have turned cold by now, as after a time in which it got nothing.
     pub fn doubt(&mut self, now: Time, server: &str) {
         if let Some(evidence) = self.servers.get_mut(server) {
-            evidence.doubted_at = now;
+            evidence.doubted_at = Some(now);
         }
     }
 
@@ -53,7 +67,8 @@
     /// start. One that is not known is cold.
     pub fn until(&self, now: Time, server: &str, start: &ColdStart) -> Time {
         let Some(evidence) = self.servers.get(server) else { return now + start.lasts };
-        evidence.told_until.max(evidence.doubted_at + start.lasts)
+        let doubted = evidence.doubted_at.map(|at| at + start.lasts);
+        doubted.map_or(evidence.told_until, |until| until.max(evidence.told_until))
     }
 
     /// True if a server has to be taken for cold.
--- a/crates/portrack/src/gateway/news/sync.rs
+++ b/crates/portrack/src/gateway/news/sync.rs
@@ -7,7 +7,7 @@
 use super::hall_feed::PeerAsk;
 use super::mirror::{MirrorItem, MirrorNews};
 use super::pacing::WatchPacing;
-use crate::gateway::daemon::GatewayDaemon;
+use crate::gateway::daemon::{GatewayDaemon, PEER_NEWS};
 use crate::gateway::dialect::ItemKey;
 use crate::gateway::orders::claim_record::ClaimKey;
 use crate::store::{FeedError, KvChange, KvHeld};
@@ -281,7 +281,7 @@
             proof_age_ms:? = reply.proof_age_ms;
             "caught_up_from_peer"
         );
-        self.apply(changes, "peer");
+        self.apply(changes, PEER_NEWS);
         if let Some(age) = reply.proof_age_ms {
             self.path.proof.renew_from(asked_at, Duration::from_millis(age.into()));
         }
--- a/crates/portrack/tests/gateway/coldness.rs
+++ b/crates/portrack/tests/gateway/coldness.rs
@@ -1,7 +1,7 @@
 //! Which servers are taken for cold.
 
 use crate::support::{backend, ms};
-use portrack::gateway::{Backend, ColdStart, Coldness};
+use portrack::gateway::{Backend, ColdStart, Coldness, EntrySource};
 use portrack::types::Time;
 use std::time::Duration;
 
@@ -12,10 +12,10 @@
 }
 
 #[test]
-fn a_server_that_is_new_here_is_cold_for_a_start() {
+fn a_server_that_was_only_heard_of_is_cold_for_a_start() {
     let mut coldness = Coldness::default();
     assert!(coldness.is_cold(Time(0), "s1", Some(&START)), "nothing is known of it");
-    coldness.listed(Time(1_000), &server(1, Duration::ZERO));
+    coldness.listed(Time(1_000), &server(1, Duration::ZERO), EntrySource::HeardOf);
     assert!(coldness.is_cold(Time(3_999), "s1", Some(&START)));
     assert!(!coldness.is_cold(Time(4_000), "s1", Some(&START)));
     assert!(!coldness.is_cold(Time(1_000), "s1", None), "its service has no cold start");
@@ -24,21 +24,35 @@
 #[test]
 fn a_warm_server_is_cold_again_when_it_says_so_or_has_started_anew() {
     let mut coldness = Coldness::default();
-    coldness.listed(Time(0), &server(1, Duration::ZERO));
-    coldness.listed(Time(10_000), &server(1, ms(2_000)));
+    coldness.listed(Time(0), &server(1, Duration::ZERO), EntrySource::HeardOf);
+    coldness.listed(Time(10_000), &server(1, ms(2_000)), EntrySource::HeardOf);
     assert!(coldness.is_cold(Time(11_999), "s1", Some(&START)));
     assert!(!coldness.is_cold(Time(12_000), "s1", Some(&START)));
-    coldness.listed(Time(20_000), &server(2, Duration::ZERO));
+    coldness.listed(Time(20_000), &server(2, Duration::ZERO), EntrySource::HeardOf);
     assert!(coldness.is_cold(Time(22_999), "s1", Some(&START)), "a new life is in doubt");
 }
 
 #[test]
 fn a_later_word_does_not_shorten_what_was_told_and_a_doubt_begins_anew() {
     let mut coldness = Coldness::default();
-    coldness.listed(Time(0), &server(1, ms(9_000)));
-    coldness.listed(Time(1_000), &server(1, Duration::ZERO));
+    coldness.listed(Time(0), &server(1, ms(9_000)), EntrySource::HeardOf);
+    coldness.listed(Time(1_000), &server(1, Duration::ZERO), EntrySource::HeardOf);
     assert!(coldness.is_cold(Time(8_999), "s1", Some(&START)), "the entry may be an older one");
     coldness.doubt(Time(30_000), "s1");
     assert!(coldness.is_cold(Time(32_999), "s1", Some(&START)));
     assert!(!coldness.is_cold(Time(33_000), "s1", Some(&START)));
 }
+
+/// After all daemons of a fleet had been killed, each took all servers for cold, although the store told
+/// that they were warm: callers were refused for four seconds.
+#[test]
+fn what_the_store_tells_of_a_server_leaves_no_doubt_until_there_is_a_reason() {
+    let mut coldness = Coldness::default();
+    coldness.listed(Time(0), &server(1, Duration::ZERO), EntrySource::Watched);
+    assert!(!coldness.is_cold(Time(0), "s1", Some(&START)));
+    coldness.listed(Time(5_000), &server(2, ms(2_500)), EntrySource::Watched);
+    assert!(coldness.is_cold(Time(7_499), "s1", Some(&START)), "started again, and says so");
+    assert!(!coldness.is_cold(Time(7_500), "s1", Some(&START)));
+    coldness.doubt(Time(9_000), "s1");
+    assert!(coldness.is_cold(Time(11_999), "s1", Some(&START)));
+}
--- a/crates/portrack/tests/gateway/regions.rs
+++ b/crates/portrack/tests/gateway/regions.rs
@@ -83,10 +83,10 @@
 
 #[test]
 fn own_servers_in_trouble_leave_the_request_to_others() {
-    let near = Offer { cost: 90.0, is_near: true, is_crowded: true, is_cold: false };
-    let far = Offer { cost: 5.0, is_near: false, is_crowded: false, is_cold: false };
+    let near = Offer { cost: 90.0, is_near: true, is_crowded: true };
+    let far = Offer { cost: 5.0, is_near: false, is_crowded: false };
     assert_eq!(better_of_two("r1", &[far, near]), 0);
-    let idle = Offer { cost: 8.0, is_near: true, is_crowded: false, is_cold: false };
+    let idle = Offer { cost: 8.0, is_near: true, is_crowded: false };
     assert_eq!(better_of_two("r1", &[far, idle, near]), 1);
 }
 
