--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -139,6 +139,10 @@
         }
         let (heard, address) = (heartbeat.heard.into(), heartbeat.address);
         let change = self.peers.borrow_mut().heard(now, heartbeat);
+        if change.is_some() {
+            // One that has just started is to follow as soon as it hears of others.
+            self.look_around();
+        }
         self.introduce_to(now, address, heard);
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
