--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -292,12 +292,14 @@
         pace.observe(tokens, took.as_secs_f64() * 1_000.0);
     }
 
-    /// Tells what is reckoned with, for ever.
-    fn log_paces(&self, now: Time) {
+    /// Now and then tells what is reckoned with, and forgets servers that are gone.
+    fn look_back(&self, now: Time) {
         if now.since(self.paces_logged.get()) < PACES_LOGGED {
             return;
         }
         self.paces_logged.set(now);
+        let view = self.view.borrow();
+        self.servers.borrow_mut().retain(|_, granted| view.backend(&granted.id).is_some());
         for (service, pace) in &*self.paces.borrow() {
             let event = self.events.borrow().get(service).map_or(0.0, Quantile::get);
             log::info!(
@@ -418,7 +420,7 @@
 
     /// Logs what is reckoned with; lets those have their turn that wait, and forgets grants whose end was never told.
     pub fn pass_time(&self) {
-        self.log_paces(self.clock.now());
+        self.look_back(self.clock.now());
         let busy: Vec<u32> = {
             let servers = self.servers.borrow();
             let busy = servers.iter().filter(|(_, granted)| !granted.granter.is_idle());
--- a/crates/portrack/src/gateway/arrivals/reading.rs
+++ b/crates/portrack/src/gateway/arrivals/reading.rs
@@ -7,9 +7,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Of the time for reading, this share is used: what is reckoned is never quite what the server does.
-const SURE_SHARE: f64 = 1.0;
-
 /// How many tokens may begin within which time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReadingLimit {
@@ -24,7 +21,7 @@
 impl ReadingLimit {
     /// The limit where an event usually takes `event` of a pause of at most `span`.
     pub fn new(span: Duration, event: Duration, pace: f64) -> Self {
-        let reading = span.saturating_sub(event).as_millis() as f64 * SURE_SHARE;
+        let reading = span.saturating_sub(event).as_millis() as f64;
         Self { span, tokens: reading * pace, pace }
     }
 }
--- a/crates/portrack/src/gateway/choosing/granted.rs
+++ b/crates/portrack/src/gateway/choosing/granted.rs
@@ -135,11 +135,12 @@
         let silent = if job.sends == 0 { passed } else { Duration::ZERO };
         let most = patience(&job.route).saturating_sub(silent).min(job.deadline.since(now));
         let model = job.model();
+        let first_event = model.map_or(Duration::ZERO, |_| FIRST_EVENT);
         GrantNeed {
             organisation: job.admitted.organisation.as_ref().map(|all| all.mark()),
             tokens: model.map_or(0, |model| model.prompt_tokens as u32),
             priority: job.priority(),
-            left: job.route.objective.saturating_sub(passed + FIRST_EVENT).min(most),
+            left: job.route.objective.saturating_sub(passed + first_event).min(most),
             most,
             gap: job.route.gap_objective.filter(|_| model.is_some() && self.loads_lag.get()),
         }
