--- a/crates/portrack/src/gateway/choosing/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -1,7 +1,7 @@
 //! How busy and how reliable each backend server is, as this daemon knows it.
 
 use super::decay::Decayed;
-use crate::gateway::filling::cold::ColdServer;
+use crate::gateway::cold::server::ColdServer;
 use crate::gateway::fleet::message::ServerLoad;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -178,11 +178,6 @@
         };
     }
 
-    /// True if some server has to be taken for cold.
-    pub fn any_cold(&self, now: Time) -> bool {
-        self.cold.borrow().values().any(|cold| now < cold.until)
-    }
-
     /// True if a server has to be taken for cold.
     pub fn is_cold(&self, now: Time, server: &str) -> bool {
         self.cold.borrow().get(server).is_some_and(|cold| now < cold.until)
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -2,12 +2,12 @@
 
 mod admission;
 mod choosing;
+mod cold;
 mod connections;
 mod daemon;
 mod dialect;
 mod dispatch;
 mod evacuation;
-mod filling;
 mod fleet;
 mod logging;
 mod metrics;
@@ -30,6 +30,7 @@
 pub use choosing::homes::{Home, home};
 pub use choosing::load::{LoadTable, Work, server_mark};
 pub use choosing::replicas::{ReplicaDemand, run_time};
+pub use cold::server::ColdServer;
 pub use connections::answer::{AnswerError, AnswerHead, Framing, take_head};
 pub use connections::body::{BodyDecoder, Step};
 pub use connections::connection::{Connection, ExchangeError};
@@ -44,7 +45,6 @@
     SlotOrder, Slots,
 };
 pub use evacuation::halls::{EvacuatedHalls, Evacuation};
-pub use filling::cold::ColdServer;
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel};
 pub use fleet::coldness::Coldness;
 pub use fleet::config::{
