--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -3,12 +3,12 @@
 mod admission;
 mod arrivals;
 mod choosing;
+mod cold;
 mod connections;
 mod daemon;
 mod dialect;
 mod dispatch;
 mod evacuation;
-mod filling;
 mod fleet;
 mod logging;
 mod metrics;
@@ -37,6 +37,7 @@
 pub use choosing::homes::{Home, home};
 pub use choosing::load::{LoadTable, Work, WorkGuard, server_mark};
 pub use choosing::replicas::{ReplicaDemand, run_time};
+pub use cold::server::ColdServer;
 pub use connections::answer::{AnswerError, AnswerHead, Framing, take_head};
 pub use connections::body::{BodyDecoder, Step};
 pub use connections::connection::{Connection, ExchangeError};
@@ -51,7 +52,6 @@
     SlotOrder, Slots, Whom, dispatchers,
 };
 pub use evacuation::halls::{EvacuatedHalls, Evacuation};
-pub use filling::cold::ColdServer;
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel, life_mark};
 pub use fleet::coldness::{Coldness, EntrySource};
 pub use fleet::config::{
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -3,13 +3,13 @@
 mod answers;
 mod arrivals;
 mod claims;
+mod cold;
 mod coldness;
 mod crowding;
 mod demand;
 mod dispatch;
 mod evacuation;
 mod fetches;
-mod filling;
 mod following;
 mod history;
 mod holdings;
