--- a/crates/portrack/src/gateway/regions/traffic.rs
+++ b/crates/portrack/src/gateway/regions/traffic.rs
@@ -4,7 +4,7 @@
 use crate::gateway::fleet::daemons::Daemons;
 use prometheus::IntCounterVec;
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -13,7 +13,7 @@
 pub struct RegionTraffic {
     place: Rc<Place>,
     /// Where daemons of other regions hear datagrams.
-    far: RefCell<HashSet<SocketAddr>>,
+    far: RefCell<BTreeSet<SocketAddr>>,
     bytes: IntCounterVec,
 }
 
