--- a/crates/portrack/tests/gateway/following.rs
+++ b/crates/portrack/tests/gateway/following.rs
@@ -218,8 +218,8 @@
     let late = NOW + Duration::from_millis(4_000);
     let own = report(address(5), 300, Standing::Alone);
     course.redirected(late, NOW, &[own, report(address(9), 300, Standing::Watches)]);
-    let proof = Some(NOW.0 as i64);
-    assert_eq!(course.decide(late, &around, proof), NewsSource::Store, "it is 4,300 ms old");
+    let proof = Some(late.0 as i64 - 300);
+    assert_eq!(course.decide(late, &around, proof), NewsSource::Nobody, "it is 4,300 ms old");
 }
 
 #[test]
