--- a/crates/portrack/src/gateway/arrivals/cold.rs
+++ b/crates/portrack/src/gateway/arrivals/cold.rs
@@ -14,9 +14,8 @@
 /// Of the bound, at most this share goes to daemons without a grant, on both sides of a cut.
 const SHARERS_PART: f64 = 0.25;
 /// Of what granters may give, this share goes to the one of a server that is taken for warm; the rest is
-/// for one that stands in for it, and for the first second of one that takes its place. Without it the two
-/// together gave a server that had just turned cold 18 requests in a second where 17 are allowed: a
-/// granter on a busy machine had not answered some of four daemons in time.
+/// for one that stands in for it, and for the first second of one that takes its place. The first may only
+/// be slow to answer and go on giving, so their parts must add up to the whole.
 const WARM_PART: f64 = 0.75;
 
 /// The most that one cold server may get in any second from everybody, and how it is dealt out.
@@ -73,7 +72,9 @@
     /// The most that this granter lets arrive in any second.
     pub fn most(&self) -> usize {
         match (self.cold, self.stands_in) {
-            (true, _) => self.bound.while_cold(),
+            // The first may take the server for warm.
+            (true, true) => self.bound.while_cold().min(self.bound.while_new().max(1)),
+            (true, false) => self.bound.while_cold(),
             (false, true) => self.bound.while_new().max(1),
             (false, false) => self.bound.while_warm(),
         }
--- a/crates/portrack/src/gateway/arrivals/granter.rs
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -17,7 +17,7 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(6_000);
 /// Messages that come later than this after the end of their request are not expected.
 const OVER_KEPT: Duration = Duration::from_millis(2_000);
-/// The same in requests where no prompts are read.
+/// Requests of one organisation that may be ahead of the next one of another, where no prompts are read.
 const REQUESTS_A_ROUND: f64 = 3.0;
 /// A rank lower waits as if it had so much more time left: urgent ones pass, and none is passed for ever.
 const RANK_HEADSTART: Duration = Duration::from_millis(50);
--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -53,7 +53,7 @@
 }
 
 /// What came of asking.
-pub enum Grasp {
+pub enum GrantOutcome {
     /// It may be sent.
     Granted(GrantGuard),
     /// It has to wait for its turn.
@@ -117,7 +117,7 @@
     messenger: Rc<Messenger>,
     pub(super) me: DaemonAt,
     pub(super) daemons: Rc<RefCell<Daemons>>,
-    regions: Regions,
+    pub(super) regions: Regions,
     pub(super) cold_ratio: f64,
     pub(super) cold_slack: f64,
     metrics: GrantMetrics,
@@ -191,11 +191,11 @@
     }
 
     /// Asks whether a request may be sent to a server.
-    pub async fn ask(self: &Rc<Self>, backend: &Backend, need: &GrantNeed) -> Grasp {
+    pub async fn ask(self: &Rc<Self>, backend: &Backend, need: &GrantNeed) -> GrantOutcome {
         let asked_at = self.clock.now();
         let server = backend.mark();
         let Some(granter) = self.granter(asked_at, server, &backend.hall) else {
-            return Grasp::Unanswered;
+            return GrantOutcome::Unanswered;
         };
         let (ask, mut answers) = self.asks.open();
         let reader = (backend.service.clone(), need.tokens);
@@ -230,10 +230,13 @@
         backend: &Backend,
         mut waiting: WaitingGrant,
         most: Duration,
-    ) -> Grasp {
+    ) -> GrantOutcome {
+        let began = self.clock.now();
         let patience = most + ANSWER_PATIENCE;
         let answer = next_answer(&mut waiting.answers, patience).await;
-        let answer = answer.filter(|answer| !matches!(answer, GrantAnswer::Waits(_)));
+        // A daemon that stood still meanwhile would send all that waited at once, long after the grants.
+        let in_time = self.clock.now().since(began) < patience + ANSWER_PATIENCE;
+        let answer = answer.filter(|answer| in_time && !matches!(answer, GrantAnswer::Waits(_)));
         self.take_answer(backend, waiting.guard, waiting.answers, answer)
     }
 
@@ -243,7 +246,7 @@
         guard: GrantGuard,
         answers: UnboundedReceiver<GrantAnswer>,
         answer: Option<GrantAnswer>,
-    ) -> Grasp {
+    ) -> GrantOutcome {
         let now = self.clock.now();
         let millis = |millis: u32| Duration::from_millis(millis.into());
         let backlog = |after: u32| self.loads.reads_until(&backend.id, now + millis(after));
@@ -251,12 +254,12 @@
             Some(GrantAnswer::Granted(reading)) => {
                 backlog(reading);
                 guard.reads_alone(reading == 0);
-                ("granted", Grasp::Granted(guard))
+                ("granted", GrantOutcome::Granted(guard))
             }
             Some(GrantAnswer::Waits(wait)) => {
                 backlog(wait);
                 let expected = millis(wait);
-                ("waits", Grasp::Waits(WaitingGrant { guard, answers, expected }))
+                ("waits", GrantOutcome::Waits(WaitingGrant { guard, answers, expected }))
             }
             Some(GrantAnswer::Refused(after)) => {
                 guard.refused();
@@ -264,7 +267,7 @@
                     server = &*backend.id, granter:% = guard.granter, retry_after_ms = after;
                     "grant_refused"
                 );
-                ("refused", Grasp::Refused(millis(after)))
+                ("refused", GrantOutcome::Refused(millis(after)))
             }
             None => {
                 // Once in the time for which a daemon is left alone.
@@ -273,7 +276,7 @@
                 }
                 self.asks.shun(now, guard.granter);
                 self.found.borrow_mut().clear();
-                ("unanswered", Grasp::Unanswered)
+                ("unanswered", GrantOutcome::Unanswered)
             }
         };
         self.metrics.outcomes.with_label_values(&[outcome]).inc();
--- a/crates/portrack/src/gateway/arrivals/knowing.rs
+++ b/crates/portrack/src/gateway/arrivals/knowing.rs
@@ -17,8 +17,8 @@
         found.cloned()
     }
 
-    /// What binds arrivals at a server. It is in doubt too while news of it may be older than a cold
-    /// start lasts.
+    /// What binds arrivals at a server. Where callers show keys, a server is also in doubt while the proof
+    /// is older than a cold start lasts.
     pub(super) fn rule(&self, now: Time, backend: &Backend) -> ServerRule {
         let view = self.view.borrow();
         let start = view.service(&backend.service).and_then(|service| service.cold);
@@ -35,8 +35,14 @@
     /// True if no other daemon comes before this one as a server's granter, whether or not it answers.
     fn comes_first(&self, backend: &Backend) -> bool {
         let daemons = self.daemons.borrow();
+        let region = self.regions.of(&backend.hall);
         let of_hall = |daemon: &DaemonAt| daemon.hall == backend.hall;
-        let first = daemons.first(backend.mark().into(), of_hall);
+        let of_region = |daemon: &DaemonAt| self.regions.of(&daemon.hall) == region;
+        let mark = u64::from(backend.mark());
+        let first = daemons
+            .first(mark, of_hall)
+            .or_else(|| daemons.first(mark, of_region))
+            .or_else(|| daemons.first(mark, |_| true));
         first.is_none_or(|first| first == self.me.address)
     }
 
--- a/crates/portrack/src/gateway/arrivals/mod.rs
+++ b/crates/portrack/src/gateway/arrivals/mod.rs
@@ -26,7 +26,7 @@
 pub use cold::{ColdBound, ColdRule, ColdWindow};
 pub use fairness::makes_way;
 pub use granter::{Granter, ServerRule};
-pub use grants::{GrantMetrics, GrantNeed, GrantParts, Grants, Grasp};
+pub use grants::{GrantMetrics, GrantNeed, GrantOutcome, GrantParts, Grants};
 pub use guard::{GrantGuard, WaitingGrant};
 pub use message::{GrantAnswer, GrantAsk, GrantEnd, GrantMessage, GrantOrder};
 pub use note::GrantNote;
--- a/crates/portrack/src/gateway/choosing/candidates.rs
+++ b/crates/portrack/src/gateway/choosing/candidates.rs
@@ -15,7 +15,7 @@
     /// True if a server is one that may serve a request, at its first send and at every other one.
     pub(in crate::gateway) fn may_serve(&self, job: &Job<'_>, backend: &Backend) -> bool {
         let regions = self.place.regions();
-        backend.service == job.service.name && job.region_bounds().permit(regions, &backend.hall)
+        backend.service == job.service.name && job.region_bounds().permits(regions, &backend.hall)
     }
 
     /// The servers that take new work and may serve a request.
@@ -40,7 +40,7 @@
 
     /// Refuses a request that is bound to regions in which no server can be reached.
     pub(in crate::gateway) fn look_for_allowed(&self, job: &Job<'_>) -> Result<(), Refused> {
-        if !job.region_bounds().bind() {
+        if !job.region_bounds().is_bound() {
             return Ok(());
         }
         let view = self.view.borrow();
--- a/crates/portrack/src/gateway/choosing/granted.rs
+++ b/crates/portrack/src/gateway/choosing/granted.rs
@@ -1,7 +1,7 @@
 //! A request's way to a server that lets it in.
 
 use super::placing::patience;
-use crate::gateway::arrivals::{GrantNeed, Grasp, WaitingGrant};
+use crate::gateway::arrivals::{GrantNeed, GrantOutcome, WaitingGrant};
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::gateway::requests::job::{Choice, Job};
 use crate::gateway::requests::path::RequestPath;
@@ -76,27 +76,29 @@
 
     async fn turn(&self, job: &Job<'_>, choice: Choice) -> Turn {
         let mut grasp = self.grants.ask(&choice.backend, &self.grant_need(job)).await;
-        if matches!(grasp, Grasp::Unanswered) {
+        if matches!(grasp, GrantOutcome::Unanswered) {
             // The next daemon in order is the granter now.
             grasp = self.grants.ask(&choice.backend, &self.grant_need(job)).await;
         }
         self.turn_of(job, choice, grasp)
     }
 
-    fn turn_of(&self, job: &Job<'_>, mut choice: Choice, grasp: Grasp) -> Turn {
+    fn turn_of(&self, job: &Job<'_>, mut choice: Choice, grasp: GrantOutcome) -> Turn {
         match grasp {
-            Grasp::Granted(guard) => {
+            GrantOutcome::Granted(guard) => {
                 job.progress.grant.granter.set(Some(guard.granter));
                 choice.grant = Some(guard);
                 Turn::Send(choice)
             }
-            Grasp::Waits(waiting) => {
+            GrantOutcome::Waits(waiting) => {
                 job.progress.grant.told(waiting.expected);
                 Turn::Waits(choice, waiting)
             }
-            Grasp::Refused(after) => Turn::Refused(after),
-            Grasp::Unanswered if self.grants.may_send_alone(&choice.backend) => Turn::Send(choice),
-            Grasp::Unanswered => Turn::Refused(UNANSWERED_RETRY),
+            GrantOutcome::Refused(after) => Turn::Refused(after),
+            GrantOutcome::Unanswered if self.grants.may_send_alone(&choice.backend) => {
+                Turn::Send(choice)
+            }
+            GrantOutcome::Unanswered => Turn::Refused(UNANSWERED_RETRY),
         }
     }
 
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -243,7 +243,7 @@
         if let Some(open) = self.holder_among(job, key, takes_all) {
             return Some(open);
         }
-        let leaving = self.holder_among(job, key, FleetView::is_leaving)?;
+        let leaving = self.holder_among(job, key, FleetView::is_closing)?;
         self.demand.missed(key);
         self.wish(job, key, Where::Anywhere);
         Some(leaving)
@@ -325,15 +325,20 @@
         Some(chosen(job, other, usable))
     }
 
-    /// True if a server that was chosen a while ago still takes the request.
+    /// True if a server that was chosen a while ago still takes the request, with the version that was
+    /// chosen then: in the wait its grace may have ended, and it must not begin late.
     pub(super) fn still_takes(&self, job: &Job<'_>, choice: &Choice) -> bool {
         let now = self.clock.now();
         let view = self.view.borrow();
         let open = view.may_get(now, &choice.backend.id);
-        let holds = job.adapter().filter(|_| job.model().is_some()).is_none_or(|key| {
-            view.holdings.holders(now, &key).iter().any(|(id, _)| *id == choice.backend.id)
+        let Some(key) = job.adapter().filter(|_| job.model().is_some()) else { return open };
+        let mut holders = view.holdings.holders(now, &key).into_iter();
+        let holds = holders.any(|(id, _)| id == choice.backend.id);
+        let usable = view.usable_versions(now, &key);
+        let is_usable = usable.is_none_or(|versions| {
+            choice.adapter_version.is_some_and(|chosen| chosen >= versions.oldest)
         });
-        open && holds
+        open && holds && is_usable
     }
 
     /// True if an adapter is asked for so much that a much idler server should have it as well.
--- a/crates/portrack/src/gateway/choosing/replicas.rs
+++ b/crates/portrack/src/gateway/choosing/replicas.rs
@@ -9,7 +9,8 @@
 /// above about two thirds they wait for slots.
 const TARGET_SHARE: f64 = 0.45;
 /// Share of its time that a server may read for one adapter. Prompts come in clumps, and what is read
-/// within the time between events is a pause for every stream. Trials on karte scale-1, worth with 0.3 and 0.2: 0.674 and 0.688.
+/// within the time between events is a pause for every stream. Measured in
+/// docs/design/arrivals-ways.md.
 const READING_SHARE: f64 = 0.2;
 /// How long a request runs if nothing is known of it yet.
 const FIRST_GUESS: Duration = Duration::from_millis(1_500);
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -7,7 +7,7 @@
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::dispatch::Slots;
-use crate::gateway::fleet::coldness::EntrySource;
+use crate::gateway::fleet::coldness::{EntrySource, REPORT_NEWS};
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::fleet::peers::Peers;
@@ -80,7 +80,7 @@
     pub(super) news_old: Cell<bool>,
     /// The last look found no proof that keys may be believed in.
     pub(super) proof_lost: Cell<bool>,
-    /// What it passes on to others of its hall.
+    /// What it passes on to its followers.
     pub(super) feed: HallFeed,
     /// Woken when other daemons are heard again after this one was cut off.
     pub(super) reconnected: Notify,
@@ -111,17 +111,6 @@
 
 /// Of what is wrong with an entry so much is logged, in characters: another writer chose the text.
 const WHY_LENGTH: usize = 160;
-/// How entries from a source of news were learned.
-fn entry_source(source: &str) -> EntrySource {
-    match source {
-        PEER_NEWS => EntrySource::HeardOf,
-        _ => EntrySource::Watched,
-    }
-}
-
-/// The name, in logs, of news that a daemon caught up with from another one.
-pub(in crate::gateway) const PEER_NEWS: &str = "peer";
-
 /// The store counts as reachable if it answered within this.
 const STORE_SEEN_WITHIN: Duration = Duration::from_millis(4_500);
 
@@ -327,7 +316,11 @@
     /// A server itself has told of a life that the store has not told of yet.
     pub(in crate::gateway) fn learn_life(self: &Rc<Self>, server: &Rc<str>, born: u64) {
         let changes = self.path.view.borrow_mut().learn_life(server, born);
-        changes.iter().for_each(|change| self.note(self.now(), change, "report"));
+        let now = self.now();
+        for change in &changes {
+            self.note(now, change, REPORT_NEWS);
+            self.note_evacuation(now, change, REPORT_NEWS);
+        }
         self.path.changed.notify_waiters();
     }
 
@@ -344,7 +337,7 @@
             }
             ViewChange::Backend(id) => {
                 if let Some(backend) = view.backend(id) {
-                    let entry = entry_source(source);
+                    let entry = EntrySource::of(source);
                     self.path.coldness.borrow_mut().listed(now, backend, entry);
                     self.path.loads.lives(id, backend.mark());
                     self.path.loads.set_one_cold(id, self.cold_server(now, &view, backend));
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -133,6 +133,8 @@
                 break;
             }
             match self.ask(whom, service, SlotNeed { left, ..need.clone() }).await {
+                // A dispatcher that is silent says nothing against the one that refused.
+                Ok(None) if refused.is_some() => break,
                 Ok(slot) => return Ok(slot),
                 Err(refusal) => {
                     refused.get_or_insert(refusal);
--- a/crates/portrack/src/gateway/evacuation/leaving.rs
+++ b/crates/portrack/src/gateway/evacuation/changes.rs
@@ -1,7 +1,6 @@
 //! What a daemon does when a data hall is evacuated or taken back.
 
 use super::halls::Evacuation;
-use crate::gateway::choosing::load::server_mark;
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::fleet::view::ViewChange;
 use crate::types::Time;
@@ -62,7 +61,7 @@
     /// This daemon's requests that run at the servers of a hall.
     fn running_in(&self, hall: &str) -> u32 {
         let view = self.path.view.borrow();
-        let marks: HashSet<u32> = view.backends_of(hall).map(|one| server_mark(&one.id)).collect();
+        let marks: HashSet<u32> = view.backends_of(hall).map(|one| one.mark()).collect();
         let own = self.path.loads.own().into_iter();
         own.filter(|(mark, _)| marks.contains(mark)).map(|(_, work)| work.requests).sum()
     }
--- a/crates/portrack/src/gateway/evacuation/copying.rs
+++ b/crates/portrack/src/gateway/evacuation/copying.rs
@@ -22,7 +22,7 @@
             let now = self.now();
             self.look_at_evacuated(now);
             self.look_at_cold(now);
-            for (service, key, pace) in self.held_only_in_leaving(now) {
+            for (service, key, pace) in self.held_only_in_closing_halls(now) {
                 // At least one, or it would come after what nobody uses.
                 let requests = (pace.round() as u16).max(1);
                 if self.path.wish_for(&service, &key, requests) {
@@ -34,7 +34,7 @@
 
     /// The adapters in use that only servers of halls which are being left hold, the hottest first, of
     /// the servers that this daemon orders.
-    fn held_only_in_leaving(&self, now: Time) -> Vec<(Rc<str>, AdapterKey, f64)> {
+    fn held_only_in_closing_halls(&self, now: Time) -> Vec<(Rc<str>, AdapterKey, f64)> {
         let view = self.path.view.borrow();
         if view.evacuated.all().next().is_none() {
             return Vec::new();
@@ -42,7 +42,7 @@
         let ordered = self.ordering.claims.borrow().orderable(now);
         let planner = self.ordering.planner.borrow();
         let backends = ordered.iter().filter_map(|id| view.backend(id));
-        let leaving = backends.filter(|backend| view.is_leaving(now, backend));
+        let leaving = backends.filter(|backend| view.is_closing(now, backend));
         let held = leaving.flat_map(|backend| {
             let paces = planner.paces(now, &backend.id).into_iter();
             paces.map(|(key, pace)| (backend.service.clone(), key, pace))
--- a/crates/portrack/src/gateway/evacuation/halls.rs
+++ b/crates/portrack/src/gateway/evacuation/halls.rs
@@ -62,7 +62,7 @@
     }
 
     /// True if a hall is evacuated and may still be sent what only its servers can serve.
-    pub fn is_leaving(&self, now: Time, hall: &str) -> bool {
+    pub fn is_closing(&self, now: Time, hall: &str) -> bool {
         self.halls.get(hall).is_some_and(|evacuation| now < evacuation.closes_at)
     }
 
--- a/crates/portrack/src/gateway/evacuation/mod.rs
+++ b/crates/portrack/src/gateway/evacuation/mod.rs
@@ -4,6 +4,6 @@
 //! wishes for copies elsewhere of what only such servers hold. Nothing is sent to a hall later than the
 //! bound after the store's acknowledgement, nothing new is loaded there, and what runs there is left alone.
 
+pub(in crate::gateway) mod changes;
 pub(in crate::gateway) mod copying;
 pub(in crate::gateway) mod halls;
-pub(in crate::gateway) mod leaving;
--- a/crates/portrack/src/gateway/fleet/coldness.rs
+++ b/crates/portrack/src/gateway/fleet/coldness.rs
@@ -9,15 +9,31 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// The name, in logs, of news that a daemon caught up with from another one.
+pub const PEER_NEWS: &str = "peer";
+/// The same of what a server's report told before its entry did.
+pub const REPORT_NEWS: &str = "report";
+
 /// How a server's entry was learned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntrySource {
     /// From the store, or from a daemon that watches it: what the entry says holds now.
     Watched,
-    /// From a daemon that may know an older one.
+    /// From a daemon that may know an older one, or from a server's report, which tells its life and not
+    /// how cold it is.
     HeardOf,
 }
 
+impl EntrySource {
+    /// By the name that a source of news has in logs.
+    pub fn of(source: &str) -> Self {
+        match source {
+            PEER_NEWS | REPORT_NEWS => Self::HeardOf,
+            _ => Self::Watched,
+        }
+    }
+}
+
 /// What is known of one server.
 #[derive(Debug, Clone, Copy)]
 struct Evidence {
@@ -38,8 +54,8 @@
 impl Coldness {
     /// Takes a server's entry in. What it says of the remaining time is counted from now: it was
     /// written before, so the server is cold no longer than that. A server that is new here, or has
-    /// started again, is in doubt where the entry may be an old one. After all daemons of a fleet had
-    /// been killed, each took all servers for cold, and callers were refused for four seconds.
+    /// started again, is in doubt where the entry may be an old one. What the
+    /// store tells is current, so a daemon that starts need not take all servers for cold.
     pub fn listed(&mut self, now: Time, backend: &Backend, source: EntrySource) {
         let told_until = now + backend.cold_for;
         let doubted_at = (source == EntrySource::HeardOf).then_some(now);
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -70,7 +70,7 @@
     pub leaving: bool,
     /// It can reach the store.
     pub sees_store: bool,
-    /// It watches the store itself, and passes on to others of its hall what it learns.
+    /// It watches the store itself; others may follow it.
     pub watches: bool,
     /// The servers that it may order now, by their marks.
     pub orders: Vec<u32>,
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -139,14 +139,14 @@
     }
 
     /// True if a server of an evacuated data hall may still get what no open server can serve.
-    pub fn is_leaving(&self, now: Time, backend: &Backend) -> bool {
-        !backend.draining && self.evacuated.is_leaving(now, &backend.hall)
+    pub fn is_closing(&self, now: Time, backend: &Backend) -> bool {
+        !backend.draining && self.evacuated.is_closing(now, &backend.hall)
     }
 
     /// True if a request may be sent to a server at this moment.
     pub fn may_get(&self, now: Time, id: &str) -> bool {
         let backend = self.backends.get(id);
-        backend.is_some_and(|backend| self.is_open(backend) || self.is_leaving(now, backend))
+        backend.is_some_and(|backend| self.is_open(backend) || self.is_closing(now, backend))
     }
 
     /// When an adapter is expected at a server that takes new work, if it is on its way to one.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 };
 pub use evacuation::halls::{EvacuatedHalls, Evacuation};
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel, life_mark};
-pub use fleet::coldness::{Coldness, EntrySource};
+pub use fleet::coldness::{Coldness, EntrySource, PEER_NEWS, REPORT_NEWS};
 pub use fleet::config::{
     CallerLimits, ColdStart, EngineSpec, FleetConfig, ModelSpec, Route, RouteKind, Service, Target,
 };
--- a/crates/portrack/src/gateway/regions/allowed.rs
+++ b/crates/portrack/src/gateway/regions/allowed.rs
@@ -13,13 +13,13 @@
 
 impl RegionBounds<'_> {
     /// True if not every region will do.
-    pub fn bind(&self) -> bool {
+    pub fn is_bound(&self) -> bool {
         self.route.is_some() || self.organisation.is_some()
     }
 
     /// True if the request may be served in a hall. A hall whose region the settings do not name is in
     /// no allowed region.
-    pub fn permit(&self, regions: &Regions, hall: &str) -> bool {
+    pub fn permits(&self, regions: &Regions, hall: &str) -> bool {
         let permits = |allowed: &AllowedRegions| {
             regions.of(hall).is_some_and(|region| allowed.contains(region))
         };
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -137,7 +137,7 @@
             .config()
             .ok_or_else(|| Refused::new(RefusalReason::NoConfig, Some(UNKNOWN_RETRY)))?;
         let (rules, proof) = (&self.key_rules, &self.proof);
-        // Proof is kept fresh only where callers show keys.
+        // Without keys, an unknown route is refused without a look at the proof.
         let no_route = || match config.organisations {
             Some(_) => rules.unknown(now, proof, RefusalReason::NoRoute),
             None => Refused::new(RefusalReason::NoRoute, None),
--- a/crates/portrack/tests/gateway/arrivals.rs
+++ b/crates/portrack/tests/gateway/arrivals.rs
@@ -544,4 +544,9 @@
     assert!(first + new + others <= COLD_MOST, "{first}, and {new} of one that has just begun");
     let cold = ServerRule { cold: Some(ColdRule { bound: bound(), cold: true, stands_in: true }) };
     assert_eq!(given(&cold, 0), 0, "nothing in its first second to one that is cold");
+    let doubting = given(&cold, 5_000);
+    assert!(
+        first + doubting + others <= COLD_MOST,
+        "{first}, and {doubting} where only one doubts"
+    );
 }
--- a/crates/portrack/tests/gateway/coldness.rs
+++ b/crates/portrack/tests/gateway/coldness.rs
@@ -1,7 +1,7 @@
 //! Which servers are taken for cold.
 
 use crate::support::{backend, ms};
-use portrack::gateway::{Backend, ColdStart, Coldness, EntrySource};
+use portrack::gateway::{Backend, ColdStart, Coldness, EntrySource, PEER_NEWS, REPORT_NEWS};
 use portrack::types::Time;
 use std::time::Duration;
 
@@ -56,3 +56,17 @@
     coldness.doubt(Time(9_000), "s1");
     assert!(coldness.is_cold(Time(11_999), "s1", Some(&START)));
 }
+
+/// A new life that a server's report told of took the remaining cold time of the life before, often none,
+/// so it counted as warm until its own entry came.
+#[test]
+fn a_life_that_only_a_report_has_told_of_is_in_doubt() {
+    assert_eq!(EntrySource::of(REPORT_NEWS), EntrySource::HeardOf);
+    assert_eq!(EntrySource::of(PEER_NEWS), EntrySource::HeardOf);
+    assert_eq!(EntrySource::of("store"), EntrySource::Watched);
+    assert_eq!(EntrySource::of("feed"), EntrySource::Watched);
+    let mut coldness = Coldness::default();
+    coldness.listed(Time(0), &server(1, Duration::ZERO), EntrySource::Watched);
+    coldness.listed(Time(9_000), &server(2, Duration::ZERO), EntrySource::of(REPORT_NEWS));
+    assert!(coldness.is_cold(Time(11_999), "s1", Some(&START)));
+}
--- a/crates/portrack/tests/gateway/evacuation.rs
+++ b/crates/portrack/tests/gateway/evacuation.rs
@@ -143,7 +143,7 @@
                 Event::Wait(span) => now = now + ms(span),
             }
             for (at, hall) in HALLS.iter().enumerate() {
-                let (has, leaving) = (daemon.halls.has(hall), daemon.halls.is_leaving(now, hall));
+                let (has, leaving) = (daemon.halls.has(hall), daemon.halls.is_closing(now, hall));
                 if let Some(since) = store.since[at] {
                     // Proof of the very millisecond may be of before the change.
                     let told = daemon.knows(now, since + ms(1));
@@ -167,18 +167,18 @@
     let dated = |proof: &StoreProof| {
         let mut halls = EvacuatedHalls::default();
         assert!(halls.evacuate(&hall));
-        assert!(!halls.is_leaving(Time(0), &hall), "nothing is known of its age");
+        assert!(!halls.is_closing(Time(0), &hall), "nothing is known of its age");
         halls.date(&hall, Time(20_000), proof, WITHIN);
         halls
     };
     let proof = StoreProof::default();
-    assert!(!dated(&proof).is_leaving(Time(20_000), &hall), "a daemon that has just started");
+    assert!(!dated(&proof).is_closing(Time(20_000), &hall), "a daemon that has just started");
     proof.renew(Time(18_500));
     let mut halls = dated(&proof);
-    assert!(halls.is_leaving(Time(21_499), &hall));
-    assert!(!halls.is_leaving(Time(21_500), &hall), "3 s after the last moment without it");
+    assert!(halls.is_closing(Time(21_499), &hall));
+    assert!(!halls.is_closing(Time(21_500), &hall), "3 s after the last moment without it");
     assert!(!halls.evacuate(&hall), "the key is written once more");
-    assert!(!halls.is_leaving(Time(21_500), &hall));
+    assert!(!halls.is_closing(Time(21_500), &hall));
     assert_eq!(halls.newly_closed(Time(21_500)).len(), 1);
     assert_eq!(halls.newly_closed(Time(21_600)).len(), 0, "told once");
     assert!(halls.take_back(&hall).is_some());
--- a/crates/portrack/tests/gateway/regions.rs
+++ b/crates/portrack/tests/gateway/regions.rs
@@ -358,14 +358,14 @@
     let (north, both, none) = (allowed(&["north"]), allowed(&["north", "south"]), allowed(&[]));
     let bounds = |route, organisation| RegionBounds { route, organisation };
     let free = bounds(None, None);
-    assert!(!free.bind() && free.permit(&regions(), "s1") && free.permit(&regions(), "new"));
-    assert!(bounds(Some(&both), None).permit(&regions(), "s1"));
-    assert!(!bounds(Some(&both), None).permit(&regions(), "new"));
-    assert!(!bounds(Some(&both), Some(&north)).permit(&regions(), "s1"));
-    assert!(!bounds(Some(&north), Some(&both)).permit(&regions(), "s1"));
-    assert!(bounds(Some(&north), Some(&both)).permit(&regions(), "n3"));
-    assert!(!bounds(Some(&none), None).permit(&regions(), "n3"), "none is allowed");
-    assert!(!bounds(Some(&north), None).permit(&Regions::default(), "n3"), "none is known");
+    assert!(!free.is_bound() && free.permits(&regions(), "s1") && free.permits(&regions(), "new"));
+    assert!(bounds(Some(&both), None).permits(&regions(), "s1"));
+    assert!(!bounds(Some(&both), None).permits(&regions(), "new"));
+    assert!(!bounds(Some(&both), Some(&north)).permits(&regions(), "s1"));
+    assert!(!bounds(Some(&north), Some(&both)).permits(&regions(), "s1"));
+    assert!(bounds(Some(&north), Some(&both)).permits(&regions(), "n3"));
+    assert!(!bounds(Some(&none), None).permits(&regions(), "n3"), "none is allowed");
+    assert!(!bounds(Some(&north), None).permits(&Regions::default(), "n3"), "none is known");
 }
 
 fn some_regions() -> impl Strategy<Value = Option<BTreeSet<usize>>> {
@@ -406,7 +406,7 @@
             .map(|(server, (_, work))| busy(&loads, server, *work)).collect();
         let mut tried: Vec<Rc<str>> = Vec::new();
         loop {
-            let open = all.iter().filter(|server| bounds.permit(place.regions(), &server.hall));
+            let open = all.iter().filter(|server| bounds.permits(place.regions(), &server.hall));
             let chosen = match lag {
                 true => cheaper_of_two(Time(10), &loads, &place, &id, &tried, open),
                 false => cheapest(Time(10), &loads, &place, &tried, open),
