One piece each for candidates that can be reached, reading time and a server's granter

Three places that the parts had written twice or three times; behaviour is as before. Run on it: the gateway's tests (243), the platform's (109 path tests and the others), clippy of portrack, formatting and words.

--- a/crates/portrack/src/gateway/arrivals/granter.rs
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -4,7 +4,7 @@
 use super::cold::{ColdRule, ColdWindow};
 use super::fairness::{FairShares, makes_way};
 use super::message::{GrantAnswer, GrantAsk, GrantEnd, GrantOrder};
-use super::pace::ReadingPace;
+use super::pace::{ReadingPace, reading_time};
 use super::promises::Promises;
 use super::reading::{ReadingLimit, ReadingWindow};
 use crate::gateway::admission::OrganisationMark;
@@ -56,7 +56,7 @@
 
 impl Waiting {
     fn new(now: Time, id: AskId, ask: GrantAsk, pace: f64, begins: f64) -> Self {
-        let reading = Duration::from_secs_f64(f64::from(ask.tokens) / pace.max(0.001) / 1_000.0);
+        let reading = reading_time(f64::from(ask.tokens), pace);
         let left = Duration::from_millis(ask.left_ms.into()).saturating_sub(reading);
         Self { id, ask, since: now, late_at: now + left, begins }
     }
--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -101,12 +101,19 @@
 }
 
 /// A server of which this daemon is the granter.
-struct Granted {
+struct GrantedServer {
     id: Rc<str>,
     born: Option<u64>,
     granter: Granter,
 }
 
+impl GrantedServer {
+    /// A server for which nothing was granted yet.
+    fn new(now: Time, backend: &Backend) -> Self {
+        Self { id: backend.id.clone(), born: backend.born, granter: Granter::new(now) }
+    }
+}
+
 /// Grants as one daemon sees them.
 pub struct Grants {
     pub(super) clock: Rc<dyn Clock>,
@@ -125,7 +132,7 @@
     pub loads_lag: Cell<bool>,
     pub(super) shares: RefCell<OwnShares>,
     pub(super) asks: Asks<GrantAnswer>,
-    servers: RefCell<HashMap<u32, Granted>>,
+    servers: RefCell<HashMap<u32, GrantedServer>>,
     paces: RefCell<HashMap<Rc<str>, ReadingPace>>,
     events: RefCell<HashMap<Rc<str>, Quantile>>,
     found: RefCell<HashMap<u32, (Time, SocketAddr)>>,
@@ -387,17 +394,10 @@
                 servers.remove(&server);
                 return;
             };
-            let granted = servers.entry(server).or_insert_with(|| Granted {
-                id: backend.id.clone(),
-                born: backend.born,
-                granter: Granter::new(now),
-            });
+            let fresh = || GrantedServer::new(now, &backend);
+            let granted = servers.entry(server).or_insert_with(fresh);
             if granted.born != backend.born {
-                *granted = Granted {
-                    id: backend.id.clone(),
-                    born: backend.born,
-                    granter: Granter::new(now),
-                };
+                *granted = fresh();
             }
             let rule = self.rule(now, &backend);
             let mut paces = self.paces.borrow_mut();
--- a/crates/portrack/src/gateway/arrivals/pace.rs
+++ b/crates/portrack/src/gateway/arrivals/pace.rs
@@ -3,6 +3,8 @@
 use super::quantile::Quantile;
 use std::time::Duration;
 
+/// The least pace that is reckoned with, in tokens a millisecond: none is no divisor.
+const LEAST_PACE: f64 = 0.001;
 /// Prompt tokens a millisecond before anything is known: slow engines read so, and what is reckoned too
 /// slow costs some waiting for the first seconds only.
 const FIRST_PACE: f64 = 8.0;
@@ -67,7 +69,7 @@
 
     /// How long a prompt of average length is read; zero before any was seen.
     pub fn reads(&self) -> Duration {
-        Duration::from_secs_f64(self.tokens / self.get().max(0.001) / 1_000.0)
+        reading_time(self.tokens, self.get())
     }
 
     /// Prompt tokens a millisecond.
@@ -79,3 +81,8 @@
         (self.variance / self.covariance).clamp(guess, guess * MOST_FASTER)
     }
 }
+
+/// How long a server reads so many prompt tokens at a pace in tokens a millisecond.
+pub(super) fn reading_time(tokens: f64, pace: f64) -> Duration {
+    Duration::from_secs_f64(tokens / pace.max(LEAST_PACE) / 1_000.0)
+}
--- a/crates/portrack/src/gateway/arrivals/reading.rs
+++ b/crates/portrack/src/gateway/arrivals/reading.rs
@@ -3,6 +3,7 @@
 //! Each step of an engine may read a piece of a prompt, and an event of a stream waits for several steps:
 //! what is read within the time between events makes one pause for every stream of the server.
 
+use super::pace::reading_time;
 use crate::types::Time;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -61,7 +62,7 @@
             self.begun.pop_front();
         }
         self.begun.push_back((now, f64::from(tokens)));
-        let reading = Duration::from_secs_f64(f64::from(tokens) / limit.pace.max(0.001) / 1_000.0);
+        let reading = reading_time(f64::from(tokens), limit.pace);
         self.busy_until = self.busy_until.max(now) + reading;
     }
 
--- a/crates/portrack/src/gateway/choosing/candidates.rs
+++ b/crates/portrack/src/gateway/choosing/candidates.rs
@@ -38,14 +38,16 @@
         tried.chain(outside.map(|backend| backend.mark())).collect()
     }
 
-    /// Refuses a request that is bound to regions in which no server can be reached.
-    pub(in crate::gateway) fn look_for_allowed(&self, job: &Job<'_>) -> Result<(), Refused> {
-        if !job.region_bounds().is_bound() {
-            return Ok(());
-        }
+    /// True if a server that takes new work and may serve a request is in a data hall that is heard.
+    pub(in crate::gateway) fn can_reach_candidate(&self, job: &Job<'_>) -> bool {
         let view = self.view.borrow();
         let mut candidates = self.candidates(&view, job);
-        match candidates.any(|backend| !self.loads.is_hall_silent(&backend.hall)) {
+        candidates.any(|backend| !self.loads.is_hall_silent(&backend.hall))
+    }
+
+    /// Refuses a request that is bound to regions in which no server can be reached.
+    pub(in crate::gateway) fn look_for_allowed(&self, job: &Job<'_>) -> Result<(), Refused> {
+        match !job.region_bounds().is_bound() || self.can_reach_candidate(job) {
             true => Ok(()),
             false => Err(Refused::new(RefusalReason::NoAllowedServer, Some(NO_ALLOWED_RETRY))),
         }
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -124,7 +124,8 @@
             if let Some(choice) = self.holder(job, key) {
                 return Ok(choice);
             }
-            if !self.has_home(job) {
+            // Where all servers are closed or cut off, waiting for the adapter is of no use.
+            if !self.can_reach_candidate(job) {
                 return Err(no_server());
             }
             if !missed {
@@ -160,14 +161,6 @@
         };
     }
 
-    /// True if some server could be given an adapter: where all are closed or cut off, waiting is of
-    /// no use.
-    fn has_home(&self, job: &Job<'_>) -> bool {
-        let view = self.view.borrow();
-        let mut open = self.candidates(&view, job);
-        open.any(|backend| !self.loads.is_hall_silent(&backend.hall))
-    }
-
     /// Wishes for an adapter at its home, if some daemon may order a server for it.
     fn wish(&self, job: &Job<'_>, key: &AdapterKey, at: Where) {
         let wanted = Wanted { service: &job.service.name, key, requests: 0, at };
