--- /dev/null
+++ b/crates/portrack/src/gateway/quarantine/mark.rs
@@ -0,0 +1,95 @@
+//! Tells whether two tries are the same request.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::net::IpAddr;
+
+/// Bytes of a mark: no two requests of a fleet share one by chance, and a caller cannot make one that
+/// has the mark of another caller's request.
+const LENGTH: usize = 16;
+
+/// Who sends a request, as far as tries of the same one are concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MarkedCaller<'a> {
+    /// An organisation, where callers show keys: whichever of its keys it shows, from wherever.
+    Organisation(&'a str),
+    /// Whoever connects from an address.
+    Address(IpAddr),
+}
+
+/// What is the same for all tries of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct MarkedRequest<'a> {
+    /// Who sends it.
+    pub caller: MarkedCaller<'a>,
+    /// The method.
+    pub method: &'a str,
+    /// The host asked for.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Stands for a request, whichever try it is and at whichever node. Neither its caller nor its body can be
+/// found from it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestMark([u8; LENGTH]);
+
+impl RequestMark {
+    /// The mark of a request.
+    pub fn of(request: &MarkedRequest<'_>) -> Self {
+        let address;
+        let (kind, caller): (&[u8], &[u8]) = match request.caller {
+            MarkedCaller::Organisation(name) => (b"organisation", name.as_bytes()),
+            MarkedCaller::Address(from) => {
+                address = from.to_string();
+                (b"address", address.as_bytes())
+            }
+        };
+        let parts = [
+            kind,
+            caller,
+            request.method.as_bytes(),
+            request.host.as_bytes(),
+            request.target.as_bytes(),
+            request.body,
+        ];
+        let mut digest = Sha256::new();
+        for part in parts {
+            // Where a part ends must be told, or two requests could share a mark.
+            digest.update((part.len() as u64).to_be_bytes());
+            digest.update(part);
+        }
+        let whole = digest.finalize();
+        let mut mark = [0; LENGTH];
+        mark.copy_from_slice(&whole[..LENGTH]);
+        Self(mark)
+    }
+
+    /// Reads a mark that was written with [`fmt::Display`].
+    pub fn parse(text: &str) -> Option<Self> {
+        if text.len() != 2 * LENGTH || !text.is_ascii() {
+            return None;
+        }
+        let mut mark = [0; LENGTH];
+        for (byte, at) in mark.iter_mut().zip((0..text.len()).step_by(2)) {
+            *byte = u8::from_str_radix(&text[at..at + 2], 16).ok()?;
+        }
+        Some(Self(mark))
+    }
+}
+
+impl fmt::Display for RequestMark {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(out, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestMark {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, out)
+    }
+}
--- a/crates/portrack/src/gateway/requests/host.rs
+++ b/crates/portrack/src/gateway/requests/host.rs
@@ -167,6 +167,11 @@
         mark.map_or(-1, |mark| self.daemon.path.quotas.used_percent(mark))
     }
 
+    /// What the request's tries have in common; empty if no server has broken off under it.
+    fn mark(&self) -> String {
+        self.progress.mark.get().map(|mark| mark.to_string()).unwrap_or_default()
+    }
+
     fn kind(&self) -> &'static str {
         let route = self.progress.route.borrow();
         match route.as_ref().map(|route| route.kind) {
@@ -229,6 +234,7 @@
             sends = served.sends,
             failure = served.last_failure.as_str(),
             broken = broken,
+            mark = self.mark().as_str(),
             prompt_tokens = model.map_or(0, |model| model.prompt_tokens),
             granter = self.progress.grant.granter_name().as_str(),
             grant_wait_ms = self.progress.grant.waited_ms(),
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -9,6 +9,7 @@
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::{Route, Service};
 use crate::gateway::fleet::versions::VersionChoice;
+use crate::gateway::quarantine::mark::{MarkedCaller, MarkedRequest, RequestMark};
 use crate::gateway::regions::allowed::RegionBounds;
 use crate::types::Time;
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,8 @@
     pub timings: Timings,
     /// What it waited for at granters.
     pub grant: GrantNote,
+    /// What its tries have in common, once a server has broken off.
+    pub mark: Cell<Option<RequestMark>>,
 }
 
 /// How a request ended, for logs and metrics.
@@ -147,6 +150,22 @@
         Some(AdapterKey { model: model.model.clone(), adapter })
     }
 
+    /// What its tries have in common.
+    pub fn mark(&self) -> RequestMark {
+        let request = self.request;
+        let caller = match &self.admitted.organisation {
+            Some(organisation) => MarkedCaller::Organisation(&organisation.name),
+            None => MarkedCaller::Address(request.from),
+        };
+        RequestMark::of(&MarkedRequest {
+            caller,
+            method: request.method.as_str(),
+            host: &request.host,
+            target: &request.target,
+            body: &request.body,
+        })
+    }
+
     /// The model asked for, if the service has models.
     pub fn model(&self) -> Option<&ModelRequest> {
         self.service.engine.as_ref()?;
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -260,6 +260,7 @@
                 self.coldness.borrow_mut().doubt(self.clock.now(), &backend.id);
                 self.loads.outcome_of(self.clock.now(), backend, true);
                 job.last_failure = error.to_string();
+                job.progress.mark.set(Some(job.mark()));
                 self.after_loss(job, relay)
             }
             Sent::Answer(answer) => {
@@ -404,6 +405,7 @@
             RelayEnd::Lost(why) => {
                 self.loads.outcome_of(now, server, true);
                 job.last_failure = why;
+                job.progress.mark.set(Some(job.mark()));
                 job.last_event = relay.last_event().map(str::to_owned).or(job.last_event.take());
                 self.after_loss(job, relay)
             }
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod lives;
 mod loads;
 mod logs;
+mod marks;
 mod messages;
 mod mirror;
 mod news;
