The gateway's clock counts suspended time

A node that was suspended woke with leases, proofs, grants and idle connections that looked as young as when it fell asleep: the steady clock stands still meanwhile. The gateway goes by the boot-time clock, as the other daemon did; the twin is gone. Refused connects are told from others by a typed field.

--- a/crates/portrack/src/gateway/connections/connection.rs
+++ b/crates/portrack/src/gateway/connections/connection.rs
@@ -3,11 +3,12 @@
 use super::answer::{AnswerError, AnswerHead, take_head};
 use super::body::{BodyDecoder, Step};
 use crate::gateway::dialect::Dialect;
+use crate::types::{BootClock, Clock, Time};
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -28,6 +29,8 @@
     NotConnected {
         /// What the system said.
         why: String,
+        /// The machine is there, and nothing listens.
+        refused: bool,
     },
     /// The connection broke: the request may have run.
     #[snafu(display("connection lost: {why}"))]
@@ -53,7 +56,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     idle_for: Duration,
-    idle_since: Instant,
+    /// On a clock that counts suspended time: a server closes what rested while this node was suspended.
+    idle_since: Time,
 }
 
 impl Connection {
@@ -64,22 +68,25 @@
         let stream = match connected {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
-                return Err(ExchangeError::NotConnected { why: error.kind().to_string() });
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                return Err(ExchangeError::NotConnected { why: error.kind().to_string(), refused });
+            }
+            Err(_) => {
+                return Err(ExchangeError::NotConnected { why: "timeout".into(), refused: false });
             }
-            Err(_) => return Err(ExchangeError::NotConnected { why: "timeout".into() }),
         };
         let _ = stream.set_nodelay(true);
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
             idle_for: IDLE_DEFAULT,
-            idle_since: Instant::now(),
+            idle_since: BootClock.now(),
         })
     }
 
     /// True if it can carry another request: open, silent, and not idle for too long.
     pub fn is_clean(&self) -> bool {
-        if !self.buffer.is_empty() || self.idle_since.elapsed() >= self.idle_for {
+        if !self.buffer.is_empty() || BootClock.now().since(self.idle_since) >= self.idle_for {
             return false;
         }
         let mut byte = [0_u8; 1];
@@ -89,7 +96,7 @@
 
     /// Notes that an answer is over and the connection is idle from now on.
     pub fn rest(&mut self, keep_alive: Option<Duration>) {
-        self.idle_since = Instant::now();
+        self.idle_since = BootClock.now();
         self.buffer = BytesMut::new();
         if let Some(named) = keep_alive {
             self.idle_for = named.saturating_sub(IDLE_MARGIN);
--- a/crates/portrack/src/types/clock.rs
+++ b/crates/portrack/src/types/clock.rs
@@ -39,21 +39,3 @@
         Time(self.0.get())
     }
 }
-
-/// The operating system's monotonic clock, counted from the first look at it.
-#[derive(Debug, Clone, Copy)]
-pub struct MonotonicClock {
-    start: std::time::Instant,
-}
-
-impl Default for MonotonicClock {
-    fn default() -> Self {
-        Self { start: std::time::Instant::now() }
-    }
-}
-
-impl Clock for MonotonicClock {
-    fn now(&self) -> Time {
-        Time(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
-    }
-}
--- a/crates/portrack/src/types/mod.rs
+++ b/crates/portrack/src/types/mod.rs
@@ -13,7 +13,7 @@
 
 pub use adapter::{AdapterVersion, ParseAdapterError};
 pub use class::Class;
-pub use clock::{BootClock, Clock, ManualClock, MonotonicClock};
+pub use clock::{BootClock, Clock, ManualClock};
 pub use fence::{Fence, FenceMaker};
 pub use instance::Instance;
 pub use name::{AdapterName, BaseName, EngineName, HallName, NameError, NodeName, RegionName};
--- a/crates/portrackd/src/gateway.rs
+++ b/crates/portrackd/src/gateway.rs
@@ -4,7 +4,7 @@
 use actix_rt::signal::unix::{SignalKind, signal};
 use portrack::gateway::{GatewaySettings, LogSink, start_gateway};
 use portrack::settings::SettingsError;
-use portrack::types::MonotonicClock;
+use portrack::types::BootClock;
 use portrack_platform::{PlatformDialect, PlatformStore, SETTINGS_VARIABLE};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -52,7 +52,7 @@
     let inlet = LogSink::start_writer(std::io::stdout());
     actix_rt::spawn(sink.clone().hand_over_always(inlet.clone()));
     let store = Rc::new(PlatformStore::new(&settings.store));
-    let clock = Rc::new(MonotonicClock::default());
+    let clock = Rc::new(BootClock);
     let started = start_gateway(settings.clone(), clock, Rc::new(PlatformDialect), store).await;
     let running = match started {
         Ok(running) => running,
