Requests that servers end under are held back by all nodes

Cause: a caller's next try is a new request to every node, and every limit on repeats counted the tries of one request id at one node. Class: a bound of the whole fleet, kept by parts that each see one try.

A mark of caller, method, host, path and body tells that two tries are the same. A node whose request was lost asks whether the server lives (an idle connection, or a connect that is refused); ends are told to the nodes that count for that mark, all of them up to 24. After three ends without an answer between them the request is refused at once everywhere, also right before a send, with the time to come back; the store keeps that beyond restarts. After 2, 16, 128 minutes one node claims the next hold in the store and tries it once. An answer anywhere clears it everywhere.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -23,6 +23,7 @@
 use crate::gateway::orders::orderers::Orderers;
 use crate::gateway::orders::ordering::Ordering;
 use crate::gateway::orders::vacancies::Vacancies;
+use crate::gateway::quarantine::keeper::{Quarantine, QuarantineMetrics, QuarantineParts};
 use crate::gateway::regions::place::Place;
 use crate::gateway::regions::traffic::RegionTraffic;
 use crate::gateway::requests::path::RequestPath;
@@ -190,6 +191,21 @@
                 waits: metrics.grant_waits.clone(),
             },
         });
+        let pool = Rc::<Pool>::default();
+        let quarantine = Quarantine::new(QuarantineParts {
+            clock: clock.clone(),
+            view: view.clone(),
+            daemons: daemons_up.clone(),
+            me: settings.as_daemon(),
+            messenger: messenger.clone(),
+            pool: pool.clone(),
+            store: store.clone(),
+            metrics: QuarantineMetrics {
+                server_ends: metrics.server_ends.clone(),
+                held: metrics.held_requests.clone(),
+                trials: metrics.trials.clone(),
+            },
+        });
         let path = RequestPath {
             clock: clock.clone(),
             dialect: dialect.clone(),
@@ -206,7 +222,8 @@
             changed: Rc::new(Notify::new()),
             coldness,
             loads,
-            pool: Rc::new(Pool::default()),
+            pool,
+            quarantine: Rc::new(quarantine),
             retries: RefCell::new(retries),
             demand: Rc::new(DemandLog::default()),
             place,
@@ -285,7 +302,7 @@
         let learned_at = self.news_learned_at(now);
         let mut changed = false;
         for change in changes {
-            if self.records.borrow_mut().apply(&change) {
+            if self.records.borrow_mut().apply(&change) || self.path.quarantine.apply(&change) {
                 continue;
             }
             let key = match &change {
--- a/crates/portrack/src/gateway/fleet/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -22,6 +22,9 @@
 const USES_TOLD: Duration = Duration::from_millis(600);
 /// Between looks at requests that wait for a slot or a grant.
 const SLOTS_LOOK: Duration = Duration::from_millis(20);
+/// Between looks at the store's records of requests that are held back: a fleet that is killed whole
+/// forgets what it has not written.
+const RECORDS_KEPT: Duration = Duration::from_millis(200);
 /// Wishes and uses in one datagram.
 const DEMAND_CHUNK: usize = 20;
 /// Notices in one datagram.
@@ -49,6 +52,15 @@
             actix_rt::time::sleep(SLOTS_LOOK).await;
             self.path.slots.pass_time();
             self.path.grants.pass_time();
+            self.path.quarantine.pass_time();
+        }
+    }
+
+    /// Keeps the store's records of requests that are held back, for ever.
+    pub async fn keep_held_requests(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(RECORDS_KEPT).await;
+            self.path.quarantine.keep_records().await;
         }
     }
 
@@ -82,6 +94,7 @@
             }
             PeerMessage::Slots(message) => self.path.slots.on_message(message, from),
             PeerMessage::Grants(message) => self.path.grants.on_message(message, from),
+            PeerMessage::Quarantine(message) => self.path.quarantine.on_message(message),
             PeerMessage::Quota(message) => self.path.quotas.on_message(message, from),
         }
     }
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -167,6 +167,9 @@
             self.look_around();
         }
         self.introduce_to(now, address, heard);
+        if change == Some(PeerChange::Up) {
+            self.path.quarantine.introduce(address);
+        }
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
             Some(PeerChange::Leaving) => log::info!(peer = &*node; "peer_leaving"),
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -5,6 +5,7 @@
 use crate::gateway::choosing::load::Work;
 use crate::gateway::dispatch::SlotMessage;
 use crate::gateway::news::report::NewsReport;
+use crate::gateway::quarantine::message::QuarantineMessage;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -34,6 +35,8 @@
     Slots(SlotMessage),
     /// Arrivals at a server.
     Grants(GrantMessage),
+    /// Requests that servers ended under.
+    Quarantine(QuarantineMessage),
 }
 
 impl PeerMessage {
@@ -49,6 +52,7 @@
             Self::Quota(_) => "quotas",
             Self::Slots(_) => "slots",
             Self::Grants(_) => "grants",
+            Self::Quarantine(_) => "quarantine",
         }
     }
 }
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -197,7 +197,9 @@
         if before.is_some_and(|peer| peer.heartbeat.incarnation > heartbeat.incarnation) {
             return None;
         }
-        let was_up = before.is_some_and(|peer| self.is_up(now, peer));
+        let was_up = before.is_some_and(|peer| {
+            self.is_up(now, peer) && peer.heartbeat.incarnation == heartbeat.incarnation
+        });
         let was_leaving = before.is_some_and(|peer| peer.heartbeat.leaving);
         let leaving = heartbeat.leaving;
         let region = self.region(&heartbeat.hall);
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -66,6 +66,12 @@
     pub evacuated_running: IntGauge,
     /// Copies wished for elsewhere of adapters that only evacuated data halls hold.
     pub evacuation_copies: IntCounter,
+    /// Servers that were found ended when a request was lost there.
+    pub server_ends: IntCounter,
+    /// Requests that are held back, as servers ended under them.
+    pub held_requests: IntGauge,
+    /// Requests tried once after they were held back.
+    pub trials: IntCounter,
     /// Requests held back right before they were sent, their servers having closed.
     pub held_back: IntCounter,
 }
@@ -122,6 +128,14 @@
                 "evacuation_copies_total",
                 "Copies wished for of adapters that only evacuated data halls hold",
             ),
+            server_ends: made
+                .counter("server_ends_total", "Servers found ended when a request was lost there"),
+            held_requests: made
+                .gauge("quarantined_requests", "Requests held back as servers ended under them"),
+            trials: made.counter(
+                "quarantine_trials_total",
+                "Requests tried once after they were held back",
+            ),
             held_back: made.counter(
                 "held_back_requests_total",
                 "Requests held back right before they were sent to a server that has closed",
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -86,7 +86,16 @@
 pub use orders::ordering::{NoticeSink, Ordering};
 pub use orders::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use orders::vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
+pub use quarantine::audience::Audience;
+pub use quarantine::ends::{EndEvidence, LostRequest, ServerEnds};
+pub use quarantine::keeper::{Quarantine, QuarantineMetrics, QuarantineParts};
 pub use quarantine::mark::{MarkedCaller, MarkedRequest, RequestMark};
+pub use quarantine::message::{EndReport, HoldReport, QuarantineMessage};
+pub use quarantine::record::HoldRecord;
+pub use quarantine::state::{LearnedFrom, QuarantineChange, QuarantineState};
+pub use quarantine::suspects::{
+    Cleared, Counted, HeldRequest, MOST_ENDS, SendVerdict, ServerEnd, Suspects, Trial,
+};
 pub use regions::allowed::RegionBounds;
 pub use regions::place::Place;
 pub use regions::silence::silent_regions;
--- a/crates/portrack/src/gateway/news/sync.rs
+++ b/crates/portrack/src/gateway/news/sync.rs
@@ -11,6 +11,7 @@
 use crate::gateway::dialect::ItemKey;
 use crate::gateway::fleet::coldness::PEER_NEWS;
 use crate::gateway::orders::claim_record::ClaimKey;
+use crate::gateway::quarantine::record::HoldRecord;
 use crate::store::{FeedError, KvChange, KvHeld};
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -208,7 +209,9 @@
 
     /// True for what the gateway follows.
     fn is_known(&self, key: &str) -> bool {
-        self.dialect.key(key) != ItemKey::Unknown || ClaimKey::parse(key).is_some()
+        self.dialect.key(key) != ItemKey::Unknown
+            || ClaimKey::parse(key).is_some()
+            || HoldRecord::request(key).is_some()
     }
 
     fn store_answered(&self, prefix: &str) {
--- a/crates/portrack/src/gateway/quarantine/mark.rs
+++ b/crates/portrack/src/gateway/quarantine/mark.rs
@@ -69,6 +69,12 @@
         Self(mark)
     }
 
+    /// Names the duties of nodes that concern this request.
+    pub fn duty(self) -> u64 {
+        let (first, _) = self.0.split_at(size_of::<u64>());
+        first.iter().fold(0, |duty, byte| duty << 8 | u64::from(*byte))
+    }
+
     /// Reads a mark that was written with [`fmt::Display`].
     pub fn parse(text: &str) -> Option<Self> {
         if text.len() != 2 * LENGTH || !text.is_ascii() {
--- a/crates/portrack/src/gateway/requests/caller.rs
+++ b/crates/portrack/src/gateway/requests/caller.rs
@@ -116,6 +116,8 @@
     NoProof,
     /// Its organisation has used up its quota.
     Quota,
+    /// Servers ended under it, one after the other.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -141,6 +143,7 @@
             Self::RevokedKey => "revoked_key",
             Self::NoProof => "no_proof",
             Self::Quota => "quota",
+            Self::Quarantined => "quarantined",
         }
     }
 
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -12,7 +12,7 @@
 use crate::gateway::quarantine::mark::{MarkedCaller, MarkedRequest, RequestMark};
 use crate::gateway::regions::allowed::RegionBounds;
 use crate::types::Time;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
     pub timings: Timings,
     /// What it waited for at granters.
     pub grant: GrantNote,
-    /// What its tries have in common, once a server has broken off.
+    /// What its tries have in common, once a server has broken off or it is held back.
     pub mark: Cell<Option<RequestMark>>,
 }
 
@@ -83,6 +83,10 @@
     pub last_failure: String,
     /// What was known of its adapter when it had to wait or was refused.
     pub adapter_note: RefCell<String>,
+    /// What its tries have in common, once that was asked for.
+    pub mark: OnceCell<RequestMark>,
+    /// It was held back, and this is its one try to see whether servers still end under it.
+    pub on_trial: bool,
 }
 
 /// A server chosen for a request.
@@ -152,6 +156,10 @@
 
     /// What its tries have in common.
     pub fn mark(&self) -> RequestMark {
+        *self.mark.get_or_init(|| self.marked())
+    }
+
+    fn marked(&self) -> RequestMark {
         let request = self.request;
         let caller = match &self.admitted.organisation {
             Some(organisation) => MarkedCaller::Organisation(&organisation.name),
--- a/crates/portrack/src/gateway/requests/mod.rs
+++ b/crates/portrack/src/gateway/requests/mod.rs
@@ -7,6 +7,7 @@
 pub(in crate::gateway) mod caller;
 pub(in crate::gateway) mod events;
 pub(in crate::gateway) mod exchange;
+pub(in crate::gateway) mod held;
 pub(in crate::gateway) mod host;
 pub(in crate::gateway) mod ingress;
 pub(in crate::gateway) mod job;
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -18,11 +18,12 @@
 use crate::gateway::fleet::config::Service;
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::view::FleetView;
+use crate::gateway::quarantine::keeper::Quarantine;
 use crate::gateway::regions::place::Place;
 use crate::gateway::regions::traffic::RegionTraffic;
 use crate::types::{Clock, Time};
 use prometheus::IntCounter;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -62,6 +63,8 @@
     pub loads: Rc<LoadTable>,
     /// Connections to the servers.
     pub pool: Rc<Pool>,
+    /// Requests that servers ended under.
+    pub quarantine: Rc<Quarantine>,
     /// What may be repeated.
     pub retries: RefCell<ServiceRetries>,
     /// What is asked for.
@@ -102,6 +105,9 @@
             Err(refused) => return Served::refused(refused),
         };
         *progress.route.borrow_mut() = Some(job.route.clone());
+        if let Err(refused) = self.admit(&mut job).await {
+            return Served::refused_on(refused, job.route.clone());
+        }
         job.charge = match self.charge(&job).await {
             Ok(charge) => charge,
             Err(refused) => return Served::refused_on(refused, job.route.clone()),
@@ -169,6 +175,8 @@
             last_event: request.last_event.clone(),
             last_failure: String::new(),
             adapter_note: RefCell::default(),
+            mark: OnceCell::new(),
+            on_trial: false,
         })
     }
 
@@ -216,6 +224,9 @@
         relay: &mut Relay,
         sink: &mut impl ReplySink,
     ) -> Next {
+        if let Some(left) = self.held_for(job) {
+            return Next::End(job.held_back(left, relay.begun()));
+        }
         if job.sends > 0 && !self.may_send_again(job) {
             return Next::End(match relay.begun() {
                 true => RequestEnd::Broken("retry budget".into()),
@@ -239,7 +250,10 @@
         self.traffic.with_server("requests", &backend.hall, bytes.len());
         let id = &job.request.meta.id;
         // What is known of the server may have changed while a connection was opened.
-        let may_send = || self.view.borrow().may_get(self.clock.now(), &backend.id);
+        let may_send = || {
+            self.view.borrow().may_get(self.clock.now(), &backend.id)
+                && self.held_for(job).is_none()
+        };
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes, may_send);
         let sent = match self.slow_after(job, now) {
             Some(patience) => match actix_rt::time::timeout(patience, exchanging).await {
@@ -260,7 +274,7 @@
                 self.coldness.borrow_mut().doubt(self.clock.now(), &backend.id);
                 self.loads.outcome_of(self.clock.now(), backend, true);
                 job.last_failure = error.to_string();
-                job.progress.mark.set(Some(job.mark()));
+                self.note_broken(job, &error, backend);
                 self.after_loss(job, relay)
             }
             Sent::Answer(answer) => {
@@ -282,7 +296,10 @@
                 }
                 self.traffic.with_server("answers", &backend.hall, relay.take_received());
                 drop(guard);
-                if matches!(end, RelayEnd::Failed(_) | RelayEnd::Lost(_)) {
+                if matches!(
+                    end,
+                    RelayEnd::Failed(_) | RelayEnd::Unusable(_) | RelayEnd::BrokenOff(_)
+                ) {
                     choice.ended(SlotEnd::Failed);
                 }
                 self.after_relay(job, backend, end, relay)
@@ -383,10 +400,16 @@
         })
     }
 
+    fn resume_elsewhere(&self, job: &mut Job<'_>, why: String, relay: &Relay) -> Next {
+        job.last_failure = why;
+        job.last_event = relay.last_event().map(str::to_owned).or(job.last_event.take());
+        self.after_loss(job, relay)
+    }
+
     fn after_relay(
         &self,
         job: &mut Job<'_>,
-        server: &Backend,
+        server: &Rc<Backend>,
         end: RelayEnd,
         relay: &mut Relay,
     ) -> Next {
@@ -394,6 +417,9 @@
         match end {
             RelayEnd::Whole(status) => {
                 self.loads.outcome_of(now, server, status >= 500);
+                if status < 500 {
+                    self.note_served(job);
+                }
                 Next::End(RequestEnd::Answered(status))
             }
             RelayEnd::CallerGone => Next::End(RequestEnd::CallerGone),
@@ -402,12 +428,14 @@
                 job.last_failure = format!("status {status}");
                 Next::Again
             }
-            RelayEnd::Lost(why) => {
+            RelayEnd::Unusable(why) => {
                 self.loads.outcome_of(now, server, true);
-                job.last_failure = why;
-                job.progress.mark.set(Some(job.mark()));
-                job.last_event = relay.last_event().map(str::to_owned).or(job.last_event.take());
-                self.after_loss(job, relay)
+                self.resume_elsewhere(job, why, relay)
+            }
+            RelayEnd::BrokenOff(error) => {
+                self.loads.outcome_of(now, server, true);
+                self.note_broken(job, &error, server);
+                self.resume_elsewhere(job, error.to_string(), relay)
             }
         }
     }
--- a/crates/portrack/src/gateway/requests/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -5,6 +5,7 @@
 use super::exchange::Exchange;
 use super::job::Job;
 use crate::gateway::connections::answer::AnswerHead;
+use crate::gateway::connections::connection::ExchangeError;
 use crate::gateway::fleet::config::{Route, RouteKind};
 use actix_http::StatusCode;
 
@@ -15,8 +16,10 @@
     Whole(u16),
     /// The server failed the request, which may be sent elsewhere.
     Failed(u16),
-    /// The server's answer broke off or is none.
-    Lost(String),
+    /// The server's answer is none.
+    Unusable(String),
+    /// The server's answer broke off.
+    BrokenOff(ExchangeError),
     /// The caller is gone.
     CallerGone,
 }
@@ -62,13 +65,15 @@
     ) -> RelayEnd {
         let status = exchange.head.status;
         if status.is_success() && !exchange.head.meta.signed {
-            return RelayEnd::Lost("unsigned answer".into());
+            return RelayEnd::Unusable("unsigned answer".into());
         }
         if self.begun && !status.is_success() {
-            return RelayEnd::Lost(format!("status {status} while resuming"));
+            return RelayEnd::Unusable(format!("status {status} while resuming"));
         }
         if promises_not_run(status) && !job.route.repeatable() {
-            return RelayEnd::Lost(format!("status {status} without a word that it was not run"));
+            return RelayEnd::Unusable(format!(
+                "status {status} without a word that it was not run"
+            ));
         }
         let again = job.route.repeatable() && job.runs < job.route.attempts;
         if status.is_server_error() && again {
@@ -86,7 +91,7 @@
     async fn whole(&mut self, mut exchange: Exchange, sink: &mut impl ReplySink) -> RelayEnd {
         let body = match exchange.collect().await {
             Ok(body) => body,
-            Err(error) => return RelayEnd::Lost(error.to_string()),
+            Err(error) => return RelayEnd::BrokenOff(error),
         };
         self.received += body.len();
         let status = exchange.head.status.as_u16();
@@ -124,7 +129,7 @@
                 Ok(None) => break,
                 Err(error) => {
                     self.events.as_mut().map(EventSplitter::drop_partial);
-                    return RelayEnd::Lost(error.to_string());
+                    return RelayEnd::BrokenOff(error);
                 }
             };
             heard();
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -85,6 +85,7 @@
     actix_rt::spawn(daemon.clone().receive());
     actix_rt::spawn(daemon.clone().tell_quotas());
     actix_rt::spawn(daemon.clone().pass_slots());
+    actix_rt::spawn(daemon.clone().keep_held_requests());
     actix_rt::spawn(daemon.clone().send_heartbeats());
     actix_rt::spawn(daemon.clone().tell_wishes());
     actix_rt::spawn(daemon.clone().tell_uses());
