The mark of a request holds its organisation, not its caller's address

Where callers show no keys, nothing tells callers apart, and what has the same method, host, path and body crashes servers whoever sends it.

--- a/crates/portrack/src/gateway/quarantine/mark.rs
+++ b/crates/portrack/src/gateway/quarantine/mark.rs
@@ -3,25 +3,25 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
-use std::net::IpAddr;
 
-/// Bytes of a mark: no two requests of a fleet share one by chance, and a caller cannot make one that
-/// has the mark of another caller's request.
+/// Bytes of a mark: no two requests of a fleet share one by chance, and nobody can make another request
+/// with the same one.
 const LENGTH: usize = 16;
 
-/// Who sends a request, as far as tries of the same one are concerned.
+/// Who sends a request, as far as tries of the same one are concerned. An address says nothing: tries of one
+/// request came from addresses of four data halls, two of them within a millisecond.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MarkedCaller<'a> {
     /// An organisation, where callers show keys: whichever of its keys it shows, from wherever.
     Organisation(&'a str),
-    /// Whoever connects from an address.
-    Address(IpAddr),
+    /// Nobody knows: what has the same path and body crashes servers whoever sends it.
+    Unknown,
 }
 
 /// What is the same for all tries of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct MarkedRequest<'a> {
-    /// Who sends it.
+    /// Who sends it, if that is known.
     pub caller: MarkedCaller<'a>,
     /// The method.
     pub method: &'a str,
@@ -41,17 +41,12 @@
 impl RequestMark {
     /// The mark of a request.
     pub fn of(request: &MarkedRequest<'_>) -> Self {
-        let address;
-        let (kind, caller): (&[u8], &[u8]) = match request.caller {
-            MarkedCaller::Organisation(name) => (b"organisation", name.as_bytes()),
-            MarkedCaller::Address(from) => {
-                address = from.to_string();
-                (b"address", address.as_bytes())
-            }
+        let caller = match request.caller {
+            MarkedCaller::Organisation(name) => name,
+            MarkedCaller::Unknown => "",
         };
         let parts = [
-            kind,
-            caller,
+            caller.as_bytes(),
             request.method.as_bytes(),
             request.host.as_bytes(),
             request.target.as_bytes(),
--- a/crates/portrack/src/gateway/requests/caller.rs
+++ b/crates/portrack/src/gateway/requests/caller.rs
@@ -6,7 +6,6 @@
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use std::future::Future;
-use std::net::IpAddr;
 use std::time::Duration;
 
 /// A request that was read whole.
@@ -14,8 +13,6 @@
 pub struct CallerRequest {
     /// When its head had arrived.
     pub arrived: Time,
-    /// Where its connection comes from.
-    pub from: IpAddr,
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
--- a/crates/portrack/src/gateway/requests/ingress.rs
+++ b/crates/portrack/src/gateway/requests/ingress.rs
@@ -13,7 +13,6 @@
 };
 use bytes::{Bytes, BytesMut};
 use std::future::Future;
-use std::net::IpAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -143,8 +142,6 @@
 struct Reader<'a> {
     read: ReadHalf<'a>,
     buffer: BytesMut,
-    /// Where the connection comes from.
-    from: IpAddr,
 }
 
 impl Reader<'_> {
@@ -179,9 +176,8 @@
         false,
         None,
     );
-    let Ok(from) = stream.peer_addr() else { return };
     let (read, write) = stream.split();
-    let mut reader = Reader { read, buffer: BytesMut::new(), from: from.ip() };
+    let mut reader = Reader { read, buffer: BytesMut::new() };
     let mut writer = Writer {
         write,
         codec: Codec::new(config),
@@ -252,7 +248,6 @@
     let host_name = head.headers().get("host").and_then(|value| value.to_str().ok());
     Ok(CallerRequest {
         arrived,
-        from: reader.from,
         method: head.method().clone(),
         target,
         host: host_name.unwrap_or_default().to_owned(),
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -163,7 +163,7 @@
         let request = self.request;
         let caller = match &self.admitted.organisation {
             Some(organisation) => MarkedCaller::Organisation(&organisation.name),
-            None => MarkedCaller::Address(request.from),
+            None => MarkedCaller::Unknown,
         };
         RequestMark::of(&MarkedRequest {
             caller,
