Soak: callers whose requests crash servers, judged by what servers saw

Four daemons as processes, six servers that crash and come back, two requests that crash them at any daemon; kills, stops, freezes, a store that turns some away.

--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -3,8 +3,8 @@
 
 use portrack::gateway::log_field;
 use portrack_platform_standins::{
-    Arrival, ChatPlan, ColdPlan, ModelServer, Operator, READY_PATH, Run, ServerPlan, StoreDoor,
-    StoreServer,
+    Arrival, ChatPlan, ColdPlan, Crash, ModelServer, Operator, READY_PATH, Run, ServerPlan,
+    StoreDoor, StoreServer,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::{File, OpenOptions};
@@ -63,6 +63,8 @@
     pub late_orders: u64,
     /// How a server is that has just started, if the servers are ever cold.
     pub cold: Option<ColdPlan>,
+    /// Requests whose path begins with this crash servers.
+    pub crashed_by: Option<String>,
 }
 
 impl FleetPlan {
@@ -76,6 +78,7 @@
             places: PLACES,
             late_orders: 0,
             cold: None,
+            crashed_by: None,
         }
     }
 }
@@ -188,6 +191,7 @@
                 places: plan.places,
                 late_orders: plan.late_orders,
                 cold_for: plan.cold.map(|cold| cold.lasts).unwrap_or_default(),
+                crashed_by: plan.crashed_by.clone(),
             };
             all.push(ModelServer::start(any, server, &store).await.expect("a server starts"));
         }
@@ -324,6 +328,11 @@
         self.servers.iter().flat_map(ModelServer::arrivals).collect()
     }
 
+    /// The crashes of all servers.
+    pub fn crashes(&self) -> Vec<Crash> {
+        self.servers.iter().flat_map(ModelServer::crashes).collect()
+    }
+
     /// Has a hall evacuated or taken back, and tells when that was accepted.
     pub fn set_evacuated(&self, hall: &str, evacuated: bool) -> Instant {
         Operator(&self.store).set_evacuated(hall, evacuated)
