--- a/crates/portrack/src/gateway/quarantine/keeper.rs
+++ b/crates/portrack/src/gateway/quarantine/keeper.rs
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::{Notify, futures::Notified};
 
 /// After a connection broke, whether the server lives is asked this late: by then the system has closed its
 /// idle connections too, which is found without a word to it.
@@ -61,6 +62,8 @@
     /// Records to be removed from the store, with their revisions.
     pub(super) released: RefCell<Vec<(RequestMark, u64)>>,
     ends: RefCell<ServerEnds>,
+    /// Woken when a further request is held back.
+    held_more: Notify,
 }
 
 impl Quarantine {
@@ -71,6 +74,7 @@
             parts,
             released: RefCell::default(),
             ends: RefCell::default(),
+            held_more: Notify::new(),
         }
     }
 
@@ -84,6 +88,11 @@
         self.state.borrow().suspects().holds_none()
     }
 
+    /// Resolves when a further request is held back.
+    pub fn held_more(&self) -> Notified<'_> {
+        self.held_more.notified()
+    }
+
     /// Whether a request may be sent.
     pub fn verdict(&self, mark: RequestMark) -> SendVerdict {
         self.state.borrow().verdict(self.parts.clock.now(), mark)
@@ -202,6 +211,7 @@
         for change in changes {
             match change {
                 QuarantineChange::Held(held, from) => {
+                    self.held_more.notify_waiters();
                     let left_ms = held.left.as_millis() as u64;
                     log::warn!(mark:% = held.mark, number = held.number, left_ms = left_ms, source = from.name(); "request_held");
                 }
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -37,6 +37,8 @@
     NoConnection,
     /// The server is to get nothing any more, as became known before the request was written.
     Closed,
+    /// The request is held back, as became known before it was written.
+    HeldBack,
     /// The server could not be reached.
     Unreachable(ExchangeError),
     /// The server turned it away with this status.
@@ -116,7 +118,7 @@
     most_connections: usize,
     request_id: &str,
     bytes: &[u8],
-    may_send: impl Fn() -> bool,
+    may_send: impl Fn() -> Result<(), NotRun>,
 ) -> Sent {
     let lent = pool.lend(&backend.id, backend.address, most_connections).await;
     let mut lent = match lent {
@@ -124,8 +126,8 @@
         Err(LendError::Full) => return Sent::NotRun(NotRun::NoConnection),
         Err(LendError::Unreachable(error)) => return Sent::NotRun(NotRun::Unreachable(error)),
     };
-    if !may_send() {
-        return Sent::NotRun(NotRun::Closed);
+    if let Err(why) = may_send() {
+        return Sent::NotRun(why);
     }
     let sent_whole = match lent.connection().send(bytes).await {
         Ok(whole) => whole,
--- a/crates/portrack/src/gateway/requests/held.rs
+++ b/crates/portrack/src/gateway/requests/held.rs
@@ -46,6 +46,17 @@
         }
     }
 
+    /// Waits until a request is held back: one that waits for a server or an adapter is refused at once.
+    pub(super) async fn until_held(&self, job: &Job<'_>) -> Duration {
+        loop {
+            let held_more = self.quarantine.held_more();
+            if let Some(left) = self.held_for(job) {
+                return left;
+            }
+            held_more.await;
+        }
+    }
+
     /// Takes note that a request's connection to a server failed.
     pub(super) fn note_broken(&self, job: &Job<'_>, error: &ExchangeError, server: &Rc<Backend>) {
         if matches!(error, ExchangeError::Lost { .. }) {
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -200,7 +200,14 @@
         sink: &mut impl ReplySink,
     ) -> RequestEnd {
         loop {
-            let choice = match self.choose_granted(job).await {
+            let choosing = tokio::select! {
+                biased;
+                chosen = self.choose_granted(job) => chosen,
+                left = self.until_held(job) => {
+                    return job.held_back(left, relay.begun());
+                }
+            };
+            let choice = match choosing {
                 Ok(choice) => choice,
                 Err(refused) if relay.begun() => {
                     return RequestEnd::Broken(refused.reason.name().into());
@@ -250,9 +257,10 @@
         self.traffic.with_server("requests", &backend.hall, bytes.len());
         let id = &job.request.meta.id;
         // What is known of the server may have changed while a connection was opened.
-        let may_send = || {
-            self.view.borrow().may_get(self.clock.now(), &backend.id)
-                && self.held_for(job).is_none()
+        let may_send = || match self.view.borrow().may_get(self.clock.now(), &backend.id) {
+            false => Err(NotRun::Closed),
+            true if self.held_for(job).is_some() => Err(NotRun::HeldBack),
+            true => Ok(()),
         };
         let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes, may_send);
         let sent = match self.slow_after(job, now) {
@@ -357,6 +365,12 @@
                 job.sends -= 1;
                 choice.grant_ended(GrantEnd::Unsent);
             }
+            NotRun::HeldBack => {
+                job.sends -= 1;
+                choice.grant_ended(GrantEnd::Unsent);
+                // It says nothing of the server; only its place is given back.
+                choice.ended(SlotEnd::Answered);
+            }
             NotRun::Closed => {
                 job.sends -= 1;
                 choice.grant_ended(GrantEnd::Unsent);
--- a/crates/portrack/src/loads/budget.rs
+++ b/crates/portrack/src/loads/budget.rs
@@ -2,7 +2,13 @@
 
 use std::time::Duration;
 
-/// Rate and concurrency of loads in a region.
+/// Loads of adapters that a weight store bears at least where nothing else is said.
+const AT_ONCE: usize = 8;
+/// As many a second: each takes a quarter of a second while no more are on their way.
+const PER_SECOND: f64 = 32.0;
+
+/// Rate and concurrency of loads of adapters in a region. A store's limits for base models do not hold for
+/// them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Budget {
     /// Loads a second.
@@ -15,6 +21,6 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { per_second: 3.0, at_once: 2, permit_ttl: Duration::from_secs(60) }
+        Self { per_second: PER_SECOND, at_once: AT_ONCE, permit_ttl: Duration::from_secs(60) }
     }
 }
--- a/crates/portrack/src/settings/keys.rs
+++ b/crates/portrack/src/settings/keys.rs
@@ -68,8 +68,8 @@
     queue_len: "requests", 64, 0..=100000, "Requests of each class that may wait at one engine.";
     background_every: "grants", 8, 1..=1000, "One grant in this many looks at background work first.";
     stall_weight: "percent", 50, 0..=100, "Weight of load stalls against batch efficiency: 100 keeps room free, 0 fills batches.";
-    load_per_second: "loads/s", 3, 1..=10000, "Rate of adapter loads that the region's weight store allows.";
-    load_at_once: "loads", 2, 1..=10000, "Adapter loads at the same time that the region's weight store allows.";
+    load_per_second: "loads/s", 32, 1..=10000, "Rate of adapter loads that the region's weight store allows.";
+    load_at_once: "loads", 8, 1..=10000, "Adapter loads at the same time that the region's weight store allows.";
     report_lag_ms: "ms", 500, 0..=60000, "How far an engine's report may lag.";
     min_hold_ms: "ms", 2000, 0..=3600000, "How long a loaded adapter stays at least.";
     demand_half_life_s: "s", 80, 1..=86400, "Time in which half of an adapter's measured demand is forgotten.";
