--- a/crates/portrack/src/gateway/quarantine/suspects.rs
+++ b/crates/portrack/src/gateway/quarantine/suspects.rs
@@ -150,17 +150,17 @@
         }
         let ends = self.suspects.entry(mark).or_default();
         ends.retain(|end| now.since(end.at) < END_COUNTS_FOR);
-        if ends.iter().any(|known| known.life == end.life) {
-            return Counted::Known;
-        }
-        ends.push(end);
-        ends.sort_by_key(|end| end.at);
+        let (before, known) = (events(ends), ends.len());
+        note(ends, end);
         let counted = events(ends);
-        if counted < MOST_ENDS {
-            return Counted::Ends(counted);
+        if counted >= MOST_ENDS {
+            self.hold(mark, Hold::new(now, 1, None));
+            return Counted::Held;
+        }
+        match ends.len() > known || counted > before {
+            true => Counted::Ends(counted),
+            false => Counted::Known,
         }
-        self.hold(mark, Hold::new(now, 1, None));
-        Counted::Held
     }
 
     fn drop_least(&mut self) {
@@ -281,6 +281,16 @@
     }
 }
 
+/// Takes in an end, in order of time. One that is known was no later than anybody says: a node that stood still
+/// hears of it late, and takes it to have just been; two ends heard so would count once.
+fn note(ends: &mut Vec<ServerEnd>, end: ServerEnd) {
+    match ends.iter_mut().find(|known| known.life == end.life) {
+        Some(known) => known.at = known.at.min(end.at),
+        None => ends.push(end),
+    }
+    ends.sort_by_key(|end| end.at);
+}
+
 /// How many events the ends of servers were, in order of time.
 fn events(ends: &[ServerEnd]) -> usize {
     let mut counted = 0;
--- a/crates/portrack/tests/gateway/suspects.rs
+++ b/crates/portrack/tests/gateway/suspects.rs
@@ -61,6 +61,21 @@
     assert_eq!(suspects.ends(mark(1)), 1);
 }
 
+/// A node stands still with a request at a server; what it is told meanwhile of the end of another it hears when it
+/// wakes, as if that had just been, and then again with its true age.
+#[test]
+fn an_end_that_was_heard_late_counts_from_when_it_was() {
+    let mut suspects = Suspects::default();
+    end(&mut suspects, START, 1, 1);
+    let woken = START + SECOND * 5;
+    let told = |at: Time, life: u32| ServerEnd { life, at };
+    suspects.count(woken, mark(1), told(woken, 2));
+    let own = woken + Duration::from_millis(50);
+    assert_eq!(suspects.count(own, mark(1), told(own, 3)), Counted::Ends(2));
+    let again = suspects.count(own, mark(1), told(START + SECOND * 2, 2));
+    assert_eq!(again, Counted::Held);
+}
+
 /// A data hall is lost with three tries of the same request at its servers.
 #[test]
 fn servers_that_end_together_count_once() {
