--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -197,6 +197,7 @@
         if before.is_some_and(|peer| peer.heartbeat.incarnation > heartbeat.incarnation) {
             return None;
         }
+        // One that has started again knows nothing of what it was told, however soon it is heard.
         let was_up = before.is_some_and(|peer| {
             self.is_up(now, peer) && peer.heartbeat.incarnation == heartbeat.incarnation
         });
--- a/crates/portrack/src/gateway/quarantine/suspects.rs
+++ b/crates/portrack/src/gateway/quarantine/suspects.rs
@@ -24,7 +24,7 @@
 /// A hold that is over and under which nothing came is forgotten after this, as the request has changed
 /// or its caller is gone.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60 * 60);
-/// Requests kept of which servers ended under one or two: 200 bytes each, and up to 64 are at one server.
+/// Requests kept of which servers ended under one or two: some 120 bytes each, and up to 64 are at one server.
 /// Those with the fewest ends give way, the oldest first.
 const MOST_SUSPECTS: usize = 4_096;
 /// Requests held back at the same time; each has cost three servers. Those that end first give way.
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -55,6 +55,17 @@
     assert_eq!(peers.up(Time(10)).count(), 0);
 }
 
+/// It has forgotten what the others told it, and is told again: a request that crashes servers was sent on by nodes
+/// that had been started again within the time in which nobody missed them.
+#[test]
+fn a_daemon_that_started_again_before_it_was_missed_comes_up_anew() {
+    let mut peers = peers();
+    assert_eq!(peers.heard(Time(10), beat(3, 1)), Some(PeerChange::Up));
+    assert_eq!(peers.heard(Time(300), beat(3, 1)), None);
+    assert_eq!(peers.heard(Time(600), beat(3, 2)), Some(PeerChange::Up));
+    assert_eq!(peers.heard(Time(900), beat(3, 2)), None);
+}
+
 #[test]
 fn an_earlier_life_is_not_believed() {
     let mut peers = peers();
