--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -55,8 +55,7 @@
     assert_eq!(peers.up(Time(10)).count(), 0);
 }
 
-/// It has forgotten what the others told it, and is told again: a request that crashes servers was sent on by nodes
-/// that had been started again within the time in which nobody missed them.
+/// It has forgotten what the others told it, and must be told again.
 #[test]
 fn a_daemon_that_started_again_before_it_was_missed_comes_up_anew() {
     let mut peers = peers();
