--- a/crates/portrack/src/gateway/admission/credential.rs
+++ b/crates/portrack/src/gateway/admission/credential.rs
@@ -1,5 +1,6 @@
 //! What a caller shows to be let in.
 
+use crate::gateway::hex;
 use sha2::{Digest, Sha256};
 use std::fmt;
 
@@ -21,20 +22,13 @@
 
     /// Reads a digest that was written with [`fmt::Display`].
     pub fn parse(text: &str) -> Option<Self> {
-        if text.len() != 2 * LENGTH || !text.is_ascii() {
-            return None;
-        }
-        let mut digest = [0; LENGTH];
-        for (byte, at) in digest.iter_mut().zip((0..text.len()).step_by(2)) {
-            *byte = u8::from_str_radix(&text[at..at + 2], 16).ok()?;
-        }
-        Some(Self(digest))
+        hex::read(text).map(Self)
     }
 }
 
 impl fmt::Display for KeyDigest {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(out, "{byte:02x}"))
+        hex::write(&self.0, out)
     }
 }
 
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod evacuation;
 mod fleet;
+mod hex;
 mod logging;
 mod metrics;
 mod news;
--- a/crates/portrack/src/gateway/quarantine/mark.rs
+++ b/crates/portrack/src/gateway/quarantine/mark.rs
@@ -1,5 +1,6 @@
 //! Tells whether two tries are the same request.
 
+use crate::gateway::hex;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -72,20 +73,13 @@
 
     /// Reads a mark that was written with [`fmt::Display`].
     pub fn parse(text: &str) -> Option<Self> {
-        if text.len() != 2 * LENGTH || !text.is_ascii() {
-            return None;
-        }
-        let mut mark = [0; LENGTH];
-        for (byte, at) in mark.iter_mut().zip((0..text.len()).step_by(2)) {
-            *byte = u8::from_str_radix(&text[at..at + 2], 16).ok()?;
-        }
-        Some(Self(mark))
+        hex::read(text).map(Self)
     }
 }
 
 impl fmt::Display for RequestMark {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(out, "{byte:02x}"))
+        hex::write(&self.0, out)
     }
 }
 
