Sight: a limit that a server names is read, logged and counted; nothing follows from it yet

Each change of what a server names is a line now (server_limit) with the age of its evidence, and a metric counts the servers that name one. What an answer says is read in platform/; what is believed of several answers that overtake each other is a small state with a property test.

--- /dev/null
+++ b/crates/portrack/src/gateway/backpressure/limit.rs
@@ -0,0 +1,48 @@
+//! How many requests a second a server takes, by its own word.
+
+use serde::{Deserialize, Serialize};
+
+/// Requests a second that a server takes from all daemons together: finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct RateLimit(f64);
+
+impl RateLimit {
+    /// A limit in requests a second; `None` for what is none.
+    pub fn per_second(rate: f64) -> Option<Self> {
+        (rate.is_finite() && rate >= 0.0).then_some(Self(rate))
+    }
+
+    /// Requests a second.
+    pub fn get(self) -> f64 {
+        self.0
+    }
+}
+
+/// What one answer says of its server's limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    Unnamed,
+    /// It names one that cannot be read: it tells neither what the limit is nor that there is none.
+    Unreadable,
+    /// It names this one.
+    Named(RateLimit),
+}
+
+impl NamedLimit {
+    /// Reads one value; `None` where it is no number.
+    pub fn of(rate: Option<f64>) -> Self {
+        rate.and_then(RateLimit::per_second).map_or(Self::Unreadable, Self::Named)
+    }
+
+    /// What an answer says that names a limit once more: the lowest one binds.
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Named(one), Self::Named(two)) => Self::Named(if two < one { two } else { one }),
+            (Self::Named(only), _) | (_, Self::Named(only)) => Self::Named(only),
+            (Self::Unreadable, _) | (_, Self::Unreadable) => Self::Unreadable,
+            (Self::Unnamed, Self::Unnamed) => Self::Unnamed,
+        }
+    }
+}
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::admission::{KeyRules, Quotas, StoreProof};
 use crate::gateway::arrivals::{GrantMetrics, GrantParts, Grants};
+use crate::gateway::backpressure::heard::{Backpressure, BackpressureMetrics};
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::connections::pool::Pool;
@@ -206,6 +207,10 @@
                 trials: metrics.trials.clone(),
             },
         });
+        let backpressure = Backpressure::new(BackpressureMetrics {
+            limited: metrics.limited_servers.clone(),
+            unreadable: metrics.unreadable_limits.clone(),
+        });
         let path = RequestPath {
             clock: clock.clone(),
             dialect: dialect.clone(),
@@ -223,6 +228,7 @@
             coldness,
             loads,
             pool,
+            backpressure: Rc::new(backpressure),
             quarantine: Rc::new(quarantine),
             retries: RefCell::new(retries),
             demand: Rc::new(DemandLog::default()),
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -1,6 +1,7 @@
 //! What the gateway asks of a platform's adapter: translation of messages, nothing else.
 
 use crate::gateway::admission::Credential;
+use crate::gateway::backpressure::limit::NamedLimit;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::FleetConfig;
 use actix_http::header::HeaderMap;
@@ -97,7 +98,7 @@
 }
 
 /// What an answer's headers say of it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerMeta {
     /// The request it belongs to.
     pub request_id: Option<String>,
@@ -105,6 +106,8 @@
     pub signed: bool,
     /// The server says that it did not run the request.
     pub not_run: bool,
+    /// How many requests a second the server takes, if it says so.
+    pub limit: NamedLimit,
 }
 
 /// What a server is to do.
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -72,6 +72,10 @@
     pub held_requests: IntGauge,
     /// Requests tried once after they were held back.
     pub trials: IntCounter,
+    /// Servers that name a limit.
+    pub limited_servers: IntGauge,
+    /// Answers that name a limit which cannot be read.
+    pub unreadable_limits: IntCounter,
     /// Requests held back right before they were sent, their servers having closed.
     pub held_back: IntCounter,
 }
@@ -136,6 +140,12 @@
                 "quarantine_trials_total",
                 "Requests tried once after they were held back",
             ),
+            limited_servers: made
+                .gauge("limited_servers", "Servers that say how many requests a second they take"),
+            unreadable_limits: made.counter(
+                "unreadable_limits_total",
+                "Answers that name a limit which cannot be read",
+            ),
             held_back: made.counter(
                 "held_back_requests_total",
                 "Requests held back right before they were sent to a server that has closed",
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod arrivals;
+mod backpressure;
 mod choosing;
 mod cold;
 mod connections;
@@ -32,6 +33,9 @@
     GrantNote, GrantOrder, Granter, Grants, OwnShares, Promises, Quantile, ReadingLimit,
     ReadingPace, ReadingWindow, ServerRule, makes_way,
 };
+pub use backpressure::belief::{LimitBelief, LimitEvidence};
+pub use backpressure::heard::{Backpressure, BackpressureMetrics};
+pub use backpressure::limit::{NamedLimit, RateLimit};
 pub use choosing::choose::{Offer, better_of_two, cheaper_of_two, cheapest, two_of};
 pub use choosing::crowding::copy_pays;
 pub use choosing::demand::{DemandLog, Use, Wish};
@@ -104,7 +108,7 @@
     CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink,
 };
 pub use requests::events::EventSplitter;
-pub use requests::exchange::{Exchange, NotRun, Sent, exchange};
+pub use requests::exchange::{Exchange, NotRun, Outgoing, Sent, exchange};
 pub use requests::job::{Progress, RequestEnd, Served};
 pub use requests::path::RequestPath;
 pub use requests::retries::{RetryBounds, ServiceRetries};
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -110,16 +110,28 @@
     out
 }
 
-/// Sends a request and reads the head of its answer. `may_send` is asked once the connection is there.
+/// A request on its way to a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Outgoing<'a> {
+    /// Its id, which its answer repeats.
+    pub request_id: &'a str,
+    /// Its bytes.
+    pub bytes: &'a [u8],
+    /// Connections to the server that this daemon may have open.
+    pub most_connections: usize,
+}
+
+/// Sends a request and reads the head of its answer. `may_send` is asked once the connection is there; `heard` is told
+/// of the head, also where the server turns the request away.
 pub async fn exchange(
     dialect: &dyn Dialect,
     pool: &Rc<Pool>,
     backend: &Backend,
-    most_connections: usize,
-    request_id: &str,
-    bytes: &[u8],
+    outgoing: Outgoing<'_>,
     may_send: impl Fn() -> Result<(), NotRun>,
+    heard: impl Fn(&AnswerHead),
 ) -> Sent {
+    let Outgoing { request_id, bytes, most_connections } = outgoing;
     let lent = pool.lend(&backend.id, backend.address, most_connections).await;
     let mut lent = match lent {
         Ok(lent) => lent,
@@ -141,6 +153,7 @@
         let mut body = BodyDecoder::new(head.framing);
         let foreign = head.meta.request_id.as_deref().is_some_and(|id| id != request_id);
         if !foreign {
+            heard(&head);
             return classify(Exchange { head, body, lent, sent_whole }).await;
         }
         while let Ok(Some(_)) = lent.connection().part(&mut body).await {}
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -1,15 +1,17 @@
 //! The path of a request: route, server, tries, answer.
 
 use super::caller::{CallerRequest, RefusalReason, Refused, ReplySink};
-use super::exchange::{NotRun, Sent, exchange, request_bytes};
+use super::exchange::{NotRun, Outgoing, Sent, exchange, request_bytes};
 use super::job::{Choice, Job, Progress, RequestEnd, Served, timed_out};
 use super::relay::{Relay, RelayEnd};
 use super::retries::ServiceRetries;
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
 use crate::gateway::arrivals::{GrantEnd, Grants};
+use crate::gateway::backpressure::heard::Backpressure;
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
+use crate::gateway::connections::answer::AnswerHead;
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::{Dialect, ForwardMeta};
 use crate::gateway::dispatch::{SlotEnd, Slots};
@@ -63,6 +65,8 @@
     pub loads: Rc<LoadTable>,
     /// Connections to the servers.
     pub pool: Rc<Pool>,
+    /// What servers say of how much they take.
+    pub backpressure: Rc<Backpressure>,
     /// Requests that servers ended under.
     pub quarantine: Rc<Quarantine>,
     /// What may be repeated.
@@ -262,7 +266,11 @@
             true if self.held_for(job).is_some() => Err(NotRun::HeldBack),
             true => Ok(()),
         };
-        let exchanging = exchange(&*self.dialect, &self.pool, backend, most, id, &bytes, may_send);
+        let heard = |head: &AnswerHead| {
+            self.backpressure.answered(self.clock.now(), backend, now, &head.meta);
+        };
+        let outgoing = Outgoing { request_id: id, bytes: &bytes, most_connections: most };
+        let exchanging = exchange(&*self.dialect, &self.pool, backend, outgoing, may_send, heard);
         let sent = match self.slow_after(job, now) {
             Some(patience) => match actix_rt::time::timeout(patience, exchanging).await {
                 Ok(sent) => sent,
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -10,6 +10,7 @@
 use actix_http::{Request, StatusCode};
 use actix_rt::net::TcpListener;
 use snafu::{ResultExt, Snafu};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -155,6 +156,7 @@
             self.ordering.sweep();
             self.ordering.planner.borrow_mut().sweep(now);
             self.path.view.borrow_mut().holdings.forget_old(now);
+            self.forget_limits();
             self.metrics.in_flight.set(self.in_flight.get() as i64);
             self.look_at_proof();
         }
@@ -162,6 +164,13 @@
 }
 
 impl GatewayDaemon {
+    /// Forgets what servers said that are gone.
+    fn forget_limits(&self) {
+        let view = self.path.view.borrow();
+        let marks: HashSet<u32> = view.backends().map(|backend| backend.mark()).collect();
+        self.path.backpressure.retain(|server| marks.contains(&server));
+    }
+
     /// Waits for the refusals of requests that came at the very end of a stop.
     async fn end_refusals(&self) {
         let began = self.now();
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod arrivals;
+mod backpressure;
 mod claims;
 mod cold;
 mod coldness;
