--- a/crates/portrack-bench/src/arrivals/play.rs
+++ b/crates/portrack-bench/src/arrivals/play.rs
@@ -111,7 +111,10 @@
 fn rule(server: usize) -> ServerRule {
     let start = ColdStart { lasts: Duration::from_secs(3), per_second: 8.5 };
     let bound = ColdBound::new(&start, 1.5, 5.0);
-    ServerRule { cold: Some(ColdRule { bound, cold: is_cold(server), stands_in: false }) }
+    ServerRule {
+        cold: Some(ColdRule { bound, cold: is_cold(server), stands_in: false }),
+        limit: None,
+    }
 }
 
 impl Play {
@@ -260,6 +263,7 @@
             most_ms: 2_200,
             gap_ms: if is_cold(server) { 0 } else { 300 },
             event_ms: 33,
+            limit: None,
         };
         self.tell(now, node, || Event::Ask(granter, question.clone(), node));
         self.at(now + PATIENCE_MS, Event::Patience(ask));
--- a/crates/portrack-bench/src/quotas/accounts.rs
+++ b/crates/portrack-bench/src/quotas/accounts.rs
@@ -6,7 +6,7 @@
 use crate::quotas::{HALLS, ORGANISATIONS, QUOTAS, Way};
 use portrack::Time;
 use portrack::gateway::{
-    BlindShare, DaemonAt, Daemons, Ledger, OrganisationMark, QuotaCount, Verdict,
+    BlindShare, Capabilities, DaemonAt, Daemons, Ledger, OrganisationMark, QuotaCount, Verdict,
 };
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -147,6 +147,7 @@
             address: address(node),
             hall: hall(node),
             capacity: if node < 2 * HALLS { 100 } else { 1 },
+            capabilities: Capabilities::OWN,
         };
         Self {
             ledgers: (0..nodes).map(|node| Ledger::new(&hall(node), SLACK)).collect(),
--- a/crates/portrack/src/gateway/arrivals/granter.rs
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -8,6 +8,7 @@
 use super::promises::Promises;
 use super::reading::{ReadingLimit, ReadingWindow};
 use crate::gateway::admission::OrganisationMark;
+use crate::gateway::backpressure::bucket::{LimitRule, RateBucket};
 use crate::types::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -33,6 +34,8 @@
 pub struct ServerRule {
     /// What is believed of it, if it is of a service with a cold start.
     pub cold: Option<ColdRule>,
+    /// The limit that it names, if it does.
+    pub limit: Option<LimitRule>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -41,6 +44,8 @@
     tokens: u32,
     /// The server was reading nothing.
     alone: bool,
+    /// It counts toward the limit that the server names.
+    limited: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -86,6 +91,7 @@
     over: HashMap<AskId, Time>,
     waiting: Vec<Waiting>,
     cold: ColdWindow,
+    limit: RateBucket,
     reading: ReadingWindow,
     promises: Promises,
     shares: FairShares,
@@ -109,6 +115,7 @@
             over: HashMap::new(),
             waiting: Vec::new(),
             cold: ColdWindow::new(now),
+            limit: RateBucket::default(),
             reading: ReadingWindow::default(),
             promises: Promises::default(),
             shares: FairShares::default(),
@@ -123,7 +130,9 @@
 
     fn has_room(&mut self, now: Time, rule: &ServerRule) -> bool {
         let given = self.given.len();
-        rule.cold.is_none_or(|cold| self.cold.has_room(now, given, &cold))
+        self.limit.set(now, rule.limit);
+        let warm_enough = rule.cold.is_none_or(|cold| self.cold.has_room(now, given, &cold));
+        warm_enough && self.limit.has_room(now)
     }
 
     /// Tokens that began before the last `span` and of which nothing is heard. What is older than two of
@@ -145,7 +154,11 @@
             self.reading.take(now, ask.tokens, &limit);
         }
         let alone = backlog.is_zero();
-        let given = Given { at: now, tokens: ask.tokens, alone };
+        let limited = self.limit.is_set();
+        if limited {
+            self.limit.take(now);
+        }
+        let given = Given { at: now, tokens: ask.tokens, alone, limited };
         self.given.insert(id, given);
         (id, GrantAnswer::Granted(backlog.as_millis() as u32))
     }
@@ -217,8 +230,8 @@
         order
     }
 
-    /// How long a request waits behind those `ahead` of it, as far as can be told: for its turn in a
-    /// second, and for what is ahead of it to be read.
+    /// How long a request waits behind those `ahead` of it, as far as can be told: for its turn, where the server may
+    /// be cold or names a limit, and for what is ahead of it to be read.
     fn wait(
         &mut self,
         now: Time,
@@ -231,12 +244,14 @@
         let cold = rule
             .cold
             .map_or(Duration::ZERO, |cold| self.cold.wait(now, given, ahead.len() + 1, &cold));
+        self.limit.set(now, rule.limit);
+        let turn = cold.max(self.limit.wait(now, ahead.len() + 1));
         let ask = &self.waiting[place].ask;
         let reading = Self::limit(ask, pace).map_or(Duration::ZERO, |limit| {
             let tokens = ahead.iter().map(|other| f64::from(self.waiting[*other].ask.tokens)).sum();
             self.reading.wait(now, tokens, ask.tokens, &limit)
         });
-        (cold, reading)
+        (turn, reading)
     }
 
     fn wait_ms(&mut self, now: Time, id: AskId, rule: &ServerRule, pace: f64) -> u32 {
@@ -244,23 +259,28 @@
         let Some(at) = order.iter().position(|place| self.waiting[*place].id == id) else {
             return 0;
         };
-        let (cold, reading) = self.wait(now, &order[..at], order[at], rule, pace);
-        cold.max(reading).as_millis() as u32
+        let (turn, reading) = self.wait(now, &order[..at], order[at], rule, pace);
+        turn.max(reading).as_millis() as u32
     }
 
     /// The place of the request that has to go now that one more waits; `None` if all may wait. For
-    /// its turn at a cold server a request waits as long as it can be in time; for reading, as long as
+    /// its turn a request waits as long as it can be in time; for reading, as long as
     /// somebody waits for its answer.
     fn over_bounds(&mut self, now: Time, rule: &ServerRule, pace: f64) -> Option<usize> {
         let order = self.turn_order(now, pace);
         let (last, ahead) = order.split_last()?;
-        let (cold, reading) = self.wait(now, ahead, *last, rule, pace);
+        let (turn, reading) = self.wait(now, ahead, *last, rule, pace);
         let ask = &self.waiting[*last].ask;
-        let in_time = cold <= Duration::from_millis(ask.left_ms.into());
+        let in_time = turn <= Duration::from_millis(ask.left_ms.into());
         let of_use = reading <= Duration::from_millis(ask.most_ms.into());
         if in_time && of_use {
             return None;
         }
+        let is_shared = self.waiting.iter().any(|waiting| waiting.ask.organisation.is_some());
+        if rule.limit.is_some() && !is_shared {
+            // Of a limit below what is asked for the most urgent have their part.
+            return Some(*last);
+        }
         let turn = |place| order.iter().position(|other| *other == place);
         let waiting = self.waiting.iter().enumerate();
         let waiting: Vec<_> =
@@ -273,14 +293,17 @@
         let last = self.turn_order(now, pace).last().map(|place| self.waiting[*place].id);
         let longest = last.map_or(0, |last| self.wait_ms(now, last, rule, pace));
         let longest = Duration::from_millis(longest.into());
-        let (room, apart) = match rule.cold {
+        let next = self.waiting.len() + 1;
+        let (cold, cold_apart) = match rule.cold {
             Some(cold) => {
-                let room = self.cold.wait(now, self.given.len(), self.waiting.len() + 1, &cold);
+                let room = self.cold.wait(now, self.given.len(), next, &cold);
                 (room, Duration::from_secs_f64(1.0 / cold.most() as f64))
             }
-            None => (Duration::ZERO, longest / (self.waiting.len() as u32 + 1)),
+            None => (Duration::ZERO, longest / next as u32),
         };
-        GrantAnswer::Refused(self.promises.next(now, longest.max(room), apart))
+        self.limit.set(now, rule.limit);
+        let room = longest.max(cold).max(self.limit.wait(now, next));
+        GrantAnswer::Refused(self.promises.next(now, room, cold_apart.max(self.limit.apart())))
     }
 
     /// A request has begun to be answered, or failed, or was not sent; tells which others have their
@@ -316,6 +339,11 @@
                 self.reading.give_back(given.at, given.tokens);
             }
         }
+        // What the server turned away has arrived there too.
+        let has_arrived = !matches!(end, GrantEnd::Unsent | GrantEnd::Unreachable);
+        if given.limited && !has_arrived {
+            self.limit.give_back();
+        }
     }
 
     /// Those whose turn it is, and those for which nobody waits any more.
--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -8,6 +8,8 @@
 use super::quantile::Quantile;
 use super::share::OwnShares;
 use crate::gateway::admission::{OrganisationMark, StoreProof};
+use crate::gateway::backpressure::keeper::Backpressure;
+use crate::gateway::backpressure::message::LimitReport;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::coldness::Coldness;
@@ -84,6 +86,8 @@
     pub coldness: Rc<RefCell<Coldness>>,
     /// Load of the servers.
     pub loads: Rc<LoadTable>,
+    /// What servers say of how much they take.
+    pub backpressure: Rc<Backpressure>,
     /// For datagrams.
     pub messenger: Rc<Messenger>,
     /// This daemon.
@@ -121,6 +125,7 @@
     pub(super) proof: Rc<StoreProof>,
     pub(super) coldness: Rc<RefCell<Coldness>>,
     loads: Rc<LoadTable>,
+    pub(super) backpressure: Rc<Backpressure>,
     messenger: Rc<Messenger>,
     pub(super) me: DaemonAt,
     pub(super) daemons: Rc<RefCell<Daemons>>,
@@ -130,12 +135,15 @@
     metrics: GrantMetrics,
     /// Loads of servers are known late.
     pub loads_lag: Cell<bool>,
+    /// Daemons known of lately, silent ones and this one included.
+    pub(super) known: Cell<usize>,
     pub(super) shares: RefCell<OwnShares>,
     pub(super) asks: Asks<GrantAnswer>,
     servers: RefCell<HashMap<u32, GrantedServer>>,
     paces: RefCell<HashMap<Rc<str>, ReadingPace>>,
     events: RefCell<HashMap<Rc<str>, Quantile>>,
-    found: RefCell<HashMap<u32, (Time, SocketAddr)>>,
+    /// Granters found lately, by the server and whether it names a limit.
+    found: RefCell<HashMap<(u32, bool), (Time, SocketAddr)>>,
     paces_logged: Cell<Time>,
 }
 
@@ -149,6 +157,7 @@
             proof: parts.proof,
             coldness: parts.coldness,
             loads: parts.loads,
+            backpressure: parts.backpressure,
             messenger: parts.messenger,
             me: parts.me,
             daemons: parts.daemons,
@@ -157,6 +166,7 @@
             cold_slack: parts.cold_slack,
             metrics: parts.metrics,
             loads_lag: Cell::new(false),
+            known: Cell::new(1),
             shares: RefCell::new(OwnShares::new(started_at)),
             asks: Asks::default(),
             servers: RefCell::default(),
@@ -169,39 +179,32 @@
 
     /// Takes in which daemons are known, silent ones among them.
     pub fn know(&self, daemons: impl Iterator<Item = SocketAddr>) {
+        let daemons: Vec<SocketAddr> = daemons.collect();
+        self.known.set(daemons.len() + 1);
+        let daemons = daemons.into_iter();
         self.shares.borrow_mut().know(self.clock.now(), daemons);
     }
 
-    /// The granter of a server: of its own hall, else of its region, else any.
-    fn granter(&self, now: Time, server: u32, hall: &str) -> Option<SocketAddr> {
-        if let Some((at, granter)) = self.found.borrow().get(&server)
+    /// The granter of a server, as it was found a moment ago or is found now.
+    fn granter(&self, now: Time, backend: &Backend) -> Option<SocketAddr> {
+        let key = (backend.mark(), self.is_limited(backend));
+        if let Some((at, granter)) = self.found.borrow().get(&key)
             && now.since(*at) < GRANTER_KEPT
         {
             return Some(*granter);
         }
-        let granter = self.find_granter(now, server, hall)?;
-        self.found.borrow_mut().insert(server, (now, granter));
-        Some(granter)
-    }
-
-    fn find_granter(&self, now: Time, server: u32, hall: &str) -> Option<SocketAddr> {
-        let daemons = self.daemons.borrow();
-        let answers = |daemon: &DaemonAt| {
+        let granter = self.first_granter(backend, |daemon| {
             !self.asks.shuns(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
-        };
-        let region = self.regions.of(hall);
-        let near = |daemon: &DaemonAt| self.regions.of(&daemon.hall) == region && answers(daemon);
-        daemons
-            .first(server.into(), |daemon| &*daemon.hall == hall && answers(daemon))
-            .or_else(|| daemons.first(server.into(), near))
-            .or_else(|| daemons.first(server.into(), answers))
+        })?;
+        self.found.borrow_mut().insert(key, (now, granter));
+        Some(granter)
     }
 
     /// Asks whether a request may be sent to a server.
     pub async fn ask(self: &Rc<Self>, backend: &Backend, need: &GrantNeed) -> GrantOutcome {
         let asked_at = self.clock.now();
         let server = backend.mark();
-        let Some(granter) = self.granter(asked_at, server, &backend.hall) else {
+        let Some(granter) = self.granter(asked_at, backend) else {
             return GrantOutcome::Unanswered;
         };
         let (ask, mut answers) = self.asks.open();
@@ -217,6 +220,7 @@
             most_ms: need.most.as_millis() as u32,
             gap_ms: need.gap.map_or(0, |gap| gap.as_millis() as u16),
             event_ms: need.gap.map_or(0, |_| self.event_ms(&backend.service)),
+            limit: self.backpressure.report(server),
         };
         self.send(granter, GrantMessage::Ask(question));
         // The way to another region and back takes some of the time.
@@ -261,6 +265,7 @@
             Some(GrantAnswer::Granted(reading)) => {
                 backlog(reading);
                 guard.reads_alone(reading == 0);
+                guard.granted(now);
                 ("granted", GrantOutcome::Granted(guard))
             }
             Some(GrantAnswer::Waits(wait)) => {
@@ -369,8 +374,22 @@
         }
     }
 
+    /// Takes in what another daemon knows of servers that name limits; what it says of unknown ones is passed over.
+    pub fn on_limits(&self, reports: &[LimitReport]) {
+        for report in reports {
+            let before =
+                self.servers.borrow().get(&report.server).map(|granted| granted.id.clone());
+            if let Some(backend) = self.backend(report.server, before.as_deref()) {
+                self.backpressure.hear(&backend, report);
+            }
+        }
+    }
+
     /// Who does not know the server leaves the asking daemon to itself.
     fn on_ask(&self, ask: GrantAsk, from: SocketAddr) {
+        if let Some(report) = &ask.limit {
+            self.on_limits(std::slice::from_ref(report));
+        }
         self.at(ask.server, true, |now, granter, rule, pace| {
             granter.ask(now, from, ask, rule, pace.get())
         });
--- a/crates/portrack/src/gateway/arrivals/guard.rs
+++ b/crates/portrack/src/gateway/arrivals/guard.rs
@@ -9,6 +9,10 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+/// A grant to a server that names a limit is used within this, or asked for anew: a node that stood still would send all
+/// that it had been granted at once.
+const GRANT_LASTS: Duration = Duration::from_millis(1_000);
+
 /// A grant, or a place among those that wait for one; given back when dropped.
 pub struct GrantGuard {
     grants: Rc<Grants>,
@@ -19,6 +23,7 @@
     /// The service that reads the prompt, and its tokens.
     reader: (Rc<str>, u32),
     alone: Cell<bool>,
+    granted_at: Cell<Time>,
     sent_at: Cell<Time>,
     /// What is told of it when it is dropped; `None` if all is told.
     end: Cell<Option<GrantEnd>>,
@@ -32,8 +37,19 @@
         ask: u32,
         reader: (Rc<str>, u32),
     ) -> Self {
-        let (sent_at, end) = (Cell::default(), Cell::new(Some(GrantEnd::Unsent)));
-        Self { grants, granter, server, ask, reader, alone: Cell::new(false), sent_at, end }
+        let (granted_at, sent_at) = (Cell::default(), Cell::default());
+        let (alone, end) = (Cell::new(false), Cell::new(Some(GrantEnd::Unsent)));
+        Self { grants, granter, server, ask, reader, alone, granted_at, sent_at, end }
+    }
+
+    /// It is granted now.
+    pub(super) fn granted(&self, now: Time) {
+        self.granted_at.set(now);
+    }
+
+    /// True if a request may still be sent on it: the server's limit has been given to others since.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.granted_at.get()) < GRANT_LASTS
     }
 
     /// The server was reading nothing else when it was granted.
--- a/crates/portrack/src/gateway/arrivals/knowing.rs
+++ b/crates/portrack/src/gateway/arrivals/knowing.rs
@@ -3,9 +3,11 @@
 use super::cold::{ColdBound, ColdRule};
 use super::granter::ServerRule;
 use super::grants::Grants;
+use crate::gateway::backpressure::bucket::LimitRule;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::daemons::DaemonAt;
 use crate::types::Time;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 impl Grants {
@@ -29,35 +31,69 @@
             let bound = ColdBound::new(&start, self.cold_ratio, self.cold_slack);
             ColdRule { bound, cold, stands_in: !self.comes_first(backend) }
         });
-        ServerRule { cold }
+        ServerRule { cold, limit: self.limit_rule(backend) }
+    }
+
+    /// What binds arrivals at a server that names a limit. A daemon that hears less than half of those it knew of lately may
+    /// be cut off, and one that others come before only stands in for them: somebody else may give out the limit too.
+    fn limit_rule(&self, backend: &Backend) -> Option<LimitRule> {
+        if !self.is_limited(backend) {
+            return None;
+        }
+        let hears_few = self.daemons.borrow().count() * 2 < self.known.get();
+        self.backpressure.rule(backend.mark(), hears_few || !self.comes_first(backend))
     }
 
     /// True if no other daemon comes before this one as a server's granter, whether or not it answers.
     fn comes_first(&self, backend: &Backend) -> bool {
+        let first = self.first_granter(backend, |_| true);
+        first.is_none_or(|first| first == self.me.address)
+    }
+
+    /// The first daemon that may be a server's granter, of its own hall, else of its region, else any: those that answer.
+    /// Arrivals at a server that names a limit are only granted by daemons that keep limits.
+    pub(super) fn first_granter(
+        &self,
+        backend: &Backend,
+        answers: impl Fn(&DaemonAt) -> bool,
+    ) -> Option<SocketAddr> {
         let daemons = self.daemons.borrow();
         let region = self.regions.of(&backend.hall);
-        let of_hall = |daemon: &DaemonAt| daemon.hall == backend.hall;
-        let of_region = |daemon: &DaemonAt| self.regions.of(&daemon.hall) == region;
-        let mark = u64::from(backend.mark());
-        let first = daemons
-            .first(mark, of_hall)
-            .or_else(|| daemons.first(mark, of_region))
-            .or_else(|| daemons.first(mark, |_| true));
-        first.is_none_or(|first| first == self.me.address)
+        let server = backend.mark();
+        let is_limited = self.backpressure.limit(server).is_some();
+        let fits = |daemon: &DaemonAt| {
+            answers(daemon) && (!is_limited || daemon.capabilities.keep_limits())
+        };
+        let near = |daemon: &DaemonAt| self.regions.of(&daemon.hall) == region && fits(daemon);
+        daemons
+            .first(server.into(), |daemon| daemon.hall == backend.hall && fits(daemon))
+            .or_else(|| daemons.first(server.into(), near))
+            .or_else(|| daemons.first(server.into(), fits))
     }
 
-    /// True if arrivals at a server are granted: where it may be cold, and where engines' loads are
+    /// True if arrivals at a server are granted: where it names a limit or may be cold, and where engines' loads are
     /// known late.
     pub fn grants(&self, backend: &Backend) -> bool {
+        if self.is_limited(backend) {
+            return true;
+        }
         let view = self.view.borrow();
         let Some(service) = view.service(&backend.service) else { return false };
         service.cold.is_some() || (service.engine.is_some() && self.loads_lag.get())
     }
 
-    /// True if a request whose granter does not answer may be sent. Where servers have a cold start, a
+    /// True if a server names a limit.
+    pub fn is_limited(&self, backend: &Backend) -> bool {
+        self.backpressure.limit(backend.mark()).is_some()
+    }
+
+    /// True if a request whose granter does not answer may be sent; never to a server that names a limit. Where servers have a cold start, a
     /// daemon sends one that it takes for warm a request now and then, and one that may be cold the same
     /// only if it is one of the few that have a share there.
     pub fn may_send_alone(&self, backend: &Backend) -> bool {
+        if self.is_limited(backend) {
+            return false;
+        }
         let now = self.clock.now();
         let Some(cold) = self.rule(now, backend).cold else { return true };
         let server = backend.mark();
--- a/crates/portrack/src/gateway/arrivals/message.rs
+++ b/crates/portrack/src/gateway/arrivals/message.rs
@@ -2,6 +2,8 @@
 
 use super::asks::AskId;
 use crate::gateway::admission::OrganisationMark;
+use crate::gateway::backpressure::message::LimitReport;
+use crate::gateway::fleet::tail::or_default;
 use serde::{Deserialize, Serialize};
 
 /// What a request needs of a server.
@@ -25,6 +27,9 @@
     pub gap_ms: u16,
     /// How long one event usually takes there, in milliseconds.
     pub event_ms: u16,
+    /// The limit that the server names, as far as the asking daemon knows.
+    #[serde(deserialize_with = "or_default")]
+    pub limit: Option<LimitReport>,
 }
 
 /// What becomes of it.
--- a/crates/portrack/src/gateway/backpressure/belief.rs
+++ b/crates/portrack/src/gateway/backpressure/belief.rs
@@ -20,43 +20,55 @@
 /// Answers overtake each other, and other daemons tell late and twice. What binds less than what is believed counts
 /// only if it was certainly said later; what binds as much or more counts unless it was certainly said before.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitBelief(LimitEvidence);
+pub struct LimitBelief {
+    evidence: LimitEvidence,
+    /// When the server was first heard to name a limit, of those without a break up to now.
+    since: Time,
+}
 
 impl LimitBelief {
     /// A belief on first evidence.
     pub fn new(evidence: LimitEvidence) -> Self {
-        Self(evidence)
+        Self { evidence, since: evidence.heard_at }
     }
 
     /// The limit in force, if any.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.0.limit
+        self.evidence.limit
+    }
+
+    /// Since when a limit is in force, whether or not it was the same all the time.
+    pub fn since(&self) -> Time {
+        self.since
     }
 
     /// The evidence it rests on.
     pub fn evidence(&self) -> LimitEvidence {
-        self.0
+        self.evidence
     }
 
     /// Takes further evidence in; true if that changes the limit.
     pub fn take(&mut self, new: LimitEvidence) -> bool {
-        match width(new.limit).total_cmp(&width(self.0.limit)) {
+        let known = &mut self.evidence;
+        match width(new.limit).total_cmp(&width(known.limit)) {
             Ordering::Equal => {
-                self.0.asked_at = self.0.asked_at.max(new.asked_at);
-                self.0.heard_at = self.0.heard_at.max(new.heard_at);
+                known.asked_at = known.asked_at.max(new.asked_at);
+                known.heard_at = known.heard_at.max(new.heard_at);
                 false
             }
-            Ordering::Less if new.heard_at >= self.0.asked_at => {
-                self.0 = new;
-                true
-            }
-            Ordering::Greater if new.asked_at > self.0.heard_at => {
-                self.0 = new;
-                true
-            }
+            Ordering::Less if new.heard_at >= known.asked_at => self.replace(new),
+            Ordering::Greater if new.asked_at > known.heard_at => self.replace(new),
             Ordering::Less | Ordering::Greater => false,
         }
     }
+
+    fn replace(&mut self, new: LimitEvidence) -> bool {
+        if self.evidence.limit.is_none() {
+            self.since = new.heard_at;
+        }
+        self.evidence = new;
+        true
+    }
 }
 
 /// Requests a second that a limit lets through.
--- /dev/null
+++ b/crates/portrack/src/gateway/backpressure/beliefs.rs
@@ -0,0 +1,55 @@
+//! What is believed of the limits of all servers.
+
+use super::belief::{LimitBelief, LimitEvidence};
+use super::limit::RateLimit;
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+
+/// A limit that has changed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitChange {
+    /// What was believed; `None` for no limit.
+    pub before: Option<RateLimit>,
+    /// What is believed now.
+    pub now: Option<RateLimit>,
+}
+
+/// Beliefs by the marks of servers' lives: a new life begins without a limit.
+#[derive(Debug, Clone, Default)]
+pub struct LimitBeliefs(HashMap<u32, LimitBelief>);
+
+impl LimitBeliefs {
+    /// The limit that a life of a server names, if any.
+    pub fn limit(&self, server: u32) -> Option<RateLimit> {
+        self.0.get(&server).and_then(LimitBelief::limit)
+    }
+
+    /// What is believed of a life of a server.
+    pub fn get(&self, server: u32) -> Option<&LimitBelief> {
+        self.0.get(&server)
+    }
+
+    /// Takes evidence in. That a server names no limit is kept too: late news of an earlier limit must not bring it back.
+    pub fn take(&mut self, server: u32, evidence: LimitEvidence) -> Option<LimitChange> {
+        let before = self.limit(server);
+        let changed = match self.0.entry(server) {
+            Entry::Occupied(mut known) => known.get_mut().take(evidence),
+            Entry::Vacant(first) => {
+                first.insert(LimitBelief::new(evidence));
+                evidence.limit.is_some()
+            }
+        };
+        changed.then_some(LimitChange { before, now: evidence.limit })
+    }
+
+    /// The servers that name a limit.
+    pub fn limited(&self) -> impl Iterator<Item = (u32, &LimitBelief)> {
+        let all = self.0.iter().filter(|(_, belief)| belief.limit().is_some());
+        all.map(|(server, belief)| (*server, belief))
+    }
+
+    /// Forgets servers that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(u32) -> bool) {
+        self.0.retain(|server, _| is_known(*server));
+    }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -0,0 +1,193 @@
+//! Keeps what servers say of how much they take on behalf of one node, and tells the others.
+
+use super::belief::LimitEvidence;
+use super::beliefs::{LimitBeliefs, LimitChange};
+use super::bucket::LimitRule;
+use super::limit::{NamedLimit, RateLimit};
+use super::message::{LimitReport, REPORTS};
+use super::telling::LimitTelling;
+use crate::gateway::dialect::AnswerMeta;
+use crate::gateway::fleet::audience::{Audience, passes_on};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
+use crate::gateway::fleet::message::PeerMessage;
+use crate::gateway::fleet::messenger::Messenger;
+use crate::types::{Clock, Time};
+use prometheus::{IntCounter, IntGauge};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A server that answers a request with this does not have what the request needs, or has only the address of the one that
+/// is meant: what it says may narrow what is believed, never widen it.
+const NOT_MEANT: u16 = 421;
+
+/// What is counted.
+pub struct BackpressureMetrics {
+    /// Servers that name a limit now.
+    pub limited: IntGauge,
+    /// Answers that name a limit which cannot be read.
+    pub unreadable: IntCounter,
+}
+
+/// What keeping limits hangs on.
+pub struct BackpressureParts {
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// For datagrams.
+    pub messenger: Rc<Messenger>,
+    /// This daemon.
+    pub me: DaemonAt,
+    /// The daemons that are up and stay, kept up to date by others.
+    pub daemons: Rc<RefCell<Daemons>>,
+    /// Everything counted.
+    pub metrics: BackpressureMetrics,
+}
+
+/// Whom a limit was learned from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LearnedFrom {
+    Answer,
+    Peer,
+}
+
+impl LearnedFrom {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// What servers said of how much they take.
+pub struct Backpressure {
+    parts: BackpressureParts,
+    limits: RefCell<LimitBeliefs>,
+    telling: RefCell<LimitTelling>,
+}
+
+impl Backpressure {
+    /// Nothing heard yet.
+    pub fn new(parts: BackpressureParts) -> Self {
+        Self { parts, limits: RefCell::default(), telling: RefCell::default() }
+    }
+
+    /// The limit that a life of a server names, if any.
+    pub fn limit(&self, server: u32) -> Option<RateLimit> {
+        self.limits.borrow().limit(server)
+    }
+
+    /// What binds arrivals at a life of a server that names a limit; `in_doubt` if this daemon may not be the only one that
+    /// gives it out.
+    pub fn rule(&self, server: u32, in_doubt: bool) -> Option<LimitRule> {
+        let limits = self.limits.borrow();
+        let belief = limits.get(server)?;
+        Some(LimitRule { limit: belief.limit()?, since: belief.since(), in_doubt })
+    }
+
+    /// What another daemon has to know of a server that names a limit.
+    pub fn report(&self, server: u32) -> Option<LimitReport> {
+        let limits = self.limits.borrow();
+        let belief = limits.get(server).filter(|belief| belief.limit().is_some())?;
+        Some(LimitReport::new(self.parts.clock.now(), server, belief.evidence()))
+    }
+
+    /// Takes in an answer to a request that was sent at `asked_at`.
+    pub fn answered(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
+        let limit = match meta.limit {
+            NamedLimit::Named(limit) => Some(limit),
+            NamedLimit::Unnamed if status == NOT_MEANT => return,
+            NamedLimit::Unnamed => None,
+            NamedLimit::Unreadable => {
+                self.parts.metrics.unreadable.inc();
+                return;
+            }
+        };
+        let (now, server) = (self.parts.clock.now(), backend.mark());
+        // As if it had been asked for before all else: then it cannot be newer than what it would widen.
+        let asked_at = if status == NOT_MEANT { Time::default() } else { asked_at };
+        let evidence = LimitEvidence { limit, asked_at, heard_at: now };
+        if self.take(server, &backend.id, evidence, LearnedFrom::Answer) {
+            self.telling.borrow_mut().add(now, server);
+            self.pass_time();
+        }
+    }
+
+    /// Takes in what another daemon believes of a server that this one knows.
+    pub fn hear(&self, backend: &Backend, report: &LimitReport) {
+        let now = self.parts.clock.now();
+        let changed =
+            self.take(report.server, &backend.id, report.evidence(now), LearnedFrom::Peer);
+        let daemons = self.parts.daemons.borrow();
+        if changed && passes_on(&daemons, &self.parts.me, report.server.into()) {
+            self.telling.borrow_mut().add(now, report.server);
+        }
+    }
+
+    /// Takes evidence in; true if the limit has changed.
+    fn take(&self, server: u32, id: &str, evidence: LimitEvidence, from: LearnedFrom) -> bool {
+        let Some(change) = self.limits.borrow_mut().take(server, evidence) else { return false };
+        self.count();
+        let age = self.parts.clock.now().since(evidence.asked_at);
+        log_change(id, change, age.as_millis() as u64, from);
+        true
+    }
+
+    fn count(&self) {
+        let limited = self.limits.borrow().limited().count();
+        self.parts.metrics.limited.set(limited as i64);
+    }
+
+    /// Tells what is due.
+    pub fn pass_time(&self) {
+        let now = self.parts.clock.now();
+        let due = self.telling.borrow_mut().due(now);
+        if due.is_empty() {
+            return;
+        }
+        let mut by_address: BTreeMap<SocketAddr, Vec<LimitReport>> = BTreeMap::new();
+        for server in due {
+            let limits = self.limits.borrow();
+            let Some(belief) = limits.get(server) else { continue };
+            let report = LimitReport::new(now, server, belief.evidence());
+            let daemons = self.parts.daemons.borrow();
+            for to in Audience::All.addresses(&daemons, &self.parts.me, server.into()) {
+                by_address.entry(to).or_default().push(report);
+            }
+        }
+        by_address.into_iter().for_each(|(to, reports)| self.tell(&reports, to));
+    }
+
+    /// Tells a daemon that has just come up, or is heard again, which servers name limits.
+    pub fn introduce(&self, to: SocketAddr) {
+        let now = self.parts.clock.now();
+        let limits = self.limits.borrow();
+        let limited = limits.limited();
+        let reports =
+            limited.map(|(server, belief)| LimitReport::new(now, server, belief.evidence()));
+        self.tell(&reports.collect::<Vec<LimitReport>>(), to);
+    }
+
+    fn tell(&self, reports: &[LimitReport], to: SocketAddr) {
+        for some in reports.chunks(REPORTS) {
+            self.parts.messenger.tell(&PeerMessage::Limits(some.to_vec()), to);
+        }
+    }
+
+    /// Forgets servers that are gone.
+    pub fn retain(&self, is_known: impl Fn(u32) -> bool) {
+        self.limits.borrow_mut().retain(is_known);
+        self.count();
+    }
+}
+
+fn log_change(server: &str, change: LimitChange, age_ms: u64, from: LearnedFrom) {
+    let rate = |limit: Option<RateLimit>| limit.map_or(-1.0, RateLimit::get);
+    log::info!(
+        server = server, per_second = rate(change.now), before = rate(change.before), age_ms = age_ms,
+        source = from.name();
+        "server_limit"
+    );
+}
--- a/crates/portrack/src/gateway/backpressure/limit.rs
+++ b/crates/portrack/src/gateway/backpressure/limit.rs
@@ -4,6 +4,7 @@
 
 /// Requests a second that a server takes from all daemons together: finite and not negative.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct RateLimit(f64);
 
 impl RateLimit {
@@ -18,6 +19,20 @@
     }
 }
 
+impl TryFrom<f64> for RateLimit {
+    type Error = &'static str;
+
+    fn try_from(rate: f64) -> Result<Self, Self::Error> {
+        Self::per_second(rate).ok_or("no number of requests a second")
+    }
+}
+
+impl From<RateLimit> for f64 {
+    fn from(limit: RateLimit) -> Self {
+        limit.0
+    }
+}
+
 /// What one answer says of its server's limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum NamedLimit {
--- a/crates/portrack/src/gateway/choosing/candidates.rs
+++ b/crates/portrack/src/gateway/choosing/candidates.rs
@@ -28,11 +28,12 @@
         open.filter(move |backend| self.may_serve(job, backend))
     }
 
-    /// The servers that a dispatcher must not give a request, by their marks: those that have failed it,
-    /// and those that may not serve it.
+    /// The servers that a dispatcher must not give a request, by their marks: those that have failed it or have no room
+    /// for it, and those that may not serve it.
     pub(in crate::gateway) fn barred(&self, job: &Job<'_>) -> Vec<u32> {
         let view = self.view.borrow();
-        let tried = job.tried.iter().map(|id| self.loads.mark(id));
+        let full = job.full.borrow();
+        let tried = job.tried.iter().chain(&*full).map(|id| self.loads.mark(id));
         let open = view.open_backends(&job.service.name);
         let outside = open.filter(|backend| !self.may_serve(job, backend));
         tried.chain(outside.map(|backend| backend.mark())).collect()
@@ -45,6 +46,17 @@
         candidates.any(|backend| !self.loads.is_hall_silent(&backend.hall))
     }
 
+    /// True if a request that was refused for the limits of servers may find another one: for an adapter that only these
+    /// hold, one without a limit, since a load there is worth it.
+    pub(in crate::gateway) fn has_roomier(&self, job: &Job<'_>) -> bool {
+        let view = self.view.borrow();
+        let mut others = self.candidates(&view, job).filter(|backend| {
+            !job.is_passed_over(&backend.id) && !self.loads.is_hall_silent(&backend.hall)
+        });
+        let needs_load = job.model().is_some() && job.adapter().is_some();
+        others.any(|backend| !needs_load || !self.grants.is_limited(backend))
+    }
+
     /// Refuses a request that is bound to regions in which no server can be reached.
     pub(in crate::gateway) fn look_for_allowed(&self, job: &Job<'_>) -> Result<(), Refused> {
         match !job.region_bounds().is_bound() || self.can_reach_candidate(job) {
--- a/crates/portrack/src/gateway/choosing/granted.rs
+++ b/crates/portrack/src/gateway/choosing/granted.rs
@@ -2,6 +2,7 @@
 
 use super::placing::patience;
 use crate::gateway::arrivals::{GrantNeed, GrantOutcome, WaitingGrant};
+use crate::gateway::dispatch::SlotEnd;
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::gateway::requests::job::{Choice, Job};
 use crate::gateway::requests::path::RequestPath;
@@ -14,6 +15,9 @@
 const ASKED_AT_ONCE: usize = 4;
 /// Choices for one try of a request, where servers stop taking requests while it waits.
 const CHOICES: usize = 3;
+/// A server without room within its limit is taken for busy for so long: soon enough for its next turn, and for its use
+/// once it names none any more.
+const FULL_FOR: Duration = Duration::from_millis(300);
 /// When to come back where a cold server's granter does not answer.
 const UNANSWERED_RETRY: Duration = Duration::from_millis(1_000);
 /// From the start at a server to the first event, roughly, without reading.
@@ -32,8 +36,13 @@
         &self,
         job: &Job<'_>,
     ) -> Result<Choice, Refused> {
+        job.full.borrow_mut().clear();
+        let mut soonest: Option<Refused> = None;
         for _ in 0..CHOICES {
-            let choice = self.choose(job).await?;
+            let choice = match self.choose(job).await {
+                Ok(choice) => choice,
+                Err(refused) => return Err(soonest.unwrap_or(refused)),
+            };
             if !self.grants.grants(&choice.backend) {
                 return Ok(choice);
             }
@@ -42,20 +51,35 @@
             let waited = self.clock.now().since(began);
             self.grants.waited(waited);
             job.progress.grant.waited(waited);
-            if let Some(choice) = granted? {
-                return Ok(choice);
+            match granted {
+                Ok(Some(choice)) => return Ok(choice),
+                Ok(None) => {}
+                Err(refused) => {
+                    let limited = !job.full.borrow().is_empty();
+                    soonest = Some(sooner(soonest, refused));
+                    if !limited || !self.has_roomier(job) {
+                        break;
+                    }
+                }
             }
         }
-        Err(busy(UNANSWERED_RETRY))
+        Err(soonest.unwrap_or_else(|| busy(UNANSWERED_RETRY)))
     }
 
     /// The choice once it is granted, or another one; `None` if it takes no requests any more.
     async fn granted(&self, job: &Job<'_>, choice: Choice) -> Result<Option<Choice>, Refused> {
         let asked = choice.backend.id.clone();
         let turn = match self.turn(job, choice).await {
+            Turn::Waits(choice, waiting) if self.goes_elsewhere(job, &choice, &waiting) => {
+                Turn::Refused(waiting.expected)
+            }
             Turn::Waits(choice, waiting) if waiting.expected > SHORT_WAIT => {
                 self.sooner_turn(job, choice, waiting).await
             }
+            // Where all servers serve alike, the dispatcher chooses another one.
+            Turn::Refused(after) if job.model().is_none() && job.full.borrow().contains(&asked) => {
+                Turn::Refused(after)
+            }
             Turn::Refused(after) => self.turn_elsewhere(job, asked, after).await,
             turn => turn,
         };
@@ -74,7 +98,26 @@
         }
     }
 
+    /// True if a request does not wait for its turn within a server's limit, since another server may take it: one of a
+    /// service without models, where all serve alike.
+    fn goes_elsewhere(&self, job: &Job<'_>, choice: &Choice, waiting: &WaitingGrant) -> bool {
+        let waits = waiting.expected > SHORT_WAIT && self.grants.is_limited(&choice.backend);
+        if !waits || job.model().is_some() {
+            return false;
+        }
+        job.full.borrow_mut().push(choice.backend.id.clone());
+        let elsewhere = self.has_roomier(job);
+        match elsewhere {
+            true => choice.ended(SlotEnd::Unsent),
+            false => drop(job.full.borrow_mut().pop()),
+        }
+        elsewhere
+    }
+
     async fn turn(&self, job: &Job<'_>, choice: Choice) -> Turn {
+        if !self.grants.grants(&choice.backend) {
+            return Turn::Send(choice);
+        }
         let mut grasp = self.grants.ask(&choice.backend, &self.grant_need(job)).await;
         if matches!(grasp, GrantOutcome::Unanswered) {
             // The next daemon in order is the granter now.
@@ -94,11 +137,28 @@
                 job.progress.grant.told(waiting.expected);
                 Turn::Waits(choice, waiting)
             }
-            GrantOutcome::Refused(after) => Turn::Refused(after),
+            GrantOutcome::Refused(after) => {
+                self.note_full(job, &choice, after);
+                Turn::Refused(after)
+            }
             GrantOutcome::Unanswered if self.grants.may_send_alone(&choice.backend) => {
                 Turn::Send(choice)
             }
-            GrantOutcome::Unanswered => Turn::Refused(UNANSWERED_RETRY),
+            GrantOutcome::Unanswered => {
+                self.note_full(job, &choice, UNANSWERED_RETRY);
+                Turn::Refused(UNANSWERED_RETRY)
+            }
+        }
+    }
+
+    /// A server that names a limit has no room within it: the request does not ask there again, and others of this node
+    /// prefer servers at which they need not wait.
+    fn note_full(&self, job: &Job<'_>, choice: &Choice, after: Duration) {
+        let backend = &choice.backend;
+        if self.grants.is_limited(backend) {
+            job.full.borrow_mut().push(backend.id.clone());
+            choice.ended(SlotEnd::Unsent);
+            self.loads.reads_until(&backend.id, self.clock.now() + after.min(FULL_FOR));
         }
     }
 
@@ -153,6 +213,14 @@
     }
 }
 
+/// Of two refusals the one after which a caller may come back sooner.
+fn sooner(one: Option<Refused>, two: Refused) -> Refused {
+    match one {
+        Some(one) if one.retry_after <= two.retry_after => one,
+        _ => two,
+    }
+}
+
 fn busy(after: Duration) -> Refused {
     Refused::new(RefusalReason::Busy, Some(after))
 }
--- a/crates/portrack/src/gateway/choosing/load.rs
+++ b/crates/portrack/src/gateway/choosing/load.rs
@@ -90,6 +90,7 @@
             return;
         }
         self.reported.borrow_mut().remove(&before);
+        self.reading.borrow_mut().remove(server);
         self.servers.borrow_mut().remove(server);
         self.lives.borrow_mut().insert(server.clone(), mark);
     }
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -59,7 +59,7 @@
         let mut open = self.candidates(&view, job);
         if let Some(slot) = slot {
             let granted = open.find(|backend| backend.mark() == slot.server);
-            if let Some(backend) = granted.filter(|backend| !job.tried.contains(&backend.id)) {
+            if let Some(backend) = granted.filter(|backend| !job.is_passed_over(&backend.id)) {
                 let backend = backend.clone();
                 return Ok(Choice {
                     backend,
@@ -99,6 +99,7 @@
         open: impl Iterator<Item = &'a Rc<Backend>>,
     ) -> Option<Choice> {
         let now = self.clock.now();
+        let open = open.filter(|backend| !job.full.borrow().contains(&backend.id));
         let backend = match self.loads_lag.get() {
             true => {
                 let id = &job.request.meta.id;
@@ -164,7 +165,10 @@
     /// Wishes for an adapter at its home, if some daemon may order a server for it.
     fn wish(&self, job: &Job<'_>, key: &AdapterKey, at: Where) {
         let wanted = Wanted { service: &job.service.name, key, requests: 0, at };
-        self.wish_among(wanted, |backend| self.may_serve(job, backend));
+        let full = job.full.borrow();
+        self.wish_among(wanted, |backend| {
+            self.may_serve(job, backend) && !full.contains(&backend.id)
+        });
     }
 
     /// Wishes for an adapter at its home for some requests besides those that missed it; true if that
@@ -290,7 +294,7 @@
             let open = takes(&view, now, backend) && !cut && self.may_serve(job, backend);
             let cost = cost(now, &self.loads, &self.place, backend);
             let holder = Holder { backend: backend.clone(), cost, version };
-            (open && !job.tried.contains(&backend.id)).then_some(holder)
+            (open && !job.is_passed_over(&backend.id)).then_some(holder)
         });
         let mut sorted: Vec<Holder> = untried.collect();
         sorted.sort_by(|a, b| a.cost.total_cmp(&b.cost));
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -2,12 +2,12 @@
 
 use crate::gateway::admission::{KeyRules, Quotas, StoreProof};
 use crate::gateway::arrivals::{GrantMetrics, GrantParts, Grants};
-use crate::gateway::backpressure::heard::{Backpressure, BackpressureMetrics};
+use crate::gateway::backpressure::keeper::{Backpressure, BackpressureMetrics, BackpressureParts};
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::Dialect;
-use crate::gateway::dispatch::Slots;
+use crate::gateway::dispatch::{SlotParts, Slots};
 use crate::gateway::fleet::coldness::{EntrySource, REPORT_NEWS};
 use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::messenger::Messenger;
@@ -165,22 +165,34 @@
         );
         let course = NewsCourse::new(settings.members, NewsBounds::new(bounds.news_within()));
         let loads = Rc::new(LoadTable::default());
-        let slots = Slots::new(
-            clock.clone(),
-            view.clone(),
-            loads.clone(),
-            messenger.clone(),
-            me.clone(),
-            place.clone(),
-            daemons_up.clone(),
-        );
         let (proof, coldness) = (Rc::<StoreProof>::default(), Rc::<RefCell<_>>::default());
+        let backpressure = Rc::new(Backpressure::new(BackpressureParts {
+            clock: clock.clone(),
+            messenger: messenger.clone(),
+            me: me.clone(),
+            daemons: daemons_up.clone(),
+            metrics: BackpressureMetrics {
+                limited: metrics.limited_servers.clone(),
+                unreadable: metrics.unreadable_limits.clone(),
+            },
+        }));
+        let slots = Slots::new(SlotParts {
+            clock: clock.clone(),
+            view: view.clone(),
+            loads: loads.clone(),
+            backpressure: backpressure.clone(),
+            messenger: messenger.clone(),
+            me: me.clone(),
+            place: place.clone(),
+            daemons: daemons_up.clone(),
+        });
         let grants = Grants::new(GrantParts {
             clock: clock.clone(),
             view: view.clone(),
             proof: proof.clone(),
             coldness: coldness.clone(),
             loads: loads.clone(),
+            backpressure: backpressure.clone(),
             messenger: messenger.clone(),
             me,
             daemons: daemons_up.clone(),
@@ -207,10 +219,6 @@
                 trials: metrics.trials.clone(),
             },
         });
-        let backpressure = Backpressure::new(BackpressureMetrics {
-            limited: metrics.limited_servers.clone(),
-            unreadable: metrics.unreadable_limits.clone(),
-        });
         let path = RequestPath {
             clock: clock.clone(),
             dialect: dialect.clone(),
@@ -228,7 +236,7 @@
             coldness,
             loads,
             pool,
-            backpressure: Rc::new(backpressure),
+            backpressure,
             quarantine: Rc::new(quarantine),
             retries: RefCell::new(retries),
             demand: Rc::new(DemandLog::default()),
--- a/crates/portrack/src/gateway/dispatch/dispatcher.rs
+++ b/crates/portrack/src/gateway/dispatch/dispatcher.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::admission::OrganisationMark;
 use crate::gateway::arrivals::{AskId, Promises, makes_way};
+use crate::gateway::backpressure::bucket::{LimitRule, RateBucket};
 use crate::gateway::choosing::decay::Decayed;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,9 @@
 /// were served a sixth as often as others on a busy day.
 const LEAST_WAIT_RUNS: f64 = 2.0;
 
+/// Where all servers name limits, at least so many slots are reckoned with: none is no divisor.
+const LEAST_LIMITED_SLOTS: f64 = 0.001;
+
 /// What a request needs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SlotAsk {
@@ -75,15 +79,19 @@
     Failed,
     /// The server could not be reached.
     Unreachable,
+    /// It was not sent, since the server had no room within its limit. Only told to dispatchers that know this end.
+    Unsent,
 }
 
 /// A server that takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServerSlots {
     /// Its mark.
     pub server: u32,
     /// Requests that it works on at once.
     pub slots: usize,
+    /// The limit that it names, if it does.
+    pub limit: Option<LimitRule>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -111,6 +119,8 @@
 pub struct Dispatcher {
     servers: Vec<ServerSlots>,
     health: HashMap<u32, Health>,
+    /// What servers that name limits may get. It steers; each send there is granted besides, with those of others.
+    limits: HashMap<u32, RateBucket>,
     taken: HashMap<AskId, Taken>,
     waiting: Vec<Waiting>,
     /// How long requests run, on average, in milliseconds.
@@ -124,6 +134,7 @@
         Self {
             servers: Vec::new(),
             health: HashMap::new(),
+            limits: HashMap::new(),
             taken: HashMap::new(),
             waiting: Vec::new(),
             run_ms: FIRST_RUN.as_millis() as f64,
@@ -134,8 +145,13 @@
 
 impl Dispatcher {
     /// Takes in which servers take work now.
-    pub fn set_servers(&mut self, servers: Vec<ServerSlots>) {
+    pub fn set_servers(&mut self, now: Time, servers: Vec<ServerSlots>) {
         self.health.retain(|mark, _| servers.iter().any(|server| server.server == *mark));
+        self.limits.retain(|mark, _| servers.iter().any(|server| server.server == *mark));
+        for server in &servers {
+            let bucket = self.limits.entry(server.server).or_default();
+            bucket.set(now, server.limit);
+        }
         self.servers = servers;
     }
 
@@ -162,7 +178,9 @@
     /// The server with most room that has not failed the request yet.
     fn free_server(&self, now: Time, tried: &[u32]) -> Option<u32> {
         let open = self.servers.iter().filter(|server| {
-            !tried.contains(&server.server) && !self.is_unreachable(now, server.server)
+            !tried.contains(&server.server)
+                && !self.is_unreachable(now, server.server)
+                && self.limits.get(&server.server).is_none_or(|bucket| bucket.has_room(now))
         });
         let filled = open.filter_map(|server| {
             let (taken, room) = (self.taken_at(server.server), self.room(now, server));
@@ -171,11 +189,31 @@
         filled.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, server)| server)
     }
 
+    /// The slots that can be used.
     fn slots(&self, now: Time) -> f64 {
         let open = self.servers.iter().filter(|server| !self.is_unreachable(now, server.server));
-        let sound =
-            open.map(|server| server.slots as f64 * (1.0 - self.failure_rate(now, server.server)));
-        sound.sum::<f64>().max(1.0)
+        let usable = open.map(|server| {
+            let sound = server.slots as f64 * (1.0 - self.failure_rate(now, server.server));
+            sound.min(self.slots_within_limit(server))
+        });
+        let all_limited = self.servers.iter().all(|server| server.limit.is_some());
+        let least = if all_limited { LEAST_LIMITED_SLOTS } else { 1.0 };
+        usable.sum::<f64>().max(least)
+    }
+
+    /// The slots that are busy on the average if a server gets what it takes.
+    fn slots_within_limit(&self, server: &ServerSlots) -> f64 {
+        let run_s = self.run_ms / 1_000.0;
+        server.limit.map_or(f64::INFINITY, |limit| limit.rate() * run_s)
+    }
+
+    /// A request goes to a server.
+    fn give(&mut self, now: Time, id: AskId, server: u32) -> SlotOrder {
+        self.taken.insert(id, Taken { server, since: now });
+        if let Some(bucket) = self.limits.get_mut(&server).filter(|bucket| bucket.is_set()) {
+            bucket.take(now);
+        }
+        (id, SlotAnswer::Granted(server))
     }
 
     /// How long the last of `waiting` requests waits.
@@ -192,8 +230,7 @@
         if self.waiting.is_empty()
             && let Some(server) = self.free_server(now, &ask.tried)
         {
-            self.taken.insert(id, Taken { server, since: now });
-            return vec![(id, SlotAnswer::Granted(server))];
+            return vec![self.give(now, id, server)];
         }
         let runs = |times: f64| Duration::from_secs_f64(self.run_ms * times / 1_000.0);
         let left = Duration::from_millis(ask.left_ms.into()).saturating_sub(runs(LONG_RUN));
@@ -233,6 +270,10 @@
     }
 
     fn note(&mut self, now: Time, taken: Taken, end: SlotEnd) {
+        if end == SlotEnd::Unsent {
+            self.limits.entry(taken.server).or_default().give_back();
+            return;
+        }
         let health = self.health.entry(taken.server).or_default();
         let rate = health.failure_rate.get(now, FAILURE_HALF_LIFE);
         let failed = if end == SlotEnd::Answered { 0.0 } else { 1.0 };
@@ -243,7 +284,7 @@
                 self.run_ms += (run - self.run_ms) * RUN_WEIGHT;
             }
             SlotEnd::Unreachable => health.unreachable_until = now + UNREACHABLE_FOR,
-            SlotEnd::Failed => {}
+            SlotEnd::Failed | SlotEnd::Unsent => {}
         }
     }
 
@@ -257,8 +298,7 @@
         for next in in_time {
             match self.free_server(now, &next.ask.tried) {
                 Some(server) => {
-                    self.taken.insert(next.id, Taken { server, since: now });
-                    orders.push((next.id, SlotAnswer::Granted(server)));
+                    orders.push(self.give(now, next.id, server));
                 }
                 None => self.waiting.push(next),
             }
--- a/crates/portrack/src/gateway/dispatch/mod.rs
+++ b/crates/portrack/src/gateway/dispatch/mod.rs
@@ -11,5 +11,5 @@
 mod whom;
 
 pub use dispatcher::{Dispatcher, ServerSlots, SlotAnswer, SlotAsk, SlotEnd, SlotOrder};
-pub use slots::{SlotGuard, SlotMessage, SlotNeed, Slots};
+pub use slots::{SlotGuard, SlotMessage, SlotNeed, SlotParts, Slots};
 pub use whom::{Whom, dispatchers};
--- a/crates/portrack/src/gateway/dispatch/slots.rs
+++ b/crates/portrack/src/gateway/dispatch/slots.rs
@@ -4,6 +4,7 @@
 use super::whom::{Whom, dispatchers};
 use crate::gateway::admission::OrganisationMark;
 use crate::gateway::arrivals::{ANSWER_PATIENCE, AskId, Asks, next_answer};
+use crate::gateway::backpressure::keeper::Backpressure;
 use crate::gateway::choosing::load::{LoadTable, server_mark};
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
@@ -47,57 +48,58 @@
     pub tried: Vec<u32>,
 }
 
+/// What slots hang on.
+pub struct SlotParts {
+    /// The monotonic clock.
+    pub clock: Rc<dyn Clock>,
+    /// What is known of the fleet.
+    pub view: Rc<RefCell<FleetView>>,
+    /// Load of the servers.
+    pub loads: Rc<LoadTable>,
+    /// What servers say of how much they take.
+    pub backpressure: Rc<Backpressure>,
+    /// For datagrams.
+    pub messenger: Rc<Messenger>,
+    /// This daemon.
+    pub me: DaemonAt,
+    /// Where it is.
+    pub place: Rc<Place>,
+    /// Those that may be dispatchers, kept up to date by others.
+    pub daemons: Rc<RefCell<Daemons>>,
+}
+
 /// The slots of small services as one daemon sees them.
 pub struct Slots {
-    clock: Rc<dyn Clock>,
-    view: Rc<RefCell<FleetView>>,
-    loads: Rc<LoadTable>,
-    messenger: Rc<Messenger>,
-    me: DaemonAt,
-    place: Rc<Place>,
-    daemons: Rc<RefCell<Daemons>>,
+    parts: SlotParts,
     dispatchers: RefCell<HashMap<u32, Dispatcher>>,
     asks: Asks<SlotAnswer>,
 }
 
 impl Slots {
-    /// Slots of which none is taken; `daemons` is kept up to date by others.
-    pub fn new(
-        clock: Rc<dyn Clock>,
-        view: Rc<RefCell<FleetView>>,
-        loads: Rc<LoadTable>,
-        messenger: Rc<Messenger>,
-        me: DaemonAt,
-        place: Rc<Place>,
-        daemons: Rc<RefCell<Daemons>>,
-    ) -> Self {
-        Self {
-            clock,
-            view,
-            loads,
-            messenger,
-            me,
-            place,
-            daemons,
-            dispatchers: RefCell::default(),
-            asks: Asks::default(),
-        }
+    /// Slots of which none is taken.
+    pub fn new(parts: SlotParts) -> Self {
+        Self { parts, dispatchers: RefCell::default(), asks: Asks::default() }
     }
 
     /// The servers of a service that take work, if it is small enough for a dispatcher, with their halls.
     fn servers(&self, service: u32) -> Option<Vec<(Rc<str>, ServerSlots)>> {
-        let view = self.view.borrow();
+        let view = self.parts.view.borrow();
         let name = view.config()?.services.keys().find(|name| server_mark(name) == service)?;
         let open = view.open_backends(name);
         let servers: Vec<_> =
-            open.map(|backend| (backend.hall.clone(), slots_of(backend))).collect();
+            open.map(|backend| (backend.hall.clone(), self.slots_of(backend))).collect();
         let all: usize = servers.iter().map(|(_, server)| server.slots).sum();
         (1..=MOST_SLOTS).contains(&all).then_some(servers)
     }
 
+    fn slots_of(&self, backend: &Backend) -> ServerSlots {
+        let (server, slots) = (backend.mark(), backend.slots.max(1));
+        ServerSlots { server, slots, limit: self.parts.backpressure.rule(server, false) }
+    }
+
     /// Those whose slots this daemon gives out if it is asked: the ones of its region.
     fn dispatched(&self, service: u32) -> Option<Vec<ServerSlots>> {
-        let regions = self.place.regions();
+        let regions = self.parts.place.regions();
         let ours = |hall: &str| !regions.are_many() || regions.serving(hall) == regions.own();
         let servers = self.servers(service)?.into_iter();
         Some(servers.filter(|(hall, _)| ours(hall)).map(|(_, server)| server).collect())
@@ -109,11 +111,17 @@
         let servers = self.servers(service)?.into_iter();
         let left = servers.filter(|(_, server)| !tried.contains(&server.server));
         let halls: Vec<Rc<str>> = left.map(|(hall, _)| hall).collect();
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         let fits = |daemon: &DaemonAt| {
-            !self.asks.shuns(now, daemon.address) && !self.loads.is_hall_silent(&daemon.hall)
+            !self.asks.shuns(now, daemon.address) && !self.parts.loads.is_hall_silent(&daemon.hall)
         };
-        Some(dispatchers(service.into(), &self.place, &self.daemons.borrow(), &halls, fits))
+        Some(dispatchers(
+            service.into(),
+            &self.parts.place,
+            &self.parts.daemons.borrow(),
+            &halls,
+            fits,
+        ))
     }
 
     /// A slot for a request: `Ok(None)` if the service has no dispatcher that answers, and the daemon
@@ -124,10 +132,10 @@
         need: SlotNeed,
     ) -> Result<Option<SlotGuard>, Refused> {
         let service = server_mark(service);
-        let began = self.clock.now();
+        let began = self.parts.clock.now();
         let mut refused = None;
         for whom in self.whom(service, &need.tried).unwrap_or_default() {
-            let passed = self.clock.now().since(began);
+            let passed = self.parts.clock.now().since(began);
             let left = need.left.saturating_sub(passed + whom.way);
             if refused.is_some() && left.is_zero() {
                 break;
@@ -176,23 +184,30 @@
                 Err(Refused::new(RefusalReason::Busy, Some(after)))
             }
             Some(SlotAnswer::Waits) | None => {
-                self.asks.shun(self.clock.now(), dispatcher);
+                self.asks.shun(self.parts.clock.now(), dispatcher);
                 Ok(None)
             }
         }
     }
 
+    /// Tells a dispatcher how a request ended, in words that it knows.
+    fn tell_end(&self, dispatcher: SocketAddr, service: u32, ask: u32, end: SlotEnd) {
+        let knows_all = self.parts.daemons.borrow().keeps_limits(dispatcher);
+        let end = if end == SlotEnd::Unsent && !knows_all { SlotEnd::Answered } else { end };
+        self.send(dispatcher, SlotMessage::Ended(service, ask, end));
+    }
+
     fn send(&self, to: SocketAddr, message: SlotMessage) {
-        if to == self.me.address {
+        if to == self.parts.me.address {
             self.on_message(message, to);
         } else {
-            self.messenger.tell(&PeerMessage::Slots(message), to);
+            self.parts.messenger.tell(&PeerMessage::Slots(message), to);
         }
     }
 
     /// Takes in a message of another daemon, or of this one.
     pub fn on_message(&self, message: SlotMessage, from: SocketAddr) {
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         match message {
             SlotMessage::Ask(ask) => {
                 // Who does not know the servers leaves the asking daemon to itself.
@@ -200,7 +215,7 @@
                 let orders = {
                     let mut dispatchers = self.dispatchers.borrow_mut();
                     let dispatcher = dispatchers.entry(ask.service).or_default();
-                    dispatcher.set_servers(servers);
+                    dispatcher.set_servers(now, servers);
                     dispatcher.ask(now, from, ask)
                 };
                 self.carry_out(orders);
@@ -225,7 +240,7 @@
 
     /// Lets those wait no longer that cannot be in time, and frees slots whose end was never told.
     pub fn pass_time(&self) {
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         let orders: Vec<SlotOrder> = {
             let mut dispatchers = self.dispatchers.borrow_mut();
             dispatchers.values_mut().flat_map(|dispatcher| dispatcher.pass_time(now)).collect()
@@ -248,10 +263,6 @@
     next_answer(answers, left + patience).await
 }
 
-fn slots_of(backend: &Backend) -> ServerSlots {
-    ServerSlots { server: backend.mark(), slots: backend.slots.max(1) }
-}
-
 /// A slot that a request has; given back when dropped.
 pub struct SlotGuard {
     slots: Rc<Slots>,
@@ -275,7 +286,7 @@
     fn drop(&mut self) {
         self.slots.asks.close(self.ask);
         if let Some(end) = self.end.get() {
-            self.slots.send(self.dispatcher, SlotMessage::Ended(self.service, self.ask, end));
+            self.slots.tell_end(self.dispatcher, self.service, self.ask, end);
         }
     }
 }
--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -1,5 +1,6 @@
 //! Which daemons do a duty for others: every daemon with the same list makes the same choice.
 
+use super::message::Capabilities;
 use crate::types::Time;
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -17,6 +18,8 @@
     pub hall: Rc<str>,
     /// How much work for others its node is suited to.
     pub capacity: u32,
+    /// What its build does for others.
+    pub capabilities: Capabilities,
 }
 
 /// Daemons that did not answer, each until a time; they are not asked before it.
@@ -52,6 +55,12 @@
         self.0.iter()
     }
 
+    /// True if a daemon is known to keep the limits that servers name.
+    pub fn keeps_limits(&self, address: SocketAddr) -> bool {
+        let daemon = self.0.iter().find(|daemon| daemon.address == address);
+        daemon.is_some_and(|daemon| daemon.capabilities.keep_limits())
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.0.len()
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats: who is there, what it knows, which data halls are heard.
 
 use super::daemons::{DaemonAt, Daemons};
-use super::message::{Heartbeat, PeerMessage};
+use super::message::{Capabilities, Heartbeat, PeerMessage};
 use super::peers::{BEAT, PeerChange};
 use crate::gateway::choosing::load::server_mark;
 use crate::gateway::daemon::GatewayDaemon;
@@ -97,6 +97,7 @@
             address: peer.heartbeat.address,
             hall: peer.heartbeat.hall.as_str().into(),
             capacity: peer.heartbeat.capacity,
+            capabilities: peer.heartbeat.capabilities,
         });
         Daemons::new(std::iter::once(self.settings.as_daemon()).chain(others).collect())
     }
@@ -139,6 +140,7 @@
             capacity: self.settings.limits.capacity(),
             heard: u16::try_from(self.peers.borrow().up(now).count()).unwrap_or(u16::MAX),
             news: std::iter::once(self.own_news()).chain(self.news_of_others()).collect(),
+            capabilities: Capabilities::OWN,
         }
     }
 
@@ -169,6 +171,7 @@
         self.introduce_to(now, address, heard);
         if change == Some(PeerChange::Up) {
             self.path.quarantine.introduce(address);
+            self.path.backpressure.introduce(address);
         }
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -1,7 +1,9 @@
 //! What daemons of a gateway fleet tell each other by datagram.
 
+use super::tail::or_default;
 use crate::gateway::admission::QuotaMessage;
 use crate::gateway::arrivals::GrantMessage;
+use crate::gateway::backpressure::message::LimitReport;
 use crate::gateway::choosing::load::Work;
 use crate::gateway::dispatch::SlotMessage;
 use crate::gateway::news::report::NewsReport;
@@ -37,6 +39,8 @@
     Grants(GrantMessage),
     /// Requests that servers ended under.
     Quarantine(QuarantineMessage),
+    /// Limits that servers name.
+    Limits(Vec<LimitReport>),
 }
 
 impl PeerMessage {
@@ -53,6 +57,7 @@
             Self::Slots(_) => "slots",
             Self::Grants(_) => "grants",
             Self::Quarantine(_) => "quarantine",
+            Self::Limits(_) => "limits",
         }
     }
 }
@@ -88,6 +93,25 @@
     pub capacity: u32,
     /// How fresh its news of the store is, and then that of some others that watch.
     pub news: Vec<NewsReport>,
+    /// What it does for others beyond what every build does.
+    #[serde(deserialize_with = "or_default")]
+    pub capabilities: Capabilities,
+}
+
+/// What a build does for others that former ones do not: each capability is a bit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Capabilities(u32);
+
+impl Capabilities {
+    /// What this build does.
+    pub const OWN: Self = Self(Self::KEEPS_LIMITS);
+    /// Grants no more arrivals at a server than the limit that it names.
+    const KEEPS_LIMITS: u32 = 1;
+
+    /// True if the limits that servers name are kept.
+    pub fn keep_limits(self) -> bool {
+        self.0 & Self::KEEPS_LIMITS != 0
+    }
 }
 
 /// An adapter wished for at a server.
--- a/crates/portrack/src/gateway/fleet/mod.rs
+++ b/crates/portrack/src/gateway/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! A configuration never goes back, a server that said it is leaving stays so for its life, and a former
 //! life of a server never comes back.
 
+pub(in crate::gateway) mod audience;
 pub(in crate::gateway) mod backend;
 pub(in crate::gateway) mod coldness;
 pub(in crate::gateway) mod config;
@@ -15,5 +16,6 @@
 pub(in crate::gateway) mod messenger;
 pub(in crate::gateway) mod peers;
 pub(in crate::gateway) mod regions;
+pub(in crate::gateway) mod tail;
 pub(in crate::gateway) mod versions;
 pub(in crate::gateway) mod view;
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -34,8 +34,12 @@
     ReadingPace, ReadingWindow, ServerRule, makes_way,
 };
 pub use backpressure::belief::{LimitBelief, LimitEvidence};
-pub use backpressure::heard::{Backpressure, BackpressureMetrics};
+pub use backpressure::beliefs::{LimitBeliefs, LimitChange};
+pub use backpressure::bucket::{LimitRule, RateBucket};
+pub use backpressure::keeper::{Backpressure, BackpressureMetrics, BackpressureParts};
 pub use backpressure::limit::{NamedLimit, RateLimit};
+pub use backpressure::message::LimitReport;
+pub use backpressure::telling::LimitTelling;
 pub use choosing::choose::{Offer, better_of_two, cheaper_of_two, cheapest, two_of};
 pub use choosing::crowding::copy_pays;
 pub use choosing::demand::{DemandLog, Use, Wish};
@@ -58,6 +62,7 @@
     SlotOrder, Slots, Whom, dispatchers,
 };
 pub use evacuation::halls::{EvacuatedHalls, Evacuation};
+pub use fleet::audience::Audience;
 pub use fleet::backend::{Backend, HeldAdapter, HeldModel, life_mark};
 pub use fleet::coldness::{Coldness, EntrySource, PEER_NEWS, REPORT_NEWS};
 pub use fleet::config::{
@@ -66,8 +71,8 @@
 pub use fleet::daemons::{DaemonAt, Daemons};
 pub use fleet::lives::{EntryLife, GONE_REMEMBERED, Lives};
 pub use fleet::message::{
-    AdapterUse, AdapterWish, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage, PlacementNotice,
-    ServerLoad, decode as decode_message, encode as encode_message,
+    AdapterUse, AdapterWish, Capabilities, Heartbeat, MAX_DATAGRAM, NoticeState, PeerMessage,
+    PlacementNotice, ServerLoad, decode as decode_message, encode as encode_message,
 };
 pub use fleet::peers::{Peer, PeerChange, Peers};
 pub use fleet::regions::{AllowedRegions, Regions};
@@ -91,7 +96,6 @@
 pub use orders::ordering::{NoticeSink, Ordering};
 pub use orders::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner, WishAnswer};
 pub use orders::vacancies::{Candidates, ClaimTry, Claimant, Vacancies};
-pub use quarantine::audience::Audience;
 pub use quarantine::ends::{EndEvidence, LostRequest, ServerEnds};
 pub use quarantine::keeper::{Quarantine, QuarantineMetrics, QuarantineParts};
 pub use quarantine::mark::{MarkedCaller, MarkedRequest, RequestMark};
--- a/crates/portrack/src/gateway/quarantine/mod.rs
+++ b/crates/portrack/src/gateway/quarantine/mod.rs
@@ -16,7 +16,6 @@
 //! [`QuarantineState`]: state::QuarantineState
 //! [`Quarantine`]: keeper::Quarantine
 
-pub(in crate::gateway) mod audience;
 pub(in crate::gateway) mod ends;
 pub(in crate::gateway) mod keeper;
 pub(in crate::gateway) mod mark;
--- a/crates/portrack/src/gateway/quarantine/state.rs
+++ b/crates/portrack/src/gateway/quarantine/state.rs
@@ -1,10 +1,10 @@
 //! What one node knows of requests that servers ended under, and tells the others. Without sockets.
 
-use super::audience::{Audience, passes_on, records};
 use super::mark::RequestMark;
 use super::message::{EndReport, HoldReport, ITEMS, QuarantineMessage};
 use super::suspects::{Cleared, Counted, HeldRequest, SendVerdict, ServerEnd, Suspects};
 use super::telling::{Telling, Told, messages};
+use crate::gateway::fleet::audience::{Audience, passes_on, records};
 use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
 use crate::types::Time;
 use std::collections::BTreeMap;
@@ -79,7 +79,7 @@
         if counted == Counted::Known {
             return None;
         }
-        self.telling.add(now, Audience::Counters, Told::Ended(mark, end));
+        self.telling.add(now, Audience::Sharers, Told::Ended(mark, end));
         self.conclude(now, mark, counted);
         Some(self.suspects.ends(mark))
     }
@@ -130,7 +130,7 @@
         let at = now - Duration::from_millis(report.age_ms.into());
         let end = ServerEnd { life: report.life, at };
         let counted = self.suspects.count(now, report.mark, end);
-        if counted == Counted::Held || passes_on(daemons, &self.me, report.mark) {
+        if counted == Counted::Held || passes_on(daemons, &self.me, report.mark.duty()) {
             self.conclude(now, report.mark, counted);
         }
     }
@@ -140,7 +140,7 @@
         if !self.suspects.hear(now, held) {
             return;
         }
-        if passes_on(daemons, &self.me, report.mark) {
+        if passes_on(daemons, &self.me, report.mark.duty()) {
             self.telling.add(now, Audience::All, Told::Held(held, now));
         }
         self.changes.push(QuarantineChange::Held(held, LearnedFrom::Peer));
@@ -149,7 +149,7 @@
     fn hear_served(&mut self, now: Time, mark: RequestMark, daemons: &Daemons) {
         self.telling.forget(mark);
         let Some(cleared) = self.suspects.clear(mark) else { return };
-        if passes_on(daemons, &self.me, mark) {
+        if passes_on(daemons, &self.me, mark.duty()) {
             self.telling.add(now, Audience::All, Told::Served(mark));
         }
         self.changes.push(QuarantineChange::Cleared(mark, cleared, LearnedFrom::Peer));
@@ -159,7 +159,7 @@
     pub fn due(&mut self, now: Time, daemons: &Daemons) -> Vec<(SocketAddr, QuarantineMessage)> {
         let mut by_address: BTreeMap<SocketAddr, Vec<Told>> = BTreeMap::new();
         for (audience, told) in self.telling.due(now) {
-            for to in audience.addresses(daemons, &self.me, told.mark()) {
+            for to in audience.addresses(daemons, &self.me, told.mark().duty()) {
                 by_address.entry(to).or_default().push(told);
             }
         }
@@ -202,14 +202,14 @@
     /// Holds that this node has to write to the store, with their numbers.
     pub fn to_record(&self, daemons: &Daemons) -> Vec<(RequestMark, u32)> {
         let mut all = self.suspects.unrecorded();
-        all.retain(|(mark, _)| records(daemons, &self.me, *mark));
+        all.retain(|(mark, _)| records(daemons, &self.me, mark.duty()));
         all
     }
 
     /// Holds that this node has to remove from the store, with their revisions.
     pub fn to_remove(&self, now: Time, daemons: &Daemons) -> Vec<(RequestMark, u64)> {
         let mut all = self.suspects.outlived(now);
-        all.retain(|(mark, _)| records(daemons, &self.me, *mark));
+        all.retain(|(mark, _)| records(daemons, &self.me, mark.duty()));
         all
     }
 
--- a/crates/portrack/src/gateway/quarantine/telling.rs
+++ b/crates/portrack/src/gateway/quarantine/telling.rs
@@ -1,9 +1,9 @@
 //! What is to be told to which nodes, more than once: datagrams are lost.
 
-use super::audience::Audience;
 use super::mark::RequestMark;
 use super::message::{EndReport, HoldReport, ITEMS, QuarantineMessage};
 use super::suspects::{HeldRequest, ServerEnd};
+use crate::gateway::fleet::audience::Audience;
 use crate::types::Time;
 use std::time::Duration;
 
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -37,6 +37,8 @@
     NoConnection,
     /// The server is to get nothing any more, as became known before the request was written.
     Closed,
+    /// The server names a limit, as became known before the request was written, and no grant of late lets it in.
+    Ungranted,
     /// The request is held back, as became known before it was written.
     HeldBack,
     /// The server could not be reached.
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -75,6 +75,8 @@
     pub runs: u32,
     /// Servers tried.
     pub tried: Vec<Rc<str>>,
+    /// Servers that name a limit and have no room within it for this request.
+    pub full: RefCell<Vec<Rc<str>>>,
     /// The server of the last try.
     pub server: Option<Rc<str>>,
     /// The last event handed on, to go on behind it.
@@ -147,6 +149,11 @@
         }
     }
 
+    /// True if a server is not to be chosen any more: it was tried, or has no room.
+    pub fn is_passed_over(&self, server: &Rc<str>) -> bool {
+        self.tried.contains(server) || self.full.borrow().contains(server)
+    }
+
     /// The adapter asked for, if any.
     pub fn adapter(&self) -> Option<AdapterKey> {
         let model = self.request.meta.model.as_ref()?;
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -7,8 +7,8 @@
 use super::retries::ServiceRetries;
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
-use crate::gateway::arrivals::{GrantEnd, Grants};
-use crate::gateway::backpressure::heard::Backpressure;
+use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
+use crate::gateway::backpressure::keeper::Backpressure;
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::connections::answer::AnswerHead;
@@ -175,6 +175,7 @@
             sends: 0,
             runs: 0,
             tried: Vec::new(),
+            full: RefCell::default(),
             server: None,
             last_event: request.last_event.clone(),
             last_failure: String::new(),
@@ -264,10 +265,11 @@
         let may_send = || match self.view.borrow().may_get(self.clock.now(), &backend.id) {
             false => Err(NotRun::Closed),
             true if self.held_for(job).is_some() => Err(NotRun::HeldBack),
+            true if !self.is_let_in(choice) => Err(NotRun::Ungranted),
             true => Ok(()),
         };
         let heard = |head: &AnswerHead| {
-            self.backpressure.answered(self.clock.now(), backend, now, &head.meta);
+            self.backpressure.answered(backend, now, head.status.as_u16(), &head.meta);
         };
         let outgoing = Outgoing { request_id: id, bytes: &bytes, most_connections: most };
         let exchanging = exchange(&*self.dialect, &self.pool, backend, outgoing, may_send, heard);
@@ -323,6 +325,13 @@
         }
     }
 
+    /// True if a request may be sent by the limit that its server names, if it does: on a grant, and before long. The
+    /// server may have named it after it was chosen.
+    fn is_let_in(&self, choice: &Choice) -> bool {
+        let fresh = |grant: &GrantGuard| grant.is_fresh(self.clock.now());
+        !self.grants.is_limited(&choice.backend) || choice.grant.as_ref().is_some_and(fresh)
+    }
+
     /// How long a server may take before another one is tried; only where that is allowed.
     fn slow_after(&self, job: &Job<'_>, now: Time) -> Option<Duration> {
         let again = job.runs + 1 < job.route.attempts;
@@ -379,6 +388,13 @@
                 // It says nothing of the server; only its place is given back.
                 choice.ended(SlotEnd::Answered);
             }
+            NotRun::Ungranted => {
+                job.sends -= 1;
+                job.tried.pop();
+                choice.grant_ended(GrantEnd::Unsent);
+                choice.ended(SlotEnd::Unsent);
+                return Next::Again;
+            }
             NotRun::Closed => {
                 job.sends -= 1;
                 choice.grant_ended(GrantEnd::Unsent);
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file of a gateway daemon.
 
 use crate::gateway::fleet::daemons::DaemonAt;
+use crate::gateway::fleet::message::Capabilities;
 use crate::gateway::fleet::regions::Regions;
 use crate::settings::SettingsError;
 use serde::Deserialize;
@@ -137,6 +138,7 @@
             address: self.members,
             hall: self.hall.as_str().into(),
             capacity: self.limits.capacity(),
+            capabilities: Capabilities::OWN,
         }
     }
 
--- a/crates/portrack/tests/gateway/arrivals.rs
+++ b/crates/portrack/tests/gateway/arrivals.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 
 const PACE: f64 = 20.0;
-const FREE: ServerRule = ServerRule { cold: None };
+const FREE: ServerRule = ServerRule { cold: None, limit: None };
 
 fn from(node: u16) -> SocketAddr {
     let [high, low] = node.to_be_bytes();
@@ -30,6 +30,7 @@
         most_ms: 2_200,
         gap_ms: 300,
         event_ms: 35,
+        limit: None,
     }
 }
 
@@ -46,7 +47,7 @@
 const COLD_MOST: usize = 17;
 
 fn cold(cold: bool) -> ServerRule {
-    ServerRule { cold: Some(ColdRule { bound: bound(), cold, stands_in: false }) }
+    ServerRule { cold: Some(ColdRule { bound: bound(), cold, stands_in: false }), limit: None }
 }
 
 fn granted(orders: &[GrantOrder]) -> Vec<u32> {
@@ -535,6 +536,7 @@
     };
     let rule = |stands_in: bool| ServerRule {
         cold: Some(ColdRule { bound: bound(), cold: false, stands_in }),
+        limit: None,
     };
     let others = 2 * bound().sharers();
     let (first, stand_in) = (given(&rule(false), 5_000), given(&rule(true), 5_000));
@@ -542,7 +544,10 @@
     assert!(stand_in >= 1 && first + stand_in + others <= COLD_MOST, "{first}, {stand_in}");
     let new = given(&rule(false), 0);
     assert!(first + new + others <= COLD_MOST, "{first}, and {new} of one that has just begun");
-    let cold = ServerRule { cold: Some(ColdRule { bound: bound(), cold: true, stands_in: true }) };
+    let cold = ServerRule {
+        cold: Some(ColdRule { bound: bound(), cold: true, stands_in: true }),
+        limit: None,
+    };
     assert_eq!(given(&cold, 0), 0, "nothing in its first second to one that is cold");
     let doubting = given(&cold, 5_000);
     assert!(
--- a/crates/portrack/tests/gateway/dispatch.rs
+++ b/crates/portrack/tests/gateway/dispatch.rs
@@ -26,7 +26,8 @@
 
 fn dispatcher(servers: u32, slots: usize) -> Dispatcher {
     let mut dispatcher = Dispatcher::default();
-    dispatcher.set_servers((0..servers).map(|server| ServerSlots { server, slots }).collect());
+    let servers = (0..servers).map(|server| ServerSlots { server, slots, limit: None });
+    dispatcher.set_servers(Time(0), servers.collect());
     dispatcher
 }
 
--- /dev/null
+++ b/crates/portrack/tests/gateway/former.rs
@@ -0,0 +1,145 @@
+//! Messages between this build and the one that landed before: nodes of a fleet are replaced one after the other, and both
+//! builds hear each other meanwhile.
+
+use portrack::gateway::{
+    Capabilities, GrantAsk, GrantMessage, Heartbeat, LimitReport, NewsReport, OrganisationMark,
+    PeerMessage, RateLimit, Standing, Work, decode_message, encode_message,
+};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A heartbeat as the build before wrote it.
+const FORMER_HEARTBEAT: &str = "05000966726f6e742d612d310161000a010026d43981d68695ca33fface2040001010207818080f80f010703f80a01000a010027d439036401000a010026d43981d68695ca3301f80a00";
+/// An ask for a grant as the build before wrote it.
+const FORMER_ASK: &str = "0508002a818080f80f0109f80a02bc059811fa0123";
+
+/// What the build before read of a heartbeat, field by field.
+#[derive(Debug, PartialEq, Deserialize)]
+struct FormerHeartbeat {
+    node: String,
+    hall: String,
+    address: SocketAddr,
+    incarnation: u64,
+    revision: u64,
+    leaving: bool,
+    sees_store: bool,
+    watches: bool,
+    orders: Vec<u32>,
+    work: Vec<(u32, (u32, u32))>,
+    known: Vec<SocketAddr>,
+    heard: u16,
+    capacity: u32,
+    news: Vec<(SocketAddr, u64, Option<u32>, u8)>,
+}
+
+/// What the build before read of an ask for a grant.
+#[derive(Debug, PartialEq, Deserialize)]
+struct FormerAsk {
+    ask: u32,
+    server: u32,
+    organisation: Option<u32>,
+    tokens: u32,
+    priority: u8,
+    left_ms: u32,
+    most_ms: u32,
+    gap_ms: u16,
+    event_ms: u16,
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).expect("hex digits");
+    (0..hex.len()).step_by(2).map(digits).collect()
+}
+
+fn heartbeat() -> Heartbeat {
+    let address: SocketAddr = "10.1.0.38:7380".parse().expect("an address");
+    Heartbeat {
+        node: "front-a-1".into(),
+        hall: "a".into(),
+        address,
+        incarnation: 1_772_255_030_017,
+        revision: 9_999_999,
+        leaving: false,
+        sees_store: true,
+        watches: true,
+        orders: vec![7, 0xff00_0001],
+        work: vec![(7, Work { requests: 3, waiting_tokens: 1_400 })],
+        known: vec!["10.1.0.39:7380".parse().expect("an address")],
+        heard: 3,
+        capacity: 100,
+        news: vec![NewsReport {
+            address,
+            incarnation: 1_772_255_030_017,
+            age_ms: Some(1_400),
+            standing: Standing::Watches,
+        }],
+        capabilities: Capabilities::OWN,
+    }
+}
+
+fn ask() -> GrantAsk {
+    GrantAsk {
+        ask: 42,
+        server: 0xff00_0001,
+        organisation: Some(OrganisationMark(9)),
+        tokens: 1_400,
+        priority: 2,
+        left_ms: 700,
+        most_ms: 2_200,
+        gap_ms: 250,
+        event_ms: 35,
+        limit: Some(LimitReport {
+            server: 0xff00_0001,
+            limit: RateLimit::per_second(2.1),
+            asked_ms: 40,
+            heard_ms: 10,
+        }),
+    }
+}
+
+#[test]
+fn what_the_build_before_wrote_is_read_with_what_it_lacks_left_out() {
+    let read = decode_message(&bytes(FORMER_HEARTBEAT)).expect("a heartbeat");
+    let expected = Heartbeat { capabilities: Capabilities::default(), ..heartbeat() };
+    assert!(!expected.capabilities.keep_limits());
+    assert_eq!(read, PeerMessage::Heartbeat(expected));
+    let read = decode_message(&bytes(FORMER_ASK)).expect("an ask");
+    assert_eq!(read, PeerMessage::Grants(GrantMessage::Ask(GrantAsk { limit: None, ..ask() })));
+}
+
+/// The build before drops a message only for its first byte, or where its own fields cannot be read.
+#[test]
+fn the_build_before_reads_what_this_one_writes() {
+    let written = |message: &PeerMessage| encode_message(message).expect("short enough");
+    let (now, before) = (written(&PeerMessage::Heartbeat(heartbeat())), bytes(FORMER_HEARTBEAT));
+    assert_eq!(now[..before.len()], before, "what is new comes at the end");
+    let read: FormerHeartbeat = postcard::from_bytes(&now[2..]).expect("its fields are there");
+    assert_eq!((read.node.as_str(), read.heard, read.capacity), ("front-a-1", 3, 100));
+    let (now, before) =
+        (written(&PeerMessage::Grants(GrantMessage::Ask(ask()))), bytes(FORMER_ASK));
+    assert_eq!(now[..before.len()], before, "what is new comes at the end");
+    let read: FormerAsk = postcard::from_bytes(&now[3..]).expect("its fields are there");
+    assert_eq!((read.ask, read.left_ms, read.event_ms), (42, 700, 35));
+}
+
+/// A kind that the build before does not know is one datagram that it drops, as it does with foreign bytes.
+#[test]
+fn what_is_told_of_limits_comes_back_as_it_was() {
+    let report = ask().limit.expect("it has one");
+    let over = LimitReport { limit: None, ..report };
+    let message = PeerMessage::Limits(vec![report, over]);
+    let bytes = encode_message(&message).expect("short enough");
+    assert_eq!(decode_message(&bytes), Some(message));
+}
+
+#[test]
+fn a_limit_that_is_none_is_not_believed_of_a_message() {
+    let mut bytes = encode_message(&PeerMessage::Grants(GrantMessage::Ask(ask()))).expect("short");
+    let at =
+        bytes.windows(8).position(|eight| eight == 2.1_f64.to_le_bytes()).expect("it is there");
+    for rate in [f64::NAN, f64::INFINITY, -1.0] {
+        bytes[at..at + 8].copy_from_slice(&rate.to_le_bytes());
+        let read = decode_message(&bytes).expect("an ask");
+        assert_eq!(read, PeerMessage::Grants(GrantMessage::Ask(GrantAsk { limit: None, ..ask() })));
+    }
+}
--- a/crates/portrack/tests/gateway/messages.rs
+++ b/crates/portrack/tests/gateway/messages.rs
@@ -1,8 +1,8 @@
 //! Datagrams between daemons.
 
 use portrack::gateway::{
-    Heartbeat, MAX_DATAGRAM, NewsReport, NoticeState, PeerMessage, PlacementNotice, Standing,
-    decode_message, encode_message,
+    Capabilities, Heartbeat, MAX_DATAGRAM, NewsReport, NoticeState, PeerMessage, PlacementNotice,
+    Standing, decode_message, encode_message,
 };
 use proptest::prelude::*;
 
@@ -31,6 +31,7 @@
         heard: 3,
         capacity: 100,
         news: (1..=5).map(news).collect(),
+        capabilities: Capabilities::OWN,
     })
 }
 
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! Who is there.
 
 use portrack::Time;
-use portrack::gateway::{Heartbeat, PeerChange, Peers};
+use portrack::gateway::{Capabilities, Heartbeat, PeerChange, Peers};
 use std::net::SocketAddr;
 
 fn address(last: u8) -> SocketAddr {
@@ -24,6 +24,7 @@
         heard: 3,
         capacity: 100,
         news: Vec::new(),
+        capabilities: Capabilities::OWN,
     }
 }
 
--- a/crates/portrack/tests/gateway/quarantine.rs
+++ b/crates/portrack/tests/gateway/quarantine.rs
@@ -2,8 +2,8 @@
 //! nodes together, while datagrams are lost, halls are cut off, nodes restart and stand still.
 
 use portrack::gateway::{
-    DaemonAt, Daemons, HoldRecord, MarkedCaller, MarkedRequest, PeerMessage, QuarantineMessage,
-    QuarantineState, RequestMark, SendVerdict, ServerEnd, encode_message,
+    Capabilities, DaemonAt, Daemons, HoldRecord, MarkedCaller, MarkedRequest, PeerMessage,
+    QuarantineMessage, QuarantineState, RequestMark, SendVerdict, ServerEnd, encode_message,
 };
 use portrack::types::Time;
 use rand::rngs::SmallRng;
@@ -84,6 +84,7 @@
             address: SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8], 1)),
             hall: format!("h{}", n % halls).into(),
             capacity: 1,
+            capabilities: Capabilities::OWN,
         };
         let all: Vec<DaemonAt> = (0..nodes).map(at).collect();
         let node = |at: &DaemonAt| Node {
--- a/crates/portrack/tests/gateway/regions.rs
+++ b/crates/portrack/tests/gateway/regions.rs
@@ -3,9 +3,9 @@
 use crate::support::{backend, key};
 use portrack::Time;
 use portrack::gateway::{
-    AllowedRegions, Backend, DaemonAt, Daemons, Heartbeat, Home, LoadTable, Offer, Peers, Place,
-    RegionBounds, Regions, WorkGuard, better_of_two, cheaper_of_two, cheapest, dispatchers, home,
-    silent_regions,
+    AllowedRegions, Backend, Capabilities, DaemonAt, Daemons, Heartbeat, Home, LoadTable, Offer,
+    Peers, Place, RegionBounds, Regions, WorkGuard, better_of_two, cheaper_of_two, cheapest,
+    dispatchers, home, silent_regions,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -156,7 +156,12 @@
 }
 
 fn daemon(last: u8, hall: &str) -> DaemonAt {
-    DaemonAt { address: ([10, 0, 0, last], 7_000).into(), hall: hall.into(), capacity: 10 }
+    DaemonAt {
+        address: ([10, 0, 0, last], 7_000).into(),
+        hall: hall.into(),
+        capacity: 10,
+        capabilities: Capabilities::OWN,
+    }
 }
 
 fn daemons() -> Daemons {
@@ -244,6 +249,7 @@
         news: Vec::new(),
         heard: 76,
         capacity: 100,
+        capabilities: Capabilities::OWN,
     };
     peers.heard(Time(now), heartbeat);
 }
