--- a/crates/portrack/src/gateway/backpressure/keeper.rs
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -5,6 +5,7 @@
 use super::bucket::LimitRule;
 use super::limit::{NamedLimit, RateLimit};
 use super::message::{LimitReport, REPORTS};
+use super::rest::NamedRest;
 use super::telling::LimitTelling;
 use crate::gateway::dialect::AnswerMeta;
 use crate::gateway::fleet::audience::{Audience, passes_on};
@@ -96,6 +97,11 @@
 
     /// Takes in an answer to a request that was sent at `asked_at`.
     pub fn answered(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
+        log_words(backend, status, meta);
+        self.hear_limit(backend, asked_at, status, meta);
+    }
+
+    fn hear_limit(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
         let limit = match meta.limit {
             NamedLimit::Named(limit) => Some(limit),
             NamedLimit::Unnamed if status == NOT_MEANT => return,
@@ -183,6 +189,17 @@
     }
 }
 
+/// A line for each answer by which a server leaves or asks for rest.
+fn log_words(backend: &Backend, status: u16, meta: &AnswerMeta) {
+    if meta.leaving || meta.rest != NamedRest::Unnamed {
+        let rest_ms = meta.rest.get().map_or(-1, |rest| rest.as_millis() as i64);
+        log::info!(
+            server = &*backend.id, status = status, leaving = meta.leaving, rest_ms = rest_ms;
+            "server_words"
+        );
+    }
+}
+
 fn log_change(server: &str, change: LimitChange, age_ms: u64, from: LearnedFrom) {
     let rate = |limit: Option<RateLimit>| limit.map_or(-1.0, RateLimit::get);
     log::info!(
--- a/crates/portrack/src/gateway/backpressure/mod.rs
+++ b/crates/portrack/src/gateway/backpressure/mod.rs
@@ -11,4 +11,5 @@
 pub(in crate::gateway) mod keeper;
 pub(in crate::gateway) mod limit;
 pub(in crate::gateway) mod message;
+pub(in crate::gateway) mod rest;
 pub(in crate::gateway) mod telling;
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::admission::Credential;
 use crate::gateway::backpressure::limit::NamedLimit;
+use crate::gateway::backpressure::rest::NamedRest;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::FleetConfig;
 use actix_http::header::HeaderMap;
@@ -108,6 +109,10 @@
     pub not_run: bool,
     /// How many requests a second the server takes, if it says so.
     pub limit: NamedLimit,
+    /// The server says that it is leaving.
+    pub leaving: bool,
+    /// For how long it wants nothing, if it turns the request away.
+    pub rest: NamedRest,
 }
 
 /// What a server is to do.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub use backpressure::keeper::{Backpressure, BackpressureMetrics, BackpressureParts};
 pub use backpressure::limit::{NamedLimit, RateLimit};
 pub use backpressure::message::LimitReport;
+pub use backpressure::rest::NamedRest;
 pub use backpressure::telling::LimitTelling;
 pub use choosing::choose::{Offer, better_of_two, cheaper_of_two, cheapest, two_of};
 pub use choosing::crowding::copy_pays;
