A server that says in an answer that it leaves gets nothing more in that life

What callers saw: a server that said in each answer that it leaves got requests for 13 s more, until the store told of it.

Cause: the same class as with limits. That a server leaves was read from its entry in the store alone; the store was away, and the word in answers was handed on unread.

The mend: the head of any answer (success, failure, turned away, orders and reports too) takes the word into the view of the fleet, where entries put it: one truth, which the check right before each send asks. It sticks for that life: an entry that says otherwise, lapses and comes back changes nothing; a later life begins anew. Others are told by a message of its own, three times and when they come up; a build that does not know it drops it.

Why it holds: there is one place that says whether a server may get requests.

--- a/crates/portrack/src/gateway/backpressure/keeper.rs
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -6,7 +6,7 @@
 use super::limit::{NamedLimit, RateLimit};
 use super::message::{LimitReport, REPORTS};
 use super::rest::NamedRest;
-use super::telling::LimitTelling;
+use super::telling::ServerTelling;
 use crate::gateway::dialect::AnswerMeta;
 use crate::gateway::fleet::audience::{Audience, passes_on};
 use crate::gateway::fleet::backend::Backend;
@@ -66,7 +66,7 @@
 pub struct Backpressure {
     parts: BackpressureParts,
     limits: RefCell<LimitBeliefs>,
-    telling: RefCell<LimitTelling>,
+    telling: RefCell<ServerTelling>,
 }
 
 impl Backpressure {
@@ -101,6 +101,12 @@
         self.hear_limit(backend, asked_at, status, meta);
     }
 
+    /// Takes in an answer to an order or to a question for a report: a limit that it names holds, one that it does not name is
+    /// not over.
+    pub fn called(&self, backend: &Backend, meta: &AnswerMeta) {
+        self.hear_limit(backend, Time::default(), NOT_MEANT, meta);
+    }
+
     fn hear_limit(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
         let limit = match meta.limit {
             NamedLimit::Named(limit) => Some(limit),
@@ -189,14 +195,11 @@
     }
 }
 
-/// A line for each answer by which a server leaves or asks for rest.
+/// A line for each answer by which a server asks for rest.
 fn log_words(backend: &Backend, status: u16, meta: &AnswerMeta) {
-    if meta.leaving || meta.rest != NamedRest::Unnamed {
+    if meta.rest != NamedRest::Unnamed {
         let rest_ms = meta.rest.get().map_or(-1, |rest| rest.as_millis() as i64);
-        log::info!(
-            server = &*backend.id, status = status, leaving = meta.leaving, rest_ms = rest_ms;
-            "server_words"
-        );
+        log::info!(server = &*backend.id, status = status, rest_ms = rest_ms; "server_words");
     }
 }
 
--- a/crates/portrack/src/gateway/backpressure/telling.rs
+++ b/crates/portrack/src/gateway/backpressure/telling.rs
@@ -1,4 +1,4 @@
-//! Which servers' limits are to be told of, and when: datagrams are lost.
+//! Which servers are to be told of, and when: datagrams are lost.
 
 use crate::types::Time;
 use std::collections::BTreeMap;
@@ -8,7 +8,7 @@
 /// forty all three are lost once in 64,000 times.
 const TOLD_AFTER: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(400), Duration::from_millis(1_200)];
-/// Between two tellings of one server at least, however often its limit changes.
+/// Between two tellings of one server at least, however often what is told of it changes.
 const APART: Duration = Duration::from_millis(300);
 
 #[derive(Debug, Clone, Copy)]
@@ -19,9 +19,9 @@
 
 /// The servers to tell of, by the marks of their lives.
 #[derive(Debug, Clone, Default)]
-pub struct LimitTelling(BTreeMap<u32, Pending>);
+pub struct ServerTelling(BTreeMap<u32, Pending>);
 
-impl LimitTelling {
+impl ServerTelling {
     /// Has a server told of from now on.
     pub fn add(&mut self, now: Time, server: u32) {
         let pending = self.0.entry(server).or_insert(Pending { due_at: now, times: 0 });
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -3,8 +3,10 @@
 use crate::gateway::admission::{KeyRules, Quotas, StoreProof};
 use crate::gateway::arrivals::{GrantMetrics, GrantParts, Grants};
 use crate::gateway::backpressure::keeper::{Backpressure, BackpressureMetrics, BackpressureParts};
+use crate::gateway::backpressure::leaving::{LeavingParts, LeavingServers};
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
+use crate::gateway::connections::answer::AnswerHead;
 use crate::gateway::connections::pool::Pool;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::dispatch::{SlotParts, Slots};
@@ -176,6 +178,13 @@
                 unreadable: metrics.unreadable_limits.clone(),
             },
         }));
+        let leaving = LeavingParts {
+            clock: clock.clone(),
+            view: view.clone(),
+            messenger: messenger.clone(),
+            me: me.clone(),
+            daemons: daemons_up.clone(),
+        };
         let slots = Slots::new(SlotParts {
             clock: clock.clone(),
             view: view.clone(),
@@ -237,6 +246,7 @@
             loads,
             pool,
             backpressure,
+            leaving: Rc::new(LeavingServers::new(leaving)),
             quarantine: Rc::new(quarantine),
             retries: RefCell::new(retries),
             demand: Rc::new(DemandLog::default()),
@@ -355,6 +365,24 @@
         self.path.changed.notify_waiters();
     }
 
+    /// Follows up what servers themselves say of their leaving, for ever.
+    pub(in crate::gateway) async fn see_to_leaving(self: Rc<Self>) {
+        loop {
+            let changes = self.path.leaving.changes().await;
+            let now = self.now();
+            changes.iter().for_each(|(change, source)| self.note(now, change, source.name()));
+            self.path.changed.notify_waiters();
+        }
+    }
+
+    /// Takes in the head of an answer to an order, or to a question for a report.
+    pub(in crate::gateway) fn on_call_answered(&self, server: &str, head: &AnswerHead) {
+        let backend = self.path.view.borrow().backend(server).cloned();
+        let Some(backend) = backend else { return };
+        self.path.backpressure.called(&backend, &head.meta);
+        self.path.leaving.answered(&backend, head.meta.leaving);
+    }
+
     fn note(self: &Rc<Self>, now: Time, change: &ViewChange, source: &str) {
         let view = self.path.view.borrow();
         let mut planner = self.ordering.planner.borrow_mut();
--- a/crates/portrack/src/gateway/fleet/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -54,6 +54,7 @@
             self.path.grants.pass_time();
             self.path.quarantine.pass_time();
             self.path.backpressure.pass_time();
+            self.path.leaving.pass_time();
         }
     }
 
@@ -96,6 +97,7 @@
             PeerMessage::Slots(message) => self.path.slots.on_message(message, from),
             PeerMessage::Grants(message) => self.path.grants.on_message(message, from),
             PeerMessage::Quarantine(message) => self.path.quarantine.on_message(message),
+            PeerMessage::Leaving(marks) => self.path.leaving.on_message(&marks),
             PeerMessage::Limits(reports) => self.path.grants.on_limits(&reports),
             PeerMessage::Quota(message) => self.path.quotas.on_message(message, from),
         }
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -172,6 +172,7 @@
         if change == Some(PeerChange::Up) {
             self.path.quarantine.introduce(address);
             self.path.backpressure.introduce(address);
+            self.path.leaving.introduce(address);
         }
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
--- a/crates/portrack/src/gateway/fleet/lives.rs
+++ b/crates/portrack/src/gateway/fleet/lives.rs
@@ -64,10 +64,11 @@
         entry_life
     }
 
-    /// A server is gone. Its newest life is remembered if its entries tell lives apart.
+    /// A server is gone. Its newest life is remembered if its entries tell lives apart, or if it was leaving: its entry
+    /// may lapse while it lives, and come back as that of a server which takes work.
     pub fn gone(&mut self, id: &str) {
         let Some((id, life)) = self.newest.get_key_value(id) else { return };
-        let (id, told) = (id.clone(), life.born.is_some());
+        let (id, told) = (id.clone(), life.born.is_some() || life.draining);
         if !told {
             self.newest.remove(&id);
             return;
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -41,6 +41,8 @@
     Quarantine(QuarantineMessage),
     /// Limits that servers name.
     Limits(Vec<LimitReport>),
+    /// Servers that leave, by the marks of their lives.
+    Leaving(Vec<u32>),
 }
 
 impl PeerMessage {
@@ -58,6 +60,7 @@
             Self::Grants(_) => "grants",
             Self::Quarantine(_) => "quarantine",
             Self::Limits(_) => "limits",
+            Self::Leaving(_) => "leaving",
         }
     }
 }
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -323,6 +323,13 @@
         })
     }
 
+    /// One life of a server has said itself that it leaves; its entry need not say so, now or later.
+    pub fn learn_leaving(&mut self, id: &str, server: u32) -> Vec<ViewChange> {
+        let meant = |known: &&Rc<Backend>| known.mark() == server && !known.draining;
+        let Some(known) = self.listed.get(id).filter(meant) else { return Vec::new() };
+        self.apply_backend(Backend { draining: true, ..Backend::clone(known) })
+    }
+
     fn apply_version(
         &mut self,
         learned_at: Option<Time>,
--- a/crates/portrack/src/gateway/orders/order_call.rs
+++ b/crates/portrack/src/gateway/orders/order_call.rs
@@ -6,6 +6,7 @@
 use crate::gateway::dialect::Dialect;
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
+use std::cell::OnceCell;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -51,16 +52,25 @@
     NotSent,
 }
 
+/// Told of the head of each answer, with the server that was meant.
+pub(in crate::gateway) type AnswerHeard = Box<dyn Fn(&str, &AnswerHead)>;
+
 /// Makes calls.
 pub(in crate::gateway) struct OrderCalls {
     dialect: Rc<dyn Dialect>,
     pool: Rc<Pool>,
+    heard: OnceCell<AnswerHeard>,
 }
 
 impl OrderCalls {
     /// No connections yet.
     pub fn new(dialect: Rc<dyn Dialect>) -> Self {
-        Self { dialect, pool: Rc::default() }
+        Self { dialect, pool: Rc::default(), heard: OnceCell::new() }
+    }
+
+    /// Has the head of each answer told from now on; the first one who asks hears.
+    pub fn hear_answers(&self, heard: AnswerHeard) {
+        let _ = self.heard.set(heard);
     }
 
     /// Forgets a server that is gone.
@@ -83,7 +93,7 @@
             lent.keep();
             return Called::NotSent;
         }
-        let answering = self.answer(lent, &bytes);
+        let answering = self.answer(call.server, lent, &bytes);
         match actix_rt::time::timeout(call.patience, answering).await {
             Ok(Some(answer)) => Called::Answer(answer),
             Ok(None) | Err(_) => Called::NoAnswer,
@@ -105,10 +115,13 @@
         bytes
     }
 
-    async fn answer(&self, mut lent: Lent, bytes: &[u8]) -> Option<CallAnswer> {
+    async fn answer(&self, server: &str, mut lent: Lent, bytes: &[u8]) -> Option<CallAnswer> {
         let connection = lent.connection();
         connection.send(bytes).await.ok()?;
         let head: AnswerHead = connection.head(&*self.dialect).await.ok()?;
+        if let Some(heard) = self.heard.get() {
+            heard(server, &head);
+        }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = BytesMut::new();
         while let Some(part) = connection.part(&mut decoder).await.ok()? {
--- a/crates/portrack/src/gateway/orders/ordering.rs
+++ b/crates/portrack/src/gateway/orders/ordering.rs
@@ -2,7 +2,7 @@
 //! other daemons what came of them.
 
 use super::claims::Claims;
-use super::order_call::{Called, OrderCall, OrderCalls};
+use super::order_call::{AnswerHeard, Called, OrderCall, OrderCalls};
 use super::planner::{LoadProgress, Plan, PlanEnd, PlannedLoad, Planner};
 use crate::gateway::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind, ServerReport};
 use crate::gateway::fleet::message::{NoticeState, PlacementNotice};
@@ -130,6 +130,11 @@
         self.calls.sweep();
     }
 
+    /// Has the heads of answers to orders and to questions for reports told.
+    pub(in crate::gateway) fn hear_answers(&self, heard: AnswerHeard) {
+        self.calls.hear_answers(heard);
+    }
+
     /// Begins every step that is due.
     pub fn begin_due(self: &Rc<Self>, sink: &Rc<impl NoticeSink + 'static>) {
         let now = self.clock.now();
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -9,6 +9,7 @@
 use crate::gateway::admission::{Charge, KeyRules, Quotas, StoreProof, organisation_of};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
 use crate::gateway::backpressure::keeper::Backpressure;
+use crate::gateway::backpressure::leaving::LeavingServers;
 use crate::gateway::choosing::demand::DemandLog;
 use crate::gateway::choosing::load::LoadTable;
 use crate::gateway::connections::answer::AnswerHead;
@@ -67,6 +68,8 @@
     pub pool: Rc<Pool>,
     /// What servers say of how much they take.
     pub backpressure: Rc<Backpressure>,
+    /// Servers that leave by their own word.
+    pub leaving: Rc<LeavingServers>,
     /// Requests that servers ended under.
     pub quarantine: Rc<Quarantine>,
     /// What may be repeated.
@@ -270,6 +273,7 @@
         };
         let heard = |head: &AnswerHead| {
             self.backpressure.answered(backend, now, head.status.as_u16(), &head.meta);
+            self.leaving.answered(backend, head.meta.leaving);
         };
         let outgoing = Outgoing { request_id: id, bytes: &bytes, most_connections: most };
         let exchanging = exchange(&*self.dialect, &self.pool, backend, outgoing, may_send, heard);
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -78,6 +78,12 @@
     );
     let daemon = GatewayDaemon::new(settings, clock, dialect, store, socket, incarnation);
     let daemon = Rc::new(daemon);
+    let hearing = Rc::downgrade(&daemon);
+    daemon.ordering.hear_answers(Box::new(move |server, head| {
+        if let Some(daemon) = hearing.upgrade() {
+            daemon.on_call_answered(server, head);
+        }
+    }));
     actix_rt::spawn(daemon.clone().follow_store());
     actix_rt::spawn(daemon.clone().follow_peers());
     actix_rt::spawn(daemon.clone().answer_peers(members));
@@ -95,6 +101,7 @@
     actix_rt::spawn(daemon.clone().renew_lease());
     actix_rt::spawn(daemon.clone().plan_steps());
     actix_rt::spawn(daemon.clone().see_to_evacuated());
+    actix_rt::spawn(daemon.clone().see_to_leaving());
     actix_rt::spawn(daemon.clone().sweep());
     actix_rt::spawn(daemon.clone().accept_callers(callers));
     actix_rt::spawn(answer_readiness(daemon.clone(), readiness));
