A server that turns requests away and asks for rest gets it from the node it asked

What callers saw: a server that turned all away and asked for three seconds of rest got ten requests of one node within one rest, and from all nodes more than before; the second tries used up what may be repeated, and 122 requests that others had room for were refused.

A server that turns away at once looks like the idlest.

The mend: 503 and 429 with a readable Retry-After close the server for this node until then, at choice, wish, dispatch and right before a send. What comes later cuts no rest short. When it is over one request goes to see, a further one after half a second without an answer; nodes come back up to a quarter of a second apart. Where all servers rest, callers are refused at once with the soonest end. The rest is this node's own: others are not told.

Why it holds: who may serve a request is decided in one place (may_serve), which each choice goes through.

--- a/crates/portrack/src/gateway/backpressure/keeper.rs
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -6,6 +6,7 @@
 use super::limit::{NamedLimit, RateLimit};
 use super::message::{LimitReport, REPORTS};
 use super::rest::NamedRest;
+use super::rests::Rests;
 use super::telling::ServerTelling;
 use crate::gateway::dialect::AnswerMeta;
 use crate::gateway::fleet::audience::{Audience, passes_on};
@@ -19,17 +20,29 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A server that answers a request with this does not have what the request needs, or has only the address of the one that
 /// is meant: what it says may narrow what is believed, never widen it.
 const NOT_MEANT: u16 = 421;
 
+/// Statuses by which a server turns a request away, and may ask for rest.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+/// Nodes come back up to a tenth later than a rest's end, and up to this.
+const SPREAD_SHARE: u32 = 10;
+const SPREAD: Duration = Duration::from_millis(250);
+
 /// What is counted.
 pub struct BackpressureMetrics {
     /// Servers that name a limit now.
     pub limited: IntGauge,
-    /// Answers that name a limit which cannot be read.
+    /// Answers that name a limit or a rest which cannot be read.
     pub unreadable: IntCounter,
+    /// Servers that rest from this node now.
+    pub resting: IntGauge,
+    /// Answers that asked for rest.
+    pub rests: IntCounter,
 }
 
 /// What keeping limits hangs on.
@@ -66,13 +79,15 @@
 pub struct Backpressure {
     parts: BackpressureParts,
     limits: RefCell<LimitBeliefs>,
+    rests: RefCell<Rests>,
     telling: RefCell<ServerTelling>,
 }
 
 impl Backpressure {
     /// Nothing heard yet.
     pub fn new(parts: BackpressureParts) -> Self {
-        Self { parts, limits: RefCell::default(), telling: RefCell::default() }
+        let (limits, rests) = (RefCell::default(), RefCell::default());
+        Self { parts, limits, rests, telling: RefCell::default() }
     }
 
     /// The limit that a life of a server names, if any.
@@ -97,8 +112,43 @@
 
     /// Takes in an answer to a request that was sent at `asked_at`.
     pub fn answered(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
-        log_words(backend, status, meta);
         self.hear_limit(backend, asked_at, status, meta);
+        self.hear_rest(backend, asked_at, status, meta);
+    }
+
+    fn hear_rest(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
+        let (now, server) = (self.parts.clock.now(), backend.mark());
+        let turned_away = TURNED_AWAY.contains(&status);
+        let rest = meta.rest.get().filter(|rest| turned_away && !rest.is_zero());
+        let Some(rest) = rest else {
+            if turned_away && meta.rest == NamedRest::Unreadable {
+                self.parts.metrics.unreadable.inc();
+            }
+            self.rests.borrow_mut().answered(now, server, asked_at);
+            return;
+        };
+        if self.rests.borrow_mut().begin(now, server, rest + self.spread(server, rest)) {
+            let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+            log::info!(server = &*backend.id, status = status, rest_ms = rest_ms; "server_rest");
+        }
+        self.parts.metrics.rests.inc();
+    }
+
+    /// How much later than a rest's end this node comes back: each node at a time of its own.
+    fn spread(&self, server: u32, rest: Duration) -> Duration {
+        let me = self.parts.me.address.to_string();
+        let place = xxh3_64_with_seed(me.as_bytes(), server.into()) as f64 / u64::MAX as f64;
+        (rest / SPREAD_SHARE).min(SPREAD).mul_f64(place)
+    }
+
+    /// For how long a server wants nothing from this node; `None` if a request may be sent.
+    pub fn rest_left(&self, server: u32) -> Option<Duration> {
+        self.rests.borrow().left(self.parts.clock.now(), server)
+    }
+
+    /// A request is being sent to a server.
+    pub fn sent(&self, server: u32) {
+        self.rests.borrow_mut().sent(self.parts.clock.now(), server);
     }
 
     /// Takes in an answer to an order or to a question for a report: a limit that it names holds, one that it does not name is
@@ -190,16 +240,11 @@
 
     /// Forgets servers that are gone.
     pub fn retain(&self, is_known: impl Fn(u32) -> bool) {
-        self.limits.borrow_mut().retain(is_known);
+        self.limits.borrow_mut().retain(&is_known);
+        self.rests.borrow_mut().retain(&is_known);
         self.count();
-    }
-}
-
-/// A line for each answer by which a server asks for rest.
-fn log_words(backend: &Backend, status: u16, meta: &AnswerMeta) {
-    if meta.rest != NamedRest::Unnamed {
-        let rest_ms = meta.rest.get().map_or(-1, |rest| rest.as_millis() as i64);
-        log::info!(server = &*backend.id, status = status, rest_ms = rest_ms; "server_words");
+        let resting = self.rests.borrow().count(self.parts.clock.now());
+        self.parts.metrics.resting.set(resting as i64);
     }
 }
 
--- a/crates/portrack/src/gateway/backpressure/mod.rs
+++ b/crates/portrack/src/gateway/backpressure/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! - A server in need names a limit: the requests a second that it takes from all daemons. Arrivals there are granted by
 //!   one daemon (`arrivals/`). What binds less than what is believed is only believed on evidence that is certainly newer.
+//! - A server that turns requests away may ask this node for rest. The node keeps it for itself: it says nothing of others.
 //! - A server that leaves says so. It gets nothing more in that life, whatever its entry says.
 //!
 //! Every send is checked right before its first byte: what a server says may have been heard after it was chosen.
@@ -17,4 +18,5 @@
 pub(in crate::gateway) mod limit;
 pub(in crate::gateway) mod message;
 pub(in crate::gateway) mod rest;
+pub(in crate::gateway) mod rests;
 pub(in crate::gateway) mod telling;
--- a/crates/portrack/src/gateway/choosing/candidates.rs
+++ b/crates/portrack/src/gateway/choosing/candidates.rs
@@ -8,16 +8,38 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// When to come back while no server takes work.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 /// When to come back while no server is left in the regions that a request may be served in.
 const NO_ALLOWED_RETRY: Duration = Duration::from_millis(1_000);
 
 impl RequestPath {
-    /// True if a server is one that may serve a request, at its first send and at every other one.
+    /// True if a server is one that may serve a request now, at its first send and at every other one.
     pub(in crate::gateway) fn may_serve(&self, job: &Job<'_>, backend: &Backend) -> bool {
+        self.is_permitted(job, backend) && self.backpressure.rest_left(backend.mark()).is_none()
+    }
+
+    fn is_permitted(&self, job: &Job<'_>, backend: &Backend) -> bool {
         let regions = self.place.regions();
         backend.service == job.service.name && job.region_bounds().permits(regions, &backend.hall)
     }
 
+    /// When the first of the servers that rest may get a request again; `None` if none rests.
+    pub(in crate::gateway) fn soonest_rest(&self, job: &Job<'_>) -> Option<Duration> {
+        let view = self.view.borrow();
+        let open = view.open_backends(&job.service.name);
+        let permitted = open.filter(|backend| self.is_permitted(job, backend));
+        permitted.filter_map(|backend| self.backpressure.rest_left(backend.mark())).min()
+    }
+
+    /// The refusal of a request for which no server is left that takes work.
+    pub(in crate::gateway) fn none_left(&self, job: &Job<'_>) -> Refused {
+        match self.soonest_rest(job) {
+            Some(after) => Refused::new(RefusalReason::Busy, Some(after)),
+            None => Refused::new(RefusalReason::NoServer, Some(NO_SERVER_RETRY)),
+        }
+    }
+
     /// The servers that take new work and may serve a request.
     pub(in crate::gateway) fn candidates<'a>(
         &'a self,
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -31,8 +31,6 @@
 const COME_BACK_SLACK: Duration = Duration::from_millis(150);
 /// When to come back for an adapter that nobody is loading.
 const NOT_LOADED_RETRY: Duration = Duration::from_millis(1_500);
-/// When to come back while no server takes work.
-const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 /// A request whose objective has passed waits for a slot for this share of it.
 const LATE_WAIT_SHARE: f64 = 0.5;
 /// What this daemon found out by itself outweighs the list for this long.
@@ -54,6 +52,9 @@
     /// A server with a free slot, as the service's dispatcher knows it, or the best one as far as
     /// known here.
     async fn choose_plain(&self, job: &Job<'_>) -> Result<Choice, Refused> {
+        if self.candidates(&self.view.borrow(), job).next().is_none() {
+            return Err(self.none_left(job));
+        }
         let slot = self.slots.take(&job.service.name, self.slot_need(job)).await?;
         let view = self.view.borrow();
         let mut open = self.candidates(&view, job);
@@ -69,7 +70,7 @@
                 });
             }
         }
-        self.best(job, self.candidates(&view, job)).ok_or_else(no_server)
+        self.best(job, self.candidates(&view, job)).ok_or_else(|| self.none_left(job))
     }
 
     fn slot_need(&self, job: &Job<'_>) -> SlotNeed {
@@ -90,7 +91,7 @@
         let model = job.model().map(|model| model.model.clone()).unwrap_or_default();
         let open = self.candidates(&view, job);
         let holding = open.filter(|backend| backend.model(&model).is_some());
-        self.best(job, holding).ok_or_else(no_server)
+        self.best(job, holding).ok_or_else(|| self.none_left(job))
     }
 
     fn best<'a>(
@@ -127,7 +128,7 @@
             }
             // Where all servers are closed or cut off, waiting for the adapter is of no use.
             if !self.can_reach_candidate(job) {
-                return Err(no_server());
+                return Err(self.none_left(job));
             }
             if !missed {
                 missed = true;
@@ -449,7 +450,3 @@
 fn not_loaded(retry_after: Duration) -> Refused {
     Refused::new(RefusalReason::NotLoaded, Some(retry_after))
 }
-
-fn no_server() -> Refused {
-    Refused::new(RefusalReason::NoServer, Some(NO_SERVER_RETRY))
-}
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -175,7 +175,9 @@
             daemons: daemons_up.clone(),
             metrics: BackpressureMetrics {
                 limited: metrics.limited_servers.clone(),
-                unreadable: metrics.unreadable_limits.clone(),
+                unreadable: metrics.unreadable_words.clone(),
+                resting: metrics.resting_servers.clone(),
+                rests: metrics.rests.clone(),
             },
         }));
         let leaving = LeavingParts {
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -74,8 +74,12 @@
     pub trials: IntCounter,
     /// Servers that name a limit.
     pub limited_servers: IntGauge,
-    /// Answers that name a limit which cannot be read.
-    pub unreadable_limits: IntCounter,
+    /// Answers that name a limit or a rest which cannot be read.
+    pub unreadable_words: IntCounter,
+    /// Servers that want nothing from this daemon for a while.
+    pub resting_servers: IntGauge,
+    /// Answers that asked for rest.
+    pub rests: IntCounter,
     /// Requests held back right before they were sent, their servers having closed.
     pub held_back: IntCounter,
 }
@@ -142,10 +146,13 @@
             ),
             limited_servers: made
                 .gauge("limited_servers", "Servers that say how many requests a second they take"),
-            unreadable_limits: made.counter(
-                "unreadable_limits_total",
-                "Answers that name a limit which cannot be read",
+            unreadable_words: made.counter(
+                "unreadable_words_total",
+                "Answers that name a limit or a rest which cannot be read",
             ),
+            resting_servers: made
+                .gauge("resting_servers", "Servers that want nothing from this daemon for a while"),
+            rests: made.counter("rests_total", "Answers that asked for rest"),
             held_back: made.counter(
                 "held_back_requests_total",
                 "Requests held back right before they were sent to a server that has closed",
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub use backpressure::limit::{NamedLimit, RateLimit};
 pub use backpressure::message::LimitReport;
 pub use backpressure::rest::NamedRest;
+pub use backpressure::rests::Rests;
 pub use backpressure::telling::ServerTelling;
 pub use choosing::choose::{Offer, better_of_two, cheaper_of_two, cheapest, two_of};
 pub use choosing::crowding::copy_pays;
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -39,6 +39,8 @@
     Closed,
     /// The server names a limit, as became known before the request was written, and no grant of late lets it in.
     Ungranted,
+    /// The server wants nothing from this node for a while, as became known before the request was written.
+    Resting,
     /// The request is held back, as became known before it was written.
     HeldBack,
     /// The server could not be reached.
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -191,12 +191,16 @@
         self.runs > 0
     }
 
-    /// The end when no other server is to be tried.
-    pub(in crate::gateway) fn out_of_tries(&self, reason: RefusalReason) -> RequestEnd {
+    /// The end when no other server is to be tried; `after` tells when one takes work again, if that is known.
+    pub(in crate::gateway) fn out_of_tries(
+        &self,
+        reason: RefusalReason,
+        after: Option<Duration>,
+    ) -> RequestEnd {
         if self.may_have_run() {
             return RequestEnd::Refused(Refused::new(RefusalReason::Lost, None));
         }
-        RequestEnd::Refused(Refused::new(reason, Some(BUSY_RETRY)))
+        RequestEnd::Refused(Refused::new(reason, after.or(Some(BUSY_RETRY))))
     }
 }
 
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -245,7 +245,7 @@
         if job.sends > 0 && !self.may_send_again(job) {
             return Next::End(match relay.begun() {
                 true => RequestEnd::Broken("retry budget".into()),
-                false => job.out_of_tries(RefusalReason::Budget),
+                false => job.out_of_tries(RefusalReason::Budget, None),
             });
         }
         let backend = &choice.backend;
@@ -263,13 +263,17 @@
         job.charge.may_run();
         choice.sent(now);
         self.traffic.with_server("requests", &backend.hall, bytes.len());
-        let id = &job.request.meta.id;
+        let (id, mark) = (&job.request.meta.id, backend.mark());
         // What is known of the server may have changed while a connection was opened.
         let may_send = || match self.view.borrow().may_get(self.clock.now(), &backend.id) {
             false => Err(NotRun::Closed),
             true if self.held_for(job).is_some() => Err(NotRun::HeldBack),
             true if !self.is_let_in(choice) => Err(NotRun::Ungranted),
-            true => Ok(()),
+            true if self.backpressure.rest_left(mark).is_some() => Err(NotRun::Resting),
+            true => {
+                self.backpressure.sent(mark);
+                Ok(())
+            }
         };
         let heard = |head: &AnswerHead| {
             self.backpressure.answered(backend, now, head.status.as_u16(), &head.meta);
@@ -392,7 +396,7 @@
                 // It says nothing of the server; only its place is given back.
                 choice.ended(SlotEnd::Answered);
             }
-            NotRun::Ungranted => {
+            NotRun::Ungranted | NotRun::Resting => {
                 job.sends -= 1;
                 job.tried.pop();
                 choice.grant_ended(GrantEnd::Unsent);
@@ -428,7 +432,7 @@
         }
         Next::End(match relay.begun() {
             true => RequestEnd::Broken("no server left".into()),
-            false => job.out_of_tries(RefusalReason::Busy),
+            false => job.out_of_tries(RefusalReason::Busy, self.soonest_rest(job)),
         })
     }
 
--- a/crates/portrack/tests/gateway/backpressure.rs
+++ b/crates/portrack/tests/gateway/backpressure.rs
@@ -83,3 +83,55 @@
         }
     }
 }
+
+mod rests {
+    use crate::support::ms;
+    use portrack::Time;
+    use portrack::gateway::Rests;
+
+    #[test]
+    fn a_rest_is_kept_to_its_end_and_not_cut_short_by_a_later_word() {
+        let mut rests = Rests::default();
+        assert_eq!(rests.left(Time(0), 1), None);
+        assert!(rests.begin(Time(100), 1, ms(3_000)));
+        assert!(!rests.begin(Time(200), 1, ms(500)), "it rests already");
+        assert_eq!(rests.left(Time(1_000), 1), Some(ms(2_100)));
+        rests.answered(Time(1_500), 1, Time(1_400));
+        assert_eq!(rests.left(Time(3_099), 1), Some(ms(1)), "no answer ends it before");
+        assert_eq!(rests.left(Time(3_100), 1), None);
+        assert_eq!(rests.left(Time(1_000), 2), None, "another life of the server");
+    }
+
+    #[test]
+    fn when_it_is_over_one_request_goes_at_a_time_until_one_is_answered() {
+        let mut rests = Rests::default();
+        rests.begin(Time(0), 1, ms(1_000));
+        assert_eq!(rests.left(Time(1_000), 1), None);
+        rests.sent(Time(1_000), 1);
+        assert!(rests.left(Time(1_001), 1).is_some(), "one is on its way");
+        assert_eq!(rests.left(Time(1_500), 1), None, "it may be lost");
+        rests.sent(Time(1_500), 1);
+        rests.answered(Time(1_520), 1, Time(1_000));
+        assert_eq!(rests.left(Time(1_521), 1), None);
+        rests.sent(Time(1_521), 1);
+        assert_eq!(rests.left(Time(1_522), 1), None, "all may go");
+    }
+
+    #[test]
+    fn an_answer_to_what_was_sent_before_the_rest_does_not_end_it() {
+        let mut rests = Rests::default();
+        rests.begin(Time(100), 1, ms(50));
+        rests.answered(Time(200), 1, Time(90));
+        rests.sent(Time(210), 1);
+        assert!(rests.left(Time(220), 1).is_some(), "one shows whether it is over");
+    }
+
+    #[test]
+    fn a_request_that_is_turned_away_again_begins_a_new_rest() {
+        let mut rests = Rests::default();
+        rests.begin(Time(0), 1, ms(1_000));
+        rests.sent(Time(1_000), 1);
+        assert!(rests.begin(Time(1_020), 1, ms(1_000)));
+        assert_eq!(rests.left(Time(1_900), 1), Some(ms(120)));
+    }
+}
