--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -8,3 +8,4 @@
 mod series;
 mod servers;
 mod versions;
+mod words;
