A daemon that is being stopped leaves duties for others to the others

Cause: its own list of daemons that do duties had itself in it, which all others leave out from its last heartbeat on. As the first in order it went on granting arrivals at a server that names a limit to its own requests, and another daemon granted the whole limit to all others (read in the code; no play showed it). The same held for dispatchers and granters of cold servers.

A counter tells how many requests passed a server over for want of room within its limit.

--- a/crates/portrack/src/gateway/backpressure/keeper.rs
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -43,6 +43,8 @@
     pub resting: IntGauge,
     /// Answers that asked for rest.
     pub rests: IntCounter,
+    /// Servers passed over by requests since they had no room within their limits.
+    pub full: IntCounter,
 }
 
 /// What keeping limits hangs on.
@@ -146,6 +148,11 @@
         self.rests.borrow().left(self.parts.clock.now(), server)
     }
 
+    /// A request passes a server over that has no room within its limit.
+    pub fn passed_over(&self) {
+        self.parts.metrics.full.inc();
+    }
+
     /// A request is being sent to a server.
     pub fn sent(&self, server: u32) {
         self.rests.borrow_mut().sent(self.parts.clock.now(), server);
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -178,6 +178,7 @@
                 unreadable: metrics.unreadable_words.clone(),
                 resting: metrics.resting_servers.clone(),
                 rests: metrics.rests.clone(),
+                full: metrics.full_servers.clone(),
             },
         }));
         let leaving = LeavingParts {
--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -50,6 +50,16 @@
         Self(all)
     }
 
+    /// Those that may do duties for others, as `me` sees them: itself among them unless it is being stopped. Others leave it
+    /// out then, so that two daemons would do the same duty, each without knowing what the other one gives.
+    pub fn for_duties(me: DaemonAt, stopping: bool, others: Vec<DaemonAt>) -> Self {
+        let mut all = others;
+        if all.is_empty() || !stopping {
+            all.push(me);
+        }
+        Self(all)
+    }
+
     /// All of them.
     pub fn all(&self) -> impl Iterator<Item = &DaemonAt> {
         self.0.iter()
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -89,7 +89,7 @@
         self.path.daemons_up.replace(daemons);
     }
 
-    /// The daemons that may do duties for others, this one included.
+    /// The daemons that may do duties for others.
     fn daemons_that_stay(&self, now: Time) -> Daemons {
         let peers = self.peers.borrow();
         let staying = peers.up(now).filter(|(_, peer)| !peer.heartbeat.leaving);
@@ -99,7 +99,7 @@
             capacity: peer.heartbeat.capacity,
             capabilities: peer.heartbeat.capabilities,
         });
-        Daemons::new(std::iter::once(self.settings.as_daemon()).chain(others).collect())
+        Daemons::for_duties(self.settings.as_daemon(), self.stopping(), others.collect())
     }
 
     fn look_at_halls(&self, now: Time) {
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -80,6 +80,8 @@
     pub resting_servers: IntGauge,
     /// Answers that asked for rest.
     pub rests: IntCounter,
+    /// Servers passed over by requests since they had no room within their limits.
+    pub full_servers: IntCounter,
     /// Requests held back right before they were sent, their servers having closed.
     pub held_back: IntCounter,
 }
@@ -153,6 +155,10 @@
             resting_servers: made
                 .gauge("resting_servers", "Servers that want nothing from this daemon for a while"),
             rests: made.counter("rests_total", "Answers that asked for rest"),
+            full_servers: made.counter(
+                "full_servers_total",
+                "Servers passed over by requests for want of room within their limits",
+            ),
             held_back: made.counter(
                 "held_back_requests_total",
                 "Requests held back right before they were sent to a server that has closed",
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod coldness;
 mod crowding;
+mod daemons;
 mod demand;
 mod dispatch;
 mod evacuation;
