Adapters are not loaded at servers that have no room within their limits

A limited server went on being the home of a part of all adapters: each was fetched there, its request found no room, and the time to wait for another fetch was over by then.

Change: a server at which requests of this node found no room within five seconds is no home while others are; a request that found no room waits for its adapter elsewhere as one that has just come.

The path checked right before a send has a function of its own.

--- a/crates/portrack/src/gateway/backpressure/keeper.rs
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -17,7 +17,7 @@
 use crate::types::{Clock, Time};
 use prometheus::{IntCounter, IntGauge};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +29,8 @@
 
 /// Statuses by which a server turns a request away, and may ask for rest.
 const TURNED_AWAY: [u16; 2] = [429, 503];
+/// A server without room within its limit is no home for adapters for so long: about as long as one is used.
+const FULL_LATELY: Duration = Duration::from_millis(5_000);
 /// Nodes come back up to a tenth later than a rest's end, and up to this.
 const SPREAD_SHARE: u32 = 10;
 const SPREAD: Duration = Duration::from_millis(250);
@@ -82,6 +84,8 @@
     parts: BackpressureParts,
     limits: RefCell<LimitBeliefs>,
     rests: RefCell<Rests>,
+    /// When requests last passed over servers without room within their limits.
+    full: RefCell<HashMap<u32, Time>>,
     telling: RefCell<ServerTelling>,
 }
 
@@ -89,7 +93,7 @@
     /// Nothing heard yet.
     pub fn new(parts: BackpressureParts) -> Self {
         let (limits, rests) = (RefCell::default(), RefCell::default());
-        Self { parts, limits, rests, telling: RefCell::default() }
+        Self { parts, limits, rests, full: RefCell::default(), telling: RefCell::default() }
     }
 
     /// The limit that a life of a server names, if any.
@@ -148,9 +152,16 @@
         self.rests.borrow().left(self.parts.clock.now(), server)
     }
 
-    /// A request passes a server over that has no room within its limit.
-    pub fn passed_over(&self) {
+    /// A request of this node passes a server over that has no room within its limit.
+    pub fn passed_over(&self, server: u32) {
         self.parts.metrics.full.inc();
+        self.full.borrow_mut().insert(server, self.parts.clock.now());
+    }
+
+    /// True if a server had no room within its limit a while ago: what is loaded there now could not be used.
+    pub fn is_full(&self, server: u32) -> bool {
+        let last = self.full.borrow().get(&server).copied();
+        last.is_some_and(|at| self.parts.clock.now().since(at) < FULL_LATELY)
     }
 
     /// A request is being sent to a server.
@@ -249,6 +260,7 @@
     pub fn retain(&self, is_known: impl Fn(u32) -> bool) {
         self.limits.borrow_mut().retain(&is_known);
         self.rests.borrow_mut().retain(&is_known);
+        self.full.borrow_mut().retain(|server, _| is_known(*server));
         self.count();
         let resting = self.rests.borrow().count(self.parts.clock.now());
         self.parts.metrics.resting.set(resting as i64);
--- a/crates/portrack/src/gateway/choosing/granted.rs
+++ b/crates/portrack/src/gateway/choosing/granted.rs
@@ -55,9 +55,9 @@
                 Ok(Some(choice)) => return Ok(choice),
                 Ok(None) => {}
                 Err(refused) => {
-                    let limited = !job.full.borrow().is_empty();
                     soonest = Some(sooner(soonest, refused));
-                    if !limited || !self.has_roomier(job) {
+                    let for_a_limit = !job.full.borrow().is_empty();
+                    if !for_a_limit || !self.has_roomier(job) {
                         break;
                     }
                 }
@@ -158,7 +158,7 @@
         if self.grants.is_limited(backend) {
             job.full.borrow_mut().push(backend.id.clone());
             choice.ended(SlotEnd::Unsent);
-            self.backpressure.passed_over();
+            self.backpressure.passed_over(backend.mark());
             self.loads.reads_until(&backend.id, self.clock.now() + after.min(FULL_FOR));
         }
     }
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -113,8 +113,10 @@
 
     async fn choose_adapter(&self, job: &Job<'_>, key: &AdapterKey) -> Result<Choice, Refused> {
         let arrived = job.request.arrived;
-        // After a failed try the caller's patience counts from what it heard last, about now.
-        let since = if job.sends == 0 { arrived } else { self.clock.now() };
+        // After a failed try the caller's patience counts from what it heard last, about now. A request that found no room
+        // within its server's limit begins anew too: it could not know that before.
+        let is_first = job.sends == 0 && job.full.borrow().is_empty();
+        let since = if is_first { arrived } else { self.clock.now() };
         let sign_by = since + job.route.objective.mul_f64(SIGN_SHARE);
         let in_time = arrived + job.route.objective.saturating_sub(FIRST_EVENT);
         let give_up = since + patience(&job.route);
@@ -138,7 +140,7 @@
             let now = self.clock.now();
             let expected = self.view.borrow().expected(now, key);
             self.note_adapter(job, now, expected);
-            let fast = now < sign_by && job.sends == 0;
+            let fast = now < sign_by && is_first;
             let until = match expected {
                 Some(at) if at > in_time && fast => {
                     return Err(not_loaded(at.since(now) + COME_BACK_SLACK));
@@ -205,7 +207,12 @@
                 && !cut
                 && (self.is_ordered)(&backend.id)
         });
-        let homes: Vec<Home> = open
+        let (full, roomy): (Vec<_>, Vec<_>) =
+            open.partition(|backend| self.backpressure.is_full(backend.mark()));
+        // What is loaded at a server without room within its limit could not be used there.
+        let among = if roomy.is_empty() { full } else { roomy };
+        let homes: Vec<Home> = among
+            .into_iter()
             .map(|backend| Home {
                 server: backend.id.clone(),
                 slots: backend.slots,
--- a/crates/portrack/src/gateway/requests/path.rs
+++ b/crates/portrack/src/gateway/requests/path.rs
@@ -263,18 +263,8 @@
         job.charge.may_run();
         choice.sent(now);
         self.traffic.with_server("requests", &backend.hall, bytes.len());
-        let (id, mark) = (&job.request.meta.id, backend.mark());
-        // What is known of the server may have changed while a connection was opened.
-        let may_send = || match self.view.borrow().may_get(self.clock.now(), &backend.id) {
-            false => Err(NotRun::Closed),
-            true if self.held_for(job).is_some() => Err(NotRun::HeldBack),
-            true if !self.is_let_in(choice) => Err(NotRun::Ungranted),
-            true if self.backpressure.rest_left(mark).is_some() => Err(NotRun::Resting),
-            true => {
-                self.backpressure.sent(mark);
-                Ok(())
-            }
-        };
+        let id = &job.request.meta.id;
+        let may_send = || self.may_send_now(job, choice);
         let heard = |head: &AnswerHead| {
             self.backpressure.answered(backend, now, head.status.as_u16(), &head.meta);
             self.leaving.answered(backend, head.meta.leaving);
@@ -333,6 +323,26 @@
         }
     }
 
+    /// Whether a request may be sent at this moment: what is known of its server, and of the request, may have changed while a
+    /// connection was opened.
+    fn may_send_now(&self, job: &Job<'_>, choice: &Choice) -> Result<(), NotRun> {
+        let (backend, mark) = (&choice.backend, choice.backend.mark());
+        if !self.view.borrow().may_get(self.clock.now(), &backend.id) {
+            return Err(NotRun::Closed);
+        }
+        if self.held_for(job).is_some() {
+            return Err(NotRun::HeldBack);
+        }
+        if self.backpressure.rest_left(mark).is_some() {
+            return Err(NotRun::Resting);
+        }
+        if !self.is_let_in(choice) {
+            return Err(NotRun::Ungranted);
+        }
+        self.backpressure.sent(mark);
+        Ok(())
+    }
+
     /// True if a request may be sent by the limit that its server names, if it does: on a grant, and before long. The
     /// server may have named it after it was chosen.
     fn is_let_in(&self, choice: &Choice) -> bool {
--- a/crates/portrackd/tests/soak/callers.rs
+++ b/crates/portrackd/tests/soak/callers.rs
@@ -54,6 +54,8 @@
     running: Rc<Cell<usize>>,
     /// The share of requests that one region alone may serve.
     home: Rc<Cell<f64>>,
+    /// Adapters asked for beyond the usual ones.
+    more_adapters: Rc<Cell<usize>>,
 }
 
 impl Callers {
@@ -62,6 +64,11 @@
         self.home.set(share);
     }
 
+    /// Has so many more adapters asked for.
+    pub fn ask_for_more(&self, adapters: usize) {
+        self.more_adapters.set(adapters);
+    }
+
     /// Starts callers, spread over the daemons.
     pub fn start(&self, seed: u64, callers: usize, daemons: &[SocketAddr]) {
         for n in 0..callers {
@@ -90,7 +97,11 @@
         let mut number = 0;
         while !self.stopped.get() {
             let popular = random.random_bool(POPULAR);
-            let adapter = if popular { 1 } else { random.random_range(2..=ADAPTERS) };
+            let adapter = if popular {
+                1
+            } else {
+                random.random_range(2..=ADAPTERS + self.more_adapters.get())
+            };
             let id = format!("c{n}r{number}");
             number += 1;
             let sent = Instant::now();
--- a/crates/portrackd/tests/soak/words.rs
+++ b/crates/portrackd/tests/soak/words.rs
@@ -40,6 +40,13 @@
 const DISTURBED_FOR: Duration = Duration::from_millis(3_000);
 const LIMITS: [f64; 5] = [0.0, 0.5, 2.0, 5.0, 20.0];
 
+/// Servers, places at each and adapters asked for where two servers take little.
+const LIMITED_SERVERS: usize = 6;
+const LIMITED_PLACES: usize = 12;
+const LIMITED_ADAPTERS: usize = 200;
+/// Of the requests that are served otherwise, so many may be refused then.
+const LIMITED_COST: f64 = 0.03;
+
 struct Play {
     fleet: Fleet,
     random: SmallRng,
@@ -228,6 +235,32 @@
     assert!(broken.is_empty(), "{} of {} plays: {broken:#?}", broken.len(), seeds.len());
 }
 
+/// Servers that take little of what comes to them are no reason to refuse requests while others have room: adapters that only
+/// they hold are loaded elsewhere.
+#[actix_rt::test]
+async fn two_servers_of_six_that_take_one_request_a_second_cost_few_refusals() {
+    let plan = FleetPlan { places: LIMITED_PLACES, ..FleetPlan::new(DAEMONS, LIMITED_SERVERS) };
+    let fleet = Fleet::start_as("limited", plan).await;
+    let callers = Callers::default();
+    callers.ask_for_more(LIMITED_ADAPTERS);
+    callers.start(7, CALLERS, &fleet.callers());
+    actix_rt::time::sleep(CONTACT).await;
+    let before = Instant::now();
+    actix_rt::time::sleep(SPAN).await;
+    let named = Instant::now();
+    for server in &fleet.servers[..2] {
+        server.say(ServerWords { limit: Some(1.0), ..ServerWords::default() });
+    }
+    actix_rt::time::sleep(CONTACT).await;
+    let from = Instant::now();
+    actix_rt::time::sleep(SPAN * 2).await;
+    let asked = callers.stop().await;
+    let until_named: Vec<_> = asked.iter().filter(|one| one.sent < named).cloned().collect();
+    let (free, limited) = (served_after(&until_named, before), served_after(&asked, from));
+    println!("served {free:.3} without limits, {limited:.3} with them");
+    assert!(limited >= free - LIMITED_COST, "{free:.3} without limits, {limited:.3} with them");
+}
+
 /// The judge finds what it is for.
 #[test]
 fn what_comes_against_a_servers_word_is_seen() {
