Of a limit below what is asked for, who has just come is refused at once and not who has waited

Cause: the last in the order of deadlines made way, often one that had waited for most of its time; and a request that had found no room could wait beyond its caller's patience, counted anew.

--- a/crates/portrack/src/gateway/arrivals/granter.rs
+++ b/crates/portrack/src/gateway/arrivals/granter.rs
@@ -278,8 +278,7 @@
         }
         let is_shared = self.waiting.iter().any(|waiting| waiting.ask.organisation.is_some());
         if rule.limit.is_some() && !is_shared {
-            // Of a limit below what is asked for the most urgent have their part.
-            return Some(*last);
+            return self.newest_of_least_urgent();
         }
         let turn = |place| order.iter().position(|other| *other == place);
         let waiting = self.waiting.iter().enumerate();
@@ -288,6 +287,15 @@
         Some(makes_way(&waiting))
     }
 
+    /// The place of the newest of the least urgent requests: the urgent have their part of a limit below what is asked for, and
+    /// who has waited is not refused for who has just come.
+    fn newest_of_least_urgent(&self) -> Option<usize> {
+        let waiting = self.waiting.iter().enumerate();
+        let last =
+            waiting.max_by_key(|(place, waiting)| (waiting.ask.priority, waiting.since, *place));
+        last.map(|(place, _)| place)
+    }
+
     /// When a refused caller may come back: behind all who wait, one after the other.
     fn refusal(&mut self, now: Time, rule: &ServerRule, pace: f64) -> GrantAnswer {
         let last = self.turn_order(now, pace).last().map(|place| self.waiting[*place].id);
--- a/crates/portrack/src/gateway/choosing/placing.rs
+++ b/crates/portrack/src/gateway/choosing/placing.rs
@@ -113,13 +113,14 @@
 
     async fn choose_adapter(&self, job: &Job<'_>, key: &AdapterKey) -> Result<Choice, Refused> {
         let arrived = job.request.arrived;
-        // After a failed try the caller's patience counts from what it heard last, about now. A request that found no room
-        // within its server's limit begins anew too: it could not know that before.
+        // After a failed try the caller's patience counts from what it heard last, about now.
+        let heard_last = if job.sends == 0 { arrived } else { self.clock.now() };
+        // A request that found no room within its server's limit looks for a sign anew: it could not know that before.
         let is_first = job.sends == 0 && job.full.borrow().is_empty();
         let since = if is_first { arrived } else { self.clock.now() };
         let sign_by = since + job.route.objective.mul_f64(SIGN_SHARE);
         let in_time = arrived + job.route.objective.saturating_sub(FIRST_EVENT);
-        let give_up = since + patience(&job.route);
+        let give_up = heard_last + patience(&job.route);
         let mut missed = false;
         if job.sends == 0 {
             self.demand.asked(self.clock.now(), key);
