--- a/crates/portrack/src/gateway/arrivals/grants.rs
+++ b/crates/portrack/src/gateway/arrivals/grants.rs
@@ -377,8 +377,7 @@
     /// Takes in what another daemon knows of servers that name limits; what it says of unknown ones is passed over.
     pub fn on_limits(&self, reports: &[LimitReport]) {
         for report in reports {
-            let before =
-                self.servers.borrow().get(&report.server).map(|granted| granted.id.clone());
+            let before = self.granted_id(report.server);
             if let Some(backend) = self.backend(report.server, before.as_deref()) {
                 self.backpressure.hear(&backend, report);
             }
@@ -426,10 +425,14 @@
         self.carry_out(orders);
     }
 
+    /// The id of a server that this daemon has granted arrivals at.
+    fn granted_id(&self, server: u32) -> Option<Rc<str>> {
+        self.servers.borrow().get(&server).map(|granted| granted.id.clone())
+    }
+
     /// A server that broke off or could not be reached may have started again.
     fn doubt(&self, server: u32) {
-        let id = self.servers.borrow().get(&server).map(|granted| granted.id.clone());
-        if let Some(id) = id {
+        if let Some(id) = self.granted_id(server) {
             self.coldness.borrow_mut().doubt(self.clock.now(), &id);
         }
     }
--- a/crates/portrack/src/gateway/arrivals/knowing.rs
+++ b/crates/portrack/src/gateway/arrivals/knowing.rs
@@ -60,7 +60,7 @@
         let daemons = self.daemons.borrow();
         let region = self.regions.of(&backend.hall);
         let server = backend.mark();
-        let is_limited = self.backpressure.limit(server).is_some();
+        let is_limited = self.is_limited(backend);
         let fits = |daemon: &DaemonAt| {
             answers(daemon) && (!is_limited || daemon.capabilities.keep_limits())
         };
@@ -87,9 +87,9 @@
         self.backpressure.limit(backend.mark()).is_some()
     }
 
-    /// True if a request whose granter does not answer may be sent; never to a server that names a limit. Where servers have a cold start, a
-    /// daemon sends one that it takes for warm a request now and then, and one that may be cold the same
-    /// only if it is one of the few that have a share there.
+    /// True if a request whose granter does not answer may be sent; never to a server that names a limit. Where
+    /// servers have a cold start, a daemon sends one that it takes for warm a request now and then, and one that may
+    /// be cold the same only if it is one of the few that have a share there.
     pub fn may_send_alone(&self, backend: &Backend) -> bool {
         if self.is_limited(backend) {
             return false;
--- a/crates/portrack/src/gateway/backpressure/keeper.rs
+++ b/crates/portrack/src/gateway/backpressure/keeper.rs
@@ -9,7 +9,7 @@
 use super::rests::Rests;
 use super::telling::ServerTelling;
 use crate::gateway::dialect::AnswerMeta;
-use crate::gateway::fleet::audience::{Audience, passes_on};
+use crate::gateway::fleet::audience::passes_on;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
 use crate::gateway::fleet::message::PeerMessage;
@@ -17,7 +17,7 @@
 use crate::types::{Clock, Time};
 use prometheus::{IntCounter, IntGauge};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -118,7 +118,8 @@
 
     /// Takes in an answer to a request that was sent at `asked_at`.
     pub fn answered(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
-        self.hear_limit(backend, asked_at, status, meta);
+        let may_widen = status != NOT_MEANT;
+        self.hear_limit(backend, may_widen.then_some(asked_at), meta);
         self.hear_rest(backend, asked_at, status, meta);
     }
 
@@ -172,13 +173,15 @@
     /// Takes in an answer to an order or to a question for a report: a limit that it names holds, one that it does not name is
     /// not over.
     pub fn called(&self, backend: &Backend, meta: &AnswerMeta) {
-        self.hear_limit(backend, Time::default(), NOT_MEANT, meta);
+        self.hear_limit(backend, None, meta);
     }
 
-    fn hear_limit(&self, backend: &Backend, asked_at: Time, status: u16, meta: &AnswerMeta) {
+    /// Takes in what an answer says of its server's limit. Without the time at which it was asked for it may only narrow what is
+    /// believed.
+    fn hear_limit(&self, backend: &Backend, asked_at: Option<Time>, meta: &AnswerMeta) {
         let limit = match meta.limit {
             NamedLimit::Named(limit) => Some(limit),
-            NamedLimit::Unnamed if status == NOT_MEANT => return,
+            NamedLimit::Unnamed if asked_at.is_none() => return,
             NamedLimit::Unnamed => None,
             NamedLimit::Unreadable => {
                 self.parts.metrics.unreadable.inc();
@@ -187,7 +190,7 @@
         };
         let (now, server) = (self.parts.clock.now(), backend.mark());
         // As if it had been asked for before all else: then it cannot be newer than what it would widen.
-        let asked_at = if status == NOT_MEANT { Time::default() } else { asked_at };
+        let asked_at = asked_at.unwrap_or_default();
         let evidence = LimitEvidence { limit, asked_at, heard_at: now };
         if self.take(server, &backend.id, evidence, LearnedFrom::Answer) {
             self.telling.borrow_mut().add(now, server);
@@ -222,22 +225,16 @@
 
     /// Tells what is due.
     pub fn pass_time(&self) {
-        let now = self.parts.clock.now();
-        let due = self.telling.borrow_mut().due(now);
-        if due.is_empty() {
-            return;
-        }
-        let mut by_address: BTreeMap<SocketAddr, Vec<LimitReport>> = BTreeMap::new();
-        for server in due {
-            let limits = self.limits.borrow();
-            let Some(belief) = limits.get(server) else { continue };
-            let report = LimitReport::new(now, server, belief.evidence());
-            let daemons = self.parts.daemons.borrow();
-            for to in Audience::All.addresses(&daemons, &self.parts.me, server.into()) {
-                by_address.entry(to).or_default().push(report);
-            }
+        let (now, daemons) = (self.parts.clock.now(), self.parts.daemons.borrow());
+        let due = self.telling.borrow_mut().due_by_address(now, &daemons, &self.parts.me);
+        let limits = self.limits.borrow();
+        let report = |server: u32| {
+            let belief = limits.get(server)?;
+            Some(LimitReport::new(now, server, belief.evidence()))
+        };
+        for (to, servers) in due {
+            self.tell(&servers.into_iter().filter_map(report).collect::<Vec<_>>(), to);
         }
-        by_address.into_iter().for_each(|(to, reports)| self.tell(&reports, to));
     }
 
     /// Tells a daemon that has just come up, or is heard again, which servers name limits.
--- a/crates/portrack/src/gateway/backpressure/leaving.rs
+++ b/crates/portrack/src/gateway/backpressure/leaving.rs
@@ -1,7 +1,7 @@
 //! Servers that say in their answers that they leave: for the rest of their lives, whatever their entries say.
 
 use super::telling::ServerTelling;
-use crate::gateway::fleet::audience::{Audience, passes_on};
+use crate::gateway::fleet::audience::passes_on;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
 use crate::gateway::fleet::message::PeerMessage;
@@ -9,7 +9,6 @@
 use crate::gateway::fleet::view::{FleetView, ViewChange};
 use crate::types::Clock;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -100,15 +99,9 @@
 
     /// Tells what is due.
     pub fn pass_time(&self) {
-        let due = self.telling.borrow_mut().due(self.parts.clock.now());
-        let mut by_address: BTreeMap<SocketAddr, Vec<u32>> = BTreeMap::new();
-        for server in due {
-            let daemons = self.parts.daemons.borrow();
-            for to in Audience::All.addresses(&daemons, &self.parts.me, server.into()) {
-                by_address.entry(to).or_default().push(server);
-            }
-        }
-        by_address.into_iter().for_each(|(to, marks)| self.tell(&marks, to));
+        let (now, daemons) = (self.parts.clock.now(), self.parts.daemons.borrow());
+        let due = self.telling.borrow_mut().due_by_address(now, &daemons, &self.parts.me);
+        due.into_iter().for_each(|(to, marks)| self.tell(&marks, to));
     }
 
     /// Tells a daemon that has just come up, or is heard again, which servers leave: their entries may not say so.
--- a/crates/portrack/src/gateway/backpressure/telling.rs
+++ b/crates/portrack/src/gateway/backpressure/telling.rs
@@ -1,7 +1,10 @@
 //! Which servers are to be told of, and when: datagrams are lost.
 
+use crate::gateway::fleet::audience::Audience;
+use crate::gateway::fleet::daemons::{DaemonAt, Daemons};
 use crate::types::Time;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A change is told so long after the one before, counted from when it became known: of a link that loses one datagram in
@@ -30,6 +33,22 @@
         pending.times = 0;
     }
 
+    /// The daemons to tell now, each with the servers to tell it of.
+    pub fn due_by_address(
+        &mut self,
+        now: Time,
+        daemons: &Daemons,
+        me: &DaemonAt,
+    ) -> BTreeMap<SocketAddr, Vec<u32>> {
+        let mut by_address: BTreeMap<SocketAddr, Vec<u32>> = BTreeMap::new();
+        for server in self.due(now) {
+            for to in Audience::All.addresses(daemons, me, server.into()) {
+                by_address.entry(to).or_default().push(server);
+            }
+        }
+        by_address
+    }
+
     /// The servers to tell of now.
     pub fn due(&mut self, now: Time) -> Vec<u32> {
         let mut due = Vec::new();
--- a/crates/portrack/src/gateway/choosing/candidates.rs
+++ b/crates/portrack/src/gateway/choosing/candidates.rs
@@ -63,18 +63,25 @@
 
     /// True if a server that takes new work and may serve a request is in a data hall that is heard.
     pub(in crate::gateway) fn can_reach_candidate(&self, job: &Job<'_>) -> bool {
-        let view = self.view.borrow();
-        let mut candidates = self.candidates(&view, job);
-        candidates.any(|backend| !self.loads.is_hall_silent(&backend.hall))
+        self.reachable(&self.view.borrow(), job).next().is_some()
+    }
+
+    /// The candidates in data halls that are heard.
+    fn reachable<'a>(
+        &'a self,
+        view: &'a FleetView,
+        job: &'a Job<'a>,
+    ) -> impl Iterator<Item = &'a Rc<Backend>> + 'a {
+        let candidates = self.candidates(view, job);
+        candidates.filter(|backend| !self.loads.is_hall_silent(&backend.hall))
     }
 
     /// True if a request that was refused for the limits of servers may find another one: for an adapter that only these
     /// hold, one without a limit, since a load there is worth it.
     pub(in crate::gateway) fn has_roomier(&self, job: &Job<'_>) -> bool {
         let view = self.view.borrow();
-        let mut others = self.candidates(&view, job).filter(|backend| {
-            !job.is_passed_over(&backend.id) && !self.loads.is_hall_silent(&backend.hall)
-        });
+        let reachable = self.reachable(&view, job);
+        let mut others = reachable.filter(|backend| !job.is_passed_over(&backend.id));
         let needs_load = job.model().is_some() && job.adapter().is_some();
         others.any(|backend| !needs_load || !self.grants.is_limited(backend))
     }
--- a/crates/portrackd/tests/soak/crashes.rs
+++ b/crates/portrackd/tests/soak/crashes.rs
@@ -7,7 +7,7 @@
 use crate::callers::Callers;
 use crate::fleet::{Fleet, FleetPlan, HOST, MODEL};
 use crate::judge::{Verdict, served_after};
-use crate::series::number;
+use crate::series::play_seeds;
 use portrack_platform_standins::{Arrival, CHAT_PATH, CallerConnection, CallerRequest, Crash};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -168,18 +168,7 @@
 
 #[actix_rt::test]
 async fn requests_that_crash_servers_stop_being_sent_whatever_happens_to_daemons() {
-    let first = number("PORTRACK_SOAK_FIRST", FIRST_SEED);
-    let seeds: Vec<u64> = (first..first + number("PORTRACK_SOAK_SEEDS", SEEDS)).collect();
-    let mut broken = Vec::new();
-    for chunk in seeds.chunks(PLAYS_AT_ONCE) {
-        for played in futures_util::future::join_all(chunk.iter().map(|seed| play(*seed))).await {
-            match played {
-                Ok(told) => println!("{told}"),
-                Err(why) => broken.push(why),
-            }
-        }
-    }
-    assert!(broken.is_empty(), "{} of {} plays: {broken:#?}", broken.len(), seeds.len());
+    play_seeds(FIRST_SEED, SEEDS, PLAYS_AT_ONCE, play).await;
 }
 
 /// The judge finds what it is for.
--- a/crates/portrackd/tests/soak/series.rs
+++ b/crates/portrackd/tests/soak/series.rs
@@ -141,6 +141,27 @@
     Err(format!("{told}; logs in {}; {verdict:?}", play.fleet.folder().display()))
 }
 
+/// Plays the seeds that the environment names, or `seeds` from `first` on, some at the same time; fails with what was broken.
+pub async fn play_seeds<F: Future<Output = Result<String, String>>>(
+    first: u64,
+    seeds: u64,
+    at_once: usize,
+    play: impl Fn(u64) -> F,
+) {
+    let first = number("PORTRACK_SOAK_FIRST", first);
+    let seeds: Vec<u64> = (first..first + number("PORTRACK_SOAK_SEEDS", seeds)).collect();
+    let mut broken = Vec::new();
+    for chunk in seeds.chunks(at_once) {
+        for played in futures_util::future::join_all(chunk.iter().map(|seed| play(*seed))).await {
+            match played {
+                Ok(told) => println!("{told}"),
+                Err(why) => broken.push(why),
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{} of {} plays: {broken:#?}", broken.len(), seeds.len());
+}
+
 /// A number from the environment.
 pub fn number(variable: &str, otherwise: u64) -> u64 {
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
--- a/crates/portrackd/tests/soak/words.rs
+++ b/crates/portrackd/tests/soak/words.rs
@@ -6,7 +6,7 @@
 use crate::callers::Callers;
 use crate::fleet::{Fleet, FleetPlan};
 use crate::judge::{Verdict, served_after};
-use crate::series::number;
+use crate::series::play_seeds;
 use portrack_platform_standins::{Said, ServerWords};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -221,18 +221,7 @@
 
 #[actix_rt::test]
 async fn what_servers_say_in_their_answers_is_kept_to_whatever_happens_to_daemons() {
-    let first = number("PORTRACK_SOAK_FIRST", FIRST_SEED);
-    let seeds: Vec<u64> = (first..first + number("PORTRACK_SOAK_SEEDS", SEEDS)).collect();
-    let mut broken = Vec::new();
-    for chunk in seeds.chunks(PLAYS_AT_ONCE) {
-        for played in futures_util::future::join_all(chunk.iter().map(|seed| play(*seed))).await {
-            match played {
-                Ok(told) => println!("{told}"),
-                Err(why) => broken.push(why),
-            }
-        }
-    }
-    assert!(broken.is_empty(), "{} of {} plays: {broken:#?}", broken.len(), seeds.len());
+    play_seeds(FIRST_SEED, SEEDS, PLAYS_AT_ONCE, play).await;
 }
 
 /// Servers that take little of what comes to them are no reason to refuse requests while others have room: adapters that only
