Retries: a line and a count for each, with reason, spent, allowed and share

The lines of a request tell how often it was sent, but not why, nor what the budget looked like then. Each send beyond the first now has one line and one count, with its reason and the budget's state. No decision has changed.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -267,6 +267,7 @@
             traffic,
             daemon_count: Cell::new(1),
             loads_are_delayed: Cell::new(false),
+            retry_counts: metrics.retries.clone(),
             held_back: metrics.held_back.clone(),
             is_ordered: claim_predicate(
                 clock.clone(),
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -89,6 +89,8 @@
     pub backoffs: IntCounter,
     /// Servers skipped during selection because they had no room within their limits.
     pub full_servers: IntCounter,
+    /// Retries by service, reason, and whether the budget allowed them.
+    pub retries: IntCounterVec,
     /// Requests stopped right before they were sent because their server no longer accepted requests.
     pub held_back: IntCounter,
 }
@@ -176,6 +178,11 @@
                 "full_servers_total",
                 "Servers passed over by requests for want of room within their limits",
             ),
+            retries: maker.counters(
+                "retries_total",
+                "Sends beyond the first that were due, by outcome at the budget",
+                &["service", "reason", "budget"],
+            ),
             held_back: maker.counter(
                 "held_back_requests_total",
                 "Requests held back right before they were sent to a server that has closed",
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -4,12 +4,14 @@
 use super::exchange::{NotRunReason, OutgoingRequest, SendOutcome, request_bytes, send_request};
 use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, timed_out};
 use super::relay::{Relay, RelayOutcome};
-use super::retries::RetryBudgets;
+use super::retries::{BudgetState, RetryBudgets};
+use super::retry_reason::RetryReason;
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
 use crate::gateway::backpressure::leaving::LeavingServers;
 use crate::gateway::backpressure::tracker::Backpressure;
+use crate::gateway::connections::connection::ExchangeError;
 use crate::gateway::connections::pool::ConnectionPool;
 use crate::gateway::connections::response::ResponseHead;
 use crate::gateway::dialect::{Dialect, ForwardMeta};
@@ -25,7 +27,7 @@
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
 use crate::types::{Clock, Time};
-use prometheus::IntCounter;
+use prometheus::{IntCounter, IntCounterVec};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +39,8 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// Multiple of its latency objective after which a repeatable request is tried at another server.
 const SLOW_OBJECTIVES: u32 = 3;
+/// Description of the failure of a send that was given up for another server.
+const SLOW: &str = "slow";
 
 /// Handles requests; holds the state that they share.
 pub struct RequestHandler {
@@ -87,6 +91,8 @@
     /// Whether the servers' loads are known only some hundred milliseconds late, as in fleets where not
     /// every heartbeat is sent to all daemons.
     pub loads_are_delayed: Cell<bool>,
+    /// Counts retries by service, reason, and whether the budget allowed them.
+    pub retry_counts: IntCounterVec,
     /// Counts requests that were held back just before they were sent, since their server had closed.
     pub held_back: IntCounter,
 }
@@ -182,6 +188,7 @@
             server: None,
             last_event: request.last_event.clone(),
             last_failure: String::new(),
+            retry_reason: None,
             adapter_note: RefCell::default(),
             fingerprint: OnceCell::new(),
             on_trial: false,
@@ -276,9 +283,7 @@
         let sent = match self.slow_timeout(job, now) {
             Some(slow_timeout) => match actix_rt::time::timeout(slow_timeout, sending).await {
                 Ok(sent) => sent,
-                Err(_) => SendOutcome::MayHaveRun(crate::gateway::ExchangeError::Lost {
-                    why: "slow".into(),
-                }),
+                Err(_) => SendOutcome::MayHaveRun(ExchangeError::Lost { why: SLOW.into() }),
             },
             None => sending.await,
         };
@@ -292,6 +297,7 @@
                 self.coldness.borrow_mut().assume_cold(self.clock.now(), &backend.id);
                 self.loads.record_outcome_of(self.clock.now(), backend, true);
                 job.last_failure = error.to_string();
+                job.retry_reason = Some(loss_reason(&error));
                 self.record_connection_lost(job, &error, backend);
                 self.on_loss(job, relay)
             }
@@ -387,10 +393,31 @@
     }
 
     fn may_retry(&self, job: &Job<'_>) -> bool {
-        let now = self.clock.now();
-        job.possible_runs < job.route.attempts
-            && job.sends < job.route.attempts + MAX_EXTRA_SENDS
-            && self.retries.borrow_mut().try_take(now, &job.service.name, self.daemon_count.get())
+        let within_attempts = job.possible_runs < job.route.attempts
+            && job.sends < job.route.attempts + MAX_EXTRA_SENDS;
+        within_attempts && self.take_retry(job)
+    }
+
+    /// Takes a retry from the budget, and logs and counts that, or that the budget is spent.
+    fn take_retry(&self, job: &Job<'_>) -> bool {
+        let (now, service) = (self.clock.now(), &job.service.name);
+        let daemons = self.daemon_count.get();
+        let taken = self.retries.borrow_mut().try_take(now, service, daemons);
+        let state = self.retries.borrow_mut().state(now, service, daemons);
+        let reason = job.retry_reason.map_or("", RetryReason::name);
+        let outcome = if taken { "taken" } else { "spent" };
+        self.retry_counts.with_label_values(&[&**service, reason, outcome]).inc();
+        self.log_retry(job, reason, outcome, state);
+        taken
+    }
+
+    fn log_retry(&self, job: &Job<'_>, reason: &str, outcome: &str, state: BudgetState) {
+        log::info!(
+            request = &*job.request.meta.id, service = &*job.service.name, reason = reason,
+            sends = job.sends, runs = job.possible_runs, budget = outcome, spent = state.spent,
+            allowed = state.allowed, requests = state.requests, daemons = self.daemon_count.get();
+            "retry"
+        );
     }
 
     fn on_not_run(
@@ -439,6 +466,7 @@
                 }
             }
             NotRunReason::TurnedAway(status) => {
+                job.retry_reason = Some(RetryReason::Rejected);
                 choice.ended(SlotEnd::Failed);
                 if *status == 421 {
                     choice.grant_ended(GrantEnd::TurnedAway);
@@ -492,13 +520,16 @@
             RelayOutcome::Failed(status) => {
                 self.loads.record_outcome_of(now, server, true);
                 job.last_failure = format!("status {status}");
+                job.retry_reason = Some(RetryReason::Failed);
                 NextStep::Retry
             }
             RelayOutcome::Invalid(why) => {
+                job.retry_reason = Some(RetryReason::Invalid);
                 self.loads.record_outcome_of(now, server, true);
                 self.resume_elsewhere(job, why, relay)
             }
             RelayOutcome::Interrupted(error) => {
+                job.retry_reason = Some(RetryReason::Interrupted);
                 self.loads.record_outcome_of(now, server, true);
                 self.record_connection_lost(job, &error, server);
                 self.resume_elsewhere(job, error.to_string(), relay)
@@ -506,3 +537,10 @@
         }
     }
 }
+
+fn loss_reason(error: &ExchangeError) -> RetryReason {
+    match error {
+        ExchangeError::Lost { why } if why == SLOW => RetryReason::Slow,
+        _ => RetryReason::Lost,
+    }
+}
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -1,6 +1,7 @@
 //! State of a request while it is handled: its requirements, progress and outcome.
 
 use super::caller::{CallerRequest, RefusalReason, Refused};
+use super::retry_reason::RetryReason;
 use super::timings::Timings;
 use crate::gateway::admission::{AuthenticatedCaller, Charge};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, GrantTimings};
@@ -85,6 +86,8 @@
     pub last_event: Option<String>,
     /// Description of the last failure.
     pub last_failure: String,
+    /// How the last send that reached a server failed.
+    pub retry_reason: Option<RetryReason>,
     /// State of its adapter when it had to wait or was refused.
     pub adapter_note: RefCell<String>,
     /// Its fingerprint, computed on first use.
--- a/crates/portrack/src/gateway/requests/retries.rs
+++ b/crates/portrack/src/gateway/requests/retries.rs
@@ -21,6 +21,17 @@
     pub window: Duration,
 }
 
+/// State of a service's budget at one daemon.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetState {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub spent: u32,
+    /// Maximum retries in the window.
+    pub allowed: f64,
+}
+
 #[derive(Debug, Clone, Default)]
 struct SlotCounts {
     slot: u64,
@@ -65,19 +76,25 @@
         }
     }
 
-    /// Takes one retry if this daemon's share of the budget allows it. `daemons` is the number of daemons
-    /// that share the slack.
-    pub fn try_take(&mut self, now: Time, service: &Rc<str>, daemons: usize) -> bool {
+    /// The state of a service's budget. `daemons` is the number of daemons that share the slack.
+    pub fn state(&mut self, now: Time, service: &Rc<str>, daemons: usize) -> BudgetState {
         let bounds = self.bounds;
         let counts = self.counts(now, service);
         let requests: u32 = counts.iter().map(|count| count.requests).sum();
-        let retries: u32 = counts.iter().map(|count| count.retries).sum();
+        let spent: u32 = counts.iter().map(|count| count.retries).sum();
         let slack = bounds.slack / daemons.max(1) as f64;
-        let limit = (bounds.ratio * f64::from(requests) + slack) * BUDGET_SHARE;
-        if f64::from(retries) + 1.0 > limit {
+        let allowed = (bounds.ratio * f64::from(requests) + slack) * BUDGET_SHARE;
+        BudgetState { requests, spent, allowed }
+    }
+
+    /// Takes one retry if this daemon's share of the budget allows it. `daemons` is the number of daemons
+    /// that share the slack.
+    pub fn try_take(&mut self, now: Time, service: &Rc<str>, daemons: usize) -> bool {
+        let state = self.state(now, service, daemons);
+        if f64::from(state.spent) + 1.0 > state.allowed {
             return false;
         }
-        if let Some(count) = counts.back_mut() {
+        if let Some(count) = self.counts(now, service).back_mut() {
             count.retries += 1;
         }
         true
