--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -2,8 +2,8 @@
 
 use portrack::gateway::log_field;
 use portrack_platform_standins::{
-    Arrival, ChatPlan, ColdPlan, Crash, ModelServer, Operator, OrderSeen, READY_PATH, Run,
-    ServerPlan, StoreEndpoint, StoreServer,
+    Arrival, ChatPlan, ColdPlan, Crash, ModelServer, Operator, OrderSeen, READY_PATH,
+    ReceivedRequest, Run, ServerPlan, StoreEndpoint, StoreServer,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::{File, OpenOptions};
@@ -37,6 +37,8 @@
 pub const COLD_RATIO: f64 = 1.5;
 /// See [`COLD_RATIO`].
 pub const COLD_SLACK: f64 = 5.0;
+/// Slack of the retry budget in fleets whose tests are not about retries.
+const RETRY_SLACK: f64 = 500.0;
 /// Limit on the duration of a planned stop, in seconds.
 const STOP_WITHIN_S: f64 = 8.0;
 
@@ -67,6 +69,10 @@
     pub crashed_by: Option<String>,
     /// The era that the store reports at the start, if any.
     pub era: Option<u64>,
+    /// Retries of all daemons that are allowed in a window, in addition to the share of requests.
+    pub retry_slack: f64,
+    /// Whether every server has all adapters at the start, instead of each adapter one server.
+    pub replicates_adapters: bool,
 }
 
 impl FleetPlan {
@@ -82,6 +88,8 @@
             cold: None,
             crashed_by: None,
             era: None,
+            retry_slack: RETRY_SLACK,
+            replicates_adapters: false,
         }
     }
 }
@@ -188,7 +196,8 @@
         }
         let mut model_servers = Vec::new();
         for n in 0..servers {
-            let adapters = (1..=ADAPTERS).filter(|adapter| adapter % servers == n);
+            let is_initial = |adapter: &usize| plan.replicates_adapters || adapter % servers == n;
+            let adapters = (1..=ADAPTERS).filter(is_initial);
             let server = ServerPlan {
                 id: format!("i-{n}"),
                 service: SERVICE.into(),
@@ -232,10 +241,11 @@
         let regions = plan.halls.iter().map(|(hall, region)| format!("{hall} = \"{region}\"\n"));
         let regions: String = regions.collect();
         let (cold_ratio, cold_slack) = (COLD_RATIO, COLD_SLACK);
+        let retry_slack = plan.retry_slack;
         let text = format!(
             "node = \"{node}\"\nhall = \"{hall}\"\ncallers = \"{address}:{callers}\"\n\
              readiness = \"{address}:{readiness}\"\nmembers = \"{address}:{members}\"\n\
-             seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\n\n[bounds]\nretry_slack = 500.0\n\
+             seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\n\n[bounds]\nretry_slack = {retry_slack:?}\n\
              stop_within_s = {STOP_WITHIN_S}\nrevoke_within_ms = {REVOKED_WITHIN_MS}\n\
              evacuate_within_ms = {EVACUATED_WITHIN_MS}\ncold_ratio = {cold_ratio:?}\n\
              cold_slack = {cold_slack:?}\n\n[regions]\n{regions}",
@@ -369,6 +379,11 @@
         versions.map(|announced| announced.version).max().unwrap_or(1)
     }
 
+    /// All requests that arrived at servers, including refused ones.
+    pub fn received(&self) -> Vec<ReceivedRequest> {
+        self.servers.iter().flat_map(ModelServer::received).collect()
+    }
+
     /// All requests that servers started to run.
     pub fn runs(&self) -> Vec<Run> {
         self.servers.iter().flat_map(ModelServer::runs).collect()
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod invariants;
 mod keys;
+mod retries;
 mod returns;
 mod series;
 mod servers;
