Retries: what is repeated stays within the fleet's budget, whatever restarts or is cut off

Cause: the bound is on a sum over all daemons, kept by accounts that each begin full with their process and take a part of the slack by the daemons heard at that moment. Ruled out: arrivals that no account knows (every way to send again has a line now, and a test that walks them).

Change: the share of requests is bounded by each daemon's own requests, in periods for which the parts add up whoever is up; a new life has what its own requests earn. The slack is granted by the one daemon that holds a lease of the store, to whoever asks, and after a change of the holder only when its grants are forgotten. A permit is looked at right before the first byte and given back if unused.

Why it holds: no part depends on how many daemons there are (docs/design/retries.md). A property test plays restarts, cuts and failures against the users' window.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -24,7 +24,8 @@
 use crate::gateway::regions::locality::Locality;
 use crate::gateway::regions::traffic::RegionTraffic;
 use crate::gateway::requests::handler::RequestHandler;
-use crate::gateway::requests::retries::{RetryBounds, RetryBudgets};
+use crate::gateway::retries::bounds::RetryBounds;
+use crate::gateway::retries::budgets::{RetryBudgets, RetryBudgetsDeps};
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
 use crate::gateway::settings::GatewaySettings;
@@ -139,11 +140,11 @@
         let metrics = GatewayMetrics::new();
         let store = Rc::new(CountedStore::new(store, metrics.store_calls.clone()));
         let bounds = &settings.bounds;
-        let retries = RetryBudgets::new(RetryBounds {
+        let retry_bounds = RetryBounds {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
             window: Duration::from_secs_f64(bounds.retry_window_s),
-        });
+        };
         let claims = Claims::new(
             Duration::from_millis(bounds.lease_ttl_ms),
             Duration::from_millis(bounds.order_quiet_ms),
@@ -226,6 +227,12 @@
                 waits: metrics.grant_waits.clone(),
             },
         });
+        let retries = RetryBudgets::new(RetryBudgetsDeps {
+            clock: clock.clone(),
+            messenger: messenger.clone(),
+            me: settings.members,
+            bounds: retry_bounds,
+        });
         let pool = Rc::<ConnectionPool>::default();
         let quarantine = Quarantine::new(QuarantineDeps {
             clock: clock.clone(),
@@ -261,7 +268,7 @@
             backpressure,
             leaving: Rc::new(LeavingServers::new(leaving_deps)),
             quarantine: Rc::new(quarantine),
-            retries: RefCell::new(retries),
+            retries: Rc::new(retries),
             demand: Rc::new(AdapterDemandTracker::default()),
             locality,
             traffic,
@@ -349,7 +356,10 @@
         let mut changed = false;
         for change in changes {
             self.note_claim(&change);
-            if self.records.borrow_mut().apply(&change) || self.handler.quarantine.apply(&change) {
+            let is_own_record = self.records.borrow_mut().apply(&change)
+                || self.handler.quarantine.apply(&change)
+                || self.handler.retries.apply(&change);
+            if is_own_record {
                 continue;
             }
             let key = match &change {
--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -87,6 +87,11 @@
         order
     }
 
+    /// The position of a daemon in the preference order for a routing key.
+    pub fn rank(&self, key: u64, address: SocketAddr) -> Option<usize> {
+        self.order(key, |_| true).iter().position(|daemon| daemon.address == address)
+    }
+
     /// The preferred daemon for a routing key, of those that match `fits`.
     pub fn first(&self, key: u64, fits: impl Fn(&DaemonInfo) -> bool) -> Option<SocketAddr> {
         self.order(key, fits).first().map(|daemon| daemon.address)
--- a/crates/portrack/src/gateway/fleet/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -101,6 +101,7 @@
             PeerMessage::KnownAs(known) => self.raise_above(known),
             PeerMessage::Limits(reports) => self.handler.grants.on_limits(&reports),
             PeerMessage::Quota(message) => self.handler.quotas.on_message(message, from),
+            PeerMessage::Retries(message) => self.handler.retries.on_message(message, from),
         }
     }
 
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -6,6 +6,7 @@
 use crate::gateway::backpressure::message::LimitReport;
 use crate::gateway::dispatch::SlotMessage;
 use crate::gateway::quarantine::message::QuarantineMessage;
+use crate::gateway::retries::message::RetryMessage;
 use crate::gateway::selection::load::OutstandingWork;
 use crate::gateway::store_sync::era::EraReport;
 use crate::gateway::store_sync::report::SyncReport;
@@ -47,6 +48,8 @@
     /// The sender knows a later incarnation of the receiver than the receiver reports; this is its
     /// number.
     KnownAs(u64),
+    /// Retries of services' budgets.
+    Retries(RetryMessage),
 }
 
 impl PeerMessage {
@@ -66,6 +69,7 @@
             Self::Limits(_) => "limits",
             Self::Leaving(_) => "leaving",
             Self::KnownAs(_) => "known_as",
+            Self::Retries(_) => "retries",
         }
     }
 }
@@ -116,14 +120,21 @@
 
 impl Capabilities {
     /// The features of this build.
-    pub const OWN: Self = Self(Self::ENFORCES_LIMITS);
+    pub const OWN: Self = Self(Self::ENFORCES_LIMITS | Self::SHARES_RETRY_SLACK);
     /// The build grants no more arrivals at a server than the advertised limit allows.
     const ENFORCES_LIMITS: u32 = 1;
+    /// The build asks for the slack of retry budgets before it uses it.
+    const SHARES_RETRY_SLACK: u32 = 2;
 
     /// Returns true if the build enforces the limits that servers advertise.
     pub fn enforces_limits(self) -> bool {
         self.0 & Self::ENFORCES_LIMITS != 0
     }
+
+    /// Returns true if the build asks for the slack of retry budgets before it uses it.
+    pub fn shares_retry_slack(self) -> bool {
+        self.0 & Self::SHARES_RETRY_SLACK != 0
+    }
 }
 
 /// A request to load an adapter at a server.
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -255,6 +255,12 @@
         peers.chain(self.candidates.iter().map(|other| other.address))
     }
 
+    /// Returns true if the builds of all known daemons, including silent ones, ask for the slack of
+    /// retry budgets.
+    pub fn share_retry_slack(&self) -> bool {
+        self.peers.values().all(|peer| peer.heartbeat.capabilities.shares_retry_slack())
+    }
+
     /// Addresses of all daemons that are up.
     pub fn addresses(&self, now: Time) -> Vec<SocketAddr> {
         self.up(now).map(|(_, peer)| peer.heartbeat.address).collect()
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -89,7 +89,7 @@
     pub backoffs: IntCounter,
     /// Servers skipped during selection because they had no room within their limits.
     pub full_servers: IntCounter,
-    /// Retries by service, reason, and whether the budget allowed them.
+    /// Retries by service, reason, and what they were taken from.
     pub retries: IntCounterVec,
     /// Requests stopped right before they were sent because their server no longer accepted requests.
     pub held_back: IntCounter,
@@ -180,7 +180,7 @@
             ),
             retries: maker.counters(
                 "retries_total",
-                "Sends beyond the first that were due, by outcome at the budget",
+                "Sends beyond the first, by what they were taken from, and those that no budget was left for",
                 &["service", "reason", "budget"],
             ),
             held_back: maker.counter(
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod regions;
 mod requests;
+mod retries;
 mod run;
 mod selection;
 mod settings;
@@ -111,9 +112,14 @@
 };
 pub use requests::handler::RequestHandler;
 pub use requests::job::{Progress, RequestOutcome, RequestRecord};
-pub use requests::retries::{RetryBounds, RetryBudgets};
 pub use requests::routes::{RouteTable, pick_target};
 pub use requests::timings::Timings;
+pub use retries::account::RetryAccount;
+pub use retries::bounds::RetryBounds;
+pub use retries::holder::{SLACK_KEY, SlackHolder};
+pub use retries::lease::{SLACK_LEASE_TTL, SlackLease};
+pub use retries::message::RetryMessage;
+pub use retries::slack::SlackAccount;
 pub use run::{GatewayError, RunningGateway, start_gateway};
 pub use selection::adapter_locations::{AdapterLocations, Presence};
 pub use selection::choose::{
--- a/crates/portrack/src/gateway/orders/claiming.rs
+++ b/crates/portrack/src/gateway/orders/claiming.rs
@@ -224,7 +224,7 @@
     }
 
     /// Returns the time from which this daemon claims servers without a record.
-    fn first_claims_from(&self, peers: &Peers) -> Time {
+    pub(in crate::gateway) fn first_claims_from(&self, peers: &Peers) -> Time {
         if peers.is_full_mesh() {
             return self.started_at + STARTUP_DELAY;
         }
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -42,6 +42,8 @@
     Ungranted,
     /// Before the request was sent, it became known that the server asked this node to back off.
     Resting,
+    /// Before the request was sent again, the permit for that expired.
+    RetryExpired,
     /// Before the request was sent, it became known that the request is quarantined.
     HeldBack,
     /// The server could not be reached.
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -4,8 +4,6 @@
 use super::exchange::{NotRunReason, OutgoingRequest, SendOutcome, request_bytes, send_request};
 use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, timed_out};
 use super::relay::{Relay, RelayOutcome};
-use super::retries::{BudgetState, RetryBudgets};
-use super::retry_reason::RetryReason;
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
@@ -24,6 +22,8 @@
 use crate::gateway::quarantine::coordinator::Quarantine;
 use crate::gateway::regions::locality::Locality;
 use crate::gateway::regions::traffic::RegionTraffic;
+use crate::gateway::retries::budgets::{RetryBudgets, SlackRefusal};
+use crate::gateway::retries::reason::RetryReason;
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
 use crate::types::{Clock, Time};
@@ -41,6 +41,8 @@
 const SLOW_OBJECTIVES: u32 = 3;
 /// Description of the failure of a send that was given up for another server.
 const SLOW: &str = "slow";
+/// In logs and metrics, a retry for which there is no budget.
+const BUDGET_SPENT: &str = "spent";
 
 /// Handles requests; holds the state that they share.
 pub struct RequestHandler {
@@ -77,7 +79,7 @@
     /// Requests under which servers have ended.
     pub quarantine: Rc<Quarantine>,
     /// Retry budgets.
-    pub retries: RefCell<RetryBudgets>,
+    pub retries: Rc<RetryBudgets>,
     /// Demand for adapters.
     pub demand: Rc<AdapterDemandTracker>,
     /// Whether some daemon, as far as known, may send orders to a server.
@@ -86,12 +88,12 @@
     pub locality: Rc<Locality>,
     /// Traffic to other regions.
     pub traffic: Rc<RegionTraffic>,
-    /// Number of daemons that share the servers' connections and the retry budgets.
+    /// Number of daemons that share the servers' connections.
     pub daemon_count: Cell<usize>,
     /// Whether the servers' loads are known only some hundred milliseconds late, as in fleets where not
     /// every heartbeat is sent to all daemons.
     pub loads_are_delayed: Cell<bool>,
-    /// Counts retries by service, reason, and whether the budget allowed them.
+    /// Counts retries by service, reason, and what they were taken from.
     pub retry_counts: IntCounterVec,
     /// Counts requests that were held back just before they were sent, since their server had closed.
     pub held_back: IntCounter,
@@ -126,7 +128,7 @@
             Err(refused) => return RequestRecord::refused_on(refused, job.route.clone()),
         };
         let now = self.clock.now();
-        self.retries.borrow_mut().record_request(now, &job.service.name);
+        self.retries.record_request(&job.service.name);
         let mut relay = Relay::new(&job.route);
         let time_left = job.deadline.since(now);
         let running = self.run(&mut job, &mut relay, sink);
@@ -189,6 +191,7 @@
             last_event: request.last_event.clone(),
             last_failure: String::new(),
             retry_reason: None,
+            permit: None,
             adapter_note: RefCell::default(),
             fingerprint: OnceCell::new(),
             on_trial: false,
@@ -249,7 +252,7 @@
         if let Some(left) = self.held_for(job) {
             return NextStep::Finish(job.held_back(left, relay.has_started()));
         }
-        if job.sends > 0 && !self.may_retry(job) {
+        if job.sends > 0 && !self.obtain_retry(job).await {
             return NextStep::Finish(match relay.has_started() {
                 true => RequestOutcome::Broken("retry budget".into()),
                 false => job.no_server_left(RefusalReason::Budget, None),
@@ -353,6 +356,9 @@
         if !self.has_required_grant(choice) {
             return Err(NotRunReason::Ungranted);
         }
+        if !self.use_retry(job) {
+            return Err(NotRunReason::RetryExpired);
+        }
         self.backpressure.sent(hash);
         Ok(())
     }
@@ -392,30 +398,52 @@
         (service.max_connections / self.daemon_count.get().max(1)).max(2)
     }
 
-    fn may_retry(&self, job: &Job<'_>) -> bool {
+    /// Makes sure that the request has the permit for another send. Returns false if it gets none.
+    async fn obtain_retry(&self, job: &mut Job<'_>) -> bool {
         let within_attempts = job.possible_runs < job.route.attempts
             && job.sends < job.route.attempts + MAX_EXTRA_SENDS;
-        within_attempts && self.take_retry(job)
+        if !within_attempts {
+            return false;
+        }
+        let now = self.clock.now();
+        if job.permit.as_ref().is_some_and(|permit| permit.is_usable(now)) {
+            return true;
+        }
+        job.permit = None;
+        match self.retries.take(&job.service.name).await {
+            Ok(permit) => {
+                job.permit = Some(permit);
+                true
+            }
+            Err(why) => {
+                self.record_retry(job, BUDGET_SPENT, Some(why));
+                false
+            }
+        }
     }
 
-    /// Takes a retry from the budget, and logs and counts that, or that the budget is spent.
-    fn take_retry(&self, job: &Job<'_>) -> bool {
-        let (now, service) = (self.clock.now(), &job.service.name);
-        let daemons = self.daemon_count.get();
-        let taken = self.retries.borrow_mut().try_take(now, service, daemons);
-        let state = self.retries.borrow_mut().state(now, service, daemons);
-        let reason = job.retry_reason.map_or("", RetryReason::name);
-        let outcome = if taken { "taken" } else { "spent" };
-        self.retry_counts.with_label_values(&[&**service, reason, outcome]).inc();
-        self.log_retry(job, reason, outcome, state);
-        taken
+    /// Uses the request's permit if it is sent again. Returns false if the permit has expired.
+    fn use_retry(&self, job: &Job<'_>) -> bool {
+        let Some(permit) = &job.permit else { return true };
+        if !permit.is_usable(self.clock.now()) {
+            return false;
+        }
+        permit.mark_used();
+        self.record_retry(job, permit.source().name(), None);
+        true
     }
 
-    fn log_retry(&self, job: &Job<'_>, reason: &str, outcome: &str, state: BudgetState) {
+    /// Logs and counts a retry, or that there is no budget for it. `budget` is what it was taken from.
+    fn record_retry(&self, job: &Job<'_>, budget: &str, slack: Option<SlackRefusal>) {
+        let service = &job.service.name;
+        let reason = job.retry_reason.map_or("", RetryReason::name);
+        self.retry_counts.with_label_values(&[&**service, reason, budget]).inc();
+        let state = self.retries.state(service);
         log::info!(
-            request = &*job.request.meta.id, service = &*job.service.name, reason = reason,
-            sends = job.sends, runs = job.possible_runs, budget = outcome, spent = state.spent,
-            allowed = state.allowed, requests = state.requests, daemons = self.daemon_count.get();
+            request = &*job.request.meta.id, service = &**service, reason = reason,
+            sends = job.sends, runs = job.possible_runs, budget = budget,
+            requests = state.requests, earned_spent = state.retries, earned_left = state.available,
+            slack = slack.map_or("", SlackRefusal::name);
             "retry"
         );
     }
@@ -443,7 +471,7 @@
                 // This is not a failure of the server; only the slot is released.
                 choice.ended(SlotEnd::Answered);
             }
-            NotRunReason::Ungranted | NotRunReason::Resting => {
+            NotRunReason::Ungranted | NotRunReason::Resting | NotRunReason::RetryExpired => {
                 job.sends -= 1;
                 job.tried.pop();
                 choice.grant_ended(GrantEnd::Unsent);
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -1,7 +1,6 @@
 //! State of a request while it is handled: its requirements, progress and outcome.
 
 use super::caller::{CallerRequest, RefusalReason, Refused};
-use super::retry_reason::RetryReason;
 use super::timings::Timings;
 use crate::gateway::admission::{AuthenticatedCaller, Charge};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, GrantTimings};
@@ -14,6 +13,8 @@
     CallerIdentity, FingerprintInput, RequestFingerprint,
 };
 use crate::gateway::regions::allowed::RegionConstraints;
+use crate::gateway::retries::permit::RetryPermit;
+use crate::gateway::retries::reason::RetryReason;
 use crate::types::Time;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
@@ -88,6 +89,8 @@
     pub last_failure: String,
     /// How the last send that reached a server failed.
     pub retry_reason: Option<RetryReason>,
+    /// The permit for the send after that.
+    pub permit: Option<RetryPermit>,
     /// State of its adapter when it had to wait or was refused.
     pub adapter_note: RefCell<String>,
     /// Its fingerprint, computed on first use.
--- a/crates/portrack/src/gateway/requests/mod.rs
+++ b/crates/portrack/src/gateway/requests/mod.rs
@@ -12,8 +12,6 @@
 pub(in crate::gateway) mod job;
 pub(in crate::gateway) mod quarantine_check;
 pub(in crate::gateway) mod relay;
-pub(in crate::gateway) mod retries;
-pub(in crate::gateway) mod retry_reason;
 pub(in crate::gateway) mod routes;
 pub(in crate::gateway) mod serving;
 pub(in crate::gateway) mod timings;
--- /dev/null
+++ b/crates/portrack/src/gateway/retries/slack.rs
@@ -0,0 +1,35 @@
+//! The slack of a service's budget, granted by one daemon for all.
+
+use super::bounds::{RetryBounds, TRANSIT_SLOTS, USABLE_SHARE, WINDOW_SLOTS};
+use super::slots::SlotCounts;
+use crate::types::Time;
+
+/// Retries that were granted from the slack of one service.
+#[derive(Debug, Clone)]
+pub struct SlackAccount {
+    bounds: RetryBounds,
+    granted: SlotCounts,
+}
+
+impl SlackAccount {
+    /// Creates an account from which nothing was granted.
+    pub fn new(bounds: RetryBounds) -> Self {
+        Self { bounds, granted: SlotCounts::default() }
+    }
+
+    /// Grants one retry unless the slack of the window is used up; returns its slot.
+    pub fn try_grant(&mut self, now: Time) -> Option<u64> {
+        let slot = self.bounds.slot(now);
+        self.granted.forget_before(slot.saturating_sub(WINDOW_SLOTS + TRANSIT_SLOTS));
+        if f64::from(self.granted.total()) + 1.0 > self.bounds.slack * USABLE_SHARE {
+            return None;
+        }
+        self.granted.add(slot);
+        Some(slot)
+    }
+
+    /// Gives back a retry that was not sent.
+    pub fn give_back(&mut self, slot: u64) {
+        self.granted.remove(slot);
+    }
+}
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -24,6 +24,8 @@
 const STOP_RESERVE: Duration = Duration::from_millis(700);
 /// Timeout for giving up the claims on servers at the end of a stop.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout for giving up the lease of the retry slack.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after that for writing the refusals of requests that arrived in the meantime.
 const REFUSALS_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between checks for running requests during a stop.
@@ -98,6 +100,7 @@
     actix_rt::spawn(daemon.clone().run_use_change_reports());
     actix_rt::spawn(daemon.clone().claim_servers());
     actix_rt::spawn(daemon.clone().renew_lease());
+    actix_rt::spawn(daemon.clone().hold_retry_slack());
     actix_rt::spawn(daemon.clone().plan_steps());
     actix_rt::spawn(daemon.clone().run_evacuations());
     actix_rt::spawn(daemon.clone().run_leaving_updates());
@@ -243,6 +246,10 @@
         if actix_rt::time::timeout(RESIGN_TIMEOUT, daemon.resign()).await.is_err() {
             log::warn!(after_ms = RESIGN_TIMEOUT.as_millis() as u64; "servers_not_given_up");
         }
+        let released = actix_rt::time::timeout(RELEASE_TIMEOUT, daemon.release_retry_slack()).await;
+        if released.is_err() {
+            log::warn!(after_ms = RELEASE_TIMEOUT.as_millis() as u64; "retry_slack_not_released");
+        }
         daemon.wait_for_refusals().await;
         let left = daemon.in_flight.get();
         log::info!(left = left, took_ms = daemon.now().since(began).as_millis() as u64; "stop");
--- a/crates/portrack/src/gateway/store_sync/store_watch.rs
+++ b/crates/portrack/src/gateway/store_sync/store_watch.rs
@@ -8,6 +8,7 @@
 use crate::gateway::dialect::ItemKey;
 use crate::gateway::orders::claim_record::ClaimKey;
 use crate::gateway::quarantine::record::HoldRecord;
+use crate::gateway::retries::holder::SLACK_KEY;
 use crate::store::{KvChange, KvEntry, KvReadError, StorePosition};
 use crate::types::Time;
 use std::net::SocketAddr;
@@ -222,6 +223,7 @@
         self.dialect.key(key) != ItemKey::Unknown
             || ClaimKey::parse(key).is_some()
             || HoldRecord::request(key).is_some()
+            || key == SLACK_KEY
     }
 
     fn record_store_response(&self, prefix: &str) {
--- a/crates/portrack/tests/gateway/former.rs
+++ b/crates/portrack/tests/gateway/former.rs
@@ -172,12 +172,16 @@
 fn heartbeat_without_era_is_decoded_and_is_a_prefix_of_one_with_era() {
     let previous = bytes(&format!("{PREVIOUS_HEARTBEAT}{CAPABILITIES}"));
     let decoded = decode_message(&previous).expect("a heartbeat");
-    assert_eq!(decoded, PeerMessage::Heartbeat(heartbeat()));
+    let PeerMessage::Heartbeat(Heartbeat { capabilities, .. }) = decoded else {
+        panic!("not a heartbeat: {decoded:?}");
+    };
+    assert!(capabilities.enforces_limits() && !capabilities.shares_retry_slack());
+    assert_eq!(decoded, PeerMessage::Heartbeat(Heartbeat { capabilities, ..heartbeat() }));
     let mut eras = EraTracker::default();
     eras.learn(Time(1_000), StoreEra::from_number(3));
     eras.learn(Time(2_000), StoreEra::from_number(4));
     let store = eras.report(Time(2_700), 5);
-    let with_era = PeerMessage::Heartbeat(Heartbeat { store, ..heartbeat() });
+    let with_era = PeerMessage::Heartbeat(Heartbeat { store, capabilities, ..heartbeat() });
     let encoded = encode_message(&with_era).expect("message fits a datagram");
     assert_eq!(encoded[..previous.len()], previous, "new fields come last");
     assert_eq!(decode_message(&encoded), Some(with_era));
