--- a/crates/portrack/src/gateway/retries/budgets.rs
+++ b/crates/portrack/src/gateway/retries/budgets.rs
@@ -20,8 +20,9 @@
 
 /// How long the holder of the slack may take to answer; a few round trips between regions.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long the holder is not asked for a service again after it refused.
-const REFUSED_FOR: Duration = Duration::from_millis(250);
+/// How long the holder is not asked for a service again after it refused, for each daemon of the fleet: all
+/// daemons together ask about 30 times a second, whatever their number.
+const REFUSED_FOR_PER_DAEMON: Duration = Duration::from_millis(30);
 
 /// Why nothing was granted from the slack.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +83,8 @@
     pub(super) lease: RefCell<SlackLease>,
     /// Whether all known daemons ask for the slack, rather than use a share of it without asking.
     is_slack_shared: Cell<bool>,
+    /// Number of daemons that may ask for the slack, including this one.
+    daemon_count: Cell<u32>,
     pub(super) holder: Cell<Option<SlackHolder>>,
     calls: PendingCalls<bool>,
     refused_until: RefCell<HashMap<Rc<str>, Time>>,
@@ -96,6 +99,7 @@
             accounts: RefCell::default(),
             slack: RefCell::default(),
             is_slack_shared: Cell::new(true),
+            daemon_count: Cell::new(1),
             holder: Cell::new(None),
             calls: PendingCalls::default(),
             refused_until: RefCell::default(),
@@ -155,9 +159,10 @@
         }
     }
 
-    /// Sets whether all known daemons ask for the slack.
-    pub fn set_slack_shared(&self, is_shared: bool) {
-        self.is_slack_shared.set(is_shared);
+    /// Sets the number of daemons, including this one, and whether all known ones ask for the slack.
+    pub fn set_daemons(&self, count: usize, is_slack_shared: bool) {
+        self.daemon_count.set(u32::try_from(count).unwrap_or(u32::MAX));
+        self.is_slack_shared.set(is_slack_shared);
     }
 
     /// Applies a store change; returns false if it does not belong to the slack.
@@ -214,7 +219,8 @@
         match answer {
             Some(true) => Ok(()),
             Some(false) => {
-                let until = self.deps.clock.now() + REFUSED_FOR;
+                let refused_for = REFUSED_FOR_PER_DAEMON * self.daemon_count.get();
+                let until = self.deps.clock.now() + refused_for;
                 self.refused_until.borrow_mut().insert(service.clone(), until);
                 Err(SlackRefusal::Refused)
             }
