Placement benchmark: adapters come from the store as the users say they do

The simulation took 9 fetches at once at 280 ms each, which had been measured on one site. The users' figures are 250 ms while no more than eight times at_once are on their way (8 on the smallest sites). The gateway's own planner never counted adapters toward the loads a second (docs/PLATFORM.md); at_once is not among the settings of a process, so fetches go on by their pace.

--- a/crates/portrack-bench/src/adapters/servers.rs
+++ b/crates/portrack-bench/src/adapters/servers.rs
@@ -9,8 +9,8 @@
 /// Requests at once at one server.
 pub const SLOTS: usize = 64;
 /// Fetches that the weight store serves at full speed, and how long one takes then.
-const FULL_SPEED: usize = 9;
-const FETCH_MS: u64 = 280;
+const FULL_SPEED: usize = 8;
+const FETCH_MS: u64 = 250;
 /// What a server held lately loads from its own copy.
 const AT_HAND_MS: u64 = 28;
 const AT_HAND: usize = 126;
