--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -4,6 +4,7 @@
 use super::exchange::{NotRunReason, OutgoingRequest, SendOutcome, request_bytes, send_request};
 use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, timed_out};
 use super::relay::{Relay, RelayOutcome};
+use super::retrying::{SLOW, loss_reason};
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
@@ -22,7 +23,7 @@
 use crate::gateway::quarantine::coordinator::Quarantine;
 use crate::gateway::regions::locality::Locality;
 use crate::gateway::regions::traffic::RegionTraffic;
-use crate::gateway::retries::budgets::{RetryBudgets, SlackRefusal};
+use crate::gateway::retries::budgets::RetryBudgets;
 use crate::gateway::retries::reason::RetryReason;
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
@@ -33,16 +34,10 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Sends in addition to a route's attempts that are allowed if earlier ones were not run.
-const MAX_EXTRA_SENDS: u32 = 2;
 /// Retry delay while there is no configuration, or none of the service.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// Multiple of its latency objective after which a repeatable request is tried at another server.
 const SLOW_OBJECTIVES: u32 = 3;
-/// Description of the failure of a send that was given up for another server.
-const SLOW: &str = "slow";
-/// In logs and metrics, a retry for which there is no budget.
-const BUDGET_SPENT: &str = "spent";
 
 /// Handles requests; holds the state that they share.
 pub struct RequestHandler {
@@ -398,56 +393,6 @@
         (service.max_connections / self.daemon_count.get().max(1)).max(2)
     }
 
-    /// Makes sure that the request has the permit for another send. Returns false if it gets none.
-    async fn obtain_retry(&self, job: &mut Job<'_>) -> bool {
-        let within_attempts = job.possible_runs < job.route.attempts
-            && job.sends < job.route.attempts + MAX_EXTRA_SENDS;
-        if !within_attempts {
-            return false;
-        }
-        let now = self.clock.now();
-        if job.permit.as_ref().is_some_and(|permit| permit.is_usable(now)) {
-            return true;
-        }
-        job.permit = None;
-        match self.retries.take(&job.service.name).await {
-            Ok(permit) => {
-                job.permit = Some(permit);
-                true
-            }
-            Err(why) => {
-                self.record_retry(job, BUDGET_SPENT, Some(why));
-                false
-            }
-        }
-    }
-
-    /// Uses the request's permit if it is sent again. Returns false if the permit has expired.
-    fn use_retry(&self, job: &Job<'_>) -> bool {
-        let Some(permit) = &job.permit else { return true };
-        if !permit.is_usable(self.clock.now()) {
-            return false;
-        }
-        permit.mark_used();
-        self.record_retry(job, permit.source().name(), None);
-        true
-    }
-
-    /// Logs and counts a retry, or that there is no budget for it. `budget` is what it was taken from.
-    fn record_retry(&self, job: &Job<'_>, budget: &str, slack: Option<SlackRefusal>) {
-        let service = &job.service.name;
-        let reason = job.retry_reason.map_or("", RetryReason::name);
-        self.retry_counts.with_label_values(&[&**service, reason, budget]).inc();
-        let state = self.retries.state(service);
-        log::info!(
-            request = &*job.request.meta.id, service = &**service, reason = reason,
-            sends = job.sends, runs = job.possible_runs, budget = budget,
-            requests = state.requests, earned_spent = state.retries, earned_left = state.available,
-            slack = slack.map_or("", SlackRefusal::name);
-            "retry"
-        );
-    }
-
     fn on_not_run(
         &self,
         job: &mut Job<'_>,
@@ -565,10 +510,3 @@
         }
     }
 }
-
-fn loss_reason(error: &ExchangeError) -> RetryReason {
-    match error {
-        ExchangeError::Lost { why } if why == SLOW => RetryReason::Slow,
-        _ => RetryReason::Lost,
-    }
-}
--- a/crates/portrack/src/gateway/requests/mod.rs
+++ b/crates/portrack/src/gateway/requests/mod.rs
@@ -12,6 +12,7 @@
 pub(in crate::gateway) mod job;
 pub(in crate::gateway) mod quarantine_check;
 pub(in crate::gateway) mod relay;
+pub(in crate::gateway) mod retrying;
 pub(in crate::gateway) mod routes;
 pub(in crate::gateway) mod serving;
 pub(in crate::gateway) mod timings;
