Tests that are not about the retry budget are not limited by it

Whole daemons and soaks had a slack of 500, of which each daemon took its part at once. They test how a request goes on at another server, not the budget: each request earns ten retries there now. The tests of the budget set their own bounds.

--- a/crates/portrackd/tests/soak/retries.rs
+++ b/crates/portrackd/tests/soak/retries.rs
@@ -71,6 +71,7 @@
 impl Scenario {
     async fn start(name: &str, seed: u64) -> Self {
         let plan = FleetPlan {
+            retry_ratio: RATIO,
             retry_slack: SLACK,
             replicates_adapters: true,
             adapter_slots: 12,
