Retries: windows that are no multiple of 100 ms are counted in full

Seen: nothing by callers; found in review. A slot was a hundredth of the window in whole milliseconds, cut off, so that a hundred slots were less than a window: at 199 ms 90 retries of the slack in a window where 50 are allowed (the test, before), at 10.05 s 10.0 s. The users' windows are 10 s, where it made no difference. A time's slot is now computed from the window itself, so a hundred slots are one.

--- a/crates/portrack/src/gateway/retries/bounds.rs
+++ b/crates/portrack/src/gateway/retries/bounds.rs
@@ -22,14 +22,10 @@
 }
 
 impl RetryBounds {
-    /// Length of a slot.
-    fn slot_length(&self) -> Duration {
-        (self.window / WINDOW_SLOTS as u32).max(Duration::from_millis(1))
-    }
-
-    /// The slot that contains a time.
+    /// The slot that contains a time. Slots are exact parts of the window, whatever its length.
     pub fn slot(&self, now: Time) -> u64 {
-        now.0 / self.slot_length().as_millis() as u64
+        let window_ms = u64::try_from(self.window.as_millis()).unwrap_or(u64::MAX);
+        now.0.saturating_mul(WINDOW_SLOTS) / window_ms.max(1)
     }
 
     /// How long a retry may be sent after it was taken.
@@ -41,4 +37,8 @@
     pub fn forgotten_after(&self) -> Duration {
         self.window + self.send_within() + self.slot_length()
     }
+
+    fn slot_length(&self) -> Duration {
+        self.window / WINDOW_SLOTS as u32
+    }
 }
--- a/crates/portrack/tests/gateway/retries.rs
+++ b/crates/portrack/tests/gateway/retries.rs
@@ -62,6 +62,21 @@
     assert!(grants.iter().all(|from| within(*from) <= 50));
 }
 
+#[test]
+fn windows_of_any_length_are_counted_in_full() {
+    for window in [100_u64, 199, 1_990, 10_050] {
+        let bounds = RetryBounds { ratio: 0.2, slack: 50.0, window: ms(window) };
+        let mut slack = SlackAccount::new(bounds);
+        let grants: Vec<u64> = (START..START + 5 * window)
+            .filter(|now| slack.try_grant(Time(*now)).is_some())
+            .collect();
+        let within =
+            |from: u64| grants.iter().filter(|at| (from..from + window).contains(at)).count();
+        let most = grants.iter().map(|from| within(*from)).max().unwrap_or(0);
+        assert!(most <= 50, "{most} in a window of {window} ms");
+    }
+}
+
 #[test]
 fn a_new_holder_of_the_slack_waits_for_the_grants_of_the_one_before() {
     let mut lease = SlackLease::new(bounds(50.0));
