Retries: a request without budget is refused at once, not after the wait for another server

Cause: the budget was asked right before the send, after the choice of a server. Now it is looked at before the choice as well, without taking anything: what is certain to be refused is. What a permit allows is unchanged, and it is still taken right before the send.

--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -213,6 +213,9 @@
         sink: &mut impl ReplySink,
     ) -> RequestOutcome {
         loop {
+            if job.sends > 0 && self.is_out_of_retries(job) {
+                return job.out_of_retries(relay.has_started());
+            }
             let selected = tokio::select! {
                 biased;
                 chosen = self.choose_granted(job) => chosen,
@@ -248,10 +251,7 @@
             return NextStep::Finish(job.held_back(left, relay.has_started()));
         }
         if job.sends > 0 && !self.obtain_retry(job).await {
-            return NextStep::Finish(match relay.has_started() {
-                true => RequestOutcome::Broken("retry budget".into()),
-                false => job.no_server_left(RefusalReason::Budget, None),
-            });
+            return NextStep::Finish(job.out_of_retries(relay.has_started()));
         }
         let backend = &choice.backend;
         job.server = Some(backend.id.clone());
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -89,7 +89,7 @@
     pub last_failure: String,
     /// How the last send that reached a server failed.
     pub retry_reason: Option<RetryReason>,
-    /// The permit for the send after that.
+    /// The permit for the next send, if that is a retry.
     pub permit: Option<RetryPermit>,
     /// State of its adapter when it had to wait or was refused.
     pub adapter_note: RefCell<String>,
@@ -200,6 +200,14 @@
         self.possible_runs > 0
     }
 
+    /// The outcome if the request must not be sent again; `started` tells whether its reply has begun.
+    pub(in crate::gateway) fn out_of_retries(&self, started: bool) -> RequestOutcome {
+        match started {
+            true => RequestOutcome::Broken("retry budget".into()),
+            false => self.no_server_left(RefusalReason::Budget, None),
+        }
+    }
+
     /// The outcome if no other server is to be tried; `after` is the time until one accepts requests again,
     /// if known.
     pub(in crate::gateway) fn no_server_left(
--- a/crates/portrack/src/gateway/requests/retrying.rs
+++ b/crates/portrack/src/gateway/requests/retrying.rs
@@ -16,14 +16,26 @@
 const BUDGET_SPENT: &str = "spent";
 
 impl RequestHandler {
-    /// Makes sure that the request has the permit for another send. Returns false if it gets none.
-    pub(super) async fn obtain_retry(&self, job: &mut Job<'_>) -> bool {
-        let within_attempts = job.possible_runs < job.route.attempts
-            && job.sends < job.route.attempts + MAX_EXTRA_SENDS;
-        if !within_attempts {
+    /// Returns true if it is certain that the request cannot be sent again, so that it need not wait for a
+    /// server.
+    pub(super) fn is_out_of_retries(&self, job: &Job<'_>) -> bool {
+        if !has_attempts_left(job) {
             self.record_retry(job, NO_ATTEMPTS_LEFT, None);
+            return true;
+        }
+        let now = self.clock.now();
+        if job.permit.as_ref().is_some_and(|permit| permit.is_usable(now)) {
             return false;
         }
+        let refusal = self.retries.refusal(&job.service.name);
+        if refusal.is_some() {
+            self.record_retry(job, BUDGET_SPENT, refusal);
+        }
+        refusal.is_some()
+    }
+
+    /// Makes sure that the request has the permit for another send. Returns false if it gets none.
+    pub(super) async fn obtain_retry(&self, job: &mut Job<'_>) -> bool {
         let now = self.clock.now();
         if job.permit.as_ref().is_some_and(|permit| permit.is_usable(now)) {
             return true;
@@ -68,6 +80,10 @@
     }
 }
 
+fn has_attempts_left(job: &Job<'_>) -> bool {
+    job.possible_runs < job.route.attempts && job.sends < job.route.attempts + MAX_EXTRA_SENDS
+}
+
 /// How a send without a response failed.
 pub(super) fn loss_reason(error: &ExchangeError) -> RetryReason {
     match error {
--- a/crates/portrack/src/gateway/retries/budgets.rs
+++ b/crates/portrack/src/gateway/retries/budgets.rs
@@ -135,26 +135,43 @@
         if let Some(slot) = earned {
             return Ok(permit(RetrySource::Earned(slot)));
         }
-        let holder = self.holder.get().ok_or(SlackRefusal::NoHolder)?;
-        if holder.address == self.deps.me {
+        let holder = self.slack_granter(now, service)?;
+        if holder == self.deps.me {
             let slot = self.try_grant(now, service).ok_or(SlackRefusal::Spent)?;
             return Ok(permit(RetrySource::OwnSlack(slot)));
         }
-        self.ask(holder.address, service).await?;
+        self.ask(holder, service).await?;
         Ok(permit(RetrySource::GrantedSlack))
     }
 
+    /// Why no retry can be taken now, without asking the holder of the slack; `None` if one may be left.
+    pub fn refusal(&self, service: &Rc<str>) -> Option<SlackRefusal> {
+        let now = self.deps.clock.now();
+        let has_earned = self.with_account(service, |account| account.available(now) >= 1.0);
+        if has_earned { None } else { self.slack_granter(now, service).err() }
+    }
+
+    /// The daemon that may grant the slack now, perhaps this one.
+    fn slack_granter(&self, now: Time, service: &Rc<str>) -> Result<SocketAddr, SlackRefusal> {
+        let holder = self.holder.get().ok_or(SlackRefusal::NoHolder)?.address;
+        if holder == self.deps.me && !self.can_grant(now, service) {
+            return Err(SlackRefusal::Spent);
+        }
+        let refused_until = self.refused_until.borrow().get(service).copied();
+        let is_refused = refused_until.is_some_and(|until| now < until);
+        if is_refused || self.calls.is_avoided(now, holder) {
+            return Err(SlackRefusal::NotAsked);
+        }
+        Ok(holder)
+    }
+
     /// Gives back a retry that was not sent. One that another daemon granted is lost.
     pub(super) fn give_back(&self, service: &Rc<str>, source: RetrySource) {
         match source {
             RetrySource::Earned(slot) => {
                 self.with_account(service, |account| account.give_back(slot))
             }
-            RetrySource::OwnSlack(slot) => {
-                if let Some(slack) = self.slack.borrow_mut().get_mut(service) {
-                    slack.give_back(slot);
-                }
-            }
+            RetrySource::OwnSlack(slot) => self.with_slack(service, |slack| slack.give_back(slot)),
             RetrySource::GrantedSlack => {}
         }
     }
@@ -194,23 +211,21 @@
         }
     }
 
+    /// Returns true if this daemon may grant the slack of a service, and some is left.
+    fn can_grant(&self, now: Time, service: &Rc<str>) -> bool {
+        let may_grant = self.is_slack_shared.get() && self.lease.borrow().may_grant(now);
+        may_grant && self.with_slack(service, |slack| slack.has_left(now))
+    }
+
     /// Grants one retry from the slack, if this daemon may; returns its slot.
     fn try_grant(&self, now: Time, service: &Rc<str>) -> Option<u64> {
-        if !self.is_slack_shared.get() || !self.lease.borrow().may_grant(now) {
+        if !self.can_grant(now, service) {
             return None;
         }
-        let mut slack = self.slack.borrow_mut();
-        let account = slack.entry(service.clone());
-        account.or_insert_with(|| SlackAccount::new(self.deps.bounds)).try_grant(now)
+        self.with_slack(service, |slack| slack.try_grant(now))
     }
 
     async fn ask(&self, holder: SocketAddr, service: &Rc<str>) -> Result<(), SlackRefusal> {
-        let asked_at = self.deps.clock.now();
-        let is_refused =
-            self.refused_until.borrow().get(service).is_some_and(|until| asked_at < *until);
-        if is_refused || self.calls.is_avoided(asked_at, holder) {
-            return Err(SlackRefusal::NotAsked);
-        }
         let (call, mut answers) = self.calls.open();
         let ask = RetryMessage::Ask { call, service: service.to_string() };
         self.deps.messenger.send(&PeerMessage::Retries(ask), holder);
@@ -236,4 +251,10 @@
         let account = accounts.entry(service.clone());
         f(account.or_insert_with(|| RetryAccount::new(self.deps.bounds)))
     }
+
+    fn with_slack<R>(&self, service: &Rc<str>, f: impl FnOnce(&mut SlackAccount) -> R) -> R {
+        let mut slack = self.slack.borrow_mut();
+        let account = slack.entry(service.clone());
+        f(account.or_insert_with(|| SlackAccount::new(self.deps.bounds)))
+    }
 }
--- a/crates/portrack/src/gateway/retries/slack.rs
+++ b/crates/portrack/src/gateway/retries/slack.rs
@@ -17,13 +17,19 @@
         Self { bounds, granted: SlotCounts::default() }
     }
 
+    /// Returns true if the slack of the window is not used up.
+    pub fn has_left(&mut self, now: Time) -> bool {
+        let first = self.bounds.slot(now).saturating_sub(WINDOW_SLOTS + TRANSIT_SLOTS);
+        self.granted.forget_before(first);
+        f64::from(self.granted.total()) + 1.0 <= self.bounds.slack * USABLE_SHARE
+    }
+
     /// Grants one retry unless the slack of the window is used up; returns its slot.
     pub fn try_grant(&mut self, now: Time) -> Option<u64> {
-        let slot = self.bounds.slot(now);
-        self.granted.forget_before(slot.saturating_sub(WINDOW_SLOTS + TRANSIT_SLOTS));
-        if f64::from(self.granted.total()) + 1.0 > self.bounds.slack * USABLE_SHARE {
+        if !self.has_left(now) {
             return None;
         }
+        let slot = self.bounds.slot(now);
         self.granted.add(slot);
         Some(slot)
     }
