Retries: a call to the holder of the slack is closed when its caller leaves

Found in review: the wait for the holder's answer is part of the request, which ends when its caller leaves or its deadline passes; the entry of the call then stayed for the life of the process. PendingCalls has calls with one answer now, which close themselves. With the closing taken out the new test fails.

--- a/crates/portrack/src/gateway/arrivals/pending_calls.rs
+++ b/crates/portrack/src/gateway/arrivals/pending_calls.rs
@@ -50,6 +50,20 @@
         (call, answers)
     }
 
+    /// Makes a call that has one answer: `send` sends it, given its number. `None` on timeout. The call is
+    /// closed even if the caller stops waiting.
+    pub async fn call(&self, timeout: Duration, send: impl FnOnce(u32)) -> Option<A> {
+        let (call, mut answers) = self.open();
+        let _closed_on_drop = OpenCall { calls: self, call };
+        send(call);
+        next_answer(&mut answers, timeout).await
+    }
+
+    /// Returns true if no call waits for an answer.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.borrow().is_empty()
+    }
+
     /// Closes a call; later answers are dropped.
     pub fn close(&self, call: u32) {
         self.waiting.borrow_mut().remove(&call);
@@ -74,6 +88,18 @@
     }
 }
 
+/// Closes a call when dropped.
+struct OpenCall<'a, A> {
+    calls: &'a PendingCalls<A>,
+    call: u32,
+}
+
+impl<A> Drop for OpenCall<'_, A> {
+    fn drop(&mut self) {
+        self.calls.close(self.call);
+    }
+}
+
 /// Waits for the next answer; `None` on timeout.
 pub async fn next_answer<A>(answers: &mut UnboundedReceiver<A>, timeout: Duration) -> Option<A> {
     actix_rt::time::timeout(timeout, answers.recv()).await.ok()?
--- a/crates/portrack/src/gateway/retries/budgets.rs
+++ b/crates/portrack/src/gateway/retries/budgets.rs
@@ -7,7 +7,7 @@
 use super::message::RetryMessage;
 use super::permit::{RetryPermit, RetrySource};
 use super::slack::SlackAccount;
-use crate::gateway::arrivals::{PendingCalls, next_answer};
+use crate::gateway::arrivals::PendingCalls;
 use crate::gateway::fleet::message::PeerMessage;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::store_sync::mirror::MirrorChange;
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 /// How long the holder of the slack may take to answer; a few round trips between regions.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long the holder is not asked for a service again after it refused, for each daemon of the fleet: all
 /// daemons together ask about 30 times a second, whatever their number.
 const REFUSED_FOR_PER_DAEMON: Duration = Duration::from_millis(30);
@@ -226,12 +226,11 @@
     }
 
     async fn ask(&self, holder: SocketAddr, service: &Rc<str>) -> Result<(), SlackRefusal> {
-        let (call, mut answers) = self.calls.open();
-        let ask = RetryMessage::Ask { call, service: service.to_string() };
-        self.deps.messenger.send(&PeerMessage::Retries(ask), holder);
-        let answer = next_answer(&mut answers, ANSWER_TIMEOUT).await;
-        self.calls.close(call);
-        match answer {
+        let send = |call| {
+            let ask = RetryMessage::Ask { call, service: service.to_string() };
+            self.deps.messenger.send(&PeerMessage::Retries(ask), holder);
+        };
+        match self.calls.call(HOLDER_TIMEOUT, send).await {
             Some(true) => Ok(()),
             Some(false) => {
                 let refused_for = REFUSED_FOR_PER_DAEMON * self.daemon_count.get();
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod news_fleet;
 mod pacing;
 mod peers;
+mod pending_calls;
 mod planner;
 mod quarantine;
 mod quotas;
