Retries: the slack's lease uses what claims have; daemons as other tasks know them; reasons are typed

A lease of the store is one type for claims and for the slack, with one margin. A new era of the store ends it where it ends claims (update_era, also when peers tell of it first) instead of a copy of the era. The number of daemons is that of the shared list, not a copy. A slow send is told by its time-out, not by the text of its error.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -231,6 +231,7 @@
             clock: clock.clone(),
             messenger: messenger.clone(),
             me: settings.members,
+            daemons: eligible_daemons.clone(),
             bounds: retry_bounds,
         });
         let pool = Rc::<ConnectionPool>::default();
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -83,8 +83,7 @@
             .for_each(|to| self.send(&PeerMessage::Heartbeat(without_work.clone()), to));
         let up = self.peers.borrow().up(now).count();
         self.handler.daemon_count.set(up + 1);
-        let is_slack_shared = self.peers.borrow().share_retry_slack();
-        self.handler.retries.set_daemons(up + 1, is_slack_shared);
+        self.handler.retries.set_slack_shared(self.peers.borrow().share_retry_slack());
         let loads_are_delayed = !self.peers.borrow().is_full_mesh();
         self.handler.loads_are_delayed.set(loads_are_delayed);
         self.handler.grants.loads_are_delayed.set(loads_are_delayed);
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod run;
 mod selection;
 mod settings;
+mod store_lease;
 mod store_sync;
 
 pub use admission::{
--- a/crates/portrack/src/gateway/orders/claiming.rs
+++ b/crates/portrack/src/gateway/orders/claiming.rs
@@ -223,7 +223,7 @@
         unclaimed_servers.due(now, me, &records, candidates, heard)
     }
 
-    /// Returns the time from which this daemon claims servers without a record.
+    /// Returns the time from which this daemon claims what has no record: servers, and the retry slack.
     pub(in crate::gateway) fn first_claims_from(&self, peers: &Peers) -> Time {
         if peers.is_full_mesh() {
             return self.started_at + STARTUP_DELAY;
--- a/crates/portrack/src/gateway/orders/claims.rs
+++ b/crates/portrack/src/gateway/orders/claims.rs
@@ -5,24 +5,15 @@
 //! ordering the same server.
 
 use super::claim_record::ClaimRecord;
+use crate::gateway::store_lease::{LEASE_MARGIN, StoreLease};
 use crate::types::Time;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Orders stop this long before the lease can have expired.
-const LEASE_MARGIN: Duration = Duration::from_millis(250);
 /// Added to a successor's wait for orders still in transit.
 const ORDER_TRANSIT: Duration = Duration::from_millis(200);
 
-/// The lease that all claims depend on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Lease {
-    id: u64,
-    /// When the last successful renewal was sent.
-    renewed_at: Time,
-}
-
 /// A server's record that names this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Claim {
@@ -78,7 +69,8 @@
 pub struct Claims {
     ttl: Duration,
     quiet_period: Duration,
-    lease: Option<Lease>,
+    /// The lease that all claims depend on.
+    lease: Option<StoreLease>,
     claims: BTreeMap<Rc<str>, Claim>,
     /// Added to revisions to form fences.
     fence_base: u64,
@@ -110,13 +102,13 @@
 
     /// Records a lease that was granted for a request sent at `asked_at`.
     pub fn set_lease(&mut self, id: u64, asked_at: Time) {
-        self.lease = Some(Lease { id, renewed_at: asked_at });
+        self.lease = Some(StoreLease::new(id, self.ttl, asked_at));
     }
 
     /// Records a confirmed renewal that was sent at `sent_at`.
     pub fn extend_lease(&mut self, id: u64, sent_at: Time) {
-        if let Some(lease) = self.lease.as_mut().filter(|lease| lease.id == id) {
-            lease.renewed_at = lease.renewed_at.max(sent_at);
+        if let Some(lease) = &mut self.lease {
+            lease.renewed(id, sent_at);
         }
     }
 
@@ -128,8 +120,8 @@
 
     /// Returns the lease if it may still be alive.
     pub fn lease(&self, now: Time) -> Option<u64> {
-        let live = self.lease.filter(|lease| now.since(lease.renewed_at) < self.ttl);
-        live.map(|lease| lease.id)
+        let live = self.lease.filter(|lease| lease.may_be_alive(now));
+        live.map(|lease| lease.id())
     }
 
     /// Returns the lease if it may still be alive and claims depend on it. A lease without claims
@@ -172,7 +164,7 @@
     pub fn store_came_back(&mut self, now: Time) {
         self.former_claims.retain(|_, former| now < former.until);
         if let Some(lease) = self.lease.take() {
-            let until = lease.renewed_at + self.ttl.saturating_sub(LEASE_MARGIN);
+            let until = lease.alive_until();
             let former =
                 |claim: &Claim| FormerClaim { may_order_from: claim.may_order_from, until };
             let claims = self.claims.iter();
@@ -241,10 +233,9 @@
 
     /// Returns the fence for an order to a server if one may be sent right now.
     pub fn may_order(&self, now: Time, server: &str) -> Option<u64> {
-        let lease = self.lease?;
-        let safe = now.since(lease.renewed_at) + LEASE_MARGIN < self.ttl;
+        let is_alive = self.lease?.is_alive(now);
         let claim = self.claims.get(server)?;
-        (safe && now >= claim.may_order_from).then_some(claim.fence)
+        (is_alive && now >= claim.may_order_from).then_some(claim.fence)
     }
 
     /// Returns the servers that may be ordered right now.
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -4,7 +4,6 @@
 use super::exchange::{NotRunReason, OutgoingRequest, SendOutcome, request_bytes, send_request};
 use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, timed_out};
 use super::relay::{Relay, RelayOutcome};
-use super::retrying::{SLOW, loss_reason};
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
 use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
@@ -278,13 +277,13 @@
             OutgoingRequest { request_id: id, bytes: &bytes, most_connections: max_connections };
         let sending =
             send_request(&*self.dialect, &self.pool, backend, outgoing, may_send, on_head);
-        let sent = match self.slow_timeout(job, now) {
-            Some(slow_timeout) => match actix_rt::time::timeout(slow_timeout, sending).await {
-                Ok(sent) => sent,
-                Err(_) => SendOutcome::MayHaveRun(ExchangeError::Lost { why: SLOW.into() }),
-            },
-            None => sending.await,
+        let finished = match self.slow_timeout(job, now) {
+            Some(slow_timeout) => actix_rt::time::timeout(slow_timeout, sending).await.ok(),
+            None => Some(sending.await),
         };
+        let loss_reason = if finished.is_some() { RetryReason::Lost } else { RetryReason::Slow };
+        let slow = || SendOutcome::MayHaveRun(ExchangeError::Lost { why: "slow".into() });
+        let sent = finished.unwrap_or_else(slow);
         drop(bytes);
         match sent {
             SendOutcome::NotRun(why) => self.on_not_run(job, choice, &why, relay),
@@ -295,7 +294,7 @@
                 self.coldness.borrow_mut().assume_cold(self.clock.now(), &backend.id);
                 self.loads.record_outcome_of(self.clock.now(), backend, true);
                 job.last_failure = error.to_string();
-                job.retry_reason = Some(loss_reason(&error));
+                job.retry_reason = Some(loss_reason);
                 self.record_connection_lost(job, &error, backend);
                 self.on_loss(job, relay)
             }
--- a/crates/portrack/src/gateway/requests/retrying.rs
+++ b/crates/portrack/src/gateway/requests/retrying.rs
@@ -2,14 +2,11 @@
 
 use super::handler::RequestHandler;
 use super::job::Job;
-use crate::gateway::connections::connection::ExchangeError;
 use crate::gateway::retries::budgets::SlackRefusal;
 use crate::gateway::retries::reason::RetryReason;
 
 /// Sends in addition to a route's attempts that are allowed if earlier ones were not run.
 const MAX_EXTRA_SENDS: u32 = 2;
-/// Description of the failure of a send that was given up for another server.
-pub(super) const SLOW: &str = "slow";
 /// In logs and metrics, a retry beyond the attempts of the route.
 const NO_ATTEMPTS_LEFT: &str = "attempts";
 /// In logs and metrics, a retry for which there is no budget.
@@ -83,11 +80,3 @@
 fn has_attempts_left(job: &Job<'_>) -> bool {
     job.possible_runs < job.route.attempts && job.sends < job.route.attempts + MAX_EXTRA_SENDS
 }
-
-/// How a send without a response failed.
-pub(super) fn loss_reason(error: &ExchangeError) -> RetryReason {
-    match error {
-        ExchangeError::Lost { why } if why == SLOW => RetryReason::Slow,
-        _ => RetryReason::Lost,
-    }
-}
--- a/crates/portrack/src/gateway/retries/budgets.rs
+++ b/crates/portrack/src/gateway/retries/budgets.rs
@@ -8,6 +8,7 @@
 use super::permit::{RetryPermit, RetrySource};
 use super::slack::SlackAccount;
 use crate::gateway::arrivals::PendingCalls;
+use crate::gateway::fleet::daemons::Daemons;
 use crate::gateway::fleet::message::PeerMessage;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::store_sync::mirror::MirrorChange;
@@ -71,6 +72,8 @@
     pub messenger: Rc<Messenger>,
     /// The address this daemon receives datagrams on.
     pub me: SocketAddr,
+    /// The daemons that are up and not leaving, kept up to date by other tasks.
+    pub daemons: Rc<RefCell<Daemons>>,
     /// The bounds of the whole fleet.
     pub bounds: RetryBounds,
 }
@@ -80,11 +83,11 @@
     deps: RetryBudgetsDeps,
     accounts: RefCell<HashMap<Rc<str>, RetryAccount>>,
     slack: RefCell<HashMap<Rc<str>, SlackAccount>>,
+    /// This daemon's right to grant the slack.
     pub(super) lease: RefCell<SlackLease>,
     /// Whether all known daemons ask for the slack, rather than use a share of it without asking.
     is_slack_shared: Cell<bool>,
-    /// Number of daemons that may ask for the slack, including this one.
-    daemon_count: Cell<u32>,
+    /// The daemon that the store names as holder of the slack.
     pub(super) holder: Cell<Option<SlackHolder>>,
     calls: PendingCalls<bool>,
     refused_until: RefCell<HashMap<Rc<str>, Time>>,
@@ -99,7 +102,6 @@
             accounts: RefCell::default(),
             slack: RefCell::default(),
             is_slack_shared: Cell::new(true),
-            daemon_count: Cell::new(1),
             holder: Cell::new(None),
             calls: PendingCalls::default(),
             refused_until: RefCell::default(),
@@ -176,10 +178,9 @@
         }
     }
 
-    /// Sets the number of daemons, including this one, and whether all known ones ask for the slack.
-    pub fn set_daemons(&self, count: usize, is_slack_shared: bool) {
-        self.daemon_count.set(u32::try_from(count).unwrap_or(u32::MAX));
-        self.is_slack_shared.set(is_slack_shared);
+    /// Sets whether all known daemons ask for the slack.
+    pub fn set_slack_shared(&self, is_shared: bool) {
+        self.is_slack_shared.set(is_shared);
     }
 
     /// Applies a store change; returns false if it does not belong to the slack.
@@ -189,9 +190,8 @@
             MirrorChange::Removed(key) if key == SLACK_KEY => None,
             MirrorChange::Put(_) | MirrorChange::Removed(_) => return false,
         };
-        let is_other = holder.is_some_and(|holder| holder.address != self.deps.me);
-        if is_other && self.lease.borrow_mut().lost() {
-            log::warn!(reason = "another holder"; "retry_slack_lost");
+        if holder.is_some_and(|holder| holder.address != self.deps.me) {
+            self.lose_slack("another holder");
         }
         self.holder.set(holder);
         let address = holder.map(|holder| holder.address.to_string()).unwrap_or_default();
@@ -199,6 +199,18 @@
         true
     }
 
+    /// Gives up the slack after the store was restored from a backup: the lease may be lost, and its id
+    /// may be reused.
+    pub fn store_came_back(&self) {
+        self.lose_slack("the store came back");
+    }
+
+    fn lose_slack(&self, reason: &str) {
+        if self.lease.borrow_mut().lost() {
+            log::warn!(reason = reason; "retry_slack_lost");
+        }
+    }
+
     /// Handles a message of another daemon.
     pub fn on_message(&self, message: RetryMessage, from: SocketAddr) {
         match message {
@@ -233,7 +245,8 @@
         match self.calls.call(HOLDER_TIMEOUT, send).await {
             Some(true) => Ok(()),
             Some(false) => {
-                let refused_for = REFUSED_FOR_PER_DAEMON * self.daemon_count.get();
+                let daemons = u32::try_from(self.deps.daemons.borrow().count()).unwrap_or(u32::MAX);
+                let refused_for = REFUSED_FOR_PER_DAEMON.saturating_mul(daemons);
                 let until = self.deps.clock.now() + refused_for;
                 self.refused_until.borrow_mut().insert(service.clone(), until);
                 Err(SlackRefusal::Refused)
--- a/crates/portrack/src/gateway/retries/holding.rs
+++ b/crates/portrack/src/gateway/retries/holding.rs
@@ -76,7 +76,7 @@
             KvTransaction { expected: vec![(SLACK_KEY.into(), 0)], puts: vec![(put, Some(lease))] };
         match self.store.transact(&transaction).await {
             Ok(KvOutcome::Committed(_)) if self.store.era() == era => {
-                self.retries().lease.borrow_mut().acquired(self.now(), lease, era, asked_at);
+                self.retries().lease.borrow_mut().acquired(self.now(), lease, asked_at);
                 log::info!(lease = lease; "retry_slack_taken");
             }
             Ok(KvOutcome::Committed(_) | KvOutcome::Conflict(_) | KvOutcome::NoLease)
@@ -88,14 +88,14 @@
 
     async fn renew_retry_slack(self: Rc<Self>, lease: u64, sent_at: Time) {
         let reply = self.store.renew_lease(lease).await;
+        // A lease of an earlier era is over, and its id may have been reused.
+        self.update_era();
         let mut held = self.retries().lease.borrow_mut();
-        let is_over = held.id() == Some(lease) && reply == Ok(false) && held.lost();
-        if is_over || held.check_era(self.store.era()) {
-            log::warn!(reason = "lease ended"; "retry_slack_lost");
-            return;
-        }
         match reply {
             Ok(true) => held.renewed(lease, sent_at),
+            Ok(false) if held.id() == Some(lease) && held.lost() => {
+                log::warn!(reason = "lease ended"; "retry_slack_lost");
+            }
             Ok(false) => {}
             Err(error) => log::warn!(lease = lease, error:% = error; "retry_slack_not_renewed"),
         }
--- a/crates/portrack/src/gateway/retries/lease.rs
+++ b/crates/portrack/src/gateway/retries/lease.rs
@@ -1,21 +1,15 @@
 //! The right to grant the slack: one daemon at a time, by a lease of the store.
 
 use super::bounds::RetryBounds;
-use crate::store::StoreEra;
+use crate::gateway::store_lease::StoreLease;
 use crate::types::Time;
 use std::time::Duration;
 
 /// Time to live of the lease.
 pub const SLACK_LEASE_TTL: Duration = Duration::from_millis(3_000);
-/// Grants stop this long before the lease can have expired.
-const LEASE_MARGIN: Duration = Duration::from_millis(250);
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
-    id: u64,
-    era: StoreEra,
-    /// When the last successful renewal was sent.
-    renewed_at: Time,
+    lease: StoreLease,
     /// From this time on, no grant of an earlier holder counts in any window.
     grants_from: Time,
 }
@@ -37,15 +31,15 @@
     }
 
     /// Records that the store accepted this daemon as the holder. The lease was asked for at `asked_at`.
-    pub fn acquired(&mut self, now: Time, id: u64, era: StoreEra, asked_at: Time) {
-        let grants_from = now + self.wait;
-        self.held = Some(Held { id, era, renewed_at: asked_at, grants_from });
+    pub fn acquired(&mut self, now: Time, id: u64, asked_at: Time) {
+        let lease = StoreLease::new(id, SLACK_LEASE_TTL, asked_at);
+        self.held = Some(Held { lease, grants_from: now + self.wait });
     }
 
-    /// Records a confirmed renewal that was sent at `sent_at`.
+    /// Records a confirmed renewal of the lease `id` that was sent at `sent_at`.
     pub fn renewed(&mut self, id: u64, sent_at: Time) {
-        if let Some(held) = self.held.as_mut().filter(|held| held.id == id) {
-            held.renewed_at = held.renewed_at.max(sent_at);
+        if let Some(held) = &mut self.held {
+            held.lease.renewed(id, sent_at);
         }
     }
 
@@ -54,21 +48,13 @@
         self.held.take().is_some()
     }
 
-    /// Drops a lease of an earlier era of the store. Returns true if it was held.
-    pub fn check_era(&mut self, era: StoreEra) -> bool {
-        self.held.is_some_and(|held| held.era != era) && self.lost()
-    }
-
     /// The id of the lease, if one is held. It may have expired.
     pub fn id(&self) -> Option<u64> {
-        self.held.map(|held| held.id)
+        self.held.map(|held| held.lease.id())
     }
 
     /// Returns true if the slack may be granted right now.
     pub fn may_grant(&self, now: Time) -> bool {
-        self.held.is_some_and(|held| {
-            let is_live = now.since(held.renewed_at) + LEASE_MARGIN < SLACK_LEASE_TTL;
-            is_live && now >= held.grants_from
-        })
+        self.held.is_some_and(|held| held.lease.is_alive(now) && now >= held.grants_from)
     }
 }
--- a/crates/portrack/src/gateway/retries/permit.rs
+++ b/crates/portrack/src/gateway/retries/permit.rs
@@ -28,7 +28,7 @@
 
 /// Permission for one retry, given back on drop unless it was used.
 pub struct RetryPermit {
-    budget: Rc<RetryBudgets>,
+    budgets: Rc<RetryBudgets>,
     service: Rc<str>,
     source: RetrySource,
     taken_at: Time,
@@ -36,14 +36,14 @@
 }
 
 impl RetryPermit {
-    /// A permission taken from `budget` at `taken_at`.
+    /// A permission taken from `budgets` at `taken_at`.
     pub(super) fn new(
-        budget: Rc<RetryBudgets>,
+        budgets: Rc<RetryBudgets>,
         service: Rc<str>,
         source: RetrySource,
         taken_at: Time,
     ) -> Self {
-        Self { budget, service, source, taken_at, used: Cell::new(false) }
+        Self { budgets, service, source, taken_at, used: Cell::new(false) }
     }
 
     /// What the retry is charged to.
@@ -53,7 +53,7 @@
 
     /// Returns true if the retry may be sent now.
     pub fn is_usable(&self, now: Time) -> bool {
-        !self.used.get() && now.since(self.taken_at) < self.budget.bounds().send_within()
+        !self.used.get() && now.since(self.taken_at) < self.budgets.bounds().send_within()
     }
 
     /// Records that the retry is sent.
@@ -65,7 +65,7 @@
 impl Drop for RetryPermit {
     fn drop(&mut self) {
         if !self.used.get() {
-            self.budget.give_back(&self.service, self.source);
+            self.budgets.give_back(&self.service, self.source);
         }
     }
 }
--- a/crates/portrack/tests/gateway/retries.rs
+++ b/crates/portrack/tests/gateway/retries.rs
@@ -5,9 +5,7 @@
 use portrack::gateway::{
     RetryAccount, RetryBounds, SLACK_LEASE_TTL, SlackAccount, SlackHolder, SlackLease,
 };
-use portrack::store::StoreEra;
 use proptest::prelude::*;
-use std::collections::VecDeque;
 
 const WINDOW_MS: u64 = 10_000;
 /// Start of all scenarios; the clock does not begin at zero.
@@ -80,8 +78,7 @@
 #[test]
 fn a_new_holder_of_the_slack_waits_for_the_grants_of_the_one_before() {
     let mut lease = SlackLease::new(bounds(50.0));
-    let era = StoreEra::default();
-    lease.acquired(Time(START), 1, era, Time(START));
+    lease.acquired(Time(START), 1, Time(START));
     let grants_from = (START..START + 60_000).step_by(100).find(|now| {
         lease.renewed(1, Time(*now));
         lease.may_grant(Time(*now))
@@ -94,7 +91,7 @@
 #[test]
 fn grants_stop_before_the_lease_expires() {
     let mut lease = SlackLease::new(bounds(50.0));
-    lease.acquired(Time(START), 1, StoreEra::default(), Time(START));
+    lease.acquired(Time(START), 1, Time(START));
     let sent = START + 20_000;
     lease.renewed(1, Time(sent));
     assert!(lease.may_grant(Time(sent + 2_000)));
@@ -103,15 +100,6 @@
     assert!(!lease.may_grant(Time(sent + 5_000)), "the renewal of another lease");
 }
 
-#[test]
-fn a_lease_of_an_earlier_era_of_the_store_is_dropped() {
-    let mut lease = SlackLease::new(bounds(50.0));
-    lease.acquired(Time(START), 1, StoreEra::from_number(1), Time(START));
-    assert!(!lease.check_era(StoreEra::from_number(1)));
-    assert!(lease.check_era(StoreEra::from_number(2)));
-    assert_eq!(lease.id(), None);
-}
-
 #[test]
 fn the_record_of_the_holder_is_read_as_written() {
     let holder = SlackHolder { address: "10.1.0.38:7380".parse().expect("an address") };
@@ -138,23 +126,15 @@
     bounds: RetryBounds,
     nodes: Vec<Node>,
     holder: StoredHolder,
-    requests: VecDeque<u64>,
+    requests: Vec<u64>,
     retries: Vec<u64>,
-    refused: usize,
 }
 
 impl Fleet {
     fn new(nodes: usize, slack: f64) -> Self {
         let bounds = bounds(slack);
         let nodes = (0..nodes).map(|_| Self::node(bounds, 0)).collect();
-        Self {
-            bounds,
-            nodes,
-            holder: None,
-            requests: VecDeque::new(),
-            retries: Vec::new(),
-            refused: 0,
-        }
+        Self { bounds, nodes, holder: None, requests: Vec::new(), retries: Vec::new() }
     }
 
     fn node(bounds: RetryBounds, life: u32) -> Node {
@@ -187,7 +167,7 @@
                 node.lease.lost();
             }
             if self.holder.is_none() {
-                node.lease.acquired(Time(now), now, StoreEra::default(), Time(now));
+                node.lease.acquired(Time(now), now, Time(now));
             } else if is_mine {
                 node.lease.renewed(node.lease.id().unwrap_or_default(), Time(now));
             } else {
@@ -199,7 +179,7 @@
     }
 
     fn request(&mut self, n: usize, now: u64) {
-        self.requests.push_back(now);
+        self.requests.push(now);
         if self.nodes[n].up {
             self.nodes[n].account.record_request(Time(now));
         }
@@ -221,9 +201,8 @@
                     && node.lease.may_grant(Time(now))
                     && node.slack.try_grant(Time(now)).is_some()
             });
-        match granted {
-            true => self.retries.push(now),
-            false => self.refused += 1,
+        if granted {
+            self.retries.push(now);
         }
     }
 
@@ -233,10 +212,9 @@
             times.partition_point(|at| *at < from + WINDOW_MS)
                 - times.partition_point(|at| *at < from)
         };
-        let requests: Vec<u64> = self.requests.iter().copied().collect();
         let windows = self.retries.iter().map(|from| {
             let starts = [*from, from - WINDOW_MS / 2, from - WINDOW_MS];
-            let most = starts.iter().map(|start| count(&requests, *start)).max().unwrap_or(0);
+            let most = starts.iter().map(|start| count(&self.requests, *start)).max().unwrap_or(0);
             let allowed = self.bounds.ratio * most as f64 + self.bounds.slack;
             (count(&self.retries, *from), allowed)
         });
