Loads of base models: a test of the sum over daemons; it fails and is listed

Six daemons that all want to load begin 24 in 5 s, 18.4 are allowed (2.8 a second, the users' formula); a lone daemon stays within it and uses it. No logic has changed.

--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod keys;
 mod limits;
 mod lives;
+mod load_budget;
 mod loads;
 mod logs;
 mod marks;
