Links to servers: a line when one is lost and when it is back; a refusal says that no server could be reached

Callers of two partitioned nodes were refused with not_loaded and busy, and no line told that the node reached no server at all. Each attempt to connect is evidence about this node's link now (ServerLinks), with a line at each change, a gauge, and a reason of its own for refusals whose last try could not connect. Nothing else follows from it yet. Connections are opened by a Connector, so that tests can cut the links of one daemon.

--- a/crates/portrack/src/gateway/connections/connection.rs
+++ b/crates/portrack/src/gateway/connections/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server.
 
 use super::body::{BodyDecoder, DecodeStep};
+use super::connector::Connector;
 use super::response::{ResponseError, ResponseHead, parse_head};
 use crate::gateway::dialect::Dialect;
 use crate::types::{BootClock, Clock, Time};
@@ -65,8 +66,11 @@
 
 impl Connection {
     /// Opens a connection.
-    pub async fn open(address: SocketAddr) -> Result<Self, ExchangeError> {
-        let connecting = TcpStream::connect(address);
+    pub async fn open(
+        connector: &dyn Connector,
+        address: SocketAddr,
+    ) -> Result<Self, ExchangeError> {
+        let connecting = connector.connect(address);
         let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -1,6 +1,9 @@
 //! Pool of keep-alive connections to backend servers.
 
 use super::connection::{Connection, ExchangeError};
+use super::connector::{Connector, TcpConnector};
+use super::links::{LinkChange, ServerLinks};
+use crate::types::{BootClock, Clock};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,11 +21,19 @@
 }
 
 /// Connections to all servers, by server id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
+    connector: Rc<dyn Connector>,
+    links: Rc<ServerLinks>,
     servers: RefCell<HashMap<Rc<str>, ServerPool>>,
 }
 
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new(Rc::new(TcpConnector), Rc::default())
+    }
+}
+
 /// A connection in use; closed on drop unless released.
 #[derive(Debug)]
 pub struct PooledConnection {
@@ -72,6 +83,16 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections. The outcome of each attempt to connect is recorded in `links`.
+    pub fn new(connector: Rc<dyn Connector>, links: Rc<ServerLinks>) -> Self {
+        Self { connector, links, servers: RefCell::default() }
+    }
+
+    /// The links to the servers.
+    pub fn links(&self) -> &ServerLinks {
+        &self.links
+    }
+
     /// Acquires a connection: a reusable idle one, or a new one if fewer than `max_open` are open.
     pub async fn acquire(
         self: &Rc<Self>,
@@ -86,11 +107,37 @@
             return Err(AcquireError::Full);
         }
         let reservation = Reservation { pool: self, server, confirmed: false };
-        let opened = Connection::open(address).await.map_err(AcquireError::Unreachable)?;
+        let opened = self.open(server, address).await.map_err(AcquireError::Unreachable)?;
         reservation.confirm();
         Ok(self.checked_out(server, opened))
     }
 
+    async fn open(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+    ) -> Result<Connection, ExchangeError> {
+        let opened = Connection::open(&*self.connector, address).await;
+        let now = BootClock.now();
+        let change = match &opened {
+            Ok(_) => self.links.reached(now, server),
+            Err(_) => self.links.failed(now, server),
+        };
+        let failing = self.links.failing_count();
+        match (change, &opened) {
+            (Some(LinkChange::Restored(after)), _) => {
+                let after_ms = after.as_millis() as u64;
+                log::info!(server = &**server, after_ms = after_ms, failing = failing; "server_link_restored");
+            }
+            (Some(LinkChange::Lost(reached)), Err(why)) => {
+                let reached_ms = reached.map_or(-1, |reached| reached.as_millis() as i64);
+                log::warn!(server = &**server, why:% = why, reached_ms = reached_ms, failing = failing; "server_link_lost");
+            }
+            (Some(LinkChange::Lost(_)), Ok(_)) | (None, _) => {}
+        }
+        opened
+    }
+
     fn checked_out(self: &Rc<Self>, server: &Rc<str>, connection: Connection) -> PooledConnection {
         let generation = self.servers.borrow().get(server).map_or(0, |pool| pool.generation);
         PooledConnection {
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -4,6 +4,8 @@
 use crate::gateway::arrivals::{GrantDeps, GrantMetrics, Grants};
 use crate::gateway::backpressure::leaving::{LeavingDeps, LeavingServers};
 use crate::gateway::backpressure::tracker::{Backpressure, BackpressureDeps, BackpressureMetrics};
+use crate::gateway::connections::connector::Connector;
+use crate::gateway::connections::links::ServerLinks;
 use crate::gateway::connections::pool::ConnectionPool;
 use crate::gateway::connections::response::ResponseHead;
 use crate::gateway::dialect::Dialect;
@@ -136,6 +138,7 @@
         store: Rc<dyn KvStore>,
         socket: UdpSocket,
         incarnation: Incarnation,
+        connector: Rc<dyn Connector>,
     ) -> Self {
         let metrics = GatewayMetrics::new();
         let store = Rc::new(CountedStore::new(store, metrics.store_calls.clone()));
@@ -158,8 +161,10 @@
         let node: Rc<str> = settings.node.as_str().into();
         let records = Rc::new(RefCell::default());
         let claim_holders = ClaimHolders { peers: peers.clone(), records: records.clone() };
+        let links = Rc::<ServerLinks>::default();
+        let order_pool = ConnectionPool::new(connector.clone(), links.clone());
         let order_executor =
-            Rc::new(OrderExecutor::new(clock.clone(), dialect.clone(), node, claims));
+            Rc::new(OrderExecutor::new(clock.clone(), dialect.clone(), node, claims, order_pool));
         let started_at = clock.now();
         let view = Rc::new(RefCell::new(FleetView::default()));
         let messenger =
@@ -234,7 +239,7 @@
             daemons: eligible_daemons.clone(),
             bounds: retry_bounds,
         });
-        let pool = Rc::<ConnectionPool>::default();
+        let pool = Rc::new(ConnectionPool::new(connector, links));
         let quarantine = Quarantine::new(QuarantineDeps {
             clock: clock.clone(),
             view: view.clone(),
@@ -465,6 +470,7 @@
             ViewChange::BackendGone(id) => {
                 planner.server_gone(id);
                 self.handler.pool.close_server(id);
+                self.handler.pool.links().forget(id);
                 self.handler.loads.forget(id);
                 self.handler.coldness.borrow_mut().gone(id);
                 self.order_executor.forget(id);
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -81,6 +81,8 @@
     pub trials: IntCounter,
     /// Servers that announce a request rate limit.
     pub limited_servers: IntGauge,
+    /// Servers that this node could not reach when it last tried.
+    pub unreachable_servers: IntGauge,
     /// Responses with an invalid limit or backoff hint.
     pub invalid_hints: IntCounter,
     /// Servers to which this daemon sends nothing during a backoff.
@@ -165,6 +167,8 @@
                 "quarantine_trials_total",
                 "Requests tried once after they were held back",
             ),
+            unreachable_servers: maker
+                .gauge("unreachable_servers", "Servers that this node could not reach last time"),
             limited_servers: maker
                 .gauge("limited_servers", "Servers that say how many requests a second they take"),
             invalid_hints: maker.counter(
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -49,6 +49,8 @@
 pub use cold::server::ColdServer;
 pub use connections::body::{BodyDecoder, DecodeStep};
 pub use connections::connection::{Connection, ExchangeError};
+pub use connections::connector::{Connector, TcpConnector};
+pub use connections::links::{LinkChange, ServerLinks};
 pub use connections::pool::ConnectionPool;
 pub use connections::response::{Framing, ResponseError, ResponseHead, parse_head};
 pub use daemon::GatewayDaemon;
@@ -121,7 +123,7 @@
 pub use retries::lease::{SLACK_LEASE_TTL, SlackLease};
 pub use retries::message::RetryMessage;
 pub use retries::slack::SlackAccount;
-pub use run::{GatewayError, RunningGateway, start_gateway};
+pub use run::{GatewayError, RunningGateway, start_gateway, start_gateway_with};
 pub use selection::adapter_locations::{AdapterLocations, Presence};
 pub use selection::choose::{
     ScoredServer, better_of_two, cheaper_of_two, cheapest, two_random_choices,
--- a/crates/portrack/src/gateway/orders/order_call.rs
+++ b/crates/portrack/src/gateway/orders/order_call.rs
@@ -64,8 +64,8 @@
 
 impl OrderCalls {
     /// Creates a client without connections.
-    pub fn new(dialect: Rc<dyn Dialect>) -> Self {
-        Self { dialect, pool: Rc::default(), response_hook: OnceCell::new() }
+    pub fn new(dialect: Rc<dyn Dialect>, pool: ConnectionPool) -> Self {
+        Self { dialect, pool: Rc::new(pool), response_hook: OnceCell::new() }
     }
 
     /// Sets the hook for response heads. Only the first call has an effect.
--- a/crates/portrack/src/gateway/orders/order_executor.rs
+++ b/crates/portrack/src/gateway/orders/order_executor.rs
@@ -4,6 +4,7 @@
 use super::claims::Claims;
 use super::order_call::{CallOutcome, OrderCall, OrderCalls, ResponseHook};
 use super::planner::{LoadProgress, Plan, PlanOutcome, PlannedLoad, Planner};
+use crate::gateway::connections::pool::ConnectionPool;
 use crate::gateway::dialect::{AdapterKey, Dialect, Order, OrderAnswer, OrderKind, ServerReport};
 use crate::gateway::fleet::message::{NoticeState, PlacementNotice};
 use crate::types::{Clock, Time};
@@ -101,10 +102,11 @@
         dialect: Rc<dyn Dialect>,
         node: Rc<str>,
         claims: Claims,
+        pool: ConnectionPool,
     ) -> Self {
         Self {
             clock,
-            calls: OrderCalls::new(dialect.clone()),
+            calls: OrderCalls::new(dialect.clone(), pool),
             dialect,
             node,
             server_states: RefCell::default(),
--- a/crates/portrack/src/gateway/requests/caller.rs
+++ b/crates/portrack/src/gateway/requests/caller.rs
@@ -87,6 +87,8 @@
     NotLoaded,
     /// All servers have rejected it.
     Busy,
+    /// This node could not reach the servers that could have served it.
+    Unreachable,
     /// The deadline of the caller or the route passed before it was sent.
     Expired,
     /// The retry budget is exhausted.
@@ -127,6 +129,7 @@
             Self::NoAllowedServer => "no_allowed_server",
             Self::NotLoaded => "not_loaded",
             Self::Busy => "busy",
+            Self::Unreachable => "unreachable",
             Self::Expired => "expired",
             Self::Budget => "budget",
             Self::Lost => "lost",
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -184,6 +184,7 @@
             server: None,
             last_event: request.last_event.clone(),
             last_failure: String::new(),
+            was_unreachable: false,
             retry_reason: None,
             permit: None,
             adapter_note: RefCell::default(),
@@ -230,7 +231,7 @@
                 Err(_) if job.may_have_run() => {
                     return RequestOutcome::Refused(Refused::new(RefusalReason::Lost, None));
                 }
-                Err(refused) => return RequestOutcome::Refused(refused),
+                Err(refused) => return RequestOutcome::Refused(job.with_cause(refused)),
             };
             match self.try_server(job, &choice, relay, sink).await {
                 NextStep::Retry => {}
@@ -401,6 +402,7 @@
     ) -> NextStep {
         let (now, id) = (self.clock.now(), &choice.backend.id);
         job.last_failure = format!("{why:?}");
+        job.was_unreachable = matches!(why, NotRunReason::Unreachable(_));
         if !job.may_have_run() {
             job.charge.mark_not_run();
         }
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -87,6 +87,8 @@
     pub last_event: Option<String>,
     /// Description of the last failure.
     pub last_failure: String,
+    /// Whether the last server tried could not be reached from this node.
+    pub was_unreachable: bool,
     /// How the last send that reached a server failed.
     pub retry_reason: Option<RetryReason>,
     /// The permit for the next send, if that is a retry.
@@ -218,7 +220,16 @@
         if self.may_have_run() {
             return RequestOutcome::Refused(Refused::new(RefusalReason::Lost, None));
         }
-        RequestOutcome::Refused(Refused::new(reason, after.or(Some(BUSY_RETRY))))
+        let refused = Refused::new(reason, after.or(Some(BUSY_RETRY)));
+        RequestOutcome::Refused(self.with_cause(refused))
+    }
+
+    /// The refusal with its cause: without a reachable server, a request also finds no adapter or slot.
+    pub(in crate::gateway) fn with_cause(&self, refused: Refused) -> Refused {
+        match self.was_unreachable {
+            true => Refused { reason: RefusalReason::Unreachable, ..refused },
+            false => refused,
+        }
     }
 }
 
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a gateway daemon.
 
+use crate::gateway::connections::connector::{Connector, TcpConnector};
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::fleet::incarnation::Incarnation;
@@ -55,10 +56,21 @@
 
 /// Binds the listeners and starts the tasks of a daemon.
 pub async fn start_gateway(
+    settings: GatewaySettings,
+    clock: Rc<dyn Clock>,
+    dialect: Rc<dyn Dialect>,
+    store: Rc<dyn KvStore>,
+) -> Result<RunningGateway, GatewayError> {
+    start_gateway_with(settings, clock, dialect, store, Rc::new(TcpConnector)).await
+}
+
+/// Like [`start_gateway`], and connects to servers with the given connector.
+pub async fn start_gateway_with(
     mut settings: GatewaySettings,
     clock: Rc<dyn Clock>,
     dialect: Rc<dyn Dialect>,
     store: Rc<dyn KvStore>,
+    connector: Rc<dyn Connector>,
 ) -> Result<RunningGateway, GatewayError> {
     let (callers, bound) = listen("callers", settings.callers).await?;
     settings.callers = bound;
@@ -77,7 +89,9 @@
         node = settings.node.as_str(), hall = settings.hall.as_str(),
         callers:% = settings.callers, version = env!("CARGO_PKG_VERSION"); "start"
     );
-    let daemon = GatewayDaemon::new(settings, clock, dialect, store, socket, Incarnation::now());
+    let incarnation = Incarnation::now();
+    let daemon =
+        GatewayDaemon::new(settings, clock, dialect, store, socket, incarnation, connector);
     let daemon = Rc::new(daemon);
     let weak_daemon = Rc::downgrade(&daemon);
     daemon.order_executor.set_response_hook(Box::new(move |server, head| {
@@ -164,6 +178,8 @@
             actix_rt::time::sleep(SWEEP_INTERVAL).await;
             let now: Time = self.now();
             self.handler.pool.close_unusable();
+            self.handler.pool.links().sweep(now);
+            self.metrics.unreachable_servers.set(self.handler.pool.links().failing_count() as i64);
             self.order_executor.sweep();
             self.order_executor.planner.borrow_mut().sweep(now);
             self.handler.view.borrow_mut().adapter_locations.expire_notices(now);
