Requests reach servers through another node where their own has no link

Cause: a node had no way to a server but its own link, and whatever a request did, each of its tries needed one. The refusals named what followed (not_loaded, busy).

Mend: ServerLinks keeps what this node reaches, with the time of each belief; where a link is down, the connection is opened by another daemon that reaches the server and copies bytes both ways (docs/design/tunnels.md). Everything about the request stays where it was: the reply comes before its first byte, so that 'not run' stays true; resets are passed on as resets. That a server cannot be reached at all takes the word of two daemons, where there are two.

--- a/crates/portrack/src/gateway/connections/connection.rs
+++ b/crates/portrack/src/gateway/connections/connection.rs
@@ -7,8 +7,10 @@
 use crate::types::{BootClock, Clock, Time};
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -47,6 +49,22 @@
     },
 }
 
+/// Connects to a server.
+pub async fn connect(
+    connector: &dyn Connector,
+    address: SocketAddr,
+) -> Result<TcpStream, ExchangeError> {
+    let connecting = connector.connect(address);
+    match actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) => {
+            let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+            Err(ExchangeError::NotConnected { why: error.kind().to_string(), refused })
+        }
+        Err(_) => Err(ExchangeError::NotConnected { why: "timeout".into(), refused: false }),
+    }
+}
+
 fn lost(error: &io::Error) -> ExchangeError {
     ExchangeError::Lost { why: error.kind().to_string() }
 }
@@ -62,34 +80,38 @@
     idle_since: Time,
     /// A request was sent, and its response is not complete yet.
     response_pending: bool,
+    route: ConnectionRoute,
+}
+
+/// How a connection gets to its server.
+#[derive(Debug, Clone)]
+pub enum ConnectionRoute {
+    /// Directly; the time of the last receipt is recorded.
+    Direct(Rc<Cell<Option<Time>>>),
+    /// Through the daemon at this address.
+    Tunnel(SocketAddr),
 }
 
 impl Connection {
-    /// Opens a connection.
-    pub async fn open(
-        connector: &dyn Connector,
-        address: SocketAddr,
-    ) -> Result<Self, ExchangeError> {
-        let connecting = connector.connect(address);
-        let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => {
-                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                return Err(ExchangeError::NotConnected { why: error.kind().to_string(), refused });
-            }
-            Err(_) => {
-                return Err(ExchangeError::NotConnected { why: "timeout".into(), refused: false });
-            }
-        };
+    /// Uses an open connection to the server.
+    pub fn over(stream: TcpStream, route: ConnectionRoute) -> Self {
         let _ = stream.set_nodelay(true);
-        Ok(Self {
+        Self {
             stream,
             buffer: BytesMut::new(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since: BootClock.now(),
             response_pending: false,
-        })
+            route,
+        }
+    }
+
+    /// The daemon that it leads through, if it is not direct.
+    pub fn carrier(&self) -> Option<SocketAddr> {
+        match self.route {
+            ConnectionRoute::Direct(_) => None,
+            ConnectionRoute::Tunnel(carrier) => Some(carrier),
+        }
     }
 
     /// Whether it can carry another request: it is open, has no unread bytes, and was not idle for too long.
@@ -144,7 +166,11 @@
     /// Reads more bytes into the buffer. Returns zero at the end of the connection.
     async fn fill(&mut self) -> Result<usize, ExchangeError> {
         self.buffer.reserve(READ_SIZE);
-        self.stream.read_buf(&mut self.buffer).await.map_err(|error| lost(&error))
+        let read = self.stream.read_buf(&mut self.buffer).await.map_err(|error| lost(&error))?;
+        if let ConnectionRoute::Direct(contact) = &self.route {
+            contact.set(Some(BootClock.now()));
+        }
+        Ok(read)
     }
 
     /// Reads the next response head, skipping informational (1xx) ones.
--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -1,13 +1,14 @@
 //! Pool of keep-alive connections to backend servers.
 
-use super::connection::{Connection, ExchangeError};
+use super::connection::{Connection, ConnectionRoute, ExchangeError, connect};
 use super::connector::{Connector, TcpConnector};
-use super::links::{LinkChange, ServerLinks};
-use crate::types::{BootClock, Clock};
+use super::links::{LinkChange, LinkFailure, ServerLinks};
+use crate::types::{BootClock, Clock, Time};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::net::TcpStream;
 
 /// Maximum number of idle connections per server.
 const MAX_IDLE: usize = 24;
@@ -20,6 +21,27 @@
     generation: u32,
 }
 
+impl ServerPool {
+    /// Takes the idle connection used last of those that fit; closes those that cannot be reused.
+    fn take_idle(&mut self, fits: impl Fn(&Connection) -> bool) -> Option<Connection> {
+        while let Some(at) = self.idle.iter().rposition(&fits) {
+            let connection = self.idle.remove(at);
+            if connection.is_reusable() {
+                return Some(connection);
+            }
+            self.open = self.open.saturating_sub(1);
+        }
+        None
+    }
+
+    /// Closes the idle connections that are not to be kept.
+    fn retain_idle(&mut self, keep: impl Fn(&Connection) -> bool) {
+        let before = self.idle.len();
+        self.idle.retain(keep);
+        self.open = self.open.saturating_sub(before - self.idle.len());
+    }
+}
+
 /// Connections to all servers, by server id.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -49,6 +71,11 @@
         self.connection.as_mut().expect("a connection until it is released")
     }
 
+    /// The daemon that the connection leads through; `None` if it is direct.
+    pub fn carrier(&self) -> Option<SocketAddr> {
+        self.connection.as_ref().and_then(Connection::carrier)
+    }
+
     /// Returns the connection to the pool for reuse.
     pub fn release(mut self) {
         let Some(connection) = self.connection.take() else { return };
@@ -78,8 +105,10 @@
 pub enum AcquireError {
     /// All connections of this daemon's share are in use.
     Full,
-    /// The server could not be reached.
+    /// The server could not be reached, also not from another daemon if there is one to ask.
     Unreachable(ExchangeError),
+    /// The server could not be reached from here, and other daemons told nothing about it.
+    NoPath(ExchangeError),
 }
 
 impl ConnectionPool {
@@ -93,49 +122,82 @@
         &self.links
     }
 
-    /// Acquires a connection: a reusable idle one, or a new one if fewer than `max_open` are open.
+    /// Acquires a direct connection: a reusable idle one, or a new one if fewer than `max_open` are open.
     pub async fn acquire(
         self: &Rc<Self>,
         server: &Rc<str>,
         address: SocketAddr,
         max_open: usize,
     ) -> Result<PooledConnection, AcquireError> {
-        if let Some(connection) = self.take_idle(server) {
-            return Ok(self.checked_out(server, connection));
+        if let Some(idle) = self.take_idle(server, |idle| idle.carrier().is_none()) {
+            return Ok(idle);
         }
+        let opening = async {
+            let stream = self.connect(server, address).await.map_err(AcquireError::Unreachable)?;
+            Ok(Connection::over(stream, ConnectionRoute::Direct(self.links.contact())))
+        };
+        self.open_with(server, max_open, opening).await
+    }
+
+    /// Opens a connection by `opening` if fewer than `max_open` are open.
+    pub async fn open_with(
+        self: &Rc<Self>,
+        server: &Rc<str>,
+        max_open: usize,
+        opening: impl Future<Output = Result<Connection, AcquireError>>,
+    ) -> Result<PooledConnection, AcquireError> {
         if !self.reserve(server, max_open) {
             return Err(AcquireError::Full);
         }
         let reservation = Reservation { pool: self, server, confirmed: false };
-        let opened = self.open(server, address).await.map_err(AcquireError::Unreachable)?;
+        let opened = opening.await?;
         reservation.confirm();
         Ok(self.checked_out(server, opened))
     }
 
-    async fn open(
+    /// Connects to a server and records the outcome.
+    pub async fn connect(
         &self,
         server: &Rc<str>,
         address: SocketAddr,
-    ) -> Result<Connection, ExchangeError> {
-        let opened = Connection::open(&*self.connector, address).await;
+    ) -> Result<TcpStream, ExchangeError> {
+        let connected = connect(&*self.connector, address).await;
         let now = BootClock.now();
-        let change = match &opened {
-            Ok(_) => self.links.reached(now, server),
-            Err(_) => self.links.failed(now, server),
+        match &connected {
+            Ok(_) => self.on_reached(now, server),
+            Err(why) => self.on_failed(now, server, why),
+        }
+        connected
+    }
+
+    fn on_reached(&self, now: Time, server: &Rc<str>) {
+        if let Some(LinkChange::Restored(after)) = self.links.reached(now, server) {
+            let (after_ms, failing) = (after.as_millis() as u64, self.links.failing_count());
+            log::info!(server = &**server, after_ms = after_ms, failing = failing; "server_link_restored");
+        }
+    }
+
+    fn on_failed(&self, now: Time, server: &Rc<str>, why: &ExchangeError) {
+        let failure = match why {
+            ExchangeError::NotConnected { refused: true, .. } => LinkFailure::Refused,
+            _ => LinkFailure::TimedOut,
         };
-        let failing = self.links.failing_count();
-        match (change, &opened) {
-            (Some(LinkChange::Restored(after)), _) => {
-                let after_ms = after.as_millis() as u64;
-                log::info!(server = &**server, after_ms = after_ms, failing = failing; "server_link_restored");
-            }
-            (Some(LinkChange::Lost(reached)), Err(why)) => {
-                let reached_ms = reached.map_or(-1, |reached| reached.as_millis() as i64);
-                log::warn!(server = &**server, why:% = why, reached_ms = reached_ms, failing = failing; "server_link_lost");
-            }
-            (Some(LinkChange::Lost(_)), Ok(_)) | (None, _) => {}
+        if let Some(LinkChange::Lost(reached)) = self.links.failed(now, server, failure) {
+            let reached_ms = reached.map_or(-1, |reached| reached.as_millis() as i64);
+            let failing = self.links.failing_count();
+            log::warn!(server = &**server, why:% = why, reached_ms = reached_ms, failing = failing; "server_link_lost");
+        }
+    }
+
+    /// Tries to reach a server directly, and keeps the connection for the next request.
+    pub async fn probe(self: Rc<Self>, server: Rc<str>, address: SocketAddr, max_open: usize) {
+        let opening = async {
+            let stream = self.connect(&server, address).await.map_err(AcquireError::Unreachable)?;
+            Ok(Connection::over(stream, ConnectionRoute::Direct(self.links.contact())))
+        };
+        if let Ok(connection) = self.open_with(&server, max_open, opening).await {
+            connection.release();
         }
-        opened
     }
 
     fn checked_out(self: &Rc<Self>, server: &Rc<str>, connection: Connection) -> PooledConnection {
@@ -148,16 +210,17 @@
         }
     }
 
-    fn take_idle(&self, server: &Rc<str>) -> Option<Connection> {
-        let mut servers = self.servers.borrow_mut();
-        let server = servers.get_mut(server)?;
-        while let Some(connection) = server.idle.pop() {
-            if connection.is_reusable() {
-                return Some(connection);
-            }
-            server.open = server.open.saturating_sub(1);
-        }
-        None
+    /// Takes a reusable idle connection that `fits`.
+    pub fn take_idle(
+        self: &Rc<Self>,
+        server: &Rc<str>,
+        fits: impl Fn(&Connection) -> bool,
+    ) -> Option<PooledConnection> {
+        let connection = {
+            let mut servers = self.servers.borrow_mut();
+            servers.get_mut(server)?.take_idle(fits)?
+        };
+        Some(self.checked_out(server, connection))
     }
 
     fn reserve(&self, server: &Rc<str>, max_open: usize) -> bool {
@@ -173,14 +236,17 @@
     /// Closes idle connections that can no longer be reused.
     pub fn close_unusable(&self) {
         let mut servers = self.servers.borrow_mut();
-        for server in servers.values_mut() {
-            let before = server.idle.len();
-            server.idle.retain(Connection::is_reusable);
-            server.open = server.open.saturating_sub(before - server.idle.len());
-        }
+        servers.values_mut().for_each(|server| server.retain_idle(Connection::is_reusable));
         servers.retain(|_, server| server.open > 0);
     }
 
+    /// Closes the idle connections that lead through a daemon which is leaving.
+    pub fn close_carried_by(&self, carrier: SocketAddr) {
+        let mut servers = self.servers.borrow_mut();
+        let others = |idle: &Connection| idle.carrier() != Some(carrier);
+        servers.values_mut().for_each(|server| server.retain_idle(others));
+    }
+
     /// Closes the idle connections to a server that was removed or has restarted; those in use are
     /// closed when they are released.
     pub fn close_server(&self, server: &str) {
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -37,6 +37,9 @@
 use crate::gateway::store_sync::source_selector::{PeerTopology, SourceSelector};
 use crate::gateway::store_sync::staleness::Staleness;
 use crate::gateway::store_sync::timings::SyncTimings;
+use crate::gateway::tunnels::carriers::Carriers;
+use crate::gateway::tunnels::connecting::ServerConnections;
+use crate::gateway::tunnels::pauses::PauseDetector;
 use crate::store::{CountedStore, KvStore, StoreEra};
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
@@ -107,6 +110,8 @@
     pub closing: Rc<Notify>,
     /// Set once idle connections are being closed.
     pub closing_idle: Cell<bool>,
+    /// Detects that this process stood still.
+    pub(in crate::gateway) pauses: PauseDetector,
     /// The metrics of this daemon.
     pub metrics: GatewayMetrics,
 }
@@ -240,6 +245,12 @@
             bounds: retry_bounds,
         });
         let pool = Rc::new(ConnectionPool::new(connector, links));
+        let connections = Rc::new(ServerConnections::new(
+            clock.clone(),
+            pool.clone(),
+            Carriers::new(peers.clone(), settings.regions()),
+            metrics.tunnels.clone(),
+        ));
         let quarantine = Quarantine::new(QuarantineDeps {
             clock: clock.clone(),
             view: view.clone(),
@@ -271,6 +282,7 @@
             coldness: cold_starts,
             loads,
             pool,
+            connections,
             backpressure,
             leaving: Rc::new(LeavingServers::new(leaving_deps)),
             quarantine: Rc::new(quarantine),
@@ -319,6 +331,7 @@
             started_at,
             closing: Rc::new(Notify::new()),
             closing_idle: Cell::new(false),
+            pauses: PauseDetector::default(),
             metrics,
         }
     }
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -151,6 +151,7 @@
             news: std::iter::once(self.own_sync_report()).chain(self.peer_sync_reports()).collect(),
             capabilities: Capabilities::OWN,
             store: self.eras.borrow().report(now, self.mirror.borrow().kept()),
+            cut_off_from_servers: self.handler.pool.links().is_cut_off(),
         }
     }
 
@@ -187,7 +188,10 @@
         }
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
-            Some(PeerChange::Leaving) => log::info!(peer = &*node; "peer_leaving"),
+            Some(PeerChange::Leaving) => {
+                self.handler.pool.close_carried_by(address);
+                log::info!(peer = &*node; "peer_leaving");
+            }
             Some(PeerChange::StaleIncarnation(known)) => {
                 self.send(&PeerMessage::KnownAs(known), address)
             }
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -112,6 +112,9 @@
     /// The era of the store that the sender is in.
     #[serde(deserialize_with = "or_default")]
     pub store: EraReport,
+    /// The sender reaches no server.
+    #[serde(deserialize_with = "or_default")]
+    pub cut_off_from_servers: bool,
 }
 
 /// Bit set of features that earlier builds lack.
@@ -120,11 +123,14 @@
 
 impl Capabilities {
     /// The features of this build.
-    pub const OWN: Self = Self(Self::ENFORCES_LIMITS | Self::SHARES_RETRY_SLACK);
+    pub const OWN: Self =
+        Self(Self::ENFORCES_LIMITS | Self::SHARES_RETRY_SLACK | Self::CARRIES_TUNNELS);
     /// The build grants no more arrivals at a server than the advertised limit allows.
     const ENFORCES_LIMITS: u32 = 1;
     /// The build asks for the slack of retry budgets before it uses it.
     const SHARES_RETRY_SLACK: u32 = 2;
+    /// The build opens connections to servers for other daemons.
+    const CARRIES_TUNNELS: u32 = 4;
 
     /// Returns true if the build enforces the limits that servers advertise.
     pub fn enforces_limits(self) -> bool {
@@ -135,6 +141,11 @@
     pub fn shares_retry_slack(self) -> bool {
         self.0 & Self::SHARES_RETRY_SLACK != 0
     }
+
+    /// Returns true if the build opens connections to servers for other daemons.
+    pub fn carries_tunnels(self) -> bool {
+        self.0 & Self::CARRIES_TUNNELS != 0
+    }
 }
 
 /// A request to load an adapter at a server.
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -83,6 +83,12 @@
     pub limited_servers: IntGauge,
     /// Servers that this node could not reach when it last tried.
     pub unreachable_servers: IntGauge,
+    /// 1 while this node reaches no server.
+    pub cut_off_from_servers: IntGauge,
+    /// Attempts to connect to a server through another daemon, by outcome.
+    pub tunnels: IntCounterVec,
+    /// Connections to servers that this daemon carries for others.
+    pub carried_tunnels: IntGauge,
     /// Responses with an invalid limit or backoff hint.
     pub invalid_hints: IntCounter,
     /// Servers to which this daemon sends nothing during a backoff.
@@ -169,6 +175,15 @@
             ),
             unreachable_servers: maker
                 .gauge("unreachable_servers", "Servers that this node could not reach last time"),
+            cut_off_from_servers: maker
+                .gauge("cut_off_from_servers", "1 while this node reaches no server"),
+            tunnels: maker.counters(
+                "tunnels_total",
+                "Attempts to connect to a server through another daemon",
+                &["outcome"],
+            ),
+            carried_tunnels: maker
+                .gauge("carried_tunnels", "Connections to servers carried for other daemons"),
             limited_servers: maker
                 .gauge("limited_servers", "Servers that say how many requests a second they take"),
             invalid_hints: maker.counter(
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod settings;
 mod store_lease;
 mod store_sync;
+mod tunnels;
 
 pub use admission::{
     AuthenticatedCaller, Charge, Credential, DecayingRate, FallbackShare, FreshnessProof,
@@ -50,8 +51,8 @@
 pub use connections::body::{BodyDecoder, DecodeStep};
 pub use connections::connection::{Connection, ExchangeError};
 pub use connections::connector::{Connector, TcpConnector};
-pub use connections::links::{LinkChange, ServerLinks};
-pub use connections::pool::ConnectionPool;
+pub use connections::links::{LinkChange, LinkFailure, Path, PeerResult, ServerLinks};
+pub use connections::pool::{AcquireError, ConnectionPool, PooledConnection};
 pub use connections::response::{Framing, ResponseError, ResponseHead, parse_head};
 pub use daemon::GatewayDaemon;
 pub use dialect::{
@@ -147,3 +148,7 @@
 };
 pub use store_sync::staleness::Staleness;
 pub use store_sync::timings::SyncTimings;
+pub use tunnels::carriers::Carriers;
+pub use tunnels::connecting::{PeerOpinion, ServerConnections};
+pub use tunnels::message::{TunnelReply, TunnelRequest};
+pub use tunnels::pauses::PauseDetector;
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -3,14 +3,12 @@
 use super::caller::CallerRequest;
 use crate::gateway::connections::body::BodyDecoder;
 use crate::gateway::connections::connection::ExchangeError;
-use crate::gateway::connections::pool::{AcquireError, ConnectionPool, PooledConnection};
+use crate::gateway::connections::pool::{AcquireError, PooledConnection};
 use crate::gateway::connections::response::{Framing, ResponseHead};
 use crate::gateway::dialect::{Dialect, ForwardMeta};
-use crate::gateway::fleet::backend::Backend;
 use actix_http::Method;
 use bytes::{Bytes, BytesMut};
 use std::io::Write as _;
-use std::rc::Rc;
 
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
 const MAX_FOREIGN_RESPONSES: usize = 2;
@@ -46,8 +44,10 @@
     RetryExpired,
     /// Before the request was sent, it became known that the request is quarantined.
     HeldBack,
-    /// The server could not be reached.
+    /// The server could not be reached, also not from another daemon.
     Unreachable(ExchangeError),
+    /// The server could not be reached from here; it may be well.
+    NoPath(ExchangeError),
     /// The server rejected it with this status.
     TurnedAway(u16),
 }
@@ -125,28 +125,28 @@
     pub request_id: &'a str,
     /// The serialised request.
     pub bytes: &'a [u8],
-    /// Maximum number of open connections of this daemon to the server.
-    pub most_connections: usize,
 }
 
-/// Sends a request and reads the head of the response. `may_send` is checked once a connection has been
-/// acquired; `on_head` is called with the head, also if the server rejects the request.
+/// Sends a request on the connection that `acquiring` gives and reads the head of the response. `may_send`
+/// is checked once the connection has been acquired; `on_head` is called with the head, also if the server
+/// rejects the request.
 pub async fn send_request(
     dialect: &dyn Dialect,
-    pool: &Rc<ConnectionPool>,
-    backend: &Backend,
+    acquiring: impl Future<Output = Result<PooledConnection, AcquireError>>,
     outgoing: OutgoingRequest<'_>,
     may_send: impl Fn() -> Result<(), NotRunReason>,
     on_head: impl Fn(&ResponseHead),
 ) -> SendOutcome {
-    let OutgoingRequest { request_id, bytes, most_connections } = outgoing;
-    let pooled = pool.acquire(&backend.id, backend.address, most_connections).await;
-    let mut pooled = match pooled {
+    let OutgoingRequest { request_id, bytes } = outgoing;
+    let mut pooled = match acquiring.await {
         Ok(pooled) => pooled,
         Err(AcquireError::Full) => return SendOutcome::NotRun(NotRunReason::NoConnection),
         Err(AcquireError::Unreachable(error)) => {
             return SendOutcome::NotRun(NotRunReason::Unreachable(error));
         }
+        Err(AcquireError::NoPath(error)) => {
+            return SendOutcome::NotRun(NotRunReason::NoPath(error));
+        }
     };
     if let Err(why) = may_send() {
         return SendOutcome::NotRun(why);
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -26,6 +26,7 @@
 use crate::gateway::retries::reason::RetryReason;
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
+use crate::gateway::tunnels::connecting::ServerConnections;
 use crate::types::{Clock, Time};
 use prometheus::{IntCounter, IntCounterVec};
 use std::cell::{Cell, OnceCell, RefCell};
@@ -66,6 +67,8 @@
     pub loads: Rc<LoadTable>,
     /// Connections to the servers.
     pub pool: Rc<ConnectionPool>,
+    /// Opens connections to the servers for requests.
+    pub connections: Rc<ServerConnections>,
     /// Rate limits and backoffs that servers have announced.
     pub backpressure: Rc<Backpressure>,
     /// Servers that have announced that they are leaving.
@@ -274,10 +277,15 @@
             self.backpressure.on_response(backend, now, head.status.as_u16(), &head.meta);
             self.leaving.on_response(backend, head.meta.leaving);
         };
-        let outgoing =
-            OutgoingRequest { request_id: id, bytes: &bytes, most_connections: max_connections };
-        let sending =
-            send_request(&*self.dialect, &self.pool, backend, outgoing, may_send, on_head);
+        let outgoing = OutgoingRequest { request_id: id, bytes: &bytes };
+        let acquiring = async {
+            let acquired = self.connections.acquire(backend, max_connections).await;
+            if let Ok(pooled) = &acquired {
+                job.progress.carrier.set(pooled.carrier());
+            }
+            acquired
+        };
+        let sending = send_request(&*self.dialect, acquiring, outgoing, may_send, on_head);
         let finished = match self.slow_timeout(job, now) {
             Some(slow_timeout) => actix_rt::time::timeout(slow_timeout, sending).await.ok(),
             None => Some(sending.await),
@@ -389,7 +397,8 @@
         }
     }
 
-    fn max_connections(&self, service: &Service) -> usize {
+    /// Maximum number of open connections of this daemon to a server.
+    pub(in crate::gateway) fn max_connections(&self, service: &Service) -> usize {
         (service.max_connections / self.daemon_count.get().max(1)).max(2)
     }
 
@@ -402,7 +411,7 @@
     ) -> NextStep {
         let (now, id) = (self.clock.now(), &choice.backend.id);
         job.last_failure = format!("{why:?}");
-        job.was_unreachable = matches!(why, NotRunReason::Unreachable(_));
+        job.was_unreachable = matches!(why, NotRunReason::Unreachable(_) | NotRunReason::NoPath(_));
         if !job.may_have_run() {
             job.charge.mark_not_run();
         }
@@ -439,6 +448,14 @@
                     self.loads.unreachable(now, id);
                 }
             }
+            NotRunReason::NoPath(_) => {
+                job.sends -= 1;
+                choice.ended(SlotEnd::Unsent);
+                choice.grant_ended(GrantEnd::Unsent);
+                if self.loads.is_current_incarnation(&choice.backend) {
+                    self.loads.unreachable(now, id);
+                }
+            }
             NotRunReason::TurnedAway(status) => {
                 job.retry_reason = Some(RetryReason::Rejected);
                 choice.ended(SlotEnd::Failed);
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -17,6 +17,7 @@
 use crate::gateway::retries::reason::RetryReason;
 use crate::types::Time;
 use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
     pub version: Cell<Option<VersionChoice>>,
     /// Times of its sends and of the response.
     pub timings: Timings,
+    /// The daemon that the connection of the last try leads through; `None` if it is direct.
+    pub carrier: Cell<Option<SocketAddr>>,
     /// Times that it waited for grants.
     pub grant: GrantTimings,
     /// Its fingerprint, once a server has broken off or it is held back.
--- a/crates/portrack/src/gateway/requests/serving.rs
+++ b/crates/portrack/src/gateway/requests/serving.rs
@@ -144,6 +144,7 @@
             route = route.as_ref().map_or("", |route| &*route.name),
             end = "caller_gone",
             server = server.as_deref().unwrap_or_default(),
+            via = self.carrier().as_str(),
             held_version = version.held,
             demanded_version = version.demanded,
             newest_version = version.newest,
@@ -178,6 +179,11 @@
             .unwrap_or_default()
     }
 
+    /// The daemon that the connection of the last try led through; empty if it was direct.
+    fn carrier(&self) -> String {
+        self.progress.carrier.get().map(|carrier| carrier.to_string()).unwrap_or_default()
+    }
+
     fn kind(&self) -> &'static str {
         let route = self.progress.route.borrow();
         match route.as_ref().map(|route| route.kind) {
@@ -242,6 +248,7 @@
             broken = broken,
             mark = self.fingerprint().as_str(),
             prompt_tokens = model.map_or(0, |model| model.prompt_tokens),
+            via = self.carrier().as_str(),
             granter = self.progress.grant.granter_name().as_str(),
             grant_wait_ms = self.progress.grant.waited_ms(),
             grant_told_ms = self.progress.grant.told_ms(),
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -118,6 +118,7 @@
     actix_rt::spawn(daemon.clone().plan_steps());
     actix_rt::spawn(daemon.clone().run_evacuations());
     actix_rt::spawn(daemon.clone().run_leaving_updates());
+    actix_rt::spawn(daemon.clone().probe_servers());
     actix_rt::spawn(daemon.clone().sweep());
     actix_rt::spawn(daemon.clone().accept_callers(callers));
     actix_rt::spawn(serve_readiness(daemon.clone(), readiness));
@@ -250,8 +251,8 @@
                 daemon.closing_idle.set(true);
                 daemon.closing.notify_waiters();
             }
-            let idle =
-                daemon.in_flight.get() == 0 && passed >= IDLE_CLOSE_DELAY + STOP_POLL_INTERVAL * 4;
+            let is_idle = daemon.in_flight.get() == 0 && daemon.carried_tunnels() == 0;
+            let idle = is_idle && passed >= IDLE_CLOSE_DELAY + STOP_POLL_INTERVAL * 4;
             if idle || passed >= within {
                 break;
             }
--- a/crates/portrack/src/gateway/selection/load.rs
+++ b/crates/portrack/src/gateway/selection/load.rs
@@ -221,6 +221,11 @@
         busy.map(|entry| (entry.incarnation, entry.own)).collect()
     }
 
+    /// Returns true if this daemon has outstanding requests.
+    pub fn has_outstanding(&self) -> bool {
+        self.servers.borrow().values().any(|entry| entry.own.requests > 0)
+    }
+
     /// Replaces a peer's outstanding work.
     pub fn set_peer_work(&self, now: Time, peer: &Rc<str>, works: Vec<(u32, OutstandingWork)>) {
         let work = PeerWork { received_at: now, servers: works.into_iter().collect() };
--- a/crates/portrack/src/gateway/store_sync/follower_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/follower_feed.rs
@@ -9,6 +9,7 @@
 use super::retained::RetainedItem;
 use crate::gateway::fleet::message::{PlacementNotice, ServerLoad};
 use crate::gateway::fleet::trailing_field::or_default;
+use crate::gateway::tunnels::message::TunnelRequest;
 use crate::store::StoreEra;
 use crate::types::Time;
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,8 @@
         #[serde(deserialize_with = "or_default")]
         era: StoreEra,
     },
+    /// Asks for a connection to a server.
+    Tunnel(TunnelRequest),
 }
 
 /// A follower's query for the freshness of its source's copy. The first one is part of
--- /dev/null
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -0,0 +1,175 @@
+//! Connections for requests: direct ones where this daemon reaches the server, else through another daemon.
+
+use super::carriers::Carriers;
+use super::message::{TunnelReply, TunnelRequest};
+use crate::gateway::connections::connection::{Connection, ConnectionRoute, ExchangeError};
+use crate::gateway::connections::links::{Path, PeerResult};
+use crate::gateway::connections::pool::{AcquireError, ConnectionPool, PooledConnection};
+use crate::gateway::fleet::backend::Backend;
+use crate::gateway::store_sync::follower_feed::PeerRequest;
+use crate::gateway::store_sync::frames::{read_frame, write_frame};
+use crate::types::Clock;
+use prometheus::IntCounterVec;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How long another daemon may take to open a connection to a server.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
+/// Daemons asked for a server that is known to be out of reach from here.
+const MAX_CARRIERS: usize = 2;
+/// Daemons asked by a request whose direct attempt has just failed: the server may be down.
+const FIRST_CARRIERS: usize = 1;
+
+/// Opens connections to servers for requests.
+pub struct ServerConnections {
+    clock: Rc<dyn Clock>,
+    pool: Rc<ConnectionPool>,
+    carriers: Carriers,
+    /// Counts attempts through other daemons by outcome.
+    outcomes: IntCounterVec,
+}
+
+/// What other daemons told about a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerOpinion {
+    /// One of them has reached it.
+    Reached,
+    /// None has reached it; the last one was refused, or not.
+    Unreachable {
+        /// The connection was refused.
+        refused: bool,
+    },
+    /// None has told anything.
+    Unknown,
+    /// There is no daemon to ask.
+    NobodyToAsk,
+}
+
+impl ServerConnections {
+    /// Creates connections over a pool.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        pool: Rc<ConnectionPool>,
+        carriers: Carriers,
+        outcomes: IntCounterVec,
+    ) -> Self {
+        Self { clock, pool, carriers, outcomes }
+    }
+
+    /// Acquires a connection to a server if fewer than `max_open` are open.
+    pub async fn acquire(
+        &self,
+        backend: &Backend,
+        max_open: usize,
+    ) -> Result<PooledConnection, AcquireError> {
+        let (id, address) = (&backend.id, backend.address);
+        match self.pool.links().path(self.clock.now(), id) {
+            Path::Direct => match self.pool.acquire(id, address, max_open).await {
+                Err(AcquireError::Unreachable(why)) => {
+                    self.acquire_tunnel(backend, max_open, FIRST_CARRIERS, why).await
+                }
+                acquired => acquired,
+            },
+            Path::Tunnel => {
+                let keeps = self.pool.links().keeps_connections(id);
+                let fits = |idle: &Connection| keeps || idle.carrier().is_some();
+                if let Some(idle) = self.pool.take_idle(id, fits) {
+                    return Ok(idle);
+                }
+                let why = not_connected("no link", false);
+                self.acquire_tunnel(backend, max_open, MAX_CARRIERS, why).await
+            }
+            Path::Unreachable => {
+                Err(AcquireError::Unreachable(not_connected("no daemon reaches it", false)))
+            }
+        }
+    }
+
+    async fn acquire_tunnel(
+        &self,
+        backend: &Backend,
+        max_open: usize,
+        max_carriers: usize,
+        why: ExchangeError,
+    ) -> Result<PooledConnection, AcquireError> {
+        let opening = async {
+            match self.open_tunnel(backend, max_carriers).await {
+                Ok(connection) => Ok(connection),
+                Err(PeerOpinion::Unknown | PeerOpinion::Reached) => Err(AcquireError::NoPath(why)),
+                Err(PeerOpinion::Unreachable { .. } | PeerOpinion::NobodyToAsk) => {
+                    Err(AcquireError::Unreachable(why))
+                }
+            }
+        };
+        self.pool.open_with(&backend.id, max_open, opening).await
+    }
+
+    /// Asks other daemons whether they reach a server.
+    pub async fn peer_opinion(&self, backend: &Backend) -> PeerOpinion {
+        match self.open_tunnel(backend, MAX_CARRIERS).await {
+            Ok(_) => PeerOpinion::Reached,
+            Err(opinion) => opinion,
+        }
+    }
+
+    async fn open_tunnel(
+        &self,
+        backend: &Backend,
+        max_carriers: usize,
+    ) -> Result<Connection, PeerOpinion> {
+        let mut tried = Vec::new();
+        let mut opinion = PeerOpinion::NobodyToAsk;
+        while tried.len() < max_carriers {
+            let now = self.clock.now();
+            let Some(carrier) = self.carriers.choose(now, &backend.hall, &tried) else { break };
+            tried.push(carrier);
+            let asking = actix_rt::time::timeout(OPEN_TIMEOUT, ask(carrier, backend)).await;
+            let answer = asking.ok().flatten();
+            let now = self.clock.now();
+            self.count(answer.as_ref().map(|(reply, _)| *reply));
+            match answer {
+                Some((TunnelReply::Opened, stream)) => {
+                    self.carriers.opened(now, carrier);
+                    self.pool.links().on_peer_result(now, &backend.id, PeerResult::Reached);
+                    return Ok(Connection::over(stream, ConnectionRoute::Tunnel(carrier)));
+                }
+                Some((TunnelReply::Unreachable { refused }, _)) => {
+                    self.pool.links().on_peer_result(now, &backend.id, PeerResult::Failed);
+                    opinion = PeerOpinion::Unreachable { refused };
+                }
+                Some((TunnelReply::Declined, _)) | None => {
+                    self.carriers.avoid(now, carrier);
+                    if opinion == PeerOpinion::NobodyToAsk {
+                        opinion = PeerOpinion::Unknown;
+                    }
+                }
+            }
+        }
+        Err(opinion)
+    }
+
+    fn count(&self, reply: Option<TunnelReply>) {
+        let outcome = match reply {
+            Some(TunnelReply::Opened) => "opened",
+            Some(TunnelReply::Unreachable { .. }) => "unreachable",
+            Some(TunnelReply::Declined) => "declined",
+            None => "unanswered",
+        };
+        self.outcomes.with_label_values(&[outcome]).inc();
+    }
+}
+
+async fn ask(carrier: SocketAddr, backend: &Backend) -> Option<(TunnelReply, TcpStream)> {
+    let mut stream = TcpStream::connect(carrier).await.ok()?;
+    let request =
+        TunnelRequest { server: backend.id.to_string(), incarnation: backend.incarnation_hash() };
+    write_frame(&mut stream, &PeerRequest::Tunnel(request)).await?;
+    let reply = read_frame(&mut stream, OPEN_TIMEOUT).await.ok()?;
+    Some((reply, stream))
+}
+
+fn not_connected(why: &str, refused: bool) -> ExchangeError {
+    ExchangeError::NotConnected { why: why.into(), refused }
+}
--- /dev/null
+++ b/crates/portrack/src/gateway/tunnels/message.rs
@@ -0,0 +1,28 @@
+//! Messages that open a tunnel. After [`TunnelReply::Opened`] the connection carries the bytes of the
+//! connection to the server.
+
+use serde::{Deserialize, Serialize};
+
+/// Asks for a connection to a server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelRequest {
+    /// The server.
+    pub server: String,
+    /// Hash of its incarnation.
+    pub incarnation: u32,
+}
+
+/// The answer to a [`TunnelRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelReply {
+    /// The server is connected.
+    Opened,
+    /// The server could not be reached from here either.
+    Unreachable {
+        /// The connection was refused.
+        refused: bool,
+    },
+    /// Says nothing about the server: this daemon does not know it as open, is cut off itself, is stopping, or
+    /// carries as many tunnels as it may.
+    Declined,
+}
--- a/crates/portrack/tests/gateway/former.rs
+++ b/crates/portrack/tests/gateway/former.rs
@@ -83,6 +83,7 @@
         }],
         capabilities: Capabilities::OWN,
         store: EraReport::default(),
+        cut_off_from_servers: false,
     }
 }
 
--- /dev/null
+++ b/crates/portrack/tests/gateway/links.rs
@@ -0,0 +1,210 @@
+//! Tests of what a node believes about its links to the servers.
+
+use crate::support::ms;
+use portrack::Time;
+use portrack::gateway::{LinkFailure, Path, PeerResult, ServerLinks};
+use proptest::prelude::*;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time from which callers of a node without links are to be served.
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Within this time, a server that is back must be probed.
+const PROBED_WITHIN: Duration = Duration::from_millis(1_000);
+const SERVERS: usize = 6;
+
+fn server(n: usize) -> Rc<str> {
+    format!("i-{n}").into()
+}
+
+/// An event at one node.
+#[derive(Debug, Clone)]
+enum Event {
+    Reached(usize),
+    Failed(usize, bool),
+    PeerResult(usize, bool),
+    Contact,
+    Pause(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        2 => (0..SERVERS).prop_map(Event::Reached),
+        3 => (0..SERVERS, any::<bool>()).prop_map(|(at, refused)| Event::Failed(at, refused)),
+        2 => (0..SERVERS, any::<bool>()).prop_map(|(at, reached)| Event::PeerResult(at, reached)),
+        1 => Just(Event::Contact),
+        3 => (1_u64..900).prop_map(Event::Pause),
+    ]
+}
+
+/// The outcomes of one server's attempts, kept in full.
+#[derive(Debug, Clone, Default)]
+struct ServerHistory {
+    failing_since: Option<Time>,
+    peer_failed_at: Option<Time>,
+}
+
+proptest! {
+    /// Whatever happens in whatever order: a server is given up only on the word of another daemon, given
+    /// after this node's own failure and lately; one that was reached last is connected to directly unless the
+    /// node is cut off; and contact with any server ends that.
+    #[test]
+    fn no_server_is_given_up_on_one_nodes_word(events in prop::collection::vec(event(), 1..120)) {
+        let links = ServerLinks::default();
+        let mut known: Vec<ServerHistory> = vec![ServerHistory::default(); SERVERS];
+        let (mut now, mut contact_at) = (Time(10_000), None);
+        for event in events {
+            match event {
+                Event::Reached(at) => {
+                    let was_cut_off = links.is_cut_off();
+                    links.reached(now, &server(at));
+                    known[at] = ServerHistory::default();
+                    if was_cut_off {
+                        let failed_since = |server: &ServerHistory| server.failing_since > contact_at;
+                        known.iter_mut().filter(|server| failed_since(server)).for_each(|server| {
+                            *server = ServerHistory::default();
+                        });
+                    }
+                    contact_at = Some(now);
+                }
+                Event::Failed(at, refused) => {
+                    let failure = if refused { LinkFailure::Refused } else { LinkFailure::TimedOut };
+                    links.failed(now, &server(at), failure);
+                    known[at].failing_since.get_or_insert(now);
+                }
+                Event::PeerResult(at, reached) => {
+                    let result = if reached { PeerResult::Reached } else { PeerResult::Failed };
+                    links.on_peer_result(now, &server(at), result);
+                    let own = known[at].failing_since.is_some();
+                    known[at].peer_failed_at = (own && !reached).then_some(now);
+                }
+                Event::Contact => {
+                    links.contact().set(Some(now));
+                    contact_at = Some(now);
+                }
+                Event::Pause(millis) => now = now + ms(millis),
+            }
+            for (at, history) in known.iter().enumerate() {
+                match links.path(now, &server(at)) {
+                    Path::Unreachable => {
+                        prop_assert!(history.failing_since.is_some());
+                        let told = history.peer_failed_at;
+                        prop_assert!(told.is_some_and(|told| now.since(told) < ms(700)));
+                    }
+                    Path::Tunnel => {
+                        prop_assert!(history.failing_since.is_some() || links.is_cut_off());
+                    }
+                    Path::Direct => prop_assert!(history.failing_since.is_none()),
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_node_that_reaches_no_server_is_cut_off_until_it_hears_one() {
+    let links = ServerLinks::default();
+    for n in 0..SERVERS {
+        links.reached(Time(1_000), &server(n));
+    }
+    links.failed(Time(1_250), &server(0), LinkFailure::TimedOut);
+    assert!(!links.is_cut_off(), "one server may be down");
+    assert_eq!(links.path(Time(1_250), &server(1)), Path::Direct);
+    links.failed(Time(1_300), &server(1), LinkFailure::TimedOut);
+    assert!(links.is_cut_off());
+    assert_eq!(links.path(Time(1_300), &server(2)), Path::Tunnel);
+    links.contact().set(Some(Time(1_400)));
+    assert!(!links.is_cut_off(), "bytes arrive on an open connection");
+    assert_eq!(links.path(Time(1_400), &server(2)), Path::Direct);
+    assert_eq!(links.path(Time(1_400), &server(0)), Path::Tunnel);
+}
+
+#[test]
+fn two_failing_servers_do_not_cut_off_a_node_that_hears_others() {
+    let links = ServerLinks::default();
+    for at in (0..5_000).step_by(100) {
+        links.contact().set(Some(Time(at + 50)));
+        links.failed(Time(at), &server(0), LinkFailure::TimedOut);
+        links.failed(Time(at), &server(1), LinkFailure::Refused);
+        assert!(!links.is_cut_off());
+    }
+}
+
+#[test]
+fn a_node_that_has_reached_no_server_yet_is_not_cut_off() {
+    let links = ServerLinks::default();
+    assert!(!links.is_cut_off());
+    assert_eq!(links.path(Time(0), &server(0)), Path::Direct);
+}
+
+/// Simulates a node whose links all hang from 2 s to 14 s, with few requests: the probes alone must notice
+/// the partition within the contact time, and its end within a second.
+#[test]
+fn a_partition_and_its_end_are_noticed_in_time() {
+    let links = ServerLinks::default();
+    for n in 0..SERVERS {
+        links.reached(Time(1_000), &server(n));
+    }
+    let (from, until) = (Time(2_000), Time(14_000));
+    let mut pending: Vec<(Time, Rc<str>)> = Vec::new();
+    for at in (1_000..16_000).step_by(100) {
+        let now = Time(at);
+        let up = now < from || now >= until;
+        if up {
+            links.contact().set(Some(now));
+        }
+        for (_, id) in pending.extract_if(.., |(due, _)| *due <= now) {
+            match up {
+                true => links.reached(now, &id),
+                false => links.failed(now, &id, LinkFailure::TimedOut),
+            };
+        }
+        for id in links.due_probes(now, true) {
+            let takes = if up { ms(10) } else { ms(250) };
+            pending.push((now + takes, id));
+        }
+        if now >= from + CONTACT && now < until {
+            assert!(links.is_cut_off(), "at {at} ms");
+        }
+        if now < from || now >= until + PROBED_WITHIN {
+            assert!(!links.is_cut_off(), "at {at} ms");
+        }
+        if now >= until + PROBED_WITHIN {
+            for n in 0..SERVERS {
+                assert_eq!(links.path(now, &server(n)), Path::Direct, "at {at} ms");
+            }
+        }
+    }
+}
+
+/// Probes must not load the servers of a large fleet, also while the node reaches none of them.
+#[test]
+fn probes_are_few_however_many_servers_are_out_of_reach() {
+    let links = ServerLinks::default();
+    for n in 0..1_500 {
+        links.failed(Time(0), &server(n), LinkFailure::TimedOut);
+    }
+    let probes: usize =
+        (0..10_000).step_by(100).map(|at| links.due_probes(Time(at), true).len()).sum();
+    assert!(probes <= 600, "{probes} probes in 10 s");
+}
+
+/// A claim is given up only for a link that is this node's own trouble: if nobody reaches the server, another
+/// holder could not order it either.
+#[test]
+fn a_server_that_nobody_reaches_is_not_this_nodes_own_trouble() {
+    let links = ServerLinks::default();
+    let (silent, id) = (ms(1_500), server(0));
+    links.reached(Time(1_000), &id);
+    links.failed(Time(2_000), &id, LinkFailure::TimedOut);
+    links.on_peer_result(Time(2_100), &id, PeerResult::Failed);
+    assert!(!links.is_only_mine(Time(9_000), &id, silent));
+    links.on_peer_result(Time(2_200), &id, PeerResult::Reached);
+    assert!(
+        !links.is_only_mine(Time(3_400), &id, silent),
+        "a sound server may be silent for a second"
+    );
+    assert!(links.is_only_mine(Time(3_500), &id, silent));
+    links.reached(Time(3_600), &id);
+    assert!(!links.is_only_mine(Time(3_600), &id, silent));
+}
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod homes;
 mod keys;
 mod limits;
+mod links;
 mod lives;
 mod load_budget;
 mod loads;
--- a/crates/portrack/tests/gateway/messages.rs
+++ b/crates/portrack/tests/gateway/messages.rs
@@ -33,6 +33,7 @@
         news: (1..=5).map(news).collect(),
         capabilities: Capabilities::OWN,
         store: EraReport::default(),
+        cut_off_from_servers: false,
     })
 }
 
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -28,6 +28,7 @@
         news: Vec::new(),
         capabilities: Capabilities::OWN,
         store: EraReport::default(),
+        cut_off_from_servers: false,
     }
 }
 
--- a/crates/portrack/tests/gateway/regions.rs
+++ b/crates/portrack/tests/gateway/regions.rs
@@ -264,6 +264,7 @@
         capacity: 100,
         capabilities: Capabilities::OWN,
         store: EraReport::default(),
+        cut_off_from_servers: false,
     };
     peers.on_heartbeat(Time(now), heartbeat);
 }
