Claims: a server that only others reach is given up by its holder

Cause: the two nodes without links kept their claims on four of twelve servers. Their orders ended with NotSent, and nobody else might order these servers. Class: a duty that is held by a lease of the store and not by what it needs.

Mend: a claim whose server has been out of reach for 1.5 s, and that others reach, is dropped at once and its record says that the machine yielded it. A successor need not wait for the machine's return, and waits for its last order as before. Nodes without links claim nothing. The record grows at its end; former builds read it as resigned.

--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -544,7 +544,9 @@
     }
 
     fn claimant_peers(&self, now: Time) -> impl Iterator<Item = (&Rc<str>, &Peer)> {
-        self.up(now).filter(|(_, peer)| peer.heartbeat.sees_store && !peer.heartbeat.leaving)
+        self.up(now).filter(|(_, Peer { heartbeat, .. })| {
+            heartbeat.sees_store && !heartbeat.leaving && !heartbeat.cut_off_from_servers
+        })
     }
 }
 
--- a/crates/portrack/src/gateway/orders/claim_record.rs
+++ b/crates/portrack/src/gateway/orders/claim_record.rs
@@ -38,6 +38,10 @@
     /// Eras of the store; older versions do not write them.
     #[serde(deserialize_with = "or_default")]
     pub eras: RecordEras,
+    /// Whether the machine released the server because it does not reach it, and so does not come back for it
+    /// soon.
+    #[serde(deserialize_with = "or_default")]
+    pub yielded: bool,
 }
 
 /// The store eras that a record names.
--- a/crates/portrack/src/gateway/orders/claiming.rs
+++ b/crates/portrack/src/gateway/orders/claiming.rs
@@ -45,6 +45,9 @@
 /// Minimum number of holders in a hall that has the daemons. With 2, the loss of one left 30% of a
 /// small fleet's servers without a holder for 10 s.
 const MIN_HOLDERS: usize = 3;
+/// A claim is given up once its server has been out of reach for this long: longer than a sound server may be
+/// silent.
+const YIELD_AFTER: Duration = Duration::from_millis(1_500);
 /// A machine heard from within this time is considered alive.
 const MACHINE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -65,6 +68,7 @@
                 continue;
             }
             let era = self.mirror.borrow().era();
+            self.yield_unreachable_servers().await;
             let attempts = self.due_attempts();
             let holds_any = self.order_executor.claims.borrow().all().next().is_some();
             if attempts.is_empty() && !holds_any {
@@ -183,6 +187,10 @@
 
     fn due_attempts(&self) -> Vec<ClaimAttempt> {
         let now = self.now();
+        let links = self.handler.pool.links();
+        if links.is_cut_off() {
+            return Vec::new();
+        }
         let view = self.handler.view.borrow();
         let peers = self.peers.borrow();
         let claims = self.order_executor.claims.borrow();
@@ -191,7 +199,8 @@
         let machine = self.machine();
         let unclaimed = engines().filter(|backend| {
             let held = records.holder(&backend.id).is_some_and(|holder| holder != machine);
-            !backend.draining && !claims.contains(&backend.id) && !held
+            let reachable = links.failure(&backend.id).is_none();
+            !backend.draining && !claims.contains(&backend.id) && !held && reachable
         });
         let unclaimed: Vec<Rc<str>> = unclaimed.map(|backend| backend.id.clone()).collect();
         let mut unclaimed_servers = self.unclaimed_servers.borrow_mut();
@@ -283,7 +292,42 @@
     fn own_record(&self, settled: bool, resigned: bool) -> ClaimRecord {
         let eras = self.eras.borrow();
         let eras = RecordEras { written: eras.era(), first: eras.first() };
-        ClaimRecord { machine: self.machine(), settled, resigned, eras }
+        ClaimRecord { machine: self.machine(), settled, resigned, eras, yielded: false }
+    }
+
+    /// Gives up the claims on servers that have been out of reach for a while: their orders would not
+    /// arrive, and other daemons may reach them.
+    async fn yield_unreachable_servers(&self) {
+        let now = self.now();
+        let mut transaction = KvTransaction::default();
+        for (server, claim) in self.unreachable_claims(now).into_iter().take(MAX_ENTRIES) {
+            // From here on no order is sent, whether or not the record is written.
+            self.order_executor.claims.borrow_mut().remove(&server);
+            let record = ClaimRecord { yielded: true, ..self.own_record(claim.settled, true) };
+            replace_record(&mut transaction, &server, claim.revision, &record);
+            log::warn!(server = &*server, fence = claim.fence; "server_yielded");
+        }
+        if transaction.puts.is_empty() {
+            return;
+        }
+        self.beat();
+        let servers = transaction.puts.len();
+        if !matches!(self.store.transact(&transaction).await, Ok(KvOutcome::Committed(_))) {
+            log::warn!(servers = servers; "yield_not_recorded");
+        }
+    }
+
+    /// This daemon's claims on servers that only others reach, if there is another daemon that could take
+    /// them over.
+    fn unreachable_claims(&self, now: Time) -> Vec<(Rc<str>, Claim)> {
+        if self.peers.borrow().claimants(now).is_empty() {
+            return Vec::new();
+        }
+        let links = self.handler.pool.links();
+        let claims = self.order_executor.claims.borrow();
+        let unreachable =
+            claims.all().filter(|(server, _)| links.is_only_mine(now, server, YIELD_AFTER));
+        unreachable.map(|(server, claim)| (server.clone(), *claim)).collect()
     }
 
     fn record_claim(&self, attempt: &ClaimAttempt, revision: u64) {
--- a/crates/portrack/src/gateway/orders/unclaimed_servers.rs
+++ b/crates/portrack/src/gateway/orders/unclaimed_servers.rs
@@ -131,6 +131,7 @@
         let turns = RANK_STEP * u32::try_from(turns).unwrap_or(u32::MAX);
         match seen {
             Some(seen) if seen.record.machine == me.machine => self.since + FIRST_CLAIM_DELAY,
+            Some(seen) if seen.record.yielded => self.since + (FIRST_CLAIM_DELAY + turns),
             Some(_) => self.since + (RETURN_GRACE + turns),
             None => self.since.max(me.claims_new_from) + (FIRST_CLAIM_DELAY + turns),
         }
--- a/crates/portrack/tests/gateway/former.rs
+++ b/crates/portrack/tests/gateway/former.rs
@@ -194,7 +194,10 @@
     let previous = bytes(PREVIOUS_CLAIM_RECORD);
     let decoded = ClaimRecord::read(&previous).expect("a record");
     let (machine, eras) = ("n1|x".to_owned(), RecordEras::default());
-    assert_eq!(decoded, ClaimRecord { machine, settled: true, resigned: false, eras });
+    assert_eq!(
+        decoded,
+        ClaimRecord { machine, settled: true, resigned: false, eras, yielded: false }
+    );
     let eras = RecordEras { written: StoreEra::from_number(4), first: StoreEra::from_number(3) };
     let with_era = ClaimRecord { eras, ..decoded };
     assert_eq!(with_era.bytes()[..previous.len()], previous, "new fields come last");
--- a/crates/portrack/tests/gateway/history.rs
+++ b/crates/portrack/tests/gateway/history.rs
@@ -65,7 +65,13 @@
     fn ordered_once() -> Self {
         let era = StoreEra::from_number(0);
         let eras = RecordEras { written: era, first: era };
-        let record = ClaimRecord { machine: machine(0), settled: true, resigned: true, eras };
+        let record = ClaimRecord {
+            machine: machine(0),
+            settled: true,
+            resigned: true,
+            eras,
+            yielded: false,
+        };
         Self { revision: 1, record: Some((1, record)), ..Self::default() }
     }
 
@@ -160,8 +166,13 @@
     if daemon.claims.contains(&server) {
         let due = daemon.claims.all().next().map(|(_, claim)| *claim);
         if let Some(claim) = due.filter(|claim| !claim.settled && now >= claim.may_order_from.0) {
-            let record =
-                ClaimRecord { machine: machine(who), settled: true, resigned: false, eras };
+            let record = ClaimRecord {
+                machine: machine(who),
+                settled: true,
+                resigned: false,
+                eras,
+                yielded: false,
+            };
             if let Some(revision) = store.write(claim.revision, record) {
                 daemon.claims.mark_settled(&server, revision);
             }
@@ -182,7 +193,7 @@
     let before = Predecessor::of(held.as_ref().map(|(_, record)| record), &machine);
     let before = daemon.claims.predecessor(Time(now), &server, before);
     let settled = before == Predecessor::None;
-    let record = ClaimRecord { machine, settled, resigned: false, eras };
+    let record = ClaimRecord { machine, settled, resigned: false, eras, yielded: false };
     if let Some(fence) = store.write(expected, record) {
         daemon.claims.add(Time(now), &server, fence, before);
     }
@@ -242,7 +253,10 @@
     let eras = RecordEras { written: daemon.eras.era(), first: daemon.eras.first() };
     if let Some((_, claim)) = daemon.claims.all().next() {
         let (revision, settled) = (claim.revision, claim.settled);
-        store.write(revision, ClaimRecord { machine: machine(who), settled, resigned: true, eras });
+        store.write(
+            revision,
+            ClaimRecord { machine: machine(who), settled, resigned: true, eras, yielded: false },
+        );
     }
     store.leases.retain(|(_, owner, _)| *owner != who);
     *daemon = new_daemon();
--- a/crates/portrack/tests/gateway/vacancies.rs
+++ b/crates/portrack/tests/gateway/vacancies.rs
@@ -67,8 +67,13 @@
 }
 
 fn seen(machine: &str, settled: bool, resigned: bool) -> Option<SeenRecord> {
-    let record =
-        ClaimRecord { machine: machine.into(), settled, resigned, eras: Default::default() };
+    let record = ClaimRecord {
+        machine: machine.into(),
+        settled,
+        resigned,
+        eras: Default::default(),
+        yielded: false,
+    };
     Some(SeenRecord { revision: 9, record })
 }
 
@@ -219,6 +224,7 @@
         settled: true,
         resigned: false,
         eras: Default::default(),
+        yielded: false,
     };
     let mut records = ClaimRecords::default();
     assert!(records.apply(&put(&ClaimRecord::live_key(other), 3, Vec::new())));
@@ -239,6 +245,7 @@
         settled: true,
         resigned: false,
         eras: Default::default(),
+        yielded: false,
     };
     records.apply(&put(&ClaimRecord::key("s1"), 8, older.bytes()));
     assert_eq!(records.record("s1").map(|seen| &*seen.record.machine), Some(MACHINE));
