Quarantine: the end of a server takes two nodes that are refused

Cause, read in the code and shown by its test: a connection that broke and a connect that was refused counted as the end of the server, on one node's word. A link that resets and refuses looks the same, and after three cuts an honest request was held back for two minutes at all nodes.

Mend: another daemon is asked, and must be refused too. Where none can be asked one word counts, as before.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -257,6 +257,7 @@
             daemons: eligible_daemons.clone(),
             me: settings.as_daemon(),
             messenger: messenger.clone(),
+            connections: connections.clone(),
             pool: pool.clone(),
             store: store.clone(),
             metrics: QuarantineMetrics {
--- a/crates/portrack/src/gateway/quarantine/coordinator.rs
+++ b/crates/portrack/src/gateway/quarantine/coordinator.rs
@@ -12,6 +12,7 @@
 use crate::gateway::fleet::message::PeerMessage;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::fleet::view::FleetView;
+use crate::gateway::tunnels::connecting::{PeerOpinion, ServerConnections};
 use crate::store::KvStore;
 use crate::types::Clock;
 use prometheus::{IntCounter, IntGauge};
@@ -40,6 +41,8 @@
     pub messenger: Rc<Messenger>,
     /// Connections to servers.
     pub pool: Rc<ConnectionPool>,
+    /// Asks other daemons whether they reach a server.
+    pub connections: Rc<ServerConnections>,
     /// The platform's store.
     pub store: Rc<dyn KvStore>,
     /// The metrics.
@@ -149,16 +152,25 @@
             .is_some_and(|known| known.incarnation_hash() != backend.incarnation_hash())
     }
 
-    /// Returns true if nothing listens at the server's address. A server that cannot be reached may
-    /// only be cut off.
+    /// Returns true if nothing listens at the server's address, as seen from here and from another
+    /// daemon: a link that refuses connections looks the same from one side. A server that cannot be
+    /// reached may only be cut off.
     async fn refuses_connections(&self, backend: &Backend) -> bool {
-        match self.deps.pool.acquire(&backend.id, backend.address, usize::MAX).await {
+        let refused = match self.deps.pool.acquire(&backend.id, backend.address, usize::MAX).await {
             Ok(pooled) => {
                 pooled.release();
                 false
             }
             Err(AcquireError::Unreachable(ExchangeError::NotConnected { refused, .. })) => refused,
             Err(_) => false,
+        };
+        if !refused {
+            return false;
+        }
+        match self.deps.connections.peer_opinion(backend).await {
+            PeerOpinion::Unreachable { refused } => refused,
+            PeerOpinion::NobodyToAsk => true,
+            PeerOpinion::Reached | PeerOpinion::Unknown => false,
         }
     }
 
