Brittle servers get nothing beyond their slots, and a pause after each rejection

Users' news: servers may say that they survive only N rejections in a second, and may let fewer requests wait.

Cause, read in the code: nobody read the word.

Mend: the word is kept like a limit. A dispatcher gives no more than the slots, nobody chooses a server that known work fills, and after a rejection a node pauses for as long as keeps the rejections of all nodes at half of N.

--- a/crates/portrack/src/gateway/backpressure/tracker.rs
+++ b/crates/portrack/src/gateway/backpressure/tracker.rs
@@ -32,6 +32,11 @@
 /// For this long after a server had no room within its limit, it is not chosen for loading adapters:
 /// about as long as an adapter is used.
 const FULL_FOR: Duration = Duration::from_millis(5_000);
+/// Share of the rejections that a brittle server survives which are risked.
+const BRITTLE_SHARE: f64 = 0.5;
+/// Shortest and longest time without requests after a brittle server has rejected one.
+const MIN_BRITTLE_BACKOFF: Duration = Duration::from_millis(300);
+const MAX_BRITTLE_BACKOFF: Duration = Duration::from_secs(5);
 /// Each node resumes up to a tenth of the backoff later, but at most [`MAX_JITTER`].
 const JITTER_DIVISOR: u32 = 10;
 const MAX_JITTER: Duration = Duration::from_millis(250);
@@ -84,6 +89,8 @@
 pub struct Backpressure {
     deps: BackpressureDeps,
     limits: RefCell<LimitTable>,
+    /// Rates of rejected requests that servers survive, of those that say so.
+    rejection_limits: RefCell<LimitTable>,
     backoffs: RefCell<Backoffs>,
     /// When a request last skipped a server without room within its limit.
     full: RefCell<HashMap<u32, Time>>,
@@ -94,7 +101,14 @@
     /// Starts without any observations.
     pub fn new(deps: BackpressureDeps) -> Self {
         let (limits, backoffs) = (RefCell::default(), RefCell::default());
-        Self { deps, limits, backoffs, full: RefCell::default(), announcements: RefCell::default() }
+        Self {
+            deps,
+            limits,
+            rejection_limits: RefCell::default(),
+            backoffs,
+            full: RefCell::default(),
+            announcements: RefCell::default(),
+        }
     }
 
     /// The limit of a server's incarnation, if any.
@@ -121,14 +135,16 @@
     pub fn on_response(&self, backend: &Backend, sent_at: Time, status: u16, meta: &ResponseMeta) {
         let may_loosen = status != MISDIRECTED;
         self.on_limit_hint(backend, may_loosen.then_some(sent_at), meta);
+        self.on_rejection_limit(backend, may_loosen.then_some(sent_at), meta.brittle);
         self.on_backoff_hint(backend, sent_at, status, meta);
     }
 
     fn on_backoff_hint(&self, backend: &Backend, sent_at: Time, status: u16, meta: &ResponseMeta) {
         let (now, server) = (self.deps.clock.now(), backend.incarnation_hash());
         let rejected = REJECTED.contains(&status);
-        let backoff = meta.rest.get().filter(|backoff| rejected && !backoff.is_zero());
-        let Some(backoff) = backoff else {
+        let requested = meta.rest.get().filter(|backoff| !backoff.is_zero());
+        let backoff = requested.or_else(|| self.backoff_of_brittle(server));
+        let Some(backoff) = backoff.filter(|_| rejected) else {
             if rejected && meta.rest == BackoffHint::Invalid {
                 self.deps.metrics.unreadable.inc();
             }
@@ -142,6 +158,41 @@
         self.deps.metrics.rests.inc();
     }
 
+    /// Returns true if a server survives only few rejections.
+    pub fn is_brittle(&self, server: u32) -> bool {
+        self.rejection_limits.borrow().limit(server).is_some()
+    }
+
+    /// How long this node backs off from a brittle server after a rejection: with all daemons doing so, they
+    /// cause no more rejections than it survives.
+    fn backoff_of_brittle(&self, server: u32) -> Option<Duration> {
+        let rate = self.rejection_limits.borrow().limit(server)?.get();
+        let share = rate * BRITTLE_SHARE / self.deps.daemons.borrow().count().max(1) as f64;
+        let seconds = 1.0 / share.max(f64::MIN_POSITIVE);
+        Some(Duration::from_secs_f64(
+            seconds.clamp(MIN_BRITTLE_BACKOFF.as_secs_f64(), MAX_BRITTLE_BACKOFF.as_secs_f64()),
+        ))
+    }
+
+    /// Applies the rate of rejections in a response, as [`Self::on_limit_hint`] does with limits.
+    fn on_rejection_limit(&self, backend: &Backend, sent_at: Option<Time>, hint: LimitHint) {
+        let (now, server) = (self.deps.clock.now(), backend.incarnation_hash());
+        let limit = match hint {
+            LimitHint::Value(limit) => Some(limit),
+            LimitHint::Absent if sent_at.is_some() => None,
+            LimitHint::Absent | LimitHint::Invalid => return,
+        };
+        let sent_at = sent_at.unwrap_or_default();
+        let observation = LimitObservation { limit, sent_at, received_at: now };
+        if let Some(change) = self.rejection_limits.borrow_mut().apply(server, observation) {
+            let rate = |limit: Option<RateLimit>| limit.map_or(-1.0, RateLimit::get);
+            log::info!(
+                server = &*backend.id, per_second = rate(change.now), before = rate(change.before);
+                "server_brittle"
+            );
+        }
+    }
+
     /// Extra time before this node resumes after a backoff, different for each node.
     fn jitter(&self, server: u32, backoff: Duration) -> Duration {
         let me = self.deps.me.address.to_string();
@@ -268,6 +319,7 @@
     pub fn retain(&self, is_known: impl Fn(u32) -> bool) {
         let now = self.deps.clock.now();
         self.limits.borrow_mut().retain(now, &is_known);
+        self.rejection_limits.borrow_mut().retain(now, &is_known);
         self.backoffs.borrow_mut().retain(now, &is_known);
         self.full.borrow_mut().retain(|server, _| is_known(*server));
         self.update_limited_gauge();
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -112,6 +112,8 @@
     pub limit: LimitHint,
     /// True if the server announces that it is leaving.
     pub leaving: bool,
+    /// The rate of rejected requests, per second, that the server survives.
+    pub brittle: LimitHint,
     /// How long to send nothing to the server, if it rejects the request.
     pub rest: BackoffHint,
 }
--- a/crates/portrack/src/gateway/dispatch/dispatcher.rs
+++ b/crates/portrack/src/gateway/dispatch/dispatcher.rs
@@ -94,6 +94,8 @@
     pub slots: usize,
     /// The rate limit that it announces, if any.
     pub limit: Option<LimitRule>,
+    /// It gets no requests beyond its slots: it may let none wait, and survives few rejections.
+    pub is_brittle: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -174,7 +176,8 @@
     /// Number of requests that a server may have at once: fewer if it fails some, but at least one.
     fn capacity(&self, now: Time, server: &ServerSlots) -> usize {
         let healthy_share = 1.0 - self.failure_rate(now, server.server);
-        let total = server.slots as f64 * (1.0 + QUEUE_AHEAD_SHARE);
+        let queue_ahead = if server.is_brittle { 0.0 } else { QUEUE_AHEAD_SHARE };
+        let total = server.slots as f64 * (1.0 + queue_ahead);
         ((total * healthy_share).floor() as usize).max(1)
     }
 
--- a/crates/portrack/src/gateway/dispatch/service.rs
+++ b/crates/portrack/src/gateway/dispatch/service.rs
@@ -95,7 +95,8 @@
 
     fn server_slots(&self, backend: &Backend) -> ServerSlots {
         let (server, slots) = (backend.incarnation_hash(), backend.slots.max(1));
-        ServerSlots { server, slots, limit: self.deps.backpressure.rule(server, false) }
+        let is_brittle = self.deps.backpressure.is_brittle(server);
+        ServerSlots { server, slots, limit: self.deps.backpressure.rule(server, false), is_brittle }
     }
 
     /// The servers of a service that this daemon dispatches to: those of its own region.
--- a/crates/portrack/src/gateway/selection/candidates.rs
+++ b/crates/portrack/src/gateway/selection/candidates.rs
@@ -22,6 +22,13 @@
             && self.backpressure.backoff_remaining(backend.incarnation_hash()).is_none()
     }
 
+    /// Returns true if a server survives only few rejections and has no free slot, as far as known. It may
+    /// let no request wait.
+    pub(in crate::gateway) fn is_brittle_and_full(&self, backend: &Backend) -> bool {
+        self.backpressure.is_brittle(backend.incarnation_hash())
+            && self.loads.work(self.clock.now(), &backend.id).requests as usize >= backend.slots
+    }
+
     fn is_permitted(&self, job: &Job<'_>, backend: &Backend) -> bool {
         let regions = self.locality.regions();
         backend.service == job.service.name && job.region_bounds().permits(regions, &backend.hall)
--- a/crates/portrack/src/gateway/selection/server_choice.rs
+++ b/crates/portrack/src/gateway/selection/server_choice.rs
@@ -104,7 +104,10 @@
         open: impl Iterator<Item = &'a Rc<Backend>>,
     ) -> Option<Choice> {
         let now = self.clock.now();
-        let open = open.filter(|backend| !job.servers_at_limit.borrow().contains(&backend.id));
+        let open = open.filter(|backend| {
+            !job.servers_at_limit.borrow().contains(&backend.id)
+                && !self.is_brittle_and_full(backend)
+        });
         let backend = match self.loads_are_delayed.get() {
             true => {
                 let id = &job.request.meta.id;
@@ -322,7 +325,8 @@
             let open = accepts(&view, now, backend) && !unreachable && self.may_serve(job, backend);
             let cost = cost(now, &self.loads, &self.locality, backend);
             let holder = Holder { backend: backend.clone(), cost, version };
-            (open && !job.is_excluded(&backend.id)).then_some(holder)
+            let excluded = job.is_excluded(&backend.id) || self.is_brittle_and_full(backend);
+            (open && !excluded).then_some(holder)
         });
         let mut sorted: Vec<Holder> = untried.collect();
         sorted.sort_by(|a, b| a.cost.total_cmp(&b.cost));
--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -214,7 +214,7 @@
                 let after = StorePosition::new(era, after);
                 self.serve_follower(stream, after, query).await
             }
-            PeerRequest::Tunnel(request) => self.serve_tunnel(stream, request).await,
+            PeerRequest::Tunnel(request) => Box::pin(self.serve_tunnel(stream, request)).await,
         }
     }
 }
--- a/crates/portrack/src/gateway/tunnels/connecting.rs
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -68,7 +68,7 @@
         match self.pool.links().path(self.clock.now(), id) {
             Path::Direct => match self.pool.acquire(id, address, max_open).await {
                 Err(AcquireError::Unreachable(why)) => {
-                    self.acquire_tunnel(backend, max_open, FIRST_CARRIERS, why).await
+                    Box::pin(self.acquire_tunnel(backend, max_open, FIRST_CARRIERS, why)).await
                 }
                 acquired => acquired,
             },
@@ -79,7 +79,7 @@
                     return Ok(idle);
                 }
                 let why = not_connected("no link", false);
-                self.acquire_tunnel(backend, max_open, MAX_CARRIERS, why).await
+                Box::pin(self.acquire_tunnel(backend, max_open, MAX_CARRIERS, why)).await
             }
             Path::Unreachable => {
                 Err(AcquireError::Unreachable(not_connected("no daemon reaches it", false)))
--- a/crates/portrack/tests/gateway/dispatch.rs
+++ b/crates/portrack/tests/gateway/dispatch.rs
@@ -26,7 +26,8 @@
 
 fn dispatcher(servers: u32, slots: usize) -> Dispatcher {
     let mut dispatcher = Dispatcher::default();
-    let servers = (0..servers).map(|server| ServerSlots { server, slots, limit: None });
+    let servers =
+        (0..servers).map(|server| ServerSlots { server, slots, limit: None, is_brittle: false });
     dispatcher.set_servers(Time(0), servers.collect());
     dispatcher
 }
