--- a/crates/portrack/src/gateway/connections/links.rs
+++ b/crates/portrack/src/gateway/connections/links.rs
@@ -194,7 +194,10 @@
             false => 0,
         };
         let mut links = self.links.borrow_mut();
-        let is_due = |link: &Link| now.since(link.tried_at) >= PROBE_INTERVAL;
+        let is_due = |link: &Link| {
+            let is_suspect = link.failing.is_some() || healthy_probes > 0;
+            is_suspect && now.since(link.tried_at) >= PROBE_INTERVAL
+        };
         let mut due: Vec<(&Rc<str>, &mut Link)> =
             links.iter_mut().filter(|(_, link)| is_due(link)).collect();
         due.sort_by_key(|(_, link)| link.tried_at);
--- a/crates/portrack/src/gateway/tunnels/carriers.rs
+++ b/crates/portrack/src/gateway/tunnels/carriers.rs
@@ -11,6 +11,8 @@
 
 /// How long a daemon that declined or did not answer is not asked.
 const AVOIDED_FOR: Duration = Duration::from_millis(1_000);
+/// How long an opened tunnel counts as load of its carrier.
+const RECENT: Duration = Duration::from_millis(1_000);
 /// Cost of a daemon outside the server's hall, relative to one inside: bytes cross between halls once more.
 const OTHER_HALL_COST: f64 = 1.5;
 
@@ -23,9 +25,6 @@
     recent: RefCell<Vec<(SocketAddr, Time)>>,
 }
 
-/// How long an opened tunnel counts as load of its carrier.
-const RECENT: Duration = Duration::from_millis(1_000);
-
 impl Carriers {
     /// Creates a list over the known peers.
     pub fn new(peers: Rc<RefCell<Peers>>, regions: Regions) -> Self {
