--- a/crates/portrack/src/gateway/connections/links.rs
+++ b/crates/portrack/src/gateway/connections/links.rs
@@ -14,6 +14,8 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 /// How long the word of another daemon that it cannot reach a server either is believed.
 const PEER_FAILURE_TTL: Duration = Duration::from_millis(700);
+/// Interval at which other daemons are asked about a server for which this node has duties.
+const OPINION_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of servers that this node must fail to reach, without contact to any other, to be cut off.
 const MIN_FAILING: usize = 2;
 /// Interval between attempts to reach a server again.
@@ -145,6 +147,16 @@
         })
     }
 
+    /// Returns true if this node has failed to reach a server for `span`, and no other daemon has told lately
+    /// whether it does.
+    pub fn needs_opinion(&self, now: Time, server: &str, span: Duration) -> bool {
+        let failing = self.links.borrow().get(server).and_then(|link| link.failing);
+        failing.is_some_and(|failing| {
+            let is_told = failing.by_peer.is_some_and(|(_, at)| now.since(at) < OPINION_INTERVAL);
+            !is_told && now.since(failing.since) >= span
+        })
+    }
+
     /// How to connect to a server now.
     pub fn path(&self, now: Time, server: &str) -> Path {
         let failing = self.links.borrow().get(server).and_then(|link| link.failing);
--- a/crates/portrack/src/gateway/orders/claiming.rs
+++ b/crates/portrack/src/gateway/orders/claiming.rs
@@ -298,6 +298,7 @@
     /// Gives up the claims on servers that have been out of reach for a while: their orders would not
     /// arrive, and other daemons may reach them.
     async fn yield_unreachable_servers(&self) {
+        self.ask_about_unreachable_server().await;
         let now = self.now();
         let mut transaction = KvTransaction::default();
         for (server, claim) in self.unreachable_claims(now).into_iter().take(MAX_ENTRIES) {
@@ -317,6 +318,20 @@
         }
     }
 
+    /// Asks other daemons about one server that this one holds a claim on and does not reach.
+    async fn ask_about_unreachable_server(&self) {
+        let (now, links) = (self.now(), self.handler.pool.links());
+        let backend = {
+            let (view, claims) = (self.handler.view.borrow(), self.order_executor.claims.borrow());
+            let mut claimed = claims.all().map(|(server, _)| server);
+            let server = claimed.find(|server| links.needs_opinion(now, server, YIELD_AFTER));
+            server.and_then(|server| view.backend(server).cloned())
+        };
+        if let Some(backend) = backend {
+            self.handler.connections.peer_opinion(&backend).await;
+        }
+    }
+
     /// This daemon's claims on servers that only others reach, if there is another daemon that could take
     /// them over.
     fn unreachable_claims(&self, now: Time) -> Vec<(Rc<str>, Claim)> {
--- a/crates/portrack/tests/gateway/vacancies.rs
+++ b/crates/portrack/tests/gateway/vacancies.rs
@@ -117,6 +117,20 @@
     assert_eq!(attempt.predecessor, Predecessor::Lapsed);
 }
 
+/// Guards against loads that stop for as long as a machine is waited for that does not come back: it gave the
+/// server up since it lost its link. Its last order is waited for as always.
+#[test]
+fn a_yielded_server_is_claimed_without_waiting_for_its_machine() {
+    let mut unclaimed = unclaimed();
+    let yielded = seen("n2|10.0.0.2:7000", true, true);
+    let record = |seen: SeenRecord| ClaimRecord { yielded: true, ..seen.record };
+    let yielded = yielded.map(|seen| SeenRecord { revision: 9, record: record(seen) });
+    unclaimed.observe("s1", yielded);
+    let attempts = due(&mut unclaimed, 1_150, &[ME], "n2|10.0.0.2:7000");
+    let [attempt] = &attempts[..] else { panic!("one attempt") };
+    assert_eq!((attempt.predecessor, &attempt.expired_machine), (Predecessor::Resigned, &None));
+}
+
 /// Guards against two daemons that order a server at the same time: the first lost its lease
 /// without noticing, the second took over and stopped before the first one's last order was old
 /// enough, and the third waited for the second only.
