--- a/crates/portrack/src/gateway/connections/links.rs
+++ b/crates/portrack/src/gateway/connections/links.rs
@@ -29,7 +29,7 @@
 
 /// How to connect to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Path {
+pub enum Reachability {
     /// Directly.
     Direct,
     /// Through another daemon.
@@ -158,13 +158,13 @@
     }
 
     /// How to connect to a server now.
-    pub fn path(&self, now: Time, server: &str) -> Path {
+    pub fn reachability(&self, now: Time, server: &str) -> Reachability {
         let failing = self.links.borrow().get(server).and_then(|link| link.failing);
         match failing {
-            Some(failing) if failing.is_confirmed(now) => Path::Unreachable,
-            Some(_) => Path::Tunnel,
-            None if self.is_cut_off() => Path::Tunnel,
-            None => Path::Direct,
+            Some(failing) if failing.is_confirmed(now) => Reachability::Unreachable,
+            Some(_) => Reachability::Tunnel,
+            None if self.is_cut_off() => Reachability::Tunnel,
+            None => Reachability::Direct,
         }
     }
 
--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -132,11 +132,16 @@
         if let Some(idle) = self.take_idle(server, |idle| idle.carrier().is_none()) {
             return Ok(idle);
         }
-        let opening = async {
-            let stream = self.connect(server, address).await.map_err(AcquireError::Unreachable)?;
-            Ok(Connection::over(stream, ConnectionRoute::Direct(self.links.contact())))
-        };
-        self.open_with(server, max_open, opening).await
+        self.open_with(server, max_open, self.open_direct(server, address)).await
+    }
+
+    async fn open_direct(
+        &self,
+        server: &Rc<str>,
+        address: SocketAddr,
+    ) -> Result<Connection, AcquireError> {
+        let stream = self.connect(server, address).await.map_err(AcquireError::Unreachable)?;
+        Ok(Connection::over(stream, ConnectionRoute::Direct(self.links.contact())))
     }
 
     /// Opens a connection by `opening` if fewer than `max_open` are open.
@@ -191,10 +196,7 @@
 
     /// Tries to reach a server directly, and keeps the connection for the next request.
     pub async fn probe(self: Rc<Self>, server: Rc<str>, address: SocketAddr, max_open: usize) {
-        let opening = async {
-            let stream = self.connect(&server, address).await.map_err(AcquireError::Unreachable)?;
-            Ok(Connection::over(stream, ConnectionRoute::Direct(self.links.contact())))
-        };
+        let opening = self.open_direct(&server, address);
         if let Ok(connection) = self.open_with(&server, max_open, opening).await {
             connection.release();
         }
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -51,7 +51,7 @@
 pub use connections::body::{BodyDecoder, DecodeStep};
 pub use connections::connection::{Connection, ExchangeError};
 pub use connections::connector::{Connector, TcpConnector};
-pub use connections::links::{LinkChange, LinkFailure, Path, PeerResult, ServerLinks};
+pub use connections::links::{LinkChange, LinkFailure, PeerResult, Reachability, ServerLinks};
 pub use connections::pool::{AcquireError, ConnectionPool, PooledConnection};
 pub use connections::response::{Framing, ResponseError, ResponseHead, parse_head};
 pub use daemon::GatewayDaemon;
--- a/crates/portrack/src/gateway/tunnels/connecting.rs
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -3,7 +3,7 @@
 use super::carriers::Carriers;
 use super::message::{TunnelReply, TunnelRequest};
 use crate::gateway::connections::connection::{Connection, ConnectionRoute, ExchangeError};
-use crate::gateway::connections::links::{Path, PeerResult};
+use crate::gateway::connections::links::{PeerResult, Reachability};
 use crate::gateway::connections::pool::{AcquireError, ConnectionPool, PooledConnection};
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::store_sync::follower_feed::PeerRequest;
@@ -65,24 +65,24 @@
         max_open: usize,
     ) -> Result<PooledConnection, AcquireError> {
         let (id, address) = (&backend.id, backend.address);
-        match self.pool.links().path(self.clock.now(), id) {
-            Path::Direct => match self.pool.acquire(id, address, max_open).await {
+        match self.pool.links().reachability(self.clock.now(), id) {
+            Reachability::Direct => match self.pool.acquire(id, address, max_open).await {
                 Err(AcquireError::Unreachable(why)) => {
                     Box::pin(self.acquire_tunnel(backend, max_open, FIRST_CARRIERS, why)).await
                 }
                 acquired => acquired,
             },
-            Path::Tunnel => {
+            Reachability::Tunnel => {
                 let keeps = self.pool.links().keeps_connections(id);
                 let fits = |idle: &Connection| keeps || idle.carrier().is_some();
                 if let Some(idle) = self.pool.take_idle(id, fits) {
                     return Ok(idle);
                 }
-                let why = not_connected("no link", false);
+                let why = not_connected("no link");
                 Box::pin(self.acquire_tunnel(backend, max_open, MAX_CARRIERS, why)).await
             }
-            Path::Unreachable => {
-                Err(AcquireError::Unreachable(not_connected("no daemon reaches it", false)))
+            Reachability::Unreachable => {
+                Err(AcquireError::Unreachable(not_connected("no daemon reaches it")))
             }
         }
     }
@@ -170,6 +170,6 @@
     Some((reply, stream))
 }
 
-fn not_connected(why: &str, refused: bool) -> ExchangeError {
-    ExchangeError::NotConnected { why: why.into(), refused }
+fn not_connected(why: &str) -> ExchangeError {
+    ExchangeError::NotConnected { why: why.into(), refused: false }
 }
--- a/crates/portrack/tests/gateway/links.rs
+++ b/crates/portrack/tests/gateway/links.rs
@@ -2,7 +2,7 @@
 
 use crate::support::ms;
 use portrack::Time;
-use portrack::gateway::{LinkFailure, Path, PeerResult, ServerLinks};
+use portrack::gateway::{LinkFailure, PeerResult, Reachability, ServerLinks};
 use proptest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,16 +85,16 @@
                 Event::Pause(millis) => now = now + ms(millis),
             }
             for (at, history) in known.iter().enumerate() {
-                match links.path(now, &server(at)) {
-                    Path::Unreachable => {
+                match links.reachability(now, &server(at)) {
+                    Reachability::Unreachable => {
                         prop_assert!(history.failing_since.is_some());
                         let told = history.peer_failed_at;
                         prop_assert!(told.is_some_and(|told| now.since(told) < ms(700)));
                     }
-                    Path::Tunnel => {
+                    Reachability::Tunnel => {
                         prop_assert!(history.failing_since.is_some() || links.is_cut_off());
                     }
-                    Path::Direct => prop_assert!(history.failing_since.is_none()),
+                    Reachability::Direct => prop_assert!(history.failing_since.is_none()),
                 }
             }
         }
@@ -109,14 +109,14 @@
     }
     links.failed(Time(1_250), &server(0), LinkFailure::TimedOut);
     assert!(!links.is_cut_off(), "one server may be down");
-    assert_eq!(links.path(Time(1_250), &server(1)), Path::Direct);
+    assert_eq!(links.reachability(Time(1_250), &server(1)), Reachability::Direct);
     links.failed(Time(1_300), &server(1), LinkFailure::TimedOut);
     assert!(links.is_cut_off());
-    assert_eq!(links.path(Time(1_300), &server(2)), Path::Tunnel);
+    assert_eq!(links.reachability(Time(1_300), &server(2)), Reachability::Tunnel);
     links.contact().set(Some(Time(1_400)));
     assert!(!links.is_cut_off(), "bytes arrive on an open connection");
-    assert_eq!(links.path(Time(1_400), &server(2)), Path::Direct);
-    assert_eq!(links.path(Time(1_400), &server(0)), Path::Tunnel);
+    assert_eq!(links.reachability(Time(1_400), &server(2)), Reachability::Direct);
+    assert_eq!(links.reachability(Time(1_400), &server(0)), Reachability::Tunnel);
 }
 
 #[test]
@@ -134,7 +134,7 @@
 fn a_node_that_has_reached_no_server_yet_is_not_cut_off() {
     let links = ServerLinks::default();
     assert!(!links.is_cut_off());
-    assert_eq!(links.path(Time(0), &server(0)), Path::Direct);
+    assert_eq!(links.reachability(Time(0), &server(0)), Reachability::Direct);
 }
 
 /// Simulates a node whose links all hang from 2 s to 14 s, with few requests: the probes alone must notice
@@ -171,7 +171,7 @@
         }
         if now >= until + PROBED_WITHIN {
             for n in 0..SERVERS {
-                assert_eq!(links.path(now, &server(n)), Path::Direct, "at {at} ms");
+                assert_eq!(links.reachability(now, &server(n)), Reachability::Direct, "at {at} ms");
             }
         }
     }
