Request lines tell software versions, the attempt that is resumed and the event after which it goes on

The lines could not tell whether streams cross software versions within one answer or over their callers' tries, nor that they cross at all. The version of a server was read from its entry and dropped. No decision is changed.

--- a/crates/portrack-bench/src/adapters/gateway.rs
+++ b/crates/portrack-bench/src/adapters/gateway.rs
@@ -99,6 +99,7 @@
         service: SERVICE.into(),
         address: ([10, 0, 0, 1], 80).into(),
         hall: "a".into(),
+        software: "v1".into(),
         slots: SLOTS,
         draining: false,
         leaves_in: None,
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -78,6 +78,8 @@
     pub tokens: Option<u64>,
     /// The caller's credential.
     pub credential: Credential,
+    /// The attempt whose answer brought the first event of the stream that this request continues.
+    pub resumes: Option<Rc<str>>,
 }
 
 /// Metadata that the gateway writes into a request to a server.
--- a/crates/portrack/src/gateway/fleet/backend.rs
+++ b/crates/portrack/src/gateway/fleet/backend.rs
@@ -20,6 +20,8 @@
     pub address: SocketAddr,
     /// Its data hall.
     pub hall: Rc<str>,
+    /// Version of its software. Servers of several versions may run side by side in a service.
+    pub software: Rc<str>,
     /// How many requests it runs at once.
     pub slots: usize,
     /// The server reports that it is leaving.
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -259,6 +259,7 @@
         let backend = &choice.backend;
         job.server = Some(backend.id.clone());
         *job.progress.server.borrow_mut() = Some(backend.id.clone());
+        *job.progress.software.borrow_mut() = Some(backend.software.clone());
         job.tried.push(backend.id.clone());
         let now = self.clock.now();
         let bytes = request_bytes(&*self.dialect, job.request, &self.forward_meta(job, choice));
@@ -321,6 +322,9 @@
                 };
                 let end = relay.forward(job, *response, sink, on_chunk).await;
                 choice.begun(self.clock.now());
+                if relay.last_event().is_some() {
+                    job.progress.record_first_event(&backend.software);
+                }
                 if let Some(gap) = timings.mean_event_gap() {
                     self.grants.record_event_gap(&job.service.name, gap);
                 }
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -31,6 +31,10 @@
     pub route: RefCell<Option<Rc<Route>>>,
     /// The server of the last try.
     pub server: RefCell<Option<Rc<str>>>,
+    /// The software version of that server.
+    pub software: RefCell<Option<Rc<str>>>,
+    /// The software version of the server that made the first event of this answer.
+    pub first_event_software: RefCell<Option<Rc<str>>>,
     /// Whether the server has started to respond.
     pub begun: Cell<bool>,
     /// The organisation that its key belongs to.
@@ -47,6 +51,13 @@
     pub fingerprint: Cell<Option<RequestFingerprint>>,
 }
 
+impl Progress {
+    /// Records that a server of a software version has made an event of the answer.
+    pub fn record_first_event(&self, software: &Rc<str>) {
+        self.first_event_software.borrow_mut().get_or_insert_with(|| software.clone());
+    }
+}
+
 /// Outcome of a request, for logs and metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RequestOutcome {
--- a/crates/portrack/src/gateway/requests/serving.rs
+++ b/crates/portrack/src/gateway/requests/serving.rs
@@ -144,6 +144,10 @@
             route = route.as_ref().map_or("", |route| &*route.name),
             end = "caller_gone",
             server = server.as_deref().unwrap_or_default(),
+            software = self.software().as_ref(),
+            began_software = self.first_event_software().as_ref(),
+            resumes = self.resumes(),
+            after_event = self.after_event(),
             via = self.carrier().as_str(),
             held_version = version.held,
             demanded_version = version.demanded,
@@ -158,6 +162,26 @@
         );
     }
 
+    /// The software version of the server of the last try; empty if there was none.
+    fn software(&self) -> Rc<str> {
+        self.progress.software.borrow().clone().unwrap_or_default()
+    }
+
+    /// The software version at which this answer began; empty if it has no event.
+    fn first_event_software(&self) -> Rc<str> {
+        self.progress.first_event_software.borrow().clone().unwrap_or_default()
+    }
+
+    /// The attempt that began the stream which the request continues; empty if it names none.
+    fn resumes(&self) -> &str {
+        self.request.meta.resumes.as_deref().unwrap_or_default()
+    }
+
+    /// The event after which the caller continues its stream; empty if it names none.
+    fn after_event(&self) -> &str {
+        self.request.last_event.as_deref().unwrap_or_default()
+    }
+
     /// The organisation that the request's key belongs to; empty if there is none.
     fn organisation(&self) -> Rc<str> {
         self.progress.organisation.borrow().clone().unwrap_or_default()
@@ -230,6 +254,10 @@
             end = end,
             status = status,
             server = record.server.as_deref().unwrap_or_default(),
+            software = self.software().as_ref(),
+            began_software = self.first_event_software().as_ref(),
+            resumes = self.resumes(),
+            after_event = self.after_event(),
             adapter = adapter,
             adapter_state = record.adapter_note.as_str(),
             held_version = version.held,
--- a/crates/portrack/tests/gateway/support.rs
+++ b/crates/portrack/tests/gateway/support.rs
@@ -57,6 +57,7 @@
         service: "llm".into(),
         address: "10.0.0.1:80".parse().expect("a valid address"),
         hall: "a".into(),
+        software: "v1".into(),
         slots: 64,
         draining: false,
         leaves_in: None,
