Streams go on only at the software version that began them

Cause: nothing here knew software versions. The version was read from a server's entry and dropped, a broken answer went on at any server that holds the adapter, and `Resumes` was read nowhere.

What changed: the origin of a stream (service and software version) is fixed when its first event goes out. One filter, beside those for regions and rests, applies it to every choice of a server and again right before each send. Origins are kept by one daemon of each data hall and asked for when a caller comes back. Where nobody knows one, it is concluded only if the store's record of software versions, proved to be fresh, lists a single one; a new version is announced there for longer than a copy may be stale before streams begin at it. What is not known is refused at once, never guessed. Loads of an adapter that are under way at servers which may not serve a request no longer keep it from asking for one elsewhere.

Why this holds: a random series of versions that come, go and come back, of lost messages, stale copies and restarts of one and all daemons let no stream go on anywhere else (2,000 series, `origins.rs`).

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -31,6 +31,8 @@
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::software::registry::SoftwareRegistry;
+use crate::gateway::software::resolver::{StreamOrigins, StreamOriginsDeps};
 use crate::gateway::store_sync::era::EraTracker;
 use crate::gateway::store_sync::follower_feed::FollowerFeed;
 use crate::gateway::store_sync::mirror::{Mirror, MirrorChange};
@@ -244,6 +246,16 @@
             daemons: eligible_daemons.clone(),
             bounds: retry_bounds,
         });
+        let origins_deps = StreamOriginsDeps {
+            clock: clock.clone(),
+            messenger: messenger.clone(),
+            me: settings.as_daemon(),
+            regions: settings.regions(),
+            daemons: eligible_daemons.clone(),
+            taken_up: metrics.streams_taken_up.clone(),
+        };
+        let registry =
+            SoftwareRegistry::new(started_at, settings.first_start, bounds.news_within());
         let pool = Rc::new(ConnectionPool::new(connector, links));
         let connections = Rc::new(ServerConnections::new(
             clock.clone(),
@@ -288,6 +300,7 @@
             leaving: Rc::new(LeavingServers::new(leaving_deps)),
             quarantine: Rc::new(quarantine),
             retries: Rc::new(retries),
+            origins: Rc::new(StreamOrigins::new(origins_deps, registry)),
             demand: Rc::new(AdapterDemandTracker::default()),
             locality,
             traffic,
@@ -378,7 +391,8 @@
             self.note_claim(&change);
             let is_own_record = self.records.borrow_mut().apply(&change)
                 || self.handler.quarantine.apply(&change)
-                || self.handler.retries.apply(&change);
+                || self.handler.retries.apply(&change)
+                || self.handler.origins.apply(&change);
             if is_own_record {
                 continue;
             }
--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -61,6 +61,11 @@
         Self(all)
     }
 
+    /// The daemons that match `fits`.
+    pub fn only(&self, fits: impl Fn(&DaemonInfo) -> bool) -> Self {
+        Self(self.0.iter().filter(|daemon| fits(daemon)).cloned().collect())
+    }
+
     /// Iterates over all daemons.
     pub fn all(&self) -> impl Iterator<Item = &DaemonInfo> {
         self.0.iter()
--- a/crates/portrack/src/gateway/fleet/gossip.rs
+++ b/crates/portrack/src/gateway/fleet/gossip.rs
@@ -55,6 +55,7 @@
             self.handler.quarantine.tick();
             self.handler.backpressure.tick();
             self.handler.leaving.tick();
+            self.handler.origins.tick();
         }
     }
 
@@ -102,6 +103,7 @@
             PeerMessage::Limits(reports) => self.handler.grants.on_limits(&reports),
             PeerMessage::Quota(message) => self.handler.quotas.on_message(message, from),
             PeerMessage::Retries(message) => self.handler.retries.on_message(message, from),
+            PeerMessage::Origins(message) => self.handler.origins.on_message(message, from),
         }
     }
 
--- a/crates/portrack/src/gateway/fleet/message.rs
+++ b/crates/portrack/src/gateway/fleet/message.rs
@@ -8,6 +8,7 @@
 use crate::gateway::quarantine::message::QuarantineMessage;
 use crate::gateway::retries::message::RetryMessage;
 use crate::gateway::selection::load::OutstandingWork;
+use crate::gateway::software::message::OriginMessage;
 use crate::gateway::store_sync::era::EraReport;
 use crate::gateway::store_sync::report::SyncReport;
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,8 @@
     KnownAs(u64),
     /// Retries of services' budgets.
     Retries(RetryMessage),
+    /// Origins of streams.
+    Origins(OriginMessage),
 }
 
 impl PeerMessage {
@@ -70,6 +73,7 @@
             Self::Leaving(_) => "leaving",
             Self::KnownAs(_) => "known_as",
             Self::Retries(_) => "retries",
+            Self::Origins(_) => "origins",
         }
     }
 }
@@ -123,14 +127,20 @@
 
 impl Capabilities {
     /// The features of this build.
-    pub const OWN: Self =
-        Self(Self::ENFORCES_LIMITS | Self::SHARES_RETRY_SLACK | Self::CARRIES_TUNNELS);
+    pub const OWN: Self = Self(
+        Self::ENFORCES_LIMITS
+            | Self::SHARES_RETRY_SLACK
+            | Self::CARRIES_TUNNELS
+            | Self::REMEMBERS_STREAMS,
+    );
     /// The build grants no more arrivals at a server than the advertised limit allows.
     const ENFORCES_LIMITS: u32 = 1;
     /// The build asks for the slack of retry budgets before it uses it.
     const SHARES_RETRY_SLACK: u32 = 2;
     /// The build opens connections to servers for other daemons.
     const CARRIES_TUNNELS: u32 = 4;
+    /// The build keeps the origins of streams, and announces software versions before it uses them.
+    const REMEMBERS_STREAMS: u32 = 8;
 
     /// Returns true if the build enforces the limits that servers advertise.
     pub fn enforces_limits(self) -> bool {
@@ -142,6 +152,12 @@
         self.0 & Self::SHARES_RETRY_SLACK != 0
     }
 
+    /// Returns true if the build keeps the origins of streams, and announces software versions before
+    /// it uses them.
+    pub fn remembers_streams(self) -> bool {
+        self.0 & Self::REMEMBERS_STREAMS != 0
+    }
+
     /// Returns true if the build opens connections to servers for other daemons.
     pub fn carries_tunnels(self) -> bool {
         self.0 & Self::CARRIES_TUNNELS != 0
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -261,6 +261,12 @@
         self.peers.values().all(|peer| peer.heartbeat.capabilities.shares_retry_slack())
     }
 
+    /// Returns true if the builds of all known daemons, including silent ones, keep the origins of
+    /// streams.
+    pub fn remember_streams(&self) -> bool {
+        self.peers.values().all(|peer| peer.heartbeat.capabilities.remembers_streams())
+    }
+
     /// Addresses of all daemons that are up.
     pub fn addresses(&self, now: Time) -> Vec<SocketAddr> {
         self.up(now).map(|(_, peer)| peer.heartbeat.address).collect()
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -150,10 +150,17 @@
         backend.is_some_and(|backend| self.is_open(backend) || self.is_closing(now, backend))
     }
 
-    /// When an adapter that is being loaded is expected at a server that accepts new work.
-    pub fn expected(&self, now: Time, key: &AdapterKey) -> Option<Time> {
+    /// When an adapter that is being loaded is expected at a server that accepts new work and that
+    /// `may_serve`.
+    pub fn expected(
+        &self,
+        now: Time,
+        key: &AdapterKey,
+        may_serve: impl Fn(&Backend) -> bool,
+    ) -> Option<Time> {
         let coming = self.adapter_locations.coming_to(now, key);
-        let open = |id: &str| self.backends.get(id).is_none_or(|backend| self.is_open(backend));
+        let fits = |backend: &Backend| self.is_open(backend) && may_serve(backend);
+        let open = |id: &str| self.backends.get(id).is_none_or(|backend| fits(backend));
         coming.filter(|(id, _)| open(id)).map(|(_, at)| at).min()
     }
 
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -99,6 +99,9 @@
     pub full_servers: IntCounter,
     /// Retries by service, reason, and what they were taken from.
     pub retries: IntCounterVec,
+    /// Streams that callers took up again, by where their origin was known from or why they did not go
+    /// on.
+    pub streams_taken_up: IntCounterVec,
     /// Requests stopped right before they were sent because their server no longer accepted requests.
     pub held_back: IntCounter,
 }
@@ -202,6 +205,11 @@
                 "Sends beyond the first, by what they were taken from, and those that no budget was left for",
                 &["service", "reason", "budget"],
             ),
+            streams_taken_up: maker.counters(
+                "streams_taken_up_total",
+                "Streams that callers took up again",
+                &["outcome"],
+            ),
             held_back: maker.counter(
                 "held_back_requests_total",
                 "Requests held back right before they were sent to a server that has closed",
--- a/crates/portrack/src/gateway/requests/caller.rs
+++ b/crates/portrack/src/gateway/requests/caller.rs
@@ -117,6 +117,10 @@
     Quota,
     /// Several server processes ended while they ran it.
     Quarantined,
+    /// It takes a stream up again, and nobody knows which software version began that.
+    UnknownOrigin,
+    /// It takes a stream up again, and no server of the software version that began it is left.
+    NoSoftware,
 }
 
 impl RefusalReason {
@@ -144,6 +148,8 @@
             Self::NoProof => "no_proof",
             Self::Quota => "quota",
             Self::Quarantined => "quarantined",
+            Self::UnknownOrigin => "unknown_origin",
+            Self::NoSoftware => "no_software",
         }
     }
 
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -26,6 +26,7 @@
 use crate::gateway::retries::reason::RetryReason;
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
+use crate::gateway::software::resolver::StreamOrigins;
 use crate::gateway::tunnels::connecting::ServerConnections;
 use crate::types::{Clock, Time};
 use prometheus::{IntCounter, IntCounterVec};
@@ -77,6 +78,8 @@
     pub quarantine: Rc<Quarantine>,
     /// Retry budgets.
     pub retries: Rc<RetryBudgets>,
+    /// Where streams began.
+    pub origins: Rc<StreamOrigins>,
     /// Demand for adapters.
     pub demand: Rc<AdapterDemandTracker>,
     /// Whether some daemon, as far as known, may send orders to a server.
@@ -117,6 +120,9 @@
             Err(refused) => return RequestRecord::refused(refused),
         };
         *progress.route.borrow_mut() = Some(job.route.clone());
+        if let Err(refused) = self.resume(&mut job).await {
+            return RequestRecord::refused_on(refused, job.route.clone());
+        }
         if let Err(refused) = self.admit(&mut job).await {
             return RequestRecord::refused_on(refused, job.route.clone());
         }
@@ -185,6 +191,7 @@
             tried: Vec::new(),
             servers_at_limit: RefCell::default(),
             server: None,
+            origin: OnceCell::new(),
             last_event: request.last_event.clone(),
             last_failure: String::new(),
             was_unreachable: false,
@@ -320,11 +327,9 @@
                     timings.record_chunk(now);
                     choice.begun(now);
                 };
-                let end = relay.forward(job, *response, sink, on_chunk).await;
+                let before_events = || self.record_first_event(job, backend);
+                let end = relay.forward(job, *response, sink, on_chunk, before_events).await;
                 choice.begun(self.clock.now());
-                if relay.last_event().is_some() {
-                    job.progress.record_first_event(&backend.software);
-                }
                 if let Some(gap) = timings.mean_event_gap() {
                     self.grants.record_event_gap(&job.service.name, gap);
                 }
@@ -354,6 +359,11 @@
         if !self.view.borrow().accepts_requests(self.clock.now(), &backend.id) {
             return Err(NotRunReason::Closed);
         }
+        // The server may have started again at another version.
+        let known = self.view.borrow().backend(&backend.id).cloned();
+        if !known.is_some_and(|known| self.permits_software(job, &known)) {
+            return Err(NotRunReason::Closed);
+        }
         if self.held_for(job).is_some() {
             return Err(NotRunReason::HeldBack);
         }
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -15,6 +15,7 @@
 use crate::gateway::regions::allowed::RegionConstraints;
 use crate::gateway::retries::permit::RetryPermit;
 use crate::gateway::retries::reason::RetryReason;
+use crate::gateway::software::origin::Origin;
 use crate::types::Time;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
@@ -97,6 +98,8 @@
     pub servers_at_limit: RefCell<Vec<Rc<str>>>,
     /// The server of the last try.
     pub server: Option<Rc<str>>,
+    /// Where its stream began, from the first event that its caller gets; empty before.
+    pub origin: OnceCell<Rc<Origin>>,
     /// The id of the last forwarded event, after which the stream is resumed.
     pub last_event: Option<String>,
     /// Description of the last failure.
--- a/crates/portrack/src/gateway/requests/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -55,13 +55,15 @@
         self.events.as_ref().and_then(EventSplitter::last_id)
     }
 
-    /// Forwards a response; `on_chunk` is called for each chunk that arrives.
+    /// Forwards a response; `on_chunk` is called for each chunk that arrives, `before_events` before
+    /// events of a resumable stream are sent to the caller.
     pub async fn forward(
         &mut self,
         job: &Job<'_>,
         mut response: ServerResponse,
         sink: &mut impl ReplySink,
         on_chunk: impl Fn(),
+        before_events: impl Fn(),
     ) -> RelayOutcome {
         let status = response.head.status;
         if status.is_success() && !response.head.meta.signed {
@@ -83,7 +85,7 @@
             return RelayOutcome::Failed(status.as_u16());
         }
         if job.route.kind == RouteKind::Stream && status.is_success() {
-            return self.forward_stream(response, sink, on_chunk).await;
+            return self.forward_stream(response, sink, on_chunk, before_events).await;
         }
         self.forward_collected(response, sink).await
     }
@@ -118,6 +120,7 @@
         mut response: ServerResponse,
         sink: &mut impl ReplySink,
         on_chunk: impl Fn(),
+        before_events: impl Fn(),
     ) -> RelayOutcome {
         let status = response.head.status.as_u16();
         if !self.started {
@@ -143,6 +146,9 @@
                 None => Some(chunk),
             };
             let Some(complete) = complete else { continue };
+            if self.events.is_some() {
+                before_events();
+            }
             if sink.chunk(complete).await.is_err() {
                 return RelayOutcome::CallerGone;
             }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -108,6 +108,7 @@
     actix_rt::spawn(daemon.clone().run_quota_reports());
     actix_rt::spawn(daemon.clone().run_queue_timers());
     actix_rt::spawn(daemon.clone().run_held_request_records());
+    actix_rt::spawn(daemon.clone().write_software_record());
     actix_rt::spawn(daemon.clone().send_heartbeats());
     actix_rt::spawn(daemon.clone().run_load_request_reports());
     actix_rt::spawn(daemon.clone().run_use_reports());
--- a/crates/portrack/src/gateway/selection/candidates.rs
+++ b/crates/portrack/src/gateway/selection/candidates.rs
@@ -31,7 +31,9 @@
 
     fn is_permitted(&self, job: &Job<'_>, backend: &Backend) -> bool {
         let regions = self.locality.regions();
-        backend.service == job.service.name && job.region_bounds().permits(regions, &backend.hall)
+        backend.service == job.service.name
+            && job.region_bounds().permits(regions, &backend.hall)
+            && self.permits_software(job, backend)
     }
 
     /// Time until the first backing-off server accepts requests again; `None` if none is backing
--- a/crates/portrack/src/gateway/selection/server_choice.rs
+++ b/crates/portrack/src/gateway/selection/server_choice.rs
@@ -148,7 +148,8 @@
             }
             self.request_load_for(job, key, LoadScope::AnyRegion);
             let now = self.clock.now();
-            let expected = self.view.borrow().expected(now, key);
+            let may_serve = |backend: &Backend| self.may_serve(job, backend);
+            let expected = self.view.borrow().expected(now, key, may_serve);
             self.record_adapter_wait(job, now, expected);
             let refuse_early = now < load_start_by && is_first;
             let until = match expected {
@@ -207,7 +208,7 @@
         let WantedAdapter { service, key, requests, at } = wanted;
         let now = self.clock.now();
         let view = self.view.borrow();
-        if view.expected(now, key).is_some() {
+        if view.expected(now, key, &may_serve).is_some() {
             return false;
         }
         let version = view.newest_version(key);
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -34,6 +34,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the key-value store, as `ip:port`.
     pub store: String,
+    /// The whole fleet starts for the first time: nothing was served before.
+    #[serde(default)]
+    pub first_start: bool,
     /// Time bounds and rates set by the deployment.
     #[serde(default)]
     pub bounds: Bounds,
--- a/crates/portrack/src/gateway/store_sync/restore.rs
+++ b/crates/portrack/src/gateway/store_sync/restore.rs
@@ -22,6 +22,7 @@
         let Some(EraChange { before, era }) = change else { return };
         self.order_executor.claims.borrow_mut().store_came_back(now);
         self.handler.retries.store_came_back();
+        self.handler.origins.store_came_back();
         self.metrics.store_returns.inc();
         log::warn!(before:% = before, era:% = era, news_age_ms = self.staleness().millis(); "store_era_changed");
     }
--- a/crates/portrack/src/gateway/store_sync/store_watch.rs
+++ b/crates/portrack/src/gateway/store_sync/store_watch.rs
@@ -9,6 +9,7 @@
 use crate::gateway::orders::claim_record::ClaimKey;
 use crate::gateway::quarantine::record::HoldRecord;
 use crate::gateway::retries::holder::SLACK_KEY;
+use crate::gateway::software::record::SOFTWARE_KEY;
 use crate::store::{KvChange, KvEntry, KvReadError, StorePosition};
 use crate::types::Time;
 use std::net::SocketAddr;
@@ -224,6 +225,7 @@
             || ClaimKey::parse(key).is_some()
             || HoldRecord::request(key).is_some()
             || key == SLACK_KEY
+            || key == SOFTWARE_KEY
     }
 
     fn record_store_response(&self, prefix: &str) {
--- a/crates/portrack/tests/gateway/former.rs
+++ b/crates/portrack/tests/gateway/former.rs
@@ -2,14 +2,17 @@
 //! replaced one after the other, and both builds exchange messages meanwhile.
 
 use portrack::gateway::{
-    Capabilities, ClaimRecord, EraReport, EraTracker, GrantMessage, GrantRequest, Heartbeat,
-    LimitReport, OrganisationHash, OutstandingWork, PeerMessage, RateLimit, RecordEras, SyncReport,
-    SyncState, decode_message, encode_message,
+    CallerIdentity, Capabilities, ClaimRecord, EraReport, EraTracker, FingerprintInput,
+    GrantMessage, GrantRequest, Heartbeat, LimitReport, OrganisationHash, Origin, OriginMessage,
+    OriginReport, OutstandingWork, PeerMessage, RateLimit, RecordEras, SoftwareRecord, StreamKey,
+    SyncReport, SyncState, VersionState, decode_message, encode_message,
 };
 use portrack::store::StoreEra;
 use portrack::types::Time;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A heartbeat as the previous build encodes it.
 const PREVIOUS_HEARTBEAT: &str = "05000966726f6e742d612d310161000a010026d43981d68695ca33fface2040001010207818080f80f010703f80a01000a010027d439036401000a010026d43981d68695ca3301f80a00";
@@ -203,3 +206,41 @@
     assert_eq!(with_era.bytes()[..previous.len()], previous, "new fields come last");
     assert_eq!(ClaimRecord::read(&with_era.bytes()), Some(with_era));
 }
+
+/// The previous build drops a datagram of a kind that it does not know, so the kind is the last one.
+#[test]
+fn origins_are_the_last_kind_of_message() {
+    let key = StreamKey::of(
+        &FingerprintInput {
+            caller: CallerIdentity::Unknown,
+            method: "POST",
+            host: "h.example",
+            target: "/long/x",
+            body: &[],
+        },
+        "r1",
+    );
+    let origin = Origin { service: "llm".into(), software: "v1.1".into() };
+    let report = OriginReport::new(key, &origin, Duration::from_millis(300));
+    let message = PeerMessage::Origins(OriginMessage::Began(vec![report]));
+    let encoded = encode_message(&message).expect("message fits a datagram");
+    let previous = encode_message(&PeerMessage::KnownAs(1)).expect("message fits a datagram");
+    assert_eq!((encoded[1], previous[1]), (14, 12), "kinds keep their numbers");
+    assert_eq!(decode_message(&encoded), Some(message));
+}
+
+/// The store's record of software versions, as it must stay readable.
+const SOFTWARE_RECORD: &str = "01036c6c6d02027631010476312e310001";
+
+#[test]
+fn the_record_of_software_versions_keeps_its_form() {
+    let written = bytes(SOFTWARE_RECORD);
+    let versions = BTreeMap::from([
+        ("v1".to_owned(), VersionState::InUse),
+        ("v1.1".to_owned(), VersionState::Announced),
+    ]);
+    let services = BTreeMap::from([("llm".to_owned(), versions)]);
+    let record = SoftwareRecord { services, is_complete: true };
+    assert_eq!(record.bytes(), written);
+    assert_eq!(SoftwareRecord::read(&written), Some(record));
+}
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod mirror_eras;
 mod news;
 mod news_fleet;
+mod origins;
 mod pacing;
 mod peers;
 mod pending_calls;
