--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -75,6 +75,8 @@
     pub retry_ratio: f64,
     /// Retries of all daemons that are allowed in a window besides.
     pub retry_slack: f64,
+    /// Whether the daemons are told that the fleet starts for the first time.
+    pub first_start: bool,
     /// Whether every server has all adapters at the start, instead of each adapter one server.
     pub replicates_adapters: bool,
 }
@@ -94,6 +96,7 @@
             era: None,
             retry_ratio: RETRY_RATIO,
             retry_slack: RETRY_SLACK,
+            first_start: false,
             replicates_adapters: false,
         }
     }
@@ -247,10 +250,11 @@
         let regions: String = regions.collect();
         let (cold_ratio, cold_slack) = (COLD_RATIO, COLD_SLACK);
         let (retry_ratio, retry_slack) = (plan.retry_ratio, plan.retry_slack);
+        let first_start = plan.first_start;
         let text = format!(
             "node = \"{node}\"\nhall = \"{hall}\"\ncallers = \"{address}:{callers}\"\n\
              readiness = \"{address}:{readiness}\"\nmembers = \"{address}:{members}\"\n\
-             seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\n\n[bounds]\nretry_ratio = {retry_ratio:?}\nretry_slack = {retry_slack:?}\n\
+             seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\nfirst_start = {first_start}\n\n[bounds]\nretry_ratio = {retry_ratio:?}\nretry_slack = {retry_slack:?}\n\
              stop_within_s = {STOP_WITHIN_S}\nrevoke_within_ms = {REVOKED_WITHIN_MS}\n\
              evacuate_within_ms = {EVACUATED_WITHIN_MS}\ncold_ratio = {cold_ratio:?}\n\
              cold_slack = {cold_slack:?}\n\n[regions]\n{regions}",
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -10,5 +10,7 @@
 mod returns;
 mod series;
 mod servers;
+mod software;
+mod streams;
 mod versions;
 mod words;
