Origins of streams: those that become keepers are told when members come or go; a conflict that a peer knows counts

What callers saw, in a test only: after all three nodes had been replaced one after the other, 4 of 24 streams could not be taken up again while servers of two versions served. Cause: origins were told once, to the keepers of that moment; each replacement takes one of them away. Now those that were keepers tell the new ones, in fleets of up to 24 daemons, of streams of the last 30 s. `streams_go_on_after_all_nodes_were_replaced_in_turn` failed with 20 of 24 whole and passes.

By reading: an answer that says that two origins were reported was taken for no answer, and answers to the first question were counted again for the second.

--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -66,6 +66,14 @@
         Self(self.0.iter().filter(|daemon| fits(daemon)).cloned().collect())
     }
 
+    /// Returns true if two lists have the same addresses in the same order.
+    pub fn has_same_members(&self, other: &Self) -> bool {
+        let addresses = |daemons: &[DaemonInfo]| -> Vec<SocketAddr> {
+            daemons.iter().map(|daemon| daemon.address).collect()
+        };
+        self.0.len() == other.0.len() && addresses(&self.0) == addresses(&other.0)
+    }
+
     /// Iterates over all daemons.
     pub fn all(&self) -> impl Iterator<Item = &DaemonInfo> {
         self.0.iter()
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -185,7 +185,6 @@
             self.handler.quarantine.send_snapshot(address);
             self.handler.backpressure.send_snapshot(address);
             self.handler.leaving.send_snapshot(address);
-            self.handler.origins.hand_on(address);
         }
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
--- a/crates/portrack/src/gateway/software/resolver.rs
+++ b/crates/portrack/src/gateway/software/resolver.rs
@@ -13,7 +13,7 @@
 use crate::types::Clock;
 use prometheus::IntCounterVec;
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,12 +21,12 @@
 
 /// Delays after which the daemons that have not answered are asked once more, and the search ends.
 const ASK_TIMEOUTS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(200)];
-/// Streams that began longer ago are not reported to a daemon that comes up: few are still taken up.
-const HANDED_ON_FOR: Duration = Duration::from_secs(30);
-/// How many keepers of an origin report it to another one that comes up.
-const HANDED_ON_BY: usize = 2;
-/// Datagrams per tick to daemons that come up.
-const DATAGRAMS_PER_TICK: usize = 8;
+/// Streams that began longer ago are not reported to new keepers: few are still taken up.
+const REPLICATED_FOR: Duration = Duration::from_secs(30);
+/// In larger fleets, new keepers are not told: each is one of many.
+const MAX_DAEMONS_REPLICATED: usize = 24;
+/// Datagrams per tick to new keepers.
+const DATAGRAMS_PER_TICK: usize = 2;
 
 /// What a [`StreamOrigins`] is built from.
 pub struct StreamOriginsDeps {
@@ -72,9 +72,11 @@
     table: RefCell<OriginTable>,
     /// The versions at which streams may begin.
     pub(super) registry: RefCell<SoftwareRegistry>,
-    calls: PendingCalls<OriginAnswer>,
-    /// Reports for daemons that have come up.
-    handed_on: RefCell<VecDeque<(SocketAddr, Vec<OriginReport>)>>,
+    calls: PendingCalls<(SocketAddr, OriginAnswer)>,
+    /// The members of the fleet when origins were last replicated.
+    members: RefCell<Daemons>,
+    /// Reports for daemons that have become keepers.
+    queue: RefCell<VecDeque<(SocketAddr, Vec<OriginReport>)>>,
 }
 
 impl StreamOrigins {
@@ -85,7 +87,8 @@
             registry: RefCell::new(registry),
             table: RefCell::default(),
             calls: PendingCalls::default(),
-            handed_on: RefCell::default(),
+            members: RefCell::default(),
+            queue: RefCell::default(),
         }
     }
 
@@ -108,38 +111,39 @@
             return Some((known, OriginSource::Own));
         }
         let (call, mut answers) = self.calls.open();
-        let report = self.ask(call, key, &mut answers).await;
+        let answer = self.ask(call, key, &mut answers).await;
         self.calls.close(call);
-        let report = report?;
+        let OriginAnswer::At(report) = answer? else {
+            return Some((KnownOrigin::Conflicting, OriginSource::Peer));
+        };
         let now = self.deps.clock.now();
         self.table.borrow_mut().learn(now, key, &report.origin(), report.age());
         let known = self.table.borrow().get(now, key)?;
         Some((known, OriginSource::Peer))
     }
 
+    /// The first answer of a daemon that knows something; `None` if none does.
     async fn ask(
         &self,
         call: u32,
         key: StreamKey,
-        answers: &mut UnboundedReceiver<OriginAnswer>,
-    ) -> Option<OriginReport> {
-        let asked = asked(&self.deps.daemons.borrow(), &self.deps.me, key);
+        answers: &mut UnboundedReceiver<(SocketAddr, OriginAnswer)>,
+    ) -> Option<OriginAnswer> {
+        let mut asked = asked(&self.deps.daemons.borrow(), &self.deps.me, key);
         let message = PeerMessage::Origins(OriginMessage::Ask { call, key });
-        let mut ignorant = 0;
         for timeout in ASK_TIMEOUTS {
             asked.iter().for_each(|daemon| self.deps.messenger.send(&message, *daemon));
             let answered = async {
-                while ignorant < asked.len() {
+                while !asked.is_empty() {
                     match answers.recv().await? {
-                        OriginAnswer::At(report) => return Some(report),
-                        OriginAnswer::Unknown | OriginAnswer::Conflicting => ignorant += 1,
+                        (from, OriginAnswer::Unknown) => asked.retain(|daemon| *daemon != from),
+                        (_, answer) => return Some(answer),
                     }
                 }
                 None
             };
-            match actix_rt::time::timeout(timeout, answered).await {
-                Ok(report) => return report,
-                Err(_) => ignorant = 0,
+            if let Ok(answer) = actix_rt::time::timeout(timeout, answered).await {
+                return answer;
             }
         }
         None
@@ -160,35 +164,43 @@
                 let answer = PeerMessage::Origins(OriginMessage::Answer { call, origin });
                 self.deps.messenger.send(&answer, from);
             }
-            OriginMessage::Answer { call, origin } => self.calls.answer(call, origin),
+            OriginMessage::Answer { call, origin } => self.calls.answer(call, (from, origin)),
         }
     }
 
-    /// Queues for a daemon that has come up the origins that it keeps from now on.
-    pub fn hand_on(&self, to: SocketAddr) {
-        let now = self.deps.clock.now();
-        let table = self.table.borrow();
-        let due = table.younger_than(now, HANDED_ON_FOR).filter(|(key, ..)| self.reports(*key, to));
-        let reports: Vec<OriginReport> =
-            due.map(|(key, origin, age)| OriginReport::new(key, origin, age)).collect();
-        let mut queue = self.handed_on.borrow_mut();
-        queue.extend(reports.chunks(MAX_REPORTS).map(|chunk| (to, chunk.to_vec())));
-    }
-
-    /// Whether this daemon is one of those that report a stream to another keeper of its origin.
-    fn reports(&self, key: StreamKey, to: SocketAddr) -> bool {
-        let daemons = self.deps.daemons.borrow();
-        let others = daemons.only(|daemon| daemon.address != to);
+    /// Queues reports for the daemons that keep origins from now on, if the members of the fleet have
+    /// changed.
+    fn replicate(&self) {
+        let current = self.deps.daemons.borrow();
+        if self.members.borrow().has_same_members(&current) {
+            return;
+        }
+        let before = self.members.replace(current.clone());
+        if current.count() > MAX_DAEMONS_REPLICATED {
+            return;
+        }
         let (me, regions) = (&self.deps.me, &self.deps.regions);
-        if !keepers(&daemons, me, regions, key).contains(&to) {
-            return false;
+        let mut reports: BTreeMap<SocketAddr, Vec<OriginReport>> = BTreeMap::new();
+        let table = self.table.borrow();
+        for (key, origin, age) in table.younger_than(self.deps.clock.now(), REPLICATED_FOR) {
+            let known = keepers(&before, me, regions, key);
+            let mut keepers = keepers(&current, me, regions, key);
+            keepers.retain(|keeper| !known.contains(keeper));
+            for keeper in keepers {
+                let report = OriginReport::new(key, origin, age);
+                reports.entry(keeper).or_default().push(report);
+            }
+        }
+        let mut queue = self.queue.borrow_mut();
+        for (keeper, reports) in reports {
+            queue.extend(reports.chunks(MAX_REPORTS).map(|chunk| (keeper, chunk.to_vec())));
         }
-        others.rank(key.routing_key(), me.address).is_some_and(|rank| rank < HANDED_ON_BY)
     }
 
     /// Sends queued reports, some at a time, and drops old origins.
     pub fn tick(&self) {
-        let mut queue = self.handed_on.borrow_mut();
+        self.replicate();
+        let mut queue = self.queue.borrow_mut();
         let count = queue.len().min(DATAGRAMS_PER_TICK);
         for (to, reports) in queue.drain(..count) {
             let message = PeerMessage::Origins(OriginMessage::Began(reports));
@@ -201,9 +213,4 @@
     pub fn count(&self, outcome: &str) {
         self.deps.taken_up.with_label_values(&[outcome]).inc();
     }
-
-    /// Number of origins known.
-    pub fn known(&self) -> usize {
-        self.table.borrow().count()
-    }
 }
