--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -6,13 +6,13 @@
 use super::relay::{Relay, RelayOutcome};
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
-use crate::gateway::arrivals::{GrantEnd, GrantGuard, Grants};
+use crate::gateway::arrivals::{GrantEnd, Grants};
 use crate::gateway::backpressure::leaving::LeavingServers;
 use crate::gateway::backpressure::tracker::Backpressure;
 use crate::gateway::connections::connection::ExchangeError;
 use crate::gateway::connections::pool::ConnectionPool;
 use crate::gateway::connections::response::ResponseHead;
-use crate::gateway::dialect::{Dialect, ForwardMeta};
+use crate::gateway::dialect::Dialect;
 use crate::gateway::dispatch::{SlotEnd, SlotService};
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::cold_start_tracker::ColdStartTracker;
@@ -28,7 +28,7 @@
 use crate::gateway::selection::load::LoadTable;
 use crate::gateway::software::resolver::StreamOrigins;
 use crate::gateway::tunnels::connecting::ServerConnections;
-use crate::types::{Clock, Time};
+use crate::types::Clock;
 use prometheus::{IntCounter, IntCounterVec};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
@@ -37,8 +37,6 @@
 
 /// Retry delay while there is no configuration, or none of the service.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
-/// Multiple of its latency objective after which a repeatable request is tried at another server.
-const SLOW_OBJECTIVES: u32 = 3;
 
 /// Handles requests; holds the state that they share.
 pub struct RequestHandler {
@@ -352,65 +350,6 @@
         }
     }
 
-    /// Checks whether a request may be sent now: the state of the server and of the request may have changed
-    /// while a connection was opened.
-    fn check_before_send(&self, job: &Job<'_>, choice: &Choice) -> Result<(), NotRunReason> {
-        let (backend, hash) = (&choice.backend, choice.backend.incarnation_hash());
-        if !self.view.borrow().accepts_requests(self.clock.now(), &backend.id) {
-            return Err(NotRunReason::Closed);
-        }
-        // The server may have started again at another version.
-        let known = self.view.borrow().backend(&backend.id).cloned();
-        if !known.is_some_and(|known| self.permits_software(job, &known)) {
-            return Err(NotRunReason::Closed);
-        }
-        if self.held_for(job).is_some() {
-            return Err(NotRunReason::HeldBack);
-        }
-        if self.backpressure.backoff_remaining(hash).is_some() {
-            return Err(NotRunReason::Resting);
-        }
-        if !self.has_required_grant(choice) {
-            return Err(NotRunReason::Ungranted);
-        }
-        if !self.use_retry(job) {
-            return Err(NotRunReason::RetryExpired);
-        }
-        self.backpressure.sent(hash);
-        Ok(())
-    }
-
-    /// Whether a request has the recent grant that it needs if its server announces a rate limit. The server
-    /// may have announced it after it was selected.
-    fn has_required_grant(&self, choice: &Choice) -> bool {
-        let is_fresh = |grant: &GrantGuard| grant.is_fresh(self.clock.now());
-        !self.grants.is_limited(&choice.backend) || choice.grant.as_ref().is_some_and(is_fresh)
-    }
-
-    /// Time after which another server is tried; `None` if another attempt is not allowed or
-    /// would come too late.
-    fn slow_timeout(&self, job: &Job<'_>, now: Time) -> Option<Duration> {
-        let may_retry = job.possible_runs + 1 < job.route.attempts;
-        let has_no_engine = job.service.engine.is_none();
-        let slow_timeout = job.route.objective * SLOW_OBJECTIVES;
-        let left = job.deadline.since(now);
-        (job.route.repeatable() && may_retry && has_no_engine && slow_timeout * 2 < left)
-            .then_some(slow_timeout)
-    }
-
-    fn forward_meta<'a>(&self, job: &'a Job<'_>, choice: &'a Choice) -> ForwardMeta<'a> {
-        let left = job.deadline.since(self.clock.now());
-        ForwardMeta {
-            time_left: Some(left),
-            instance: &choice.backend.id,
-            urgency: job.service.engine.as_ref().map(|_| job.priority().min(9)),
-            adapter_version: choice.adapter_version,
-            last_event: job.last_event.as_deref(),
-            organisation: job.admitted.organisation.as_ref().map(|all| &*all.name),
-            withholds_key: job.admitted.keyed,
-        }
-    }
-
     /// Maximum number of open connections of this daemon to a server.
     pub(in crate::gateway) fn max_connections(&self, service: &Service) -> usize {
         (service.max_connections / self.daemon_count.get().max(1)).max(2)
--- a/crates/portrack/src/gateway/software/resuming.rs
+++ b/crates/portrack/src/gateway/software/resuming.rs
@@ -13,11 +13,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// In logs and metrics, a stream whose origin nobody knows.
+const UNKNOWN: &str = "unknown";
+/// In logs and metrics, a stream that no server may go on with.
+const NO_SERVER: &str = "no_server";
 /// Retry delay if nobody knows where a stream began: whoever does may be unreachable for a moment.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 /// Retry delay if no server of a stream's software version is left, until one may have restarted.
 const NO_SOFTWARE_RETRY: Duration = Duration::from_millis(1_000);
 
+/// The origin of a stream that is taken up again.
+struct FoundOrigin {
+    origin: Rc<Origin>,
+    source: OriginSource,
+    /// Time since the stream began, if that is known.
+    age: Option<Duration>,
+}
+
 impl RequestHandler {
     /// Finds out where the stream that a request takes up again began, so that it goes on only at
     /// servers of that version. Any other request is left as it is.
@@ -26,51 +38,51 @@
             return Ok(());
         }
         let found = self.find_origin(job).await;
-        let (outcome, refused) = match &found {
-            None => ("unknown", Some((RefusalReason::UnknownOrigin, UNKNOWN_RETRY))),
-            Some((origin, ..)) if !self.can_go_on(job, origin) => {
-                ("no_server", Some((RefusalReason::NoSoftware, NO_SOFTWARE_RETRY)))
+        match &found {
+            None => {
+                self.record_taken_up(job, None, UNKNOWN);
+                Err(Refused::new(RefusalReason::UnknownOrigin, Some(UNKNOWN_RETRY)))
             }
-            Some((_, source, _)) => (source.name(), None),
-        };
+            Some(found) if !self.can_go_on(job, &found.origin) => {
+                self.record_taken_up(job, Some(found), NO_SERVER);
+                Err(Refused::new(RefusalReason::NoSoftware, Some(NO_SOFTWARE_RETRY)))
+            }
+            Some(found) => {
+                self.record_taken_up(job, Some(found), found.source.name());
+                self.fix_origin(job, found.origin.clone());
+                Ok(())
+            }
+        }
+    }
+
+    /// Logs and counts a stream that is taken up again.
+    fn record_taken_up(&self, job: &Job<'_>, found: Option<&FoundOrigin>, outcome: &str) {
         self.origins.count(outcome);
-        let origin = found.as_ref().map(|(origin, ..)| origin);
-        let age = found.as_ref().and_then(|(.., age)| *age);
+        let age = found.and_then(|found| found.age);
         log::info!(
             request = &*job.request.meta.id,
             resumes = job.request.meta.resumes.as_deref().unwrap_or_default(),
-            service = origin.map_or("", |origin| &*origin.service),
-            software = origin.map_or("", |origin| &*origin.software),
-            source = found.as_ref().map_or("", |(_, source, _)| source.name()),
+            service = found.map_or("", |found| &*found.origin.service),
+            software = found.map_or("", |found| &*found.origin.software),
+            source = found.map_or("", |found| found.source.name()),
             age_ms = age.map_or(-1, |age| age.as_millis() as i64),
             outcome = outcome;
             "stream_taken_up"
         );
-        if let Some((reason, after)) = refused {
-            return Err(Refused::new(reason, Some(after)));
-        }
-        if let Some((origin, ..)) = found {
-            self.fix_origin(job, origin);
-        }
-        Ok(())
     }
 
-    /// The origin of the stream that a request takes up again, and its age if that is known.
-    async fn find_origin(
-        &self,
-        job: &Job<'_>,
-    ) -> Option<(Rc<Origin>, OriginSource, Option<Duration>)> {
+    async fn find_origin(&self, job: &Job<'_>) -> Option<FoundOrigin> {
         if let Some(attempt) = &job.request.meta.resumes {
             match self.origins.find(job.stream_key(attempt)).await {
                 Some((KnownOrigin::At(origin, age), source)) => {
-                    return Some((origin, source, Some(age)));
+                    return Some(FoundOrigin { origin, source, age: Some(age) });
                 }
                 Some((KnownOrigin::Conflicting, _)) => return None,
                 None => {}
             }
         }
-        let origin = self.sole_origin(job)?;
-        Some((Rc::new(origin), OriginSource::SoleVersion, None))
+        let origin = Rc::new(self.sole_origin(job)?);
+        Some(FoundOrigin { origin, source: OriginSource::SoleVersion, age: None })
     }
 
     /// The only origin that the stream of a request can have, if there is just one.
