Origins of streams, after a last read: what is sent is the version that was chosen; restores in a row; ages as of sending

By reading: a server that starts again under its id between choice and send got a new stream that was recorded with its former version; versions lost with the first of two restores were forgotten (the test failed before: nothing was written again); queued reports carried the age of queueing and had no bound; a call stayed open when its caller left; a version listed during the writer's pause was missed; names of gone versions were kept. Turns and callers' identity had been written twice.

--- a/crates/portrack/src/gateway/arrivals/pending_calls.rs
+++ b/crates/portrack/src/gateway/arrivals/pending_calls.rs
@@ -50,12 +50,17 @@
         (call, answers)
     }
 
+    /// Opens a call that is closed when the first value is dropped, also if the caller stops waiting.
+    pub fn open_until_dropped(&self) -> (OpenCall<'_, A>, UnboundedReceiver<A>) {
+        let (number, answers) = self.open();
+        (OpenCall { calls: self, number }, answers)
+    }
+
     /// Makes a call that has one answer: `send` sends it, given its number. `None` on timeout. The call is
     /// closed even if the caller stops waiting.
     pub async fn call(&self, timeout: Duration, send: impl FnOnce(u32)) -> Option<A> {
-        let (call, mut answers) = self.open();
-        let _closed_on_drop = OpenCall { calls: self, call };
-        send(call);
+        let (call, mut answers) = self.open_until_dropped();
+        send(call.number());
         next_answer(&mut answers, timeout).await
     }
 
@@ -88,15 +93,23 @@
     }
 }
 
-/// Closes a call when dropped.
-struct OpenCall<'a, A> {
+/// A call that is closed when this is dropped.
+#[derive(Debug)]
+pub struct OpenCall<'a, A> {
     calls: &'a PendingCalls<A>,
-    call: u32,
+    number: u32,
+}
+
+impl<A> OpenCall<'_, A> {
+    /// The number of the call.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
 }
 
 impl<A> Drop for OpenCall<'_, A> {
     fn drop(&mut self) {
-        self.calls.close(self.call);
+        self.calls.close(self.number);
     }
 }
 
--- a/crates/portrack/src/gateway/fleet/daemons.rs
+++ b/crates/portrack/src/gateway/fleet/daemons.rs
@@ -105,6 +105,12 @@
         self.order(key, |_| true).iter().position(|daemon| daemon.address == address)
     }
 
+    /// Number of daemons that come before one in the preference order for a routing key; 0 for a daemon that
+    /// is not listed.
+    pub fn turns_before(&self, key: u64, address: SocketAddr) -> u32 {
+        u32::try_from(self.rank(key, address).unwrap_or(0)).unwrap_or(u32::MAX)
+    }
+
     /// The preferred daemon for a routing key, of those that match `fits`.
     pub fn first(&self, key: u64, fits: impl Fn(&DaemonInfo) -> bool) -> Option<SocketAddr> {
         self.order(key, fits).first().map(|daemon| daemon.address)
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -195,18 +195,23 @@
     }
 
     fn compute_fingerprint(&self) -> RequestFingerprint {
+        RequestFingerprint::of(&self.fingerprint_input())
+    }
+
+    /// What the request's fingerprint is made of.
+    pub(in crate::gateway) fn fingerprint_input(&self) -> FingerprintInput<'_> {
         let request = self.request;
         let caller = match &self.admitted.organisation {
             Some(organisation) => CallerIdentity::Organisation(&organisation.name),
             None => CallerIdentity::Unknown,
         };
-        RequestFingerprint::of(&FingerprintInput {
+        FingerprintInput {
             caller,
             method: request.method.as_str(),
             host: &request.host,
             target: &request.target,
             body: &request.body,
-        })
+        }
     }
 
     /// The requested model, if the service has models.
--- a/crates/portrack/src/gateway/requests/sending.rs
+++ b/crates/portrack/src/gateway/requests/sending.rs
@@ -23,9 +23,9 @@
         if !self.view.borrow().accepts_requests(self.clock.now(), &backend.id) {
             return Err(NotRunReason::Closed);
         }
-        // The server may have started again at another version.
-        let known = self.view.borrow().backend(&backend.id).cloned();
-        if !known.is_some_and(|known| self.permits_software(job, &known)) {
+        // A stream that begins is recorded with the version of the server that was chosen.
+        let software = self.view.borrow().backend(&backend.id).map(|known| known.software.clone());
+        if software.as_ref() != Some(&backend.software) {
             return Err(NotRunReason::Closed);
         }
         if self.held_for(job).is_some() {
--- a/crates/portrack/src/gateway/retries/holding.rs
+++ b/crates/portrack/src/gateway/retries/holding.rs
@@ -63,8 +63,7 @@
     /// How long this daemon waits for others to take the lease.
     fn retry_slack_turn(&self) -> Duration {
         let daemons = self.handler.eligible_daemons.borrow();
-        let rank = daemons.rank(ORDER_KEY, self.settings.members).unwrap_or(0);
-        TURN * u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_TURNS)
+        daemons.turns_before(ORDER_KEY, self.settings.members).min(MAX_TURNS) * TURN
     }
 
     async fn take_retry_slack(&self, asked_at: Time) {
--- a/crates/portrack/src/gateway/software/origin_table.rs
+++ b/crates/portrack/src/gateway/software/origin_table.rs
@@ -33,7 +33,7 @@
     entries: HashMap<StreamKey, Entry>,
     /// Keys in the order in which they were learned.
     by_age: VecDeque<(Time, StreamKey)>,
-    /// One copy of each distinct origin.
+    /// One copy of each distinct origin in use.
     distinct: HashSet<Rc<Origin>>,
 }
 
@@ -61,6 +61,7 @@
         if let Some(known) = self.distinct.get(origin) {
             return known.clone();
         }
+        self.distinct.retain(|known| Rc::strong_count(known) > 1);
         let shared = Rc::new(origin.clone());
         self.distinct.insert(shared.clone());
         shared
@@ -79,15 +80,10 @@
         })
     }
 
-    /// The streams that began less than `age` ago and whose origin is certain.
-    pub fn younger_than(
-        &self,
-        now: Time,
-        age: Duration,
-    ) -> impl Iterator<Item = (StreamKey, &Rc<Origin>, Duration)> {
-        let certain = self.entries.iter().filter(|(_, entry)| !entry.is_conflicting);
-        let all = certain.map(move |(key, entry)| (*key, &entry.origin, now.since(entry.began_at)));
-        all.filter(move |(.., began)| *began < age)
+    /// The streams that began less than `age` ago.
+    pub fn younger_than(&self, now: Time, age: Duration) -> impl Iterator<Item = StreamKey> {
+        let young = self.entries.iter().filter(move |(_, entry)| now.since(entry.began_at) < age);
+        young.map(|(key, _)| *key)
     }
 
     /// Drops origins whose time is over.
@@ -95,9 +91,6 @@
         while self.by_age.front().is_some_and(|(at, _)| now.since(*at) >= ORIGIN_TTL) {
             self.drop_oldest();
         }
-        if self.entries.is_empty() {
-            self.distinct.clear();
-        }
     }
 
     fn drop_oldest(&mut self) {
@@ -106,7 +99,12 @@
         }
     }
 
-    /// Number of origins.
+    /// Number of distinct origins in use.
+    pub fn count_distinct(&self) -> usize {
+        self.distinct.len()
+    }
+
+    /// Number of streams.
     pub fn count(&self) -> usize {
         self.entries.len()
     }
--- a/crates/portrack/src/gateway/software/registry.rs
+++ b/crates/portrack/src/gateway/software/registry.rs
@@ -38,7 +38,7 @@
     unlisted_since: BTreeMap<VersionKey, Time>,
     /// Since when every known daemon announces versions before it uses them.
     all_announce_since: Time,
-    /// The store was restored from an older copy, and lost versions that were in use.
+    /// The versions known before the store was restored from an older copy, which may lack them.
     lost: Option<SoftwareRecord>,
     /// Until then, the record may lack versions that the restored store has lost.
     doubtful_until: Time,
@@ -73,7 +73,9 @@
     /// Handles a store that was restored from an older copy.
     pub fn store_came_back(&mut self, now: Time) {
         self.doubtful_until = now + ORIGIN_TTL;
-        self.lost = self.record.as_ref().map(|(record, _)| record.clone()).or(self.lost.take());
+        let mut known = self.record.as_ref().map(|(record, _)| record.clone()).unwrap_or_default();
+        self.restore_lost(&mut known);
+        self.lost = Some(known);
     }
 
     /// Returns true if a stream may begin at a service's software version.
@@ -132,7 +134,7 @@
         (revision == 0 || record != before).then_some((record, revision))
     }
 
-    /// Adds versions that a restored store has lost. They were in use, so they need no announcement.
+    /// Adds versions that a restored store has lost, in the state that they had.
     fn restore_lost(&self, record: &mut SoftwareRecord) {
         let Some(lost) = &self.lost else { return };
         record.is_complete |= lost.is_complete;
--- a/crates/portrack/src/gateway/software/resolver.rs
+++ b/crates/portrack/src/gateway/software/resolver.rs
@@ -25,6 +25,8 @@
 const REPLICATED_FOR: Duration = Duration::from_secs(30);
 /// In larger fleets, new keepers are not told: each is one of many.
 const MAX_DAEMONS_REPLICATED: usize = 24;
+/// Maximum number of datagrams that wait to be sent to new keepers; the oldest are dropped.
+const MAX_QUEUED: usize = 2_000;
 /// Datagrams per tick to new keepers.
 const DATAGRAMS_PER_TICK: usize = 2;
 
@@ -75,8 +77,8 @@
     calls: PendingCalls<(SocketAddr, OriginAnswer)>,
     /// The members of the fleet when origins were last replicated.
     members: RefCell<Daemons>,
-    /// Reports for daemons that have become keepers.
-    queue: RefCell<VecDeque<(SocketAddr, Vec<OriginReport>)>>,
+    /// Streams to report to daemons that have become keepers.
+    queue: RefCell<VecDeque<(SocketAddr, Vec<StreamKey>)>>,
 }
 
 impl StreamOrigins {
@@ -110,9 +112,8 @@
         if let Some(known) = known {
             return Some((known, OriginSource::Own));
         }
-        let (call, mut answers) = self.calls.open();
-        let answer = self.ask(call, key, &mut answers).await;
-        self.calls.close(call);
+        let (call, mut answers) = self.calls.open_until_dropped();
+        let answer = self.ask(call.number(), key, &mut answers).await;
         let OriginAnswer::At(report) = answer? else {
             return Some((KnownOrigin::Conflicting, OriginSource::Peer));
         };
@@ -180,21 +181,19 @@
             return;
         }
         let (me, regions) = (&self.deps.me, &self.deps.regions);
-        let mut reports: BTreeMap<SocketAddr, Vec<OriginReport>> = BTreeMap::new();
-        let table = self.table.borrow();
-        for (key, origin, age) in table.younger_than(self.deps.clock.now(), REPLICATED_FOR) {
+        let mut unreported: BTreeMap<SocketAddr, Vec<StreamKey>> = BTreeMap::new();
+        for key in self.table.borrow().younger_than(self.deps.clock.now(), REPLICATED_FOR) {
             let known = keepers(&before, me, regions, key);
             let mut keepers = keepers(&current, me, regions, key);
             keepers.retain(|keeper| !known.contains(keeper));
-            for keeper in keepers {
-                let report = OriginReport::new(key, origin, age);
-                reports.entry(keeper).or_default().push(report);
-            }
+            keepers.into_iter().for_each(|keeper| unreported.entry(keeper).or_default().push(key));
         }
         let mut queue = self.queue.borrow_mut();
-        for (keeper, reports) in reports {
-            queue.extend(reports.chunks(MAX_REPORTS).map(|chunk| (keeper, chunk.to_vec())));
+        for (keeper, keys) in unreported {
+            queue.extend(keys.chunks(MAX_REPORTS).map(|chunk| (keeper, chunk.to_vec())));
         }
+        let excess = queue.len().saturating_sub(MAX_QUEUED);
+        queue.drain(..excess);
     }
 
     /// Sends queued reports, some at a time, and drops old origins.
@@ -202,13 +201,22 @@
         self.replicate();
         let mut queue = self.queue.borrow_mut();
         let count = queue.len().min(DATAGRAMS_PER_TICK);
-        for (to, reports) in queue.drain(..count) {
+        for (to, keys) in queue.drain(..count) {
+            let reports = keys.into_iter().filter_map(|key| self.report(key)).collect();
             let message = PeerMessage::Origins(OriginMessage::Began(reports));
             self.deps.messenger.send(&message, to);
         }
         self.table.borrow_mut().expire(self.deps.clock.now());
     }
 
+    /// What is known of a stream now; `None` if that is nothing certain.
+    fn report(&self, key: StreamKey) -> Option<OriginReport> {
+        match self.table.borrow().get(self.deps.clock.now(), key)? {
+            KnownOrigin::At(origin, age) => Some(OriginReport::new(key, &origin, age)),
+            KnownOrigin::Conflicting => None,
+        }
+    }
+
     /// Counts a stream that a caller takes up again.
     pub fn count(&self, outcome: &str) {
         self.deps.taken_up.with_label_values(&[outcome]).inc();
--- a/crates/portrack/src/gateway/software/resuming.rs
+++ b/crates/portrack/src/gateway/software/resuming.rs
@@ -5,7 +5,6 @@
 use super::resolver::OriginSource;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::RouteKind;
-use crate::gateway::quarantine::fingerprint::{CallerIdentity, FingerprintInput};
 use crate::gateway::requests::caller::{RefusalReason, Refused};
 use crate::gateway::requests::handler::RequestHandler;
 use crate::gateway::requests::job::Job;
@@ -140,17 +139,6 @@
 impl Job<'_> {
     /// The key of the stream that an attempt of this request's caller began.
     fn stream_key(&self, attempt: &str) -> StreamKey {
-        let caller = match &self.admitted.organisation {
-            Some(organisation) => CallerIdentity::Organisation(&organisation.name),
-            None => CallerIdentity::Unknown,
-        };
-        let request = FingerprintInput {
-            caller,
-            method: self.request.method.as_str(),
-            host: &self.request.host,
-            target: &self.request.target,
-            body: &[],
-        };
-        StreamKey::of(&request, attempt)
+        StreamKey::of(&self.fingerprint_input(), attempt)
     }
 }
--- a/crates/portrack/src/gateway/software/writing.rs
+++ b/crates/portrack/src/gateway/software/writing.rs
@@ -51,6 +51,7 @@
     /// take turns, so that usually one writes.
     pub async fn write_software_record(self: Rc<Self>) {
         let mut due_since: Option<Time> = None;
+        let mut not_before = self.now();
         loop {
             actix_rt::time::sleep(INTERVAL).await;
             let now = self.now();
@@ -59,10 +60,11 @@
                 continue;
             };
             let since = *due_since.get_or_insert(now);
-            if self.sees_store() && !self.stopping() && now >= since + self.software_turn() {
-                self.put_software_record(record, revision).await;
+            let is_our_turn = now >= not_before.max(since + self.software_turn());
+            if is_our_turn && self.sees_store() && !self.stopping() {
+                actix_rt::spawn(self.clone().put_software_record(record, revision));
                 due_since = None;
-                actix_rt::time::sleep(WRITE_PAUSE).await;
+                not_before = now + WRITE_PAUSE;
             }
         }
     }
@@ -91,11 +93,10 @@
 
     fn software_turn(&self) -> Duration {
         let daemons = self.handler.eligible_daemons.borrow();
-        let rank = daemons.rank(ORDER_KEY, self.settings.members).unwrap_or(0);
-        TURN * u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_TURNS)
+        daemons.turns_before(ORDER_KEY, self.settings.members).min(MAX_TURNS) * TURN
     }
 
-    async fn put_software_record(&self, record: SoftwareRecord, replaces: u64) {
+    async fn put_software_record(self: Rc<Self>, record: SoftwareRecord, replaces: u64) {
         let put = KvPut { key: SOFTWARE_KEY.into(), value: record.bytes() };
         match self.store.swap(SOFTWARE_KEY, replaces, vec![put]).await {
             Ok(Some(revision)) => {
--- a/crates/portrack/tests/gateway/origins.rs
+++ b/crates/portrack/tests/gateway/origins.rs
@@ -139,6 +139,34 @@
     assert_eq!((record.services.get(SERVICE), replaces), (Some(&both), 4));
 }
 
+#[test]
+fn versions_lost_with_the_first_of_two_restores_are_recorded_again_too() {
+    let mut registry = SoftwareRegistry::new(Time(0), true, MAX_STALENESS);
+    let record = |all: &[&str]| {
+        let all = all.iter().map(|version| ((*version).to_owned(), VersionState::InUse));
+        let services = BTreeMap::from([(SERVICE.to_owned(), all.collect())]);
+        SoftwareRecord { services, is_complete: true }
+    };
+    registry.on_record(Time(1), Some((record(&["a", "b"]), 9)));
+    registry.store_came_back(Time(2));
+    registry.on_record(Time(3), Some((record(&["a"]), 4)));
+    registry.store_came_back(Time(4));
+    registry.on_record(Time(5), Some((record(&["a"]), 3)));
+    let due = registry.due(Time(6), &listed(&versions(&["a"])), true);
+    assert_eq!(due, Some((record(&["a", "b"]), 3)));
+}
+
+#[test]
+fn origins_of_versions_that_are_gone_are_not_kept() {
+    let mut table = OriginTable::default();
+    for n in 0..100 {
+        let now = Time(1) + ORIGIN_TTL * n;
+        let software = format!("v{n}");
+        table.learn(now, stream("x", &software), &origin(&software), Duration::ZERO);
+        assert_eq!((table.count(), table.count_distinct()), (1, 1));
+    }
+}
+
 /// A daemon with its copy of the store.
 struct Daemon {
     table: OriginTable,
--- a/crates/portrack/tests/gateway/pending_calls.rs
+++ b/crates/portrack/tests/gateway/pending_calls.rs
@@ -14,6 +14,18 @@
     assert!(calls.is_empty());
 }
 
+#[test]
+fn a_call_with_several_answers_is_closed_when_it_is_dropped() {
+    let calls = PendingCalls::<bool>::default();
+    let (call, mut answers) = calls.open_until_dropped();
+    for answer in [false, true] {
+        calls.answer(call.number(), answer);
+        assert_eq!(answers.try_recv(), Ok(answer));
+    }
+    drop(call);
+    assert!(calls.is_empty());
+}
+
 #[actix_rt::test]
 async fn a_call_is_closed_when_its_caller_stops_waiting() {
     let calls = PendingCalls::<bool>::default();
