--- a/review/standins/plays.rs
+++ b/review/standins/plays.rs
@@ -47,7 +47,9 @@
 
 pub fn play(case: &str, daemon: &str, record: &str) -> ExitCode {
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-    match run(case, Path::new(daemon), record, trouble) {
+    let played = std::panic::catch_unwind(|| run(case, Path::new(daemon), record, trouble));
+    let played = played.unwrap_or_else(|_| Err(io::Error::other("the play panicked")));
+    match played {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(error) => {
