A node no longer refuses everything for good after all servers were replaced

What callers saw: all requests at a node refused as unreachable, from the replacement of all servers on and without end.

Cause: a node takes itself for cut off while it failed to reach two servers since it last heard any. An attempt that is under way when a server's entry goes, or the look at a server under which a request was lost, makes the forgotten link anew. Such links were marked as tried at each check but never probed, so nothing corrected or forgot them; and servers that had come meanwhile were never tried directly, since the node was cut off. Class: a belief whose evidence nobody can renew.

Why it holds: failed attempts count at servers that get requests only, and all of these are probed, those never tried included. links.rs holds it as a state machine: random series of servers that come, go and are tried once more never keep a node cut off for a second while a listed server can be reached.

--- a/crates/portrack/src/gateway/connections/links.rs
+++ b/crates/portrack/src/gateway/connections/links.rs
@@ -224,6 +224,22 @@
         probed.collect()
     }
 
+    /// Forgets the failed attempts to reach servers that get no requests any more: nobody tries to reach these again,
+    /// so nothing would ever correct what is known of them.
+    pub fn forget_unused(&self, is_used: impl Fn(&str) -> bool) {
+        let is_kept = |server: &str, link: &Link| link.failing.is_none() || is_used(server);
+        self.links.borrow_mut().retain(|server, link| is_kept(server, link));
+    }
+
+    /// Makes servers that were never connected to candidates for probes: a node that is cut off sends them nothing, so
+    /// it would not notice that it reaches them.
+    pub fn add_untried<'a>(&self, servers: impl Iterator<Item = &'a Rc<str>>) {
+        let mut links = self.links.borrow_mut();
+        for server in servers {
+            links.entry(server.clone()).or_default();
+        }
+    }
+
     /// Forgets a removed server.
     pub fn forget(&self, server: &str) {
         self.links.borrow_mut().remove(server);
--- a/crates/portrack/src/gateway/tunnels/probing.rs
+++ b/crates/portrack/src/gateway/tunnels/probing.rs
@@ -22,8 +22,14 @@
 
     fn start_due_probes(&self) {
         let (pool, view) = (&self.handler.pool, self.handler.view.borrow());
+        let links = pool.links();
+        links.forget_unused(|server| view.backend(server).is_some_and(|known| view.is_open(known)));
+        if links.is_cut_off() {
+            let open = view.backends().filter(|backend| view.is_open(backend));
+            links.add_untried(open.map(|backend| &backend.id));
+        }
         let has_outstanding = self.handler.loads.has_outstanding();
-        for server in pool.links().due_probes(self.now(), has_outstanding) {
+        for server in links.due_probes(self.now(), has_outstanding) {
             let Some(backend) = view.backend(&server).filter(|backend| view.is_open(backend))
             else {
                 continue;
--- a/crates/portrack/tests/gateway/links.rs
+++ b/crates/portrack/tests/gateway/links.rs
@@ -208,3 +208,92 @@
     links.reached(Time(3_600), &id);
     assert!(!links.is_only_mine(Time(3_600), &id, silent));
 }
+
+/// Interval at which a node looks which servers to probe.
+const CHECK: u64 = 100;
+/// Time after the last attempt to reach a server that is gone within which a node uses the others again.
+const BACK_WITHIN: u64 = 1_000;
+
+/// What a node does at each check, with these servers listed and all of them within reach.
+fn check(links: &ServerLinks, now: Time, listed: &[Rc<str>]) {
+    links.forget_unused(|server| listed.iter().any(|known| &**known == server));
+    if links.is_cut_off() {
+        links.add_untried(listed.iter());
+    }
+    for server in links.due_probes(now, false) {
+        if listed.contains(&server) {
+            links.reached(now, &server);
+        }
+    }
+    links.sweep(now);
+}
+
+#[test]
+fn links_of_servers_that_are_gone_cut_a_node_off_for_good() {
+    let links = ServerLinks::default();
+    for n in 0..3 {
+        links.reached(Time(1_000), &server(n));
+        links.forget(&server(n));
+    }
+    for n in 0..3 {
+        // An attempt that was under way when the server went.
+        links.failed(Time(1_200), &server(n), LinkFailure::TimedOut);
+    }
+    assert!(links.is_cut_off());
+    let others = [server(3), server(4)];
+    for at in (1_300..1_200 + BACK_WITHIN).step_by(CHECK as usize) {
+        check(&links, Time(at), &others);
+    }
+    assert!(!links.is_cut_off());
+    assert_eq!(links.reachability(Time(1_200 + BACK_WITHIN), &others[0]), Reachability::Direct);
+}
+
+/// A node has tried servers that are listed, all of which then end, while others that it never tried come.
+#[test]
+fn a_node_that_is_cut_off_never_tries_servers_that_it_does_not_know() {
+    let links = ServerLinks::default();
+    for n in 0..2 {
+        links.failed(Time(1_000), &server(n), LinkFailure::Refused);
+    }
+    let listed: Vec<Rc<str>> = (0..4).map(server).collect();
+    let tried = (1_000..3_000).step_by(CHECK as usize).flat_map(|at| {
+        links.forget_unused(|server| listed.iter().any(|known| &**known == server));
+        links.add_untried(listed.iter());
+        links.due_probes(Time(at), false)
+    });
+    assert!(tried.collect::<Vec<_>>().contains(&server(3)));
+}
+
+proptest! {
+    /// Servers come, go, and are tried once more after they have gone, in any order: while some listed server can be
+    /// reached, no node takes itself for cut off for long.
+    #[test]
+    fn a_node_before_reachable_servers_stays_cut_off(
+        steps in prop::collection::vec((0..SERVERS, any::<bool>(), 0_u64..400), 1..80),
+    ) {
+        let links = ServerLinks::default();
+        let mut listed: Vec<Rc<str>> = vec![server(SERVERS)];
+        let (mut now, mut next_check) = (1_000, 1_000);
+        let mut cut_off_since: Option<u64> = None;
+        for (at, is_listed, pause) in steps {
+            let id = server(at);
+            links.forget(&id);
+            listed.retain(|known| *known != id);
+            if is_listed {
+                listed.push(id);
+            } else {
+                links.failed(Time(now), &id, LinkFailure::TimedOut);
+            }
+            now += pause;
+            while next_check <= now {
+                check(&links, Time(next_check), &listed);
+                next_check += CHECK;
+            }
+            match links.is_cut_off() {
+                true => { cut_off_since.get_or_insert(now); }
+                false => cut_off_since = None,
+            }
+            prop_assert!(cut_off_since.is_none_or(|since| now - since < BACK_WITHIN), "at {now}");
+        }
+    }
+}
