Slots of restarted servers are used while no order can arrive late

Cause: two slots were kept free for 14 s after each restart for late orders to the former incarnation, whether or not any was outstanding. Class: a belief without evidence, kept for the longest time that it could be true.

Change: the holder keeps each order that got no answer, with the count that it names (orders/late_orders.rs). A slot is kept free only for loads that may be executed during the next step, at most two as before; while orders may arrive that this daemon does not know of (a former holder's), two as before. Where known ones may arrive, steps are taken one at a time. New line slots_reserved.

Why it holds: an order is executed only at the count that it names; before each step all loads in a row from the counts of that step on are provided for. The other error: slots_stay_empty_after_a_restart_although_no_order_can_arrive_late.

--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -89,6 +89,7 @@
 pub use orders::claim_records::{ClaimRecords, SeenRecord};
 pub use orders::claims::{Claim, Claims, Predecessor};
 pub use orders::fetch_limit::FetchLimit;
+pub use orders::late_orders::{LateOrders, UnansweredOrder};
 pub use orders::load_budget::LoadBudget;
 pub use orders::order_executor::{NoticeSink, OrderExecutor};
 pub use orders::planner::{
--- a/crates/portrack/src/gateway/orders/claiming.rs
+++ b/crates/portrack/src/gateway/orders/claiming.rs
@@ -348,9 +348,9 @@
     fn record_claim(&self, attempt: &ClaimAttempt, revision: u64) {
         let now = self.now();
         let mut claims = self.order_executor.claims.borrow_mut();
-        claims.add(now, &attempt.server, revision, attempt.predecessor);
+        let orders_from = claims.add(now, &attempt.server, revision, attempt.predecessor);
         drop(claims);
-        self.order_executor.on_claimed(&attempt.server);
+        self.order_executor.on_claimed(&attempt.server, orders_from);
         log::info!(server = &*attempt.server, record = revision, before:? = attempt.predecessor; "server_claimed");
     }
 
--- a/crates/portrack/src/gateway/orders/claims.rs
+++ b/crates/portrack/src/gateway/orders/claims.rs
@@ -133,8 +133,9 @@
         self.lease(now)
     }
 
-    /// Adds a claim on a server, whose record names this daemon since `revision`.
-    pub fn add(&mut self, now: Time, server: &Rc<str>, revision: u64, before: Predecessor) {
+    /// Adds a claim on a server, whose record names this daemon since `revision`. Returns the time from which it may be
+    /// ordered.
+    pub fn add(&mut self, now: Time, server: &Rc<str>, revision: u64, before: Predecessor) -> Time {
         let wait = match before {
             Predecessor::None => Duration::ZERO,
             Predecessor::Resigned => self.quiet_period + ORDER_TRANSIT,
@@ -146,6 +147,7 @@
         self.former_claims.remove(server);
         let fence = self.fence_base + revision;
         self.claims.insert(server.clone(), Claim { revision, fence, may_order_from, settled });
+        may_order_from
     }
 
     /// The wait from the time at which a lease is known to be expired or lost to the first order of
--- a/crates/portrack/src/gateway/orders/mod.rs
+++ b/crates/portrack/src/gateway/orders/mod.rs
@@ -12,6 +12,7 @@
 pub(in crate::gateway) mod claiming;
 pub(in crate::gateway) mod claims;
 pub(in crate::gateway) mod fetch_limit;
+pub(in crate::gateway) mod late_orders;
 pub(in crate::gateway) mod load_budget;
 pub(in crate::gateway) mod order_call;
 pub(in crate::gateway) mod order_executor;
--- a/crates/portrack/src/gateway/orders/order_executor.rs
+++ b/crates/portrack/src/gateway/orders/order_executor.rs
@@ -2,6 +2,7 @@
 //! the other daemons.
 
 use super::claims::Claims;
+use super::late_orders::UnansweredOrder;
 use super::order_call::{CallOutcome, OrderCall, OrderCalls, ResponseHook};
 use super::planner::{LoadProgress, Plan, PlanOutcome, PlannedLoad, Planner};
 use crate::gateway::connections::pool::ConnectionPool;
@@ -121,8 +122,10 @@
         self.calls.forget(server);
     }
 
-    /// Handles a new claim: the server's report is read before its first order.
-    pub fn on_claimed(&self, server: &Rc<str>) {
+    /// Handles a new claim, under which orders are sent from `orders_from` on: the server's report is read before
+    /// the first one.
+    pub fn on_claimed(&self, server: &Rc<str>, orders_from: Time) {
+        self.planner.borrow_mut().claimed(server, orders_from);
         let state = self.server_state(server);
         self.invalidate(server, &state);
     }
@@ -328,6 +331,9 @@
         let Some(count) = state.orders_taken.get() else { return Ok(OrderOutcome::Uncounted) };
         order.expected = Some(count);
         let outcome = self.send(plan, &mut order, CONFIRM_TIMEOUT).await;
+        if outcome == OrderOutcome::Unknown {
+            self.record_unanswered(plan, &order);
+        }
         if matches!(outcome, OrderOutcome::Answer(OrderAnswer::Busy | OrderAnswer::Refused)) {
             self.invalidate(&plan.server, &state);
         }
@@ -346,17 +352,15 @@
             if outcome != OrderOutcome::Unknown {
                 break;
             }
-            self.record_unanswered_unload(plan, &order);
+            self.record_unanswered(plan, &order);
         }
         if !self.is_same_incarnation(plan) {
             return OrderOutcome::NotSent;
         }
         match outcome {
-            OrderOutcome::Answer(OrderAnswer::Accepted) => {
-                state.record_accepted(self.clock.now(), count)
-            }
+            OrderOutcome::Answer(OrderAnswer::Accepted) => self.accepted(plan, &state, count),
             OrderOutcome::Answer(OrderAnswer::Holds) if order.kind == OrderKind::Unload => {
-                state.record_accepted(self.clock.now(), count);
+                self.accepted(plan, &state, count);
             }
             OrderOutcome::Answer(OrderAnswer::Holds)
             | OrderOutcome::NotSent
@@ -368,14 +372,21 @@
         outcome
     }
 
-    /// Records an unload without a response: the server's next incarnation may execute it as well.
-    fn record_unanswered_unload(&self, plan: &Plan, order: &Order) {
-        let Some(adapter) = order.adapter.clone().filter(|_| order.kind == OrderKind::Unload)
-        else {
+    /// Records that the server has accepted an order after `count` others.
+    fn accepted(&self, plan: &Plan, state: &ServerState, count: u64) {
+        state.record_accepted(self.clock.now(), count);
+        self.planner.borrow_mut().record_orders_taken(&plan.server, count.saturating_add(1));
+    }
+
+    /// Records an adapter order without a response: the server's next incarnation may execute it as well.
+    fn record_unanswered(&self, plan: &Plan, order: &Order) {
+        let (Some(adapter), Some(expected)) = (order.adapter.clone(), order.expected) else {
             return;
         };
-        let key = AdapterKey { model: order.model.clone(), adapter };
-        self.planner.borrow_mut().unload_unanswered(self.clock.now(), &plan.server, &key);
+        let adapter = AdapterKey { model: order.model.clone(), adapter };
+        let sent_at = self.clock.now();
+        let unanswered = UnansweredOrder { kind: order.kind, adapter, expected, sent_at };
+        self.planner.borrow_mut().order_unanswered(&plan.server, unanswered);
     }
 
     /// Returns false if the server was removed or restarted since the step was planned.
@@ -414,9 +425,19 @@
         }
         state.orders_taken.set(Some(report.orders_taken));
         self.planner.borrow_mut().reported(self.clock.now(), server, &report);
+        self.log_reserved_slots(server, report.orders_taken);
         None
     }
 
+    fn log_reserved_slots(&self, server: &str, orders_taken: u64) {
+        let now = self.clock.now();
+        let (slots, until) = self.planner.borrow().reserved_slots(now, server);
+        if slots > 0 {
+            let left_ms = until.since(now).as_millis() as u64;
+            log::info!(server = server, slots = slots, orders_taken = orders_taken, left_ms = left_ms; "slots_reserved");
+        }
+    }
+
     /// Compares the incarnation of a report with the known one.
     pub(in crate::gateway) fn reported_incarnation(
         &self,
--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -1,6 +1,7 @@
 //! The planner's model of one server that it orders.
 
 use super::adapter_demand::AdapterDemand;
+use super::late_orders::LateOrders;
 use crate::gateway::dialect::{AdapterKey, ServerReport};
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::EngineSpec;
@@ -60,14 +61,7 @@
     pub users: Vec<(SocketAddr, Time)>,
 }
 
-/// An order without a response is executed up to 12 s late, even by the server's next incarnation
-/// if that has then accepted the same number of orders. The rest covers transit and the delay until
-/// the new incarnation is known.
-pub const LATE_ORDER_WINDOW: Duration = Duration::from_secs(14);
-/// Adapter slots kept free during that time: for a late load and one that follows it. A server that
-/// exceeds its slots crashes with all requests that run there.
-pub const LATE_ORDER_SLOTS: usize = 2;
-/// Interval between reports read during that time.
+/// Interval between reports read while late orders may arrive.
 const LATE_SURVEY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The state of one server.
@@ -93,10 +87,10 @@
     pub surveyed: bool,
     cached: Vec<(AdapterKey, u64)>,
     paused_until: Time,
-    /// Until then, orders to its former incarnation may be executed.
-    late_until: Time,
-    /// Adapters that a late unload may hit.
-    late_unloads: Vec<AdapterKey>,
+    /// Orders to its former incarnations that it may execute.
+    late_orders: LateOrders,
+    /// Number of orders that it has accepted, as far as known.
+    orders_taken: u64,
     surveyed_at: Time,
 }
 
@@ -115,32 +109,45 @@
             surveyed: false,
             cached: Vec::new(),
             paused_until: Time(0),
-            late_until: Time(0),
-            late_unloads: Vec::new(),
+            late_orders: LateOrders::default(),
+            orders_taken: backend.orders_taken,
             surveyed_at: Time(0),
         };
         server.apply_entry(now, backend);
         server
     }
 
-    /// Expects orders to the former incarnation until a given time, among them unloads of these
-    /// adapters.
-    pub fn expect_late_orders(&mut self, until: Time, unloads: Vec<AdapterKey>) {
-        self.late_until = until;
-        self.late_unloads = unloads;
+    /// Expects these orders to former incarnations.
+    pub fn expect_late_orders(&mut self, orders: LateOrders) {
+        self.late_orders = orders;
+    }
+
+    /// Expects orders to former incarnations that this daemon does not know of, sent until the server restarted.
+    pub fn expect_unknown_orders(&mut self, restarted_at: Time) {
+        self.late_orders.expect_unknown_sent_before(restarted_at);
+    }
+
+    /// Records that it has accepted at least so many orders.
+    pub fn record_orders_taken(&mut self, taken: u64) {
+        self.orders_taken = self.orders_taken.max(taken);
+    }
+
+    /// The adapter slots that are kept free for late orders, and the time until which any can arrive.
+    pub fn reserved_slots(&self, now: Time) -> (usize, Time) {
+        (self.late_orders.reserved_slots(now, self.orders_taken), self.late_orders.until())
     }
 
     /// Returns true if an order to the former incarnation may have changed what the server holds
     /// since its last report.
     pub fn is_survey_outdated(&self, now: Time) -> bool {
-        let last_survey = self.late_until + LATE_SURVEY_INTERVAL;
+        let last_survey = self.late_orders.until() + LATE_SURVEY_INTERVAL;
         self.surveyed && now < last_survey && now.since(self.surveyed_at) >= LATE_SURVEY_INTERVAL
     }
 
     /// Returns true if a late order to the former incarnation may unload the adapter once it is
     /// loaded.
     pub fn may_be_unloaded_late(&self, now: Time, key: &AdapterKey) -> bool {
-        now < self.late_until && self.late_unloads.contains(key)
+        self.late_orders.may_unload(now, self.orders_taken, key)
     }
 
     /// Applies the entry in the store. It may be older than any order, so it does not change the
@@ -175,6 +182,7 @@
     pub fn apply_report(&mut self, now: Time, report: &ServerReport) {
         self.surveyed = true;
         self.surveyed_at = now;
+        self.record_orders_taken(report.orders_taken);
         self.models = report.models.clone();
         let is_listed = |key: &AdapterKey| {
             report.held.iter().chain(&report.pending).any(|(listed, _)| listed == key)
@@ -287,7 +295,11 @@
     pub fn accepts_adapter(&self, now: Time, model: &str) -> bool {
         let pending = self.slots.values().filter(|slot| slot.state == SlotState::Loading).count();
         let holds = self.models.iter().any(|name| &**name == model);
-        holds && self.accepts_orders(now) && pending < MAX_PENDING_LOADS
+        let most = match self.late_orders.are_expected(now, self.orders_taken) {
+            true => 1,
+            false => MAX_PENDING_LOADS,
+        };
+        holds && self.accepts_orders(now) && pending < most
     }
 
     /// Returns the number of free slots. No slot is reserved for late orders to the same
@@ -297,15 +309,16 @@
         self.available_slots(now, spec, model).saturating_sub(self.used_slots())
     }
 
-    /// Returns true if an adapter may be evicted for another: not while late orders may arrive and
-    /// the slots reserved for them are in use.
+    /// Returns true if an adapter may be evicted for another: not while the slots reserved for late
+    /// orders are in use.
     pub fn may_evict(&self, now: Time, spec: &EngineSpec, model: &str) -> bool {
-        self.used_slots() <= self.available_slots(now, spec, model) || now >= self.late_until
+        let (reserved, _) = self.reserved_slots(now);
+        reserved == 0 || self.used_slots() <= self.available_slots(now, spec, model)
     }
 
     fn available_slots(&self, now: Time, spec: &EngineSpec, model: &str) -> usize {
         let slots = spec.model(model).map_or(0, |model| spec.adapter_room(model));
-        let reserved = if now < self.late_until { LATE_ORDER_SLOTS } else { 0 };
+        let (reserved, _) = self.reserved_slots(now);
         slots.saturating_sub(reserved)
     }
 
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -3,8 +3,9 @@
 
 use super::adapter_demand::AdapterDemand;
 use super::fetch_limit::FetchLimit;
+use super::late_orders::{LATE_ORDER_WINDOW, LateOrders, UnansweredOrder};
 use super::load_budget::LoadBudget;
-use super::planned_server::{LATE_ORDER_WINDOW, PlannedServer, SlotState};
+use super::planned_server::{PlannedServer, SlotState};
 use crate::gateway::dialect::{AdapterKey, ServerReport};
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::fleet::config::{EngineSpec, FleetConfig};
@@ -119,8 +120,10 @@
     budgets: HashMap<Rc<str>, LoadBudget>,
     load_requests: BTreeMap<(Rc<str>, AdapterKey), PendingRequest>,
     missed: HashMap<AdapterKey, AdapterDemand>,
-    /// Unloads without a response, by server, which may still be executed.
-    late_unloads: HashMap<Rc<str>, Vec<(AdapterKey, Time)>>,
+    /// Orders without a response, by server, which its next incarnation may still execute.
+    late_orders: HashMap<Rc<str>, LateOrders>,
+    /// From when on only this daemon has ordered a server, since its last claim.
+    sole_since: HashMap<Rc<str>, Time>,
     /// When this daemon learned that a server has restarted, while late orders may still arrive.
     restarted_at: HashMap<Rc<str>, Time>,
     ordered_servers: usize,
@@ -152,10 +155,11 @@
             return server.apply_entry(now, backend);
         }
         let mut server = PlannedServer::new(now, backend);
-        if let Some(at) = self.restarted_at.get(&backend.id) {
-            let unloads = self.late_unloads.get(&backend.id).into_iter().flatten();
-            let unloads = unloads.map(|(key, _)| key.clone()).collect();
-            server.expect_late_orders(*at + LATE_ORDER_WINDOW, unloads);
+        if let Some(restarted_at) = self.restarted_at.get(&backend.id) {
+            let mut orders = self.late_orders.get(&backend.id).cloned().unwrap_or_default();
+            let sole_since = self.sole_since.get(&backend.id).unwrap_or(restarted_at);
+            orders.expect_unknown_sent_before(*sole_since);
+            server.expect_late_orders(orders);
         }
         self.servers.insert(backend.id.clone(), server);
     }
@@ -166,11 +170,30 @@
         self.restarted_at.insert(id.clone(), now);
     }
 
-    /// Records an unload without a response, which may be executed late.
-    pub fn unload_unanswered(&mut self, now: Time, id: &Rc<str>, key: &AdapterKey) {
-        let unloads = self.late_unloads.entry(id.clone()).or_default();
-        unloads.retain(|(late, _)| late != key);
-        unloads.push((key.clone(), now));
+    /// Records a new claim: the former holder's last order to the server was sent before `orders_from`.
+    pub fn claimed(&mut self, id: &Rc<str>, orders_from: Time) {
+        self.sole_since.insert(id.clone(), orders_from);
+        let server = self.servers.get_mut(id);
+        if let (Some(server), Some(restarted_at)) = (server, self.restarted_at.get(id)) {
+            server.expect_unknown_orders(*restarted_at);
+        }
+    }
+
+    /// Records an order without a response, which may be executed late.
+    pub fn order_unanswered(&mut self, id: &Rc<str>, order: UnansweredOrder) {
+        self.late_orders.entry(id.clone()).or_default().add(order);
+    }
+
+    /// Records that a server has accepted so many orders.
+    pub fn record_orders_taken(&mut self, id: &str, taken: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.record_orders_taken(taken);
+        }
+    }
+
+    /// The adapter slots of a server that are kept free for late orders, and the time until which any can arrive.
+    pub fn reserved_slots(&self, now: Time, id: &str) -> (usize, Time) {
+        self.servers.get(id).map_or((0, Time(0)), |server| server.reserved_slots(now))
     }
 
     /// Returns the known incarnation of a server, by its start; `None` if the server is unknown.
@@ -323,12 +346,10 @@
 
     /// Drops adapters without demand and late orders that can no longer arrive.
     pub fn sweep(&mut self, now: Time) {
-        let may_arrive = |at: Time| now.since(at) < LATE_ORDER_WINDOW;
-        self.restarted_at.retain(|_, at| may_arrive(*at));
-        self.late_unloads.retain(|_, unloads| {
-            unloads.retain(|(_, at)| may_arrive(*at));
-            !unloads.is_empty()
-        });
+        self.restarted_at.retain(|_, at| now.since(*at) < LATE_ORDER_WINDOW);
+        self.late_orders.retain(|_, orders| !orders.is_over(now));
+        let (servers, restarted_at) = (&self.servers, &self.restarted_at);
+        self.sole_since.retain(|id, _| servers.contains_key(id) || restarted_at.contains_key(id));
         self.missed.retain(|_, missed| missed.rate(now) > MIN_MISSED_RATE);
     }
 
--- a/crates/portrack/tests/gateway/lives.rs
+++ b/crates/portrack/tests/gateway/lives.rs
@@ -5,8 +5,8 @@
 use portrack::Time;
 use portrack::gateway::{
     AdapterLocations, Backend, EntryStatus, LoadRequestAnswer, LoadTable, MAX_REMOVED_INCARNATIONS,
-    OutstandingWork, Plan, PlanOutcome, PlannedLoad, Planner, Presence, ServerIncarnations,
-    ServerLoad, ServerReport, incarnation_hash,
+    OrderKind, OutstandingWork, Plan, PlanOutcome, PlannedLoad, Planner, Presence,
+    ServerIncarnations, ServerLoad, ServerReport, UnansweredOrder, incarnation_hash,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -446,11 +446,208 @@
     assert_eq!(plan.evict, None, "all slots are available again");
 }
 
+/// An order without a response.
+fn unanswered(kind: OrderKind, adapter: &str, expected: u64, sent_at: u64) -> UnansweredOrder {
+    UnansweredOrder { kind, adapter: key(adapter), expected, sent_at: Time(sent_at) }
+}
+
+/// Time at which the holder of a claim knows all orders that may still arrive.
+const HELD_FOR: u64 = 20_000;
+
+/// A planner whose server restarts after these orders had no response, with the server's four slots loaded one after
+/// the other; returns which loads needed an eviction.
+fn evictions_after_restart(orders: &[UnansweredOrder], taken: u64) -> Vec<bool> {
+    let (mut planner, server) = planner(&[]);
+    planner.claimed(&server, Time(10));
+    orders.iter().for_each(|order| planner.order_unanswered(&server, order.clone()));
+    restart(&mut planner, HELD_FOR, &server);
+    let held = ServerReport { orders_taken: taken, ..report(2, Vec::new()) };
+    planner.reported(Time(HELD_FOR + 10), "s1", &held);
+    let mut evictions = Vec::new();
+    for (n, adapter) in ["a1", "a2", "a3", "a4"].into_iter().enumerate() {
+        let now = HELD_FOR + 500 * (n as u64 + 1);
+        for plan in start_loads(&mut planner, now, &server, adapter) {
+            plan.evict.iter().for_each(|victim| planner.evicted("s1", victim));
+            planner.ended(Time(now + 100), &plan, PlanOutcome::Done, Some(ms(100)));
+            evictions.push(plan.evict.is_some());
+        }
+    }
+    evictions
+}
+
+#[test]
+fn slots_stay_empty_after_a_restart_although_no_order_can_arrive_late() {
+    assert_eq!(evictions_after_restart(&[], 0), [false; 4]);
+    let at = HELD_FOR - 1_000;
+    let load = |expected| unanswered(OrderKind::Load, "z", expected, at);
+    // Its count is past, it was sent too long ago, or it frees a slot.
+    assert_eq!(evictions_after_restart(&[load(1)], 2), [false; 4]);
+    let old = unanswered(OrderKind::Load, "z", 5, HELD_FOR - 14_000);
+    assert_eq!(evictions_after_restart(&[old], 0), [false; 4]);
+    let unload = unanswered(OrderKind::Unload, "z", 5, at);
+    assert_eq!(evictions_after_restart(&[unload], 0), [false; 4]);
+}
+
+#[test]
+fn as_many_slots_stay_empty_as_loads_can_arrive_before_the_next_report() {
+    let at = HELD_FOR - 1_000;
+    let load = |expected| unanswered(OrderKind::Load, "z", expected, at);
+    assert_eq!(evictions_after_restart(&[load(2)], 0), [false, false, false, true]);
+    assert_eq!(evictions_after_restart(&[load(2), load(5)], 0), [false, false, false, true]);
+    assert_eq!(evictions_after_restart(&[load(2), load(2)], 0), [false, false, false, true]);
+    assert_eq!(evictions_after_restart(&[load(2), load(3)], 0), [false, false, true, true]);
+    let three = [load(2), load(3), load(4)];
+    assert_eq!(evictions_after_restart(&three, 0), [false, false, true, true]);
+    let far = [load(13), load(14)];
+    assert_eq!(evictions_after_restart(&far, 0), [false; 4], "not before the next steps");
+}
+
+#[test]
+fn slots_are_reserved_for_orders_of_a_former_holder() {
+    let (mut planner, server) = planner(&[]);
+    planner.claimed(&server, Time(10));
+    restart(&mut planner, 5_000, &server);
+    planner.reported(Time(5_010), "s1", &report(2, Vec::new()));
+    assert_eq!(planner.reserved_slots(Time(14_000), "s1"), (2, Time(14_010)));
+    assert_eq!(planner.reserved_slots(Time(14_010), "s1").0, 0);
+    // Another daemon held the server when it restarted.
+    let (mut planner, server) = self::planner(&[]);
+    planner.claimed(&server, Time(10));
+    restart(&mut planner, HELD_FOR, &server);
+    planner.reported(Time(HELD_FOR + 10), "s1", &report(2, Vec::new()));
+    planner.claimed(&server, Time(HELD_FOR + 3_000));
+    let (reserved, until) = planner.reserved_slots(Time(HELD_FOR + 3_000), "s1");
+    assert_eq!((reserved, until), (2, Time(HELD_FOR + 14_000)));
+}
+
+/// Slots of the server in the property test of late orders.
+const FEW_SLOTS: usize = 3;
+
+/// A step of the holder, or the arrival of a late order.
+#[derive(Debug, Clone)]
+enum OrderStep {
+    /// The holder loads an adapter, whose order is answered or not.
+    Load(u8, bool),
+    /// An unanswered order arrives that the server takes.
+    Arrive,
+    Restart,
+    Pause(u64),
+}
+
+fn order_step() -> impl Strategy<Value = OrderStep> {
+    prop_oneof![
+        6 => (0_u8..9, prop::bool::weighted(0.8)).prop_map(|(at, answered)| OrderStep::Load(at, answered)),
+        4 => Just(OrderStep::Arrive),
+        2 => Just(OrderStep::Restart),
+        1 => (100_u64..1_000).prop_map(OrderStep::Pause),
+    ]
+}
+
+/// What a server does with orders.
+#[derive(Debug, Default)]
+struct ModelServer {
+    taken: u64,
+    /// Number of orders that it had taken as its holder knows.
+    counted: u64,
+    held: BTreeSet<String>,
+}
+
+impl ModelServer {
+    fn take(&mut self, order: &UnansweredOrder) -> bool {
+        if order.expected != self.taken {
+            return false;
+        }
+        self.taken += 1;
+        match order.kind {
+            OrderKind::Load => self.held.insert(order.adapter.adapter.to_string()),
+            OrderKind::Unload => self.held.remove(&*order.adapter.adapter),
+        };
+        true
+    }
+}
+
+proptest! {
+    /// One holder, a server that restarts, and orders without a response that arrive up to 12 s late, in any order:
+    /// no order ever fills the server beyond its slots.
+    #[test]
+    fn late_orders_never_fill_a_server_beyond_its_slots(
+        steps in prop::collection::vec(order_step(), 1..120),
+    ) {
+        let mut planner = Planner::default();
+        planner.set_config(Time(0), config(FEW_SLOTS, 3.0));
+        let server: Rc<str> = "s1".into();
+        let (mut born, mut now, mut model) = (1, HELD_FOR, ModelServer::default());
+        let mut late: Vec<UnansweredOrder> = Vec::new();
+        planner.update_server(Time(0), &Backend { born: Some(born), ..backend("s1", &[]) });
+        planner.claimed(&server, Time(0));
+        let survey = |planner: &mut Planner, model: &mut ModelServer, born: u64, now: u64| {
+            model.counted = model.taken;
+            let held = model.held.iter().map(|name| (key(name), 1)).collect();
+            let report = ServerReport { orders_taken: model.taken, ..report(born, held) };
+            planner.reported(Time(now), "s1", &report);
+        };
+        survey(&mut planner, &mut model, born, now);
+        for step in steps {
+            now += 50;
+            match step {
+                OrderStep::Pause(millis) => now += millis,
+                OrderStep::Restart => {
+                    born += 1;
+                    model = ModelServer::default();
+                    planner.server_restarted(Time(now), &server);
+                    planner.update_server(Time(now), &Backend { born: Some(born), ..backend("s1", &[]) });
+                    survey(&mut planner, &mut model, born, now);
+                }
+                OrderStep::Arrive => {
+                    late.retain(|order| now < order.sent_at.0 + 12_000);
+                    if let Some(at) = late.iter().position(|order| order.expected == model.taken) {
+                        model.take(&late.remove(at));
+                    }
+                }
+                OrderStep::Load(adapter, answered) => {
+                    let known = model.counted;
+                    for plan in start_loads(&mut planner, now, &server, &format!("a{adapter}")) {
+                        let PlannedLoad::Adapter(wanted, _) = &plan.load else { continue };
+                        let evict = plan.evict.clone().map(|victim| (OrderKind::Unload, victim));
+                        let orders = evict.into_iter().chain([(OrderKind::Load, wanted.clone())]);
+                        let mut outcome = PlanOutcome::Done;
+                        for (n, (kind, adapter)) in orders.enumerate() {
+                            let expected = known + n as u64;
+                            let order = UnansweredOrder { kind, adapter, expected, sent_at: Time(now) };
+                            if answered && model.take(&order) {
+                                model.counted = model.taken;
+                                planner.record_orders_taken("s1", model.taken);
+                                if order.kind == OrderKind::Unload {
+                                    planner.evicted("s1", &order.adapter);
+                                }
+                                continue;
+                            }
+                            outcome = if answered { PlanOutcome::Busy } else { PlanOutcome::Unknown };
+                            if !answered {
+                                planner.order_unanswered(&server, order.clone());
+                                late.push(order);
+                            }
+                            break;
+                        }
+                        planner.ended(Time(now), &plan, outcome, Some(ms(100)));
+                        if outcome != PlanOutcome::Done {
+                            planner.invalidate_survey("s1");
+                            now += 800;
+                            survey(&mut planner, &mut model, born, now);
+                        }
+                    }
+                }
+            }
+            prop_assert!(model.held.len() <= FEW_SLOTS, "{} adapters at {now}", model.held.len());
+        }
+    }
+}
+
 /// A late unload from the previous incarnation would remove the adapter while requests use it.
 #[test]
 fn an_adapter_with_a_possible_late_unload_is_not_loaded() {
     let (mut planner, server) = planner(&[("a1", 1)]);
-    planner.unload_unanswered(Time(50), &server, &key("a1"));
+    planner.order_unanswered(&server, unanswered(OrderKind::Unload, "a1", 3, 50));
     restart(&mut planner, 100, &server);
     planner.reported(Time(110), "s1", &report(2, Vec::new()));
     assert_eq!(
