A server of several models is no longer ordered to load beyond its memory

Cause: the room for adapters was the memory less the adapter's own model, divided by that model's adapter size; other models and adapters of other sizes were not counted. Class: a sum of which each place knows a part.

Change: EngineSpec::room_for_adapters alone computes the room, from the sheet less all that a server holds, what is on its way included; loads, evictions and answers to load requests use it. An eviction has to make enough room, or there is none.

--- a/crates/portrack/src/gateway/fleet/config.rs
+++ b/crates/portrack/src/gateway/fleet/config.rs
@@ -108,6 +108,9 @@
     pub per_second: f64,
 }
 
+/// Share of an adapter's size by which a sum of sizes may be wrong.
+const ROUNDING: f64 = 1e-6;
+
 /// Capacity of the engines of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSpec {
@@ -133,14 +136,30 @@
         self.models.iter().find(|model| &*model.name == name)
     }
 
-    /// Number of adapters that fit beside a model, including pending loads and replacements.
-    pub fn adapter_room(&self, model: &ModelSpec) -> usize {
+    /// Number of further adapters of a model that fit into a server beside all that it holds: base models of any kind,
+    /// and adapters, each given by its model and including those that are being loaded or unloaded. None fit beside a
+    /// model whose size is not configured.
+    pub fn room_for_adapters<'a>(
+        &self,
+        model: &str,
+        held_models: &[Rc<str>],
+        held_adapters: impl Iterator<Item = &'a str>,
+    ) -> usize {
+        let Some(model) = self.model(model) else { return 0 };
+        let mut weights = held_models.iter().map(|name| Some(self.model(name)?.weights_mb));
+        let Some(models_mb) = weights.try_fold(0.0, |sum, weight| Some(sum + weight?)) else {
+            return 0;
+        };
+        let adapter_mb = |name: &str| self.model(name).map_or(0.0, |model| model.adapter_mb);
+        let sizes: Vec<f64> = held_adapters.map(adapter_mb).collect();
+        let free_slots = self.adapter_slots.saturating_sub(sizes.len());
         if model.adapter_mb <= 0.0 {
-            return self.adapter_slots;
+            return free_slots;
         }
-        let left = (self.weights_mb - model.weights_mb).max(0.0);
-        let fitting = (left / model.adapter_mb).floor() as usize;
-        fitting.min(self.adapter_slots)
+        let free_mb = (self.weights_mb - models_mb - sizes.iter().sum::<f64>()).max(0.0);
+        // Sums of sizes may be off by a rounding error.
+        let fitting = (free_mb / model.adapter_mb + ROUNDING).floor() as usize;
+        fitting.min(free_slots)
     }
 }
 
--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -302,38 +302,51 @@
         holds && self.accepts_orders(now) && pending < most
     }
 
-    /// Returns the number of free slots. No slot is reserved for late orders to the same
-    /// incarnation: each order names the number of orders before it, so a late one is executed only
-    /// if none was accepted since.
+    /// Returns how many more adapters of a model may be loaded now. No slot is reserved for late orders to the same
+    /// incarnation: each order names the number of orders before it, so a late one is executed only if none was
+    /// accepted since.
     pub fn free_slots(&self, now: Time, spec: &EngineSpec, model: &str) -> usize {
-        self.available_slots(now, spec, model).saturating_sub(self.used_slots())
+        let (reserved, _) = self.reserved_slots(now);
+        self.room_without(spec, model, None).saturating_sub(reserved)
     }
 
-    /// Returns true if an adapter may be evicted for another: not while the slots reserved for late
-    /// orders are in use.
+    /// Returns true if an adapter may be evicted for another: not while the slots reserved for late orders are in use.
     pub fn may_evict(&self, now: Time, spec: &EngineSpec, model: &str) -> bool {
         let (reserved, _) = self.reserved_slots(now);
-        reserved == 0 || self.used_slots() <= self.available_slots(now, spec, model)
+        self.room_without(spec, model, None) >= reserved
     }
 
-    fn available_slots(&self, now: Time, spec: &EngineSpec, model: &str) -> usize {
-        let slots = spec.model(model).map_or(0, |model| spec.adapter_room(model));
-        let (reserved, _) = self.reserved_slots(now);
-        slots.saturating_sub(reserved)
+    /// Returns how many more adapters of a model fit, with one of those that it holds evicted.
+    fn room_without(&self, spec: &EngineSpec, model: &str, evicted: Option<&AdapterKey>) -> usize {
+        let kept = self.slots.iter().filter(|(key, _)| Some(*key) != evicted);
+        // A version that is being replaced may need a slot beside the newer one.
+        let copies = |slot: &Slot| 1 + usize::from(slot.replaces.is_some());
+        let adapters = kept.flat_map(|(key, slot)| std::iter::repeat_n(&*key.model, copies(slot)));
+        spec.room_for_adapters(model, &self.models, adapters)
     }
 
-    /// Returns the slots in use. A version that is being replaced may need a slot beside the newer
-    /// one.
-    fn used_slots(&self) -> usize {
-        let replacing = self.slots.values().filter(|slot| slot.replaces.is_some()).count();
-        self.slots.len() + replacing
+    /// Returns true if another adapter fits once this one is evicted.
+    fn makes_room(&self, now: Time, spec: &EngineSpec, model: &str, victim: &AdapterKey) -> bool {
+        let (reserved, _) = self.reserved_slots(now);
+        self.room_without(spec, model, Some(victim)) > reserved
     }
 
     /// Counts the adapters that could be evicted for `wanted`.
-    pub fn evictable_count(&self, now: Time, wanted: &AdapterKey) -> usize {
-        let may_evict =
-            |(key, slot): &(&AdapterKey, &Slot)| slot.is_evictable(now) && *key != wanted;
-        self.slots.iter().filter(may_evict).count()
+    pub fn evictable_count(&self, now: Time, spec: &EngineSpec, wanted: &AdapterKey) -> usize {
+        self.evictable(now, spec, wanted).count()
+    }
+
+    fn evictable<'a>(
+        &'a self,
+        now: Time,
+        spec: &'a EngineSpec,
+        wanted: &'a AdapterKey,
+    ) -> impl Iterator<Item = (&'a AdapterKey, &'a Slot)> {
+        self.slots.iter().filter(move |(key, slot)| {
+            *key != wanted
+                && slot.is_evictable(now)
+                && self.makes_room(now, spec, &wanted.model, key)
+        })
     }
 
     /// Chooses the adapter with the least demand to evict for `wanted`, never one that may be in
@@ -341,12 +354,11 @@
     pub fn choose_victim(
         &self,
         now: Time,
+        spec: &EngineSpec,
         wanted: &AdapterKey,
         newest: impl Fn(&AdapterKey) -> u64,
     ) -> Option<AdapterKey> {
-        let evictable =
-            self.slots.iter().filter(|(key, slot)| slot.is_evictable(now) && *key != wanted);
-        let ranked = evictable.map(|(key, slot)| {
+        let ranked = self.evictable(now, spec, wanted).map(|(key, slot)| {
             let outdated = slot.version < newest(key);
             let rate = if outdated { 0.0 } else { slot.demand.rate(now) };
             (rate, key)
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -298,7 +298,7 @@
         let free = self.config.as_ref().and_then(|config| {
             let spec = config.services.get(&server.service)?.engine.as_ref()?;
             let idle = if server.may_evict(now, spec, &key.model) {
-                server.evictable_count(now, key)
+                server.evictable_count(now, spec, key)
             } else {
                 0
             };
@@ -460,7 +460,7 @@
             return None;
         }
         let evict = match server.free_slots(now, spec, &key.model) {
-            0 => Some(server.choose_victim(now, key, newest)?),
+            0 => Some(server.choose_victim(now, spec, key, newest)?),
             _ => None,
         };
         let cold = !server.is_cached(key, version);
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -41,6 +41,7 @@
 mod replicas;
 mod responses;
 mod retries;
+mod room;
 mod routes;
 mod scanner;
 mod settings;
--- /dev/null
+++ b/crates/portrack/tests/gateway/room.rs
@@ -0,0 +1,130 @@
+//! The room for adapters at servers that hold several models.
+
+use crate::support::{MODEL, backend, config, key, ms};
+use portrack::Time;
+use portrack::gateway::{
+    AdapterKey, EngineSpec, FleetConfig, HeldModel, ModelSpec, PlanOutcome, PlannedLoad, Planner,
+    ServerReport, Service,
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const SLOTS: usize = 21;
+/// Memory for weights of the servers of the first test, and sizes of its models and adapters, in MB.
+const SERVER_MB: f64 = 45_000.0;
+const MODEL_MB: f64 = 22_000.0;
+const ADAPTER_MB: f64 = 66.0;
+
+fn model(name: &str, weights_mb: f64, adapter_mb: f64) -> ModelSpec {
+    ModelSpec { name: name.into(), weights_mb, load_time: ms(600), adapters: 3_000, adapter_mb }
+}
+
+fn configuration(weights_mb: f64, adapter_slots: usize, models: Vec<ModelSpec>) -> Rc<FleetConfig> {
+    let like = config(adapter_slots, 3.0);
+    let service = &like.services["llm"];
+    let engine = service.engine.clone().expect("an engine");
+    let engine = EngineSpec { weights_mb, models, ..engine };
+    let service = Service { engine: Some(engine), ..Service::clone(service) };
+    let services = BTreeMap::from([(service.name.clone(), Rc::new(service))]);
+    Rc::new(FleetConfig { services, ..FleetConfig::clone(&like) })
+}
+
+/// A planner with a server that holds these models and no adapter.
+fn planner(config: &Rc<FleetConfig>, held: &[Rc<str>]) -> Planner {
+    let mut planner = Planner::default();
+    planner.set_config(Time(0), config.clone());
+    let held_model = |name: &Rc<str>| HeldModel { name: name.clone(), adapters: Vec::new() };
+    let mut server = backend("s1", &[]);
+    server.models = held.iter().map(held_model).collect();
+    planner.update_server(Time(0), &server);
+    planner.reported(
+        Time(0),
+        "s1",
+        &ServerReport { models: held.to_vec(), ..ServerReport::default() },
+    );
+    planner
+}
+
+/// A load, and what the server holds after it.
+struct Load {
+    held: Vec<AdapterKey>,
+    evicted: Option<AdapterKey>,
+}
+
+/// Loads adapters one after the other, each as if it had been done at once.
+fn load_all(planner: &mut Planner, adapters: impl Iterator<Item = AdapterKey>) -> Vec<Load> {
+    let server: Rc<str> = "s1".into();
+    let (mut held, mut after_each) = (Vec::new(), Vec::new());
+    for (n, wanted) in adapters.enumerate() {
+        let now = 10_000 * (n as u64 + 1);
+        planner.request_load(Time(now), &server, &wanted, 1, 1);
+        for plan in planner.plan(Time(now), std::slice::from_ref(&server)).0 {
+            let PlannedLoad::Adapter(loaded, _) = &plan.load else { continue };
+            if let Some(victim) = &plan.evict {
+                planner.evicted("s1", victim);
+                held.retain(|other| other != victim);
+            }
+            held.push(loaded.clone());
+            planner.ended(Time(now + 100), &plan, PlanOutcome::Done, Some(ms(100)));
+            after_each.push(Load { held: held.clone(), evicted: plan.evict.clone() });
+        }
+    }
+    after_each
+}
+
+#[test]
+fn a_server_that_holds_two_models_is_ordered_to_load_beyond_its_memory() {
+    let models = ["m0", "m1"].map(|name| model(name, MODEL_MB, ADAPTER_MB));
+    let config = configuration(SERVER_MB, SLOTS, models.to_vec());
+    let held: [Rc<str>; 2] = ["m0".into(), "m1".into()];
+    let adapters =
+        (0..60).map(|n| AdapterKey { model: held[n % 2].clone(), adapter: format!("a{n}").into() });
+    let most = load_all(&mut planner(&config, &held), adapters);
+    let most = most.iter().map(|load| load.held.len()).max();
+    assert_eq!(most, Some(15), "1,000 MB are left for adapters of 66 MB");
+}
+
+#[test]
+fn a_server_that_holds_one_model_has_room_for_fewer_adapters_than_fit() {
+    let config = configuration(42_000.0, SLOTS, vec![model(MODEL, 40_000.0, 95.0)]);
+    let adapters = (0..60).map(|n| key(&format!("a{n}")));
+    let most = load_all(&mut planner(&config, &[MODEL.into()]), adapters);
+    assert_eq!(most.iter().map(|load| load.held.len()).max(), Some(21));
+}
+
+proptest! {
+    /// Whatever models a server holds, and whatever is asked for, its memory and its slots are never exceeded; and
+    /// what fits beside all that it holds is loaded without an eviction.
+    #[test]
+    fn no_load_exceeds_a_servers_memory_or_slots(
+        sizes in prop::collection::vec((1_000_u32..20_000, 1_u32..900), 1..4),
+        server_mb in 10_000_u32..60_000,
+        slots in 1_usize..12,
+        wanted in prop::collection::vec((0_usize..4, 0_u32..20), 1..60),
+    ) {
+        let names: Vec<Rc<str>> = (0..sizes.len()).map(|n| format!("m{n}").into()).collect();
+        let models: Vec<ModelSpec> = names.iter().zip(&sizes)
+            .map(|(name, (weights, adapter))| model(name, f64::from(*weights), f64::from(*adapter)))
+            .collect();
+        let models_mb: f64 = models.iter().map(|model| model.weights_mb).sum();
+        prop_assume!(models_mb <= f64::from(server_mb));
+        let adapter_mb = |key: &AdapterKey| {
+            models.iter().find(|model| model.name == key.model).expect("a model").adapter_mb
+        };
+        let config = configuration(f64::from(server_mb), slots, models.clone());
+        let adapters = wanted.iter().map(|(at, adapter)| AdapterKey {
+            model: names[at % names.len()].clone(),
+            adapter: format!("a{adapter}").into(),
+        });
+        let mut planner = planner(&config, &names);
+        for Load { held, evicted } in load_all(&mut planner, adapters) {
+            let all_mb = models_mb + held.iter().map(adapter_mb).sum::<f64>();
+            prop_assert!(held.len() <= slots && all_mb <= f64::from(server_mb), "{held:?}");
+            if let Some(victim) = evicted {
+                let had_room = held.len() < slots && all_mb + adapter_mb(&victim) <= f64::from(server_mb);
+                prop_assert!(!had_room, "{victim:?} was evicted");
+            }
+        }
+    }
+}
