An answer without a length is complete only if its server is seen to run on

Cause: an orderly close was taken for the server's own unless the server was known to have ended, looked at in the instant of the close. A killed process closes its connections before the socket on which it listens; whatever could not be told counted as 'it lives'; and a leaving server was believed without a look, also where it had said that it would be taken away at a stated time, whatever it runs. Class: absence of evidence taken for evidence; a look that comes before what it looks for.

Change: the close counts if 50 ms later the server holds an idle connection open or takes a new one, from here or from another daemon. If not, it counts only for a server that was to end as planned, after its last answer: it drains or its entry was gone before the close, it never stated a time, and its entry was not spoiled by another writer. The statement of a time is kept for the rest of a life, also once the entry is gone.

The price is 50 ms at the end of an answer without a length, no byte of it later.

--- a/crates/portrack/src/gateway/fleet/server_incarnations.rs
+++ b/crates/portrack/src/gateway/fleet/server_incarnations.rs
@@ -31,6 +31,8 @@
     born: Option<u64>,
     orders_taken: u64,
     draining: bool,
+    /// It has stated when it will be taken away, whatever it runs then.
+    is_taken_away: bool,
     /// The removal number, if the server was removed.
     removal: Option<u64>,
 }
@@ -58,10 +60,13 @@
             }
             EntryStatus::First | EntryStatus::Restarted { .. } => {}
         }
+        let was_taken_away = status == EntryStatus::Same
+            && known.is_some_and(|incarnation| incarnation.is_taken_away);
         let incarnation = Incarnation {
             born: backend.born,
             orders_taken: backend.orders_taken,
             draining: backend.draining,
+            is_taken_away: backend.leaves_in.is_some() || was_taken_away,
             removal: None,
         };
         self.newest.insert(backend.id.clone(), incarnation);
@@ -101,6 +106,11 @@
         self.newest.get(id)?.born
     }
 
+    /// Whether the latest incarnation of a server has stated when it will be taken away, whatever it runs then.
+    pub fn is_taken_away(&self, id: &str) -> bool {
+        self.newest.get(id).is_some_and(|incarnation| incarnation.is_taken_away)
+    }
+
     /// Number of remembered servers, including removed ones.
     pub fn len(&self) -> usize {
         self.newest.len()
--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -149,6 +149,14 @@
         self.backend(id).is_none_or(|known| known.draining)
     }
 
+    /// Whether a server that ends does so as planned, after its last answer. One that is taken away at a stated time
+    /// does not wait for that, and an entry that another writer spoiled says nothing about its server.
+    pub fn ends_after_last_answer(&self, id: &str) -> bool {
+        self.is_draining_or_removed(id)
+            && !self.incarnations.is_taken_away(id)
+            && !self.refused.contains(id)
+    }
+
     /// Returns true if a request may be sent to a server now.
     pub fn accepts_requests(&self, now: Time, id: &str) -> bool {
         let backend = self.backends.get(id);
--- a/crates/portrack/src/gateway/requests/completeness.rs
+++ b/crates/portrack/src/gateway/requests/completeness.rs
@@ -13,7 +13,7 @@
     /// The connection was closed before the first event.
     #[snafu(display("closed before the first event"))]
     NoEvent,
-    /// The connection was closed, and the server has ended.
+    /// The connection was closed, and the server is not known to run on.
     #[snafu(display("closed by a server that has ended"))]
     ServerEnded,
 }
@@ -34,14 +34,28 @@
     }
 }
 
-/// Checks a response of any kind that has ended. While its server runs, an orderly close was its own.
+/// What is known of a server a moment after it has closed a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerAfterClose {
+    /// It listens: it closed the connection itself.
+    Runs,
+    /// It cannot be reached, and it was to end as planned, after its last answer.
+    EndedAsPlanned,
+    /// It cannot be reached.
+    NotSeen,
+}
+
+/// Checks a response of any kind that has ended. A close counts as its end only if the server closed the connection by
+/// itself: the operating system closes those of a process that was killed in the same way.
 pub async fn check_server(
     end: BodyEnd,
-    has_ended: &impl AsyncFn() -> bool,
+    look: &impl AsyncFn() -> ServerAfterClose,
 ) -> Result<(), Incomplete> {
-    match end {
-        BodyEnd::Stated => Ok(()),
-        BodyEnd::Closed if has_ended().await => Err(Incomplete::ServerEnded),
-        BodyEnd::Closed => Ok(()),
+    if end == BodyEnd::Stated {
+        return Ok(());
+    }
+    match look().await {
+        ServerAfterClose::Runs | ServerAfterClose::EndedAsPlanned => Ok(()),
+        ServerAfterClose::NotSeen => Err(Incomplete::ServerEnded),
     }
 }
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -335,7 +335,7 @@
                 let hooks = RelayHooks {
                     on_chunk,
                     before_events: || self.record_first_event(job, backend),
-                    server_has_ended: async || self.has_ended(backend, max_connections).await,
+                    look_after_close: async || self.look_after_close(backend).await,
                 };
                 let end = relay.forward(job, *response, sink, &hooks).await;
                 job.progress.event_cut.set(relay.is_event_cut());
--- a/crates/portrack/src/gateway/requests/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards responses of servers to the caller.
 
 use super::caller::{ReplyHead, ReplySink};
-use super::completeness::{Incomplete, check_events, check_server};
+use super::completeness::{Incomplete, ServerAfterClose, check_events, check_server};
 use super::events::EventSplitter;
 use super::exchange::ServerResponse;
 use super::job::Job;
@@ -27,13 +27,13 @@
 }
 
 /// What a relay tells and asks while it forwards a response.
-pub struct RelayHooks<C, B, E> {
+pub struct RelayHooks<C, B, L> {
     /// Called for each chunk that arrives.
     pub on_chunk: C,
     /// Called before events of a resumable stream are sent to the caller.
     pub before_events: B,
-    /// Whether the server is known to have ended, as a crash may have closed its connection.
-    pub server_has_ended: E,
+    /// Looks at the server after it has closed the connection, as a crash may have closed it.
+    pub look_after_close: L,
 }
 
 /// One reply to a caller, possibly assembled from the responses of several servers.
@@ -84,7 +84,7 @@
         job: &Job<'_>,
         mut response: ServerResponse,
         sink: &mut impl ReplySink,
-        hooks: &RelayHooks<impl Fn(), impl Fn(), impl AsyncFn() -> bool>,
+        hooks: &RelayHooks<impl Fn(), impl Fn(), impl AsyncFn() -> ServerAfterClose>,
     ) -> RelayOutcome {
         let status = response.head.status;
         if status.is_success() && !response.head.meta.signed {
@@ -109,20 +109,20 @@
             let continues = job.last_event.is_some();
             return self.forward_stream(response, sink, continues, hooks).await;
         }
-        self.forward_collected(response, sink, &hooks.server_has_ended).await
+        self.forward_collected(response, sink, &hooks.look_after_close).await
     }
 
     async fn forward_collected(
         &mut self,
         mut response: ServerResponse,
         sink: &mut impl ReplySink,
-        server_has_ended: &impl AsyncFn() -> bool,
+        look_after_close: &impl AsyncFn() -> ServerAfterClose,
     ) -> RelayOutcome {
         let (body, end) = match response.collect().await {
             Ok(collected) => collected,
             Err(error) => return RelayOutcome::Interrupted(error),
         };
-        if let Err(why) = check_server(end, server_has_ended).await {
+        if let Err(why) = check_server(end, look_after_close).await {
             return interrupted(why);
         }
         self.received_bytes += body.len();
@@ -146,7 +146,7 @@
         mut response: ServerResponse,
         sink: &mut impl ReplySink,
         continues: bool,
-        hooks: &RelayHooks<impl Fn(), impl Fn(), impl AsyncFn() -> bool>,
+        hooks: &RelayHooks<impl Fn(), impl Fn(), impl AsyncFn() -> ServerAfterClose>,
     ) -> RelayOutcome {
         let status = response.head.status.as_u16();
         if !self.started {
@@ -178,7 +178,7 @@
         {
             return interrupted(why);
         }
-        if let Err(why) = check_server(end, &hooks.server_has_ended).await {
+        if let Err(why) = check_server(end, &hooks.look_after_close).await {
             return interrupted(why);
         }
         response.finish();
--- a/crates/portrack/src/gateway/requests/sending.rs
+++ b/crates/portrack/src/gateway/requests/sending.rs
@@ -1,5 +1,6 @@
 //! Checks right before a request is sent to a server, and what it is sent with.
 
+use super::completeness::ServerAfterClose;
 use super::exchange::NotRunReason;
 use super::handler::RequestHandler;
 use super::job::{Choice, Job};
@@ -12,9 +13,11 @@
 /// Multiple of its latency objective after which a repeatable request is tried at another server.
 const SLOW_OBJECTIVES: u32 = 3;
 
-/// How long the end of a response waits for news of its server. One that has ended refuses connections within
-/// a round trip.
-const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Delay between the close of a connection and the look at its server. By then, the operating system has closed all
+/// that a killed process had open: its connections may go before the socket on which it listens.
+const LOOK_DELAY: Duration = Duration::from_millis(50);
+/// How long the look may take, with the questions to other daemons.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(700);
 
 impl RequestHandler {
     /// Checks whether a request may be sent now: the state of the server and of the request may have changed
@@ -49,13 +52,17 @@
         Ok(())
     }
 
-    /// Whether a server that closed a connection is known to have ended, other than as planned.
-    pub(super) async fn has_ended(&self, backend: &Backend, max_connections: usize) -> bool {
-        if self.view.borrow().is_draining_or_removed(&backend.id) {
-            return false;
+    /// Looks at a server that has closed the connection of a response.
+    pub(super) async fn look_after_close(&self, backend: &Backend) -> ServerAfterClose {
+        // The entry of a server that is killed goes afterwards.
+        let ends_as_planned = self.view.borrow().ends_after_last_answer(&backend.id);
+        actix_rt::time::sleep(LOOK_DELAY).await;
+        let looking = self.connections.reaches(backend);
+        match actix_rt::time::timeout(LOOK_TIMEOUT, looking).await {
+            Ok(true) => ServerAfterClose::Runs,
+            Ok(false) | Err(_) if ends_as_planned => ServerAfterClose::EndedAsPlanned,
+            Ok(false) | Err(_) => ServerAfterClose::NotSeen,
         }
-        let looking = self.connections.refuses(backend, max_connections);
-        actix_rt::time::timeout(END_CHECK_TIMEOUT, looking).await.unwrap_or(false)
     }
 
     /// Whether a request has the recent grant that it needs if its server announces a rate limit. The server
--- a/crates/portrack/src/gateway/tunnels/connecting.rs
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Whether something listens at a server's address, as seen from here or from another daemon.
+    pub async fn reaches(&self, backend: &Backend) -> bool {
+        let (id, now) = (&backend.id, self.clock.now());
+        if self.pool.links().reachability(now, id) == Reachability::Direct
+            && let Ok(pooled) = self.pool.acquire(id, backend.address, usize::MAX).await
+        {
+            pooled.release();
+            return true;
+        }
+        self.peer_opinion(backend).await == PeerOpinion::Reached
+    }
+
     /// Asks other daemons whether they reach a server.
     pub async fn peer_opinion(&self, backend: &Backend) -> PeerOpinion {
         match self.open_tunnel(backend, MAX_CARRIERS).await {
