Bytes without end that are no answer are read and held within bounds

What callers saw, or would see: a server that sends informational heads, what follows a last chunk, an answer to another request, an event, a body or a report without end is read until the caller's deadline; its bytes fill the node, and with them all other callers are lost.

Cause: heads, chunk sizes and single bodies had bounds, each where it is read; the number of informational heads, trailers, events that are forwarded whole, skipped bodies, reports, and all collected bodies together had none.

Change: connections/bounds.rs names what is read and held of an answer. The connection of an answer that exceeds a bound is closed, the caller is told at once, and the request is tried again only as its route allows.

--- a/crates/portrack/src/gateway/connections/body.rs
+++ b/crates/portrack/src/gateway/connections/body.rs
@@ -1,11 +1,9 @@
 //! Incremental decoder of response bodies, for all framings.
 
+use super::bounds::{MAX_CHUNK_LINE_BYTES, MAX_TRAILER_BYTES};
 use super::response::{Framing, ResponseError};
 use bytes::{Buf, Bytes, BytesMut};
 
-/// Maximum length of a chunk-size line.
-const MAX_CHUNK_LINE: usize = 64;
-
 /// Result of a decoding step.
 #[derive(Debug, PartialEq, Eq)]
 pub enum DecodeStep {
@@ -38,7 +36,8 @@
     ChunkLine,
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    /// What follows the last chunk, with the number of bytes read of it.
+    Trailer(usize),
     UntilClose,
     Done,
     Closed,
@@ -88,7 +87,7 @@
                 DecodeState::ChunkLine => {
                     let Some(size) = chunk_size(buffer)? else { return Ok(DecodeStep::More) };
                     self.state =
-                        if size == 0 { DecodeState::Trailer } else { DecodeState::Chunk(size) };
+                        if size == 0 { DecodeState::Trailer(0) } else { DecodeState::Chunk(size) };
                 }
                 DecodeState::Chunk(left) => {
                     let Some(part) = take_bytes(buffer, left) else { return Ok(DecodeStep::More) };
@@ -109,14 +108,18 @@
                     buffer.advance(2);
                     self.state = DecodeState::ChunkLine;
                 }
-                DecodeState::Trailer => {
-                    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
-                        return Ok(DecodeStep::More);
-                    };
-                    buffer.advance(end + 2);
-                    if end == 0 {
-                        self.state = DecodeState::Done;
+                DecodeState::Trailer(read) => {
+                    let line = buffer.windows(2).position(|pair| pair == b"\r\n");
+                    let read = read + line.map_or(buffer.len(), |end| end + 2);
+                    if read > MAX_TRAILER_BYTES {
+                        return Err(ResponseError { why: "trailer too long".into() });
                     }
+                    let Some(end) = line else { return Ok(DecodeStep::More) };
+                    buffer.advance(end + 2);
+                    self.state = match end {
+                        0 => DecodeState::Done,
+                        _ => DecodeState::Trailer(read),
+                    };
                 }
             }
         }
@@ -138,7 +141,7 @@
             buffer.advance(length);
             Ok(Some(size))
         }
-        httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE => Err(invalid()),
+        httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE_BYTES => Err(invalid()),
         httparse::Status::Partial => Ok(None),
     }
 }
--- a/crates/portrack/src/gateway/connections/connection.rs
+++ b/crates/portrack/src/gateway/connections/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server.
 
 use super::body::{BodyDecoder, BodyEnd, DecodeStep};
+use super::bounds::MAX_INFORMATIONAL_HEADS;
 use super::connector::Connector;
 use super::inbound::Inbound;
 use super::response::{ResponseError, ResponseHead, parse_head};
@@ -189,11 +190,18 @@
         &mut self,
         dialect: &dyn Dialect,
     ) -> Result<ResponseHead, ExchangeError> {
+        let mut informational = 0;
         loop {
             let parsed = parse_head(dialect, &mut self.inbound.buffer);
             let head = parsed.map_err(|source| ExchangeError::Malformed { source })?;
             match head {
-                Some(head) if head.status.is_informational() => continue,
+                Some(head) if head.status.is_informational() => {
+                    informational += 1;
+                    if informational > MAX_INFORMATIONAL_HEADS {
+                        let why = "too many informational heads".into();
+                        return Err(ExchangeError::Malformed { source: ResponseError { why } });
+                    }
+                }
                 Some(head) => return Ok(head),
                 None if self.fill().await? == 0 => {
                     return Err(ExchangeError::Lost { why: "closed before the response".into() });
--- a/crates/portrack/src/gateway/connections/mod.rs
+++ b/crates/portrack/src/gateway/connections/mod.rs
@@ -4,6 +4,8 @@
 //! connection with unread bytes is never reused.
 
 pub(in crate::gateway) mod body;
+pub(in crate::gateway) mod bounds;
+pub(in crate::gateway) mod collected;
 pub(in crate::gateway) mod connection;
 pub(in crate::gateway) mod connector;
 pub(in crate::gateway) mod inbound;
--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of keep-alive connections to backend servers.
 
+use super::collected::BodyMemory;
 use super::connection::{Connection, ConnectionRoute, ExchangeError, connect};
 use super::connector::{Connector, TcpConnector};
 use super::links::{LinkChange, LinkFailure, ServerLinks};
@@ -48,6 +49,7 @@
     connector: Rc<dyn Connector>,
     links: Rc<ServerLinks>,
     servers: RefCell<HashMap<Rc<str>, ServerPool>>,
+    body_memory: BodyMemory,
 }
 
 impl Default for ConnectionPool {
@@ -76,6 +78,11 @@
         self.connection.as_ref().and_then(Connection::carrier)
     }
 
+    /// Counts the bodies that are collected from connections of the pool.
+    pub fn body_memory(&self) -> &BodyMemory {
+        &self.pool.body_memory
+    }
+
     /// Returns the connection to the pool for reuse.
     pub fn release(mut self) {
         let Some(connection) = self.connection.take() else { return };
@@ -114,7 +121,7 @@
 impl ConnectionPool {
     /// Creates a pool without connections. The outcome of each attempt to connect is recorded in `links`.
     pub fn new(connector: Rc<dyn Connector>, links: Rc<ServerLinks>) -> Self {
-        Self { connector, links, servers: RefCell::default() }
+        Self { connector, links, servers: RefCell::default(), body_memory: BodyMemory::default() }
     }
 
     /// The links to the servers.
--- a/crates/portrack/src/gateway/connections/response.rs
+++ b/crates/portrack/src/gateway/connections/response.rs
@@ -1,5 +1,6 @@
 //! Parser of response heads.
 
+use super::bounds::{MAX_HEAD_BYTES, MAX_HEADERS};
 use crate::gateway::dialect::{Dialect, ResponseMeta};
 use actix_http::StatusCode;
 use actix_http::header::{HeaderName, HeaderValue};
@@ -7,11 +8,6 @@
 use snafu::Snafu;
 use std::time::Duration;
 
-/// Maximum number of headers of a response.
-const MAX_HEADERS: usize = 64;
-/// Maximum size of a response head in bytes.
-const MAX_HEAD: usize = 32 * 1024;
-
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -72,7 +68,7 @@
     let mut response = httparse::Response::new(&mut headers);
     let parsed = response.parse(buffer).map_err(|error| invalid(error.to_string()))?;
     let httparse::Status::Complete(length) = parsed else {
-        return match buffer.len() > MAX_HEAD {
+        return match buffer.len() > MAX_HEAD_BYTES {
             true => Err(invalid("head too long")),
             false => Ok(None),
         };
--- a/crates/portrack/src/gateway/orders/order_call.rs
+++ b/crates/portrack/src/gateway/orders/order_call.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to servers for orders and reports, on a connection pool of their own.
 
 use crate::gateway::connections::body::BodyDecoder;
+use crate::gateway::connections::bounds::MAX_REPORT_BYTES;
 use crate::gateway::connections::connection::BodyChunk;
 use crate::gateway::connections::pool::{ConnectionPool, PooledConnection};
 use crate::gateway::connections::response::ResponseHead;
@@ -136,6 +137,9 @@
         let mut body = BytesMut::new();
         while let BodyChunk::Part(part) = connection.read_chunk(&mut decoder).await.ok()? {
             body.extend_from_slice(&part);
+            if body.len() > MAX_REPORT_BYTES {
+                return None;
+            }
         }
         connection.response_complete();
         if !head.close && !connection.has_leftover() {
--- a/crates/portrack/src/gateway/requests/completeness.rs
+++ b/crates/portrack/src/gateway/requests/completeness.rs
@@ -13,6 +13,9 @@
     /// The connection was closed before the first event.
     #[snafu(display("closed before the first event"))]
     NoEvent,
+    /// An event that is forwarded as a whole is too long.
+    #[snafu(display("event too long"))]
+    EventTooLong,
     /// The connection was closed, and the server is not known to run on.
     #[snafu(display("closed by a server that has ended"))]
     ServerEnded,
--- a/crates/portrack/src/gateway/requests/events.rs
+++ b/crates/portrack/src/gateway/requests/events.rs
@@ -36,6 +36,11 @@
         (!complete.is_empty()).then_some(complete)
     }
 
+    /// Number of bytes held of an event that is not complete.
+    pub fn held_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// The id of the last complete event, if complete events are passed on.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -1,19 +1,18 @@
 //! Sends a request to a server and reads the response.
 
 use super::caller::CallerRequest;
-use crate::gateway::connections::body::{BodyDecoder, BodyEnd};
-use crate::gateway::connections::connection::{BodyChunk, ExchangeError};
+use crate::gateway::connections::body::BodyDecoder;
+use crate::gateway::connections::bounds::MAX_SKIPPED_BYTES;
+use crate::gateway::connections::collected::CollectedBody;
+use crate::gateway::connections::connection::{BodyChunk, Connection, ExchangeError};
 use crate::gateway::connections::pool::{AcquireError, PooledConnection};
 use crate::gateway::connections::response::{Framing, ResponseHead};
 use crate::gateway::dialect::{Dialect, ForwardMeta};
 use actix_http::Method;
-use bytes::{Bytes, BytesMut};
 use std::io::Write as _;
 
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
 const MAX_FOREIGN_RESPONSES: usize = 2;
-/// Maximum size in bytes of a response body that is collected before it is forwarded.
-const MAX_COLLECTED: usize = 8 * 1024 * 1024;
 
 const WRITE_TO_MEMORY: &str = "writing to memory cannot fail";
 
@@ -68,20 +67,27 @@
         self.pooled.connection().read_chunk(&mut self.body).await
     }
 
-    /// The body up to its end, and what told that end.
-    pub async fn collect(&mut self) -> Result<(Bytes, BodyEnd), ExchangeError> {
-        let mut body = BytesMut::new();
+    /// The body up to its end.
+    pub async fn collect(&mut self) -> Result<CollectedBody, ExchangeError> {
+        let mut body = self.pooled.body_memory().collector();
         loop {
             match self.next_chunk().await? {
-                BodyChunk::Part(part) => body.extend_from_slice(&part),
-                BodyChunk::End(end) => return Ok((body.freeze(), end)),
-            }
-            if body.len() > MAX_COLLECTED {
-                return Err(ExchangeError::Lost { why: "response body too large".into() });
+                BodyChunk::Part(part) if body.push(&part) => {}
+                BodyChunk::Part(_) => {
+                    return Err(ExchangeError::Lost { why: "response body too large".into() });
+                }
+                BodyChunk::End(end) => return Ok(body.finish(end)),
             }
         }
     }
 
+    /// Reads the body to its end and drops it, so that the connection can be used again. A long one is not worth it.
+    pub async fn skip(mut self) {
+        if !self.head.close && skip_body(self.pooled.connection(), &mut self.body).await {
+            self.finish();
+        }
+    }
+
     /// Returns the connection to the pool after the complete response.
     pub fn finish(mut self) {
         let connection = self.pooled.connection();
@@ -168,17 +174,34 @@
             on_head(&head);
             return classify(ServerResponse { head, body, pooled, fully_sent }).await;
         }
-        while let Ok(BodyChunk::Part(_)) = pooled.connection().read_chunk(&mut body).await {}
+        if !skip_body(pooled.connection(), &mut body).await {
+            break;
+        }
     }
     SendOutcome::MayHaveRun(ExchangeError::Lost { why: "responses to other requests".into() })
 }
 
-async fn classify(mut response: ServerResponse) -> SendOutcome {
+/// Reads a body to its end and drops it. Returns false if it is long, or not complete.
+async fn skip_body(connection: &mut Connection, body: &mut BodyDecoder) -> bool {
+    let mut skipped = 0;
+    loop {
+        match connection.read_chunk(body).await {
+            Ok(BodyChunk::End(_)) => return true,
+            Ok(BodyChunk::Part(part)) => skipped += part.len(),
+            Err(_) => return false,
+        }
+        if skipped > MAX_SKIPPED_BYTES {
+            return false;
+        }
+    }
+}
+
+async fn classify(response: ServerResponse) -> SendOutcome {
     let status = response.head.status.as_u16();
     let not_run = response.head.meta.not_run || status == 421;
     if not_run && matches!(status, 421 | 429 | 503) {
-        if response.head.framing != Framing::UntilClose && response.collect().await.is_ok() {
-            response.finish();
+        if response.head.framing != Framing::UntilClose {
+            response.skip().await;
         }
         return SendOutcome::NotRun(NotRunReason::TurnedAway(status));
     }
--- a/crates/portrack/src/gateway/requests/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -5,6 +5,7 @@
 use super::events::EventSplitter;
 use super::exchange::ServerResponse;
 use super::job::Job;
+use crate::gateway::connections::bounds::MAX_EVENT_BYTES;
 use crate::gateway::connections::connection::{BodyChunk, ExchangeError};
 use crate::gateway::connections::response::ResponseHead;
 use crate::gateway::fleet::config::{Route, RouteKind};
@@ -82,7 +83,7 @@
     pub async fn forward(
         &mut self,
         job: &Job<'_>,
-        mut response: ServerResponse,
+        response: ServerResponse,
         sink: &mut impl ReplySink,
         hooks: &RelayHooks<impl Fn(), impl Fn(), impl AsyncFn() -> ServerAfterClose>,
     ) -> RelayOutcome {
@@ -100,9 +101,7 @@
         }
         let may_retry = job.route.repeatable() && job.possible_runs < job.route.attempts;
         if status.is_server_error() && may_retry {
-            if response.collect().await.is_ok() {
-                response.finish();
-            }
+            response.skip().await;
             return RelayOutcome::Failed(status.as_u16());
         }
         if job.route.kind == RouteKind::Stream && status.is_success() {
@@ -118,13 +117,14 @@
         sink: &mut impl ReplySink,
         look_after_close: &impl AsyncFn() -> ServerAfterClose,
     ) -> RelayOutcome {
-        let (body, end) = match response.collect().await {
+        let collected = match response.collect().await {
             Ok(collected) => collected,
             Err(error) => return RelayOutcome::Interrupted(error),
         };
-        if let Err(why) = check_server(end, look_after_close).await {
+        if let Err(why) = check_server(collected.end, look_after_close).await {
             return interrupted(why);
         }
+        let body = collected.bytes.clone();
         self.received_bytes += body.len();
         let status = response.head.status.as_u16();
         let head = reply_head(&response.head, Some(body.len() as u64));
@@ -165,7 +165,11 @@
             };
             (hooks.on_chunk)();
             self.received_bytes += chunk.len();
-            let Some(part) = self.events.push(chunk) else { continue };
+            let part = self.events.push(chunk);
+            if self.events.held_bytes() > MAX_EVENT_BYTES {
+                return interrupted(Incomplete::EventTooLong);
+            }
+            let Some(part) = part else { continue };
             if self.resumable {
                 (hooks.before_events)();
             }
