A body in an unknown transfer coding is no answer that ends with its connection

Cause: any coding but 'chunked' alone was taken for none. It is refused now, as bytes that are no answer.

--- a/crates/portrack/src/gateway/connections/response.rs
+++ b/crates/portrack/src/gateway/connections/response.rs
@@ -120,7 +120,10 @@
             return Ok(true);
         }
         if name.eq_ignore_ascii_case("transfer-encoding") {
-            self.chunked = value.trim().eq_ignore_ascii_case("chunked");
+            if !value.trim().eq_ignore_ascii_case("chunked") {
+                return Err(invalid("unknown transfer coding"));
+            }
+            self.chunked = true;
             return Ok(true);
         }
         if name.eq_ignore_ascii_case("connection") {
--- a/crates/portrack/tests/gateway/responses.rs
+++ b/crates/portrack/tests/gateway/responses.rs
@@ -109,6 +109,21 @@
     assert!(is_invalid(&format!("HTTP/1.1 200 OK\r\nX: {}", "y".repeat(40_000))));
 }
 
+/// Without the coding undone, the body would reach the caller with the frames of its chunks in it.
+#[test]
+fn a_body_in_an_unknown_transfer_coding_is_taken_for_the_bytes_until_the_close() {
+    for coding in ["gzip, chunked", "gzip", "chunked, chunked", "identity"] {
+        assert!(
+            is_invalid(&format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\n\r\n")),
+            "{coding}"
+        );
+    }
+    assert_eq!(
+        head("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n").framing,
+        Framing::Chunked
+    );
+}
+
 fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, bool), String> {
     let mut decoder = BodyDecoder::new(framing);
     let mut buffer = BytesMut::new();
