A slot is kept free for a load that was under way when its server restarted

What callers would see: a server that falls with all that it runs, since a load to its former life is executed beside ours (LIMIT).

Cause: an order was recorded once its timeouts had passed; the planner takes what is recorded at the moment at which it learns of the restart, so the orders that a restart itself leaves without a response, the likeliest late ones, were missing.

Change: an order is recorded right before it is sent, and removed once it is answered or was not sent. The new test failed before, with the order recorded after its timeout (0 slots reserved where 1 is needed). A count near the largest number no longer overflows.

--- a/crates/portrack/src/gateway/orders/late_orders.rs
+++ b/crates/portrack/src/gateway/orders/late_orders.rs
@@ -20,7 +20,7 @@
 /// Orders kept for each server; beyond that, the slots are kept free as if nothing were known of the orders.
 const MAX_ORDERS: usize = 64;
 
-/// An adapter order that was sent and not answered.
+/// An adapter order that was sent, and is not answered yet or never.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnansweredOrder {
     /// What it orders.
@@ -48,7 +48,7 @@
 }
 
 impl LateOrders {
-    /// Records an order without a response.
+    /// Records an order that is about to be sent.
     pub fn add(&mut self, order: UnansweredOrder) {
         self.orders.retain(|other| other.may_arrive(order.sent_at));
         if self.orders.len() == MAX_ORDERS {
@@ -58,6 +58,11 @@
         self.orders.push(order);
     }
 
+    /// Removes an order that was answered, or not sent after all.
+    pub fn remove(&mut self, order: &UnansweredOrder) {
+        self.orders.retain(|other| other != order);
+    }
+
     /// Expects orders that this daemon does not know of, sent before `sent_before` by another daemon or by this one
     /// before it was restarted.
     pub fn expect_unknown_sent_before(&mut self, sent_before: Time) {
@@ -84,7 +89,8 @@
         for order in self.arriving(now, taken) {
             *loads_by_count.entry(order.expected).or_default() |= order.kind == OrderKind::Load;
         }
-        most_loads_in_a_row(&loads_by_count, taken + ORDERS_PER_STEP).min(LATE_ORDER_SLOTS)
+        most_loads_in_a_row(&loads_by_count, taken.saturating_add(ORDERS_PER_STEP))
+            .min(LATE_ORDER_SLOTS)
     }
 
     /// Returns true if known orders may arrive at an incarnation that has accepted `taken` orders, so that its steps
--- a/crates/portrack/src/gateway/orders/order_executor.rs
+++ b/crates/portrack/src/gateway/orders/order_executor.rs
@@ -331,9 +331,6 @@
         let Some(count) = state.orders_taken.get() else { return Ok(OrderOutcome::Uncounted) };
         order.expected = Some(count);
         let outcome = self.send(plan, &mut order, CONFIRM_TIMEOUT).await;
-        if outcome == OrderOutcome::Unknown {
-            self.record_unanswered(plan, &order);
-        }
         if matches!(outcome, OrderOutcome::Answer(OrderAnswer::Busy | OrderAnswer::Refused)) {
             self.invalidate(&plan.server, &state);
         }
@@ -352,7 +349,6 @@
             if outcome != OrderOutcome::Unknown {
                 break;
             }
-            self.record_unanswered(plan, &order);
         }
         if !self.is_same_incarnation(plan) {
             return OrderOutcome::NotSent;
@@ -378,15 +374,15 @@
         self.planner.borrow_mut().record_orders_taken(&plan.server, count.saturating_add(1));
     }
 
-    /// Records an adapter order without a response: the server's next incarnation may execute it as well.
-    fn record_unanswered(&self, plan: &Plan, order: &Order) {
-        let (Some(adapter), Some(expected)) = (order.adapter.clone(), order.expected) else {
-            return;
-        };
-        let adapter = AdapterKey { model: order.model.clone(), adapter };
-        let sent_at = self.clock.now();
-        let unanswered = UnansweredOrder { kind: order.kind, adapter, expected, sent_at };
-        self.planner.borrow_mut().order_unanswered(&plan.server, unanswered);
+    /// Records an adapter order that is about to be sent: unless it is answered, the server's next incarnation may
+    /// execute it as well.
+    fn record_sent(&self, plan: &Plan, order: &Order) -> Option<UnansweredOrder> {
+        let adapter = AdapterKey { model: order.model.clone(), adapter: order.adapter.clone()? };
+        let expected = order.expected?;
+        let sent =
+            UnansweredOrder { kind: order.kind, adapter, expected, sent_at: self.clock.now() };
+        self.planner.borrow_mut().order_sent(&plan.server, sent.clone());
+        Some(sent)
     }
 
     /// Returns false if the server was removed or restarted since the step was planned.
@@ -504,7 +500,12 @@
             body: &body,
             timeout,
         };
-        match self.calls.call(&call, still_allowed).await {
+        let sent = self.record_sent(plan, order);
+        let outcome = self.calls.call(&call, still_allowed).await;
+        if let Some(sent) = sent.filter(|_| !matches!(outcome, CallOutcome::NoResponse)) {
+            self.planner.borrow_mut().order_answered(&plan.server, &sent);
+        }
+        match outcome {
             CallOutcome::Response(response) => {
                 OrderOutcome::Answer(self.dialect.order_answer(response.status.as_u16()))
             }
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -179,11 +179,19 @@
         }
     }
 
-    /// Records an order without a response, which may be executed late.
-    pub fn order_unanswered(&mut self, id: &Rc<str>, order: UnansweredOrder) {
+    /// Records an order that is about to be sent, and may be executed late unless it is answered. One that is under way
+    /// when its server restarts counts too.
+    pub fn order_sent(&mut self, id: &Rc<str>, order: UnansweredOrder) {
         self.late_orders.entry(id.clone()).or_default().add(order);
     }
 
+    /// Records that an order was answered, or not sent after all.
+    pub fn order_answered(&mut self, id: &str, order: &UnansweredOrder) {
+        if let Some(orders) = self.late_orders.get_mut(id) {
+            orders.remove(order);
+        }
+    }
+
     /// Records that a server has accepted so many orders.
     pub fn record_orders_taken(&mut self, id: &str, taken: u64) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/portrack/tests/gateway/lives.rs
+++ b/crates/portrack/tests/gateway/lives.rs
@@ -459,7 +459,7 @@
 fn evictions_after_restart(orders: &[UnansweredOrder], taken: u64) -> Vec<bool> {
     let (mut planner, server) = planner(&[]);
     planner.claimed(&server, Time(10));
-    orders.iter().for_each(|order| planner.order_unanswered(&server, order.clone()));
+    orders.iter().for_each(|order| planner.order_sent(&server, order.clone()));
     restart(&mut planner, HELD_FOR, &server);
     let held = ServerReport { orders_taken: taken, ..report(2, Vec::new()) };
     planner.reported(Time(HELD_FOR + 10), "s1", &held);
@@ -502,6 +502,20 @@
     assert_eq!(evictions_after_restart(&far, 0), [false; 4], "not before the next steps");
 }
 
+#[test]
+fn a_load_under_way_at_a_restart_has_no_slot_kept_for_it() {
+    let (mut planner, server) = planner(&[]);
+    planner.claimed(&server, Time(10));
+    let order = |adapter, expected| unanswered(OrderKind::Load, adapter, expected, HELD_FOR - 100);
+    planner.order_sent(&server, order("y", 1));
+    planner.order_answered("s1", &order("y", 1));
+    // Its timeout ends after the restart.
+    planner.order_sent(&server, order("z", 2));
+    restart(&mut planner, HELD_FOR, &server);
+    planner.reported(Time(HELD_FOR + 200), "s1", &report(2, Vec::new()));
+    assert_eq!(planner.reserved_slots(Time(HELD_FOR + 200), "s1").0, 1);
+}
+
 #[test]
 fn slots_are_reserved_for_orders_of_a_former_holder() {
     let (mut planner, server) = planner(&[]);
@@ -624,7 +638,7 @@
                             }
                             outcome = if answered { PlanOutcome::Busy } else { PlanOutcome::Unknown };
                             if !answered {
-                                planner.order_unanswered(&server, order.clone());
+                                planner.order_sent(&server, order.clone());
                                 late.push(order);
                             }
                             break;
@@ -647,7 +661,7 @@
 #[test]
 fn an_adapter_with_a_possible_late_unload_is_not_loaded() {
     let (mut planner, server) = planner(&[("a1", 1)]);
-    planner.order_unanswered(&server, unanswered(OrderKind::Unload, "a1", 3, 50));
+    planner.order_sent(&server, unanswered(OrderKind::Unload, "a1", 3, 50));
     restart(&mut planner, 100, &server);
     planner.reported(Time(110), "s1", &report(2, Vec::new()));
     assert_eq!(
