An answer without a length is not complete if its server is known to have restarted

Cause: the look after a close asked only whether something listens; the quarantine's look also asks whether the known incarnation is another. Both use FleetView::has_restarted and one delay now.

--- a/crates/portrack/src/gateway/fleet/view.rs
+++ b/crates/portrack/src/gateway/fleet/view.rs
@@ -149,6 +149,12 @@
         self.backend(id).is_none_or(|known| known.draining)
     }
 
+    /// Whether a later incarnation of a server than the given one is known.
+    pub fn has_restarted(&self, backend: &Backend) -> bool {
+        let known = self.backend(&backend.id);
+        known.is_some_and(|known| known.incarnation_hash() != backend.incarnation_hash())
+    }
+
     /// Whether a server that ends does so as planned, after its last answer. One that is taken away at a stated time
     /// does not wait for that, and an entry that another writer spoiled says nothing about its server.
     pub fn ends_after_last_answer(&self, id: &str) -> bool {
--- a/crates/portrack/src/gateway/quarantine/coordinator.rs
+++ b/crates/portrack/src/gateway/quarantine/coordinator.rs
@@ -11,7 +11,7 @@
 use crate::gateway::fleet::message::PeerMessage;
 use crate::gateway::fleet::messenger::Messenger;
 use crate::gateway::fleet::view::FleetView;
-use crate::gateway::tunnels::connecting::ServerConnections;
+use crate::gateway::tunnels::connecting::{LOOK_DELAY, ServerConnections};
 use crate::store::KvStore;
 use crate::types::{Clock, Time};
 use prometheus::{IntCounter, IntGauge};
@@ -21,11 +21,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, futures::Notified};
 
-/// Delay between a broken connection and the check whether the server is alive. By then, the
-/// operating system has also closed the server's idle connections, so the check need not send
-/// anything.
-const CHECK_DELAY: Duration = Duration::from_millis(50);
-
 /// Interval between looks at the evidence against parts of prompts.
 const PARTS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -144,10 +139,10 @@
 
     /// Checks whether an incarnation of a server has ended.
     async fn check_alive(&self, backend: &Backend, incarnation: u32) {
-        actix_rt::time::sleep(CHECK_DELAY).await;
-        let has_restarted =
-            incarnation == backend.incarnation_hash() && self.has_restarted(backend);
-        let has_ended = has_restarted || self.deps.connections.refuses(backend, usize::MAX).await;
+        actix_rt::time::sleep(LOOK_DELAY).await;
+        let has_restarted = incarnation == backend.incarnation_hash()
+            && self.deps.view.borrow().has_restarted(backend);
+        let has_ended = has_restarted || self.deps.connections.refuses(backend).await;
         if !has_ended {
             let lost = self.ends.borrow_mut().dismiss(incarnation);
             self.end_checked.notify_waiters();
@@ -164,12 +159,6 @@
         self.end_checked.notify_waiters();
     }
 
-    fn has_restarted(&self, backend: &Backend) -> bool {
-        let view = self.deps.view.borrow();
-        view.backend(&backend.id)
-            .is_some_and(|known| known.incarnation_hash() != backend.incarnation_hash())
-    }
-
     /// Counts the end of a server under a request of this node, and under the parts of its prompt, and notifies
     /// the other nodes.
     fn record_end(&self, incarnation: u32, request: &LostRequest) {
--- a/crates/portrack/src/gateway/requests/sending.rs
+++ b/crates/portrack/src/gateway/requests/sending.rs
@@ -7,15 +7,13 @@
 use crate::gateway::arrivals::GrantGuard;
 use crate::gateway::dialect::ForwardMeta;
 use crate::gateway::fleet::backend::Backend;
+use crate::gateway::tunnels::connecting::LOOK_DELAY;
 use crate::types::Time;
 use std::time::Duration;
 
 /// Multiple of its latency objective after which a repeatable request is tried at another server.
 const SLOW_OBJECTIVES: u32 = 3;
 
-/// Delay between the close of a connection and the look at its server. By then, the operating system has closed all
-/// that a killed process had open: its connections may go before the socket on which it listens.
-const LOOK_DELAY: Duration = Duration::from_millis(50);
 /// How long the look may take, with the questions to other daemons.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -58,7 +56,11 @@
         let ends_as_planned = self.view.borrow().ends_after_last_answer(&backend.id);
         actix_rt::time::sleep(LOOK_DELAY).await;
         let looking = self.connections.reaches(backend);
-        match actix_rt::time::timeout(LOOK_TIMEOUT, looking).await {
+        let reached = actix_rt::time::timeout(LOOK_TIMEOUT, looking).await;
+        if self.view.borrow().has_restarted(backend) {
+            return ServerAfterClose::NotSeen;
+        }
+        match reached {
             Ok(true) => ServerAfterClose::Runs,
             Ok(false) | Err(_) if ends_as_planned => ServerAfterClose::EndedAsPlanned,
             Ok(false) | Err(_) => ServerAfterClose::NotSeen,
--- a/crates/portrack/src/gateway/tunnels/connecting.rs
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// Delay between the close of a connection and a look whether its server runs. By then, the operating system has closed
+/// all that a killed process had open: connections may go before the socket on which it listens.
+pub(in crate::gateway) const LOOK_DELAY: Duration = Duration::from_millis(50);
 /// How long another daemon may take to open a connection to a server.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Daemons asked for a server that is known to be out of reach from here.
@@ -108,8 +111,8 @@
 
     /// Whether nothing listens at a server's address, as seen from here and from another daemon: a link that
     /// refuses connections looks the same from one side. A server that cannot be reached may only be cut off.
-    pub async fn refuses(&self, backend: &Backend, max_open: usize) -> bool {
-        let refused = match self.pool.acquire(&backend.id, backend.address, max_open).await {
+    pub async fn refuses(&self, backend: &Backend) -> bool {
+        let refused = match self.pool.acquire(&backend.id, backend.address, usize::MAX).await {
             Ok(pooled) => {
                 pooled.release();
                 false
