An answer whose head is spoilt reached its caller as a whole one

What callers saw: of a server in trouble, a 200 with a body that was not the server's (MIXED): 'Content-Length: +4' of a body of ten bytes came as four bytes, framed as whole.

Cause: a head was what the parser in use let pass. It took the length with an integer parser, which knows a sign, after cutting off blanks of any script; a coding won over a length beside it and could be told twice or by version 1.0; lines could end with a line feed alone; empty lines before the head were skipped; any number up to 999 was a status; and 101 was skipped like other informational heads, though nothing asks for a change of protocol. Fields that the types of the library refuse, and the date, were dropped in silence.

Change: http1/head.rs alone says what a head is, and http1/framing.rs what a length and a coding are; connections/response.rs reads from it what concerns a connection and the platform. All else is no response: nothing of it is used, the connection is closed, the server counts as failing as it does for other bytes, and the line malformed_response and malformed_responses_total tell the reason, without a byte of the head. Bodies, bounds and collected bodies move along, unchanged.

Why it holds: a property test changes sound heads by up to three bytes and compares with the grammar written down once more, for both errors; without the check of line ends it fails. Unusual but sound heads are a test of their own. A stand-in of the tests for leaving servers ended a line with a line feed alone, by mistake: it sends CRLF now.

--- a/crates/portrack-standins/src/lib.rs
+++ b/crates/portrack-standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod expect;
+pub mod heads;
 pub mod kv;
 pub mod nodes;
 pub mod service;
--- a/crates/portrack/src/gateway/connections/connection.rs
+++ b/crates/portrack/src/gateway/connections/connection.rs
@@ -1,11 +1,12 @@
 //! One connection to a backend server.
 
-use super::body::{BodyDecoder, BodyEnd, DecodeStep};
-use super::bounds::MAX_INFORMATIONAL_HEADS;
 use super::connector::Connector;
 use super::inbound::Inbound;
-use super::response::{ResponseError, ResponseHead, parse_head};
+use super::response::{ResponseHead, parse_head};
 use crate::gateway::dialect::Dialect;
+use crate::http1::ResponseError;
+use crate::http1::body::{BodyDecoder, BodyEnd, DecodeStep};
+use crate::http1::bounds::MAX_INFORMATIONAL_HEADS;
 use crate::types::{BootClock, Clock, Time};
 use bytes::Bytes;
 use snafu::Snafu;
@@ -42,7 +43,7 @@
         why: String,
     },
     /// The server sent bytes that are not a valid response.
-    #[snafu(display("{source}"))]
+    #[snafu(display("invalid response: {source}"))]
     Malformed {
         /// The parse error.
         source: ResponseError,
@@ -198,8 +199,8 @@
                 Some(head) if head.status.is_informational() => {
                     informational += 1;
                     if informational > MAX_INFORMATIONAL_HEADS {
-                        let why = "too many informational heads".into();
-                        return Err(ExchangeError::Malformed { source: ResponseError { why } });
+                        let source = ResponseError::TooManyInformationalHeads;
+                        return Err(ExchangeError::Malformed { source });
                     }
                 }
                 Some(head) => return Ok(head),
--- a/crates/portrack/src/gateway/connections/mod.rs
+++ b/crates/portrack/src/gateway/connections/mod.rs
@@ -1,11 +1,8 @@
-//! HTTP/1.1 connections to backend servers: connection pool, response heads and bodies.
+//! HTTP/1.1 connections to backend servers: connection pool and response heads.
 //!
 //! Input is bytes; output is responses, or an error that tells whether the request may have run. A
 //! connection with unread bytes is never reused.
 
-pub(in crate::gateway) mod body;
-pub(in crate::gateway) mod bounds;
-pub(in crate::gateway) mod collected;
 pub(in crate::gateway) mod connection;
 pub(in crate::gateway) mod connector;
 pub(in crate::gateway) mod inbound;
--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -1,9 +1,13 @@
 //! Pool of keep-alive connections to backend servers.
 
-use super::collected::BodyMemory;
-use super::connection::{Connection, ConnectionRoute, ExchangeError, connect};
+use super::connection::{BodyChunk, Connection, ConnectionRoute, ExchangeError, connect};
 use super::connector::{Connector, TcpConnector};
 use super::links::{LinkChange, LinkFailure, ServerLinks};
+use super::response::ResponseHead;
+use crate::gateway::dialect::Dialect;
+use crate::http1::MalformedResponses;
+use crate::http1::body::BodyDecoder;
+use crate::http1::collected::BodyMemory;
 use crate::types::{BootClock, Clock, Time};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -50,11 +54,12 @@
     links: Rc<ServerLinks>,
     servers: RefCell<HashMap<Rc<str>, ServerPool>>,
     body_memory: BodyMemory,
+    malformed: MalformedResponses,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
-        Self::new(Rc::new(TcpConnector), Rc::default())
+        Self::new(Rc::new(TcpConnector), Rc::default(), MalformedResponses::default())
     }
 }
 
@@ -83,6 +88,28 @@
         &self.pool.body_memory
     }
 
+    /// Reads the next response head, and records one that is malformed.
+    pub async fn read_head(
+        &mut self,
+        dialect: &dyn Dialect,
+    ) -> Result<ResponseHead, ExchangeError> {
+        let head = self.connection().read_head(dialect).await;
+        self.recorded(head)
+    }
+
+    /// Reads the next chunk of a body, or its end, and records one that is malformed.
+    pub async fn read_chunk(&mut self, body: &mut BodyDecoder) -> Result<BodyChunk, ExchangeError> {
+        let chunk = self.connection().read_chunk(body).await;
+        self.recorded(chunk)
+    }
+
+    fn recorded<T>(&self, read: Result<T, ExchangeError>) -> Result<T, ExchangeError> {
+        if let Err(ExchangeError::Malformed { source }) = &read {
+            self.pool.malformed.record(&self.server, *source);
+        }
+        read
+    }
+
     /// Returns the connection to the pool for reuse.
     pub fn release(mut self) {
         let Some(connection) = self.connection.take() else { return };
@@ -120,8 +147,13 @@
 
 impl ConnectionPool {
     /// Creates a pool without connections. The outcome of each attempt to connect is recorded in `links`.
-    pub fn new(connector: Rc<dyn Connector>, links: Rc<ServerLinks>) -> Self {
-        Self { connector, links, servers: RefCell::default(), body_memory: BodyMemory::default() }
+    pub fn new(
+        connector: Rc<dyn Connector>,
+        links: Rc<ServerLinks>,
+        malformed: MalformedResponses,
+    ) -> Self {
+        let (servers, body_memory) = (RefCell::default(), BodyMemory::default());
+        Self { connector, links, servers, body_memory, malformed }
     }
 
     /// The links to the servers.
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -42,6 +42,7 @@
 use crate::gateway::tunnels::carriers::Carriers;
 use crate::gateway::tunnels::connecting::ServerConnections;
 use crate::gateway::tunnels::pauses::PauseDetector;
+use crate::http1::MalformedResponses;
 use crate::store::{CountedStore, KvStore, StoreEra};
 use crate::types::{Clock, Time};
 use std::cell::{Cell, RefCell};
@@ -169,7 +170,8 @@
         let records = Rc::new(RefCell::default());
         let claim_holders = ClaimHolders { peers: peers.clone(), records: records.clone() };
         let links = Rc::<ServerLinks>::default();
-        let order_pool = ConnectionPool::new(connector.clone(), links.clone());
+        let malformed = MalformedResponses::new(metrics.malformed_responses.clone());
+        let order_pool = ConnectionPool::new(connector.clone(), links.clone(), malformed.clone());
         let order_executor =
             Rc::new(OrderExecutor::new(clock.clone(), dialect.clone(), node, claims, order_pool));
         let started_at = clock.now();
@@ -256,7 +258,7 @@
         };
         let registry =
             SoftwareRegistry::new(started_at, settings.first_start, bounds.news_within());
-        let pool = Rc::new(ConnectionPool::new(connector, links));
+        let pool = Rc::new(ConnectionPool::new(connector, links, malformed));
         let connections = Rc::new(ServerConnections::new(
             clock.clone(),
             pool.clone(),
--- a/crates/portrack/src/gateway/metrics.rs
+++ b/crates/portrack/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! The Prometheus metrics of a gateway daemon.
 
+use crate::http1::MalformedResponses;
 use crate::metrics::{self, MetricMaker};
 use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 use std::cell::RefCell;
@@ -79,6 +80,8 @@
     pub held_requests: IntGauge,
     /// Quarantined requests that were given a single trial.
     pub trials: IntCounter,
+    /// Bytes from servers that are no response, by reason.
+    pub malformed_responses: IntCounterVec,
     /// Servers that announce a request rate limit.
     pub limited_servers: IntGauge,
     /// Servers that this node could not reach when it last tried.
@@ -187,6 +190,11 @@
             ),
             carried_tunnels: maker
                 .gauge("carried_tunnels", "Connections to servers carried for other daemons"),
+            malformed_responses: maker.counters(
+                MalformedResponses::NAME,
+                MalformedResponses::HELP,
+                &MalformedResponses::LABELS,
+            ),
             limited_servers: maker
                 .gauge("limited_servers", "Servers that say how many requests a second they take"),
             invalid_hints: maker.counter(
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -49,12 +49,11 @@
 pub use backpressure::message::LimitReport;
 pub use backpressure::tracker::{Backpressure, BackpressureDeps, BackpressureMetrics};
 pub use cold::server::ColdServer;
-pub use connections::body::{BodyDecoder, BodyEnd, DecodeStep};
 pub use connections::connection::{Connection, ExchangeError};
 pub use connections::connector::{Connector, TcpConnector};
 pub use connections::links::{LinkChange, LinkFailure, PeerResult, Reachability, ServerLinks};
 pub use connections::pool::{AcquireError, ConnectionPool, PooledConnection};
-pub use connections::response::{Framing, ResponseError, ResponseHead, parse_head};
+pub use connections::response::{ResponseHead, parse_head};
 pub use daemon::GatewayDaemon;
 pub use dialect::{
     AdapterKey, Dialect, DialectError, ForwardMeta, Item, ItemKey, MalformedSnafu, ModelRequest,
--- a/crates/portrack/src/gateway/orders/order_call.rs
+++ b/crates/portrack/src/gateway/orders/order_call.rs
@@ -1,11 +1,11 @@
 //! HTTP calls to servers for orders and reports, on a connection pool of their own.
 
-use crate::gateway::connections::body::BodyDecoder;
-use crate::gateway::connections::bounds::MAX_REPORT_BYTES;
 use crate::gateway::connections::connection::BodyChunk;
 use crate::gateway::connections::pool::{ConnectionPool, PooledConnection};
 use crate::gateway::connections::response::ResponseHead;
 use crate::gateway::dialect::Dialect;
+use crate::http1::body::BodyDecoder;
+use crate::http1::bounds::MAX_REPORT_BYTES;
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 use std::cell::OnceCell;
@@ -127,20 +127,20 @@
         mut pooled: PooledConnection,
         bytes: &[u8],
     ) -> Option<CallResponse> {
-        let connection = pooled.connection();
-        connection.send(bytes).await.ok()?;
-        let head: ResponseHead = connection.read_head(&*self.dialect).await.ok()?;
+        pooled.connection().send(bytes).await.ok()?;
+        let head: ResponseHead = pooled.read_head(&*self.dialect).await.ok()?;
         if let Some(hook) = self.response_hook.get() {
             hook(server, &head);
         }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = BytesMut::new();
-        while let BodyChunk::Part(part) = connection.read_chunk(&mut decoder).await.ok()? {
+        while let BodyChunk::Part(part) = pooled.read_chunk(&mut decoder).await.ok()? {
             body.extend_from_slice(&part);
             if body.len() > MAX_REPORT_BYTES {
                 return None;
             }
         }
+        let connection = pooled.connection();
         connection.response_complete();
         if !head.close && !connection.has_leftover() {
             connection.mark_idle(head.keep_alive);
--- a/crates/portrack/src/gateway/requests/completeness.rs
+++ b/crates/portrack/src/gateway/requests/completeness.rs
@@ -1,7 +1,7 @@
 //! Decides whether a response that has ended is complete.
 
 use super::events::EventSplitter;
-use crate::gateway::connections::body::BodyEnd;
+use crate::http1::body::BodyEnd;
 use snafu::Snafu;
 
 /// Why a response that has ended is not known to be complete.
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -1,13 +1,14 @@
 //! Sends a request to a server and reads the response.
 
 use super::caller::CallerRequest;
-use crate::gateway::connections::body::BodyDecoder;
-use crate::gateway::connections::bounds::MAX_SKIPPED_BYTES;
-use crate::gateway::connections::collected::CollectedBody;
-use crate::gateway::connections::connection::{BodyChunk, Connection, ExchangeError};
+use crate::gateway::connections::connection::{BodyChunk, ExchangeError};
 use crate::gateway::connections::pool::{AcquireError, PooledConnection};
-use crate::gateway::connections::response::{Framing, ResponseHead};
+use crate::gateway::connections::response::ResponseHead;
 use crate::gateway::dialect::{Dialect, ForwardMeta};
+use crate::http1::body::BodyDecoder;
+use crate::http1::bounds::MAX_SKIPPED_BYTES;
+use crate::http1::collected::CollectedBody;
+use crate::http1::framing::Framing;
 use actix_http::Method;
 use std::io::Write as _;
 
@@ -64,7 +65,7 @@
 impl ServerResponse {
     /// The next chunk of the body, or its end.
     pub async fn next_chunk(&mut self) -> Result<BodyChunk, ExchangeError> {
-        self.pooled.connection().read_chunk(&mut self.body).await
+        self.pooled.read_chunk(&mut self.body).await
     }
 
     /// The body up to its end.
@@ -83,7 +84,7 @@
 
     /// Reads the body to its end and drops it, so that the connection can be used again. A long one is not worth it.
     pub async fn skip(mut self) {
-        if !self.head.close && skip_body(self.pooled.connection(), &mut self.body).await {
+        if !self.head.close && skip_body(&mut self.pooled, &mut self.body).await {
             self.finish();
         }
     }
@@ -164,7 +165,7 @@
         Err(error) => return SendOutcome::MayHaveRun(error),
     };
     for _ in 0..=MAX_FOREIGN_RESPONSES {
-        let head = match pooled.connection().read_head(dialect).await {
+        let head = match pooled.read_head(dialect).await {
             Ok(head) => head,
             Err(error) => return SendOutcome::MayHaveRun(error),
         };
@@ -174,7 +175,7 @@
             on_head(&head);
             return classify(ServerResponse { head, body, pooled, fully_sent }).await;
         }
-        if !skip_body(pooled.connection(), &mut body).await {
+        if !skip_body(&mut pooled, &mut body).await {
             break;
         }
     }
@@ -182,10 +183,10 @@
 }
 
 /// Reads a body to its end and drops it. Returns false if it is long, or not complete.
-async fn skip_body(connection: &mut Connection, body: &mut BodyDecoder) -> bool {
+async fn skip_body(pooled: &mut PooledConnection, body: &mut BodyDecoder) -> bool {
     let mut skipped = 0;
     loop {
-        match connection.read_chunk(body).await {
+        match pooled.read_chunk(body).await {
             Ok(BodyChunk::End(_)) => return true,
             Ok(BodyChunk::Part(part)) => skipped += part.len(),
             Err(_) => return false,
--- a/crates/portrack/src/gateway/requests/relay.rs
+++ b/crates/portrack/src/gateway/requests/relay.rs
@@ -5,10 +5,10 @@
 use super::events::EventSplitter;
 use super::exchange::ServerResponse;
 use super::job::Job;
-use crate::gateway::connections::bounds::MAX_EVENT_BYTES;
 use crate::gateway::connections::connection::{BodyChunk, ExchangeError};
 use crate::gateway::connections::response::ResponseHead;
 use crate::gateway::fleet::config::{Route, RouteKind};
+use crate::http1::bounds::MAX_EVENT_BYTES;
 use actix_http::StatusCode;
 use actix_http::header::CONTENT_TYPE;
 
--- a/crates/portrack/src/gateway/connections/body.rs
+++ b/crates/portrack/src/http1/body.rs
@@ -1,7 +1,8 @@
 //! Incremental decoder of response bodies, for all framings.
 
+use super::ResponseError;
 use super::bounds::{MAX_CHUNK_LINE_BYTES, MAX_TRAILER_BYTES};
-use super::response::{Framing, ResponseError};
+use super::framing::Framing;
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Result of a decoding step.
@@ -101,9 +102,7 @@
                         return Ok(DecodeStep::More);
                     }
                     if &buffer[..2] != b"\r\n" {
-                        return Err(ResponseError {
-                            why: "chunk is not terminated by CRLF".into(),
-                        });
+                        return Err(ResponseError::ChunkEnd);
                     }
                     buffer.advance(2);
                     self.state = DecodeState::ChunkLine;
@@ -112,7 +111,7 @@
                     let line = buffer.windows(2).position(|pair| pair == b"\r\n");
                     let read = read + line.map_or(buffer.len(), |end| end + 2);
                     if read > MAX_TRAILER_BYTES {
-                        return Err(ResponseError { why: "trailer too long".into() });
+                        return Err(ResponseError::TrailerTooLong);
                     }
                     let Some(end) = line else { return Ok(DecodeStep::More) };
                     buffer.advance(end + 2);
@@ -135,13 +134,14 @@
 }
 
 fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, ResponseError> {
-    let invalid = || ResponseError { why: "invalid chunk size".into() };
-    match httparse::parse_chunk_size(buffer).map_err(|_| invalid())? {
+    match httparse::parse_chunk_size(buffer).map_err(|_| ResponseError::ChunkSize)? {
         httparse::Status::Complete((length, size)) => {
             buffer.advance(length);
             Ok(Some(size))
         }
-        httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE_BYTES => Err(invalid()),
+        httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE_BYTES => {
+            Err(ResponseError::ChunkSize)
+        }
         httparse::Status::Partial => Ok(None),
     }
 }
--- a/crates/portrack/src/gateway/connections/bounds.rs
+++ b/crates/portrack/src/http1/bounds.rs
@@ -3,8 +3,8 @@
 
 /// Maximum size of a response head in bytes.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Maximum number of headers of a response.
-pub const MAX_HEADERS: usize = 64;
+/// Maximum number of fields of a response head.
+pub const MAX_FIELDS: usize = 64;
 /// Maximum number of informational heads before a response.
 pub const MAX_INFORMATIONAL_HEADS: usize = 16;
 /// Maximum length in bytes of the line that gives the size of a chunk.
--- a/crates/portrack/src/lib.rs
+++ b/crates/portrack/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod engine;
 pub mod gateway;
 pub mod http;
+pub mod http1;
 pub mod limits;
 pub mod loads;
 pub mod membership;
--- a/crates/portrack/tests/gateway/responses.rs
+++ b/crates/portrack/tests/gateway/responses.rs
@@ -3,9 +3,11 @@
 use actix_http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use portrack::gateway::{
-    BodyDecoder, DecodeStep, Dialect, DialectError, EventSplitter, ForwardMeta, Framing, Item,
-    ItemKey, Order, OrderAnswer, RequestMeta, ResponseHead, ResponseMeta, ServerReport, parse_head,
+    Dialect, DialectError, EventSplitter, ForwardMeta, Item, ItemKey, Order, OrderAnswer,
+    RequestMeta, ResponseHead, ResponseMeta, ServerReport, parse_head,
 };
+use portrack::http1::body::{BodyDecoder, DecodeStep};
+use portrack::http1::framing::Framing;
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -205,3 +207,129 @@
         prop_assert_eq!(events.take_rest(), Bytes::new());
     }
 }
+
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+fn is_text(byte: u8) -> bool {
+    byte == b'\t' || (byte >= b' ' && byte != 0x7f)
+}
+
+/// The value of a line if it is a field.
+fn field(line: &[u8]) -> Option<(Vec<u8>, &[u8])> {
+    let colon = line.iter().position(|byte| *byte == b':')?;
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    let is_field = !name.is_empty()
+        && name.iter().all(|byte| is_token(*byte))
+        && value.iter().all(|byte| is_text(*byte));
+    is_field.then(|| (name.to_ascii_lowercase(), value.trim_ascii()))
+}
+
+/// Whether bytes are a whole head, by the grammar written down once more.
+fn is_sound_head(head: &[u8]) -> bool {
+    let Some(head) = head.strip_suffix(b"\r\n\r\n") else { return false };
+    let text: Vec<char> = head.iter().map(|byte| char::from(*byte)).collect();
+    let text: String = text.into_iter().collect();
+    let mut lines = text.split("\r\n").map(|line| line.chars().map(|c| c as u8).collect());
+    let status_line: Vec<u8> = lines.next().unwrap_or_default();
+    let is_1_0 = status_line.starts_with(b"HTTP/1.0 ");
+    if !(is_1_0 || status_line.starts_with(b"HTTP/1.1 ")) {
+        return false;
+    }
+    let (code, reason) = status_line[9..].split_at(3.min(status_line.len() - 9));
+    let code = std::str::from_utf8(code).unwrap_or_default();
+    let is_code = code.bytes().all(|byte| byte.is_ascii_digit());
+    let is_status = matches!(code.parse::<u16>(), Ok(100 | 102..=599)) && is_code;
+    let is_reason = matches!(reason, [] | [b' ', ..]) && reason.iter().all(|byte| is_text(*byte));
+    let (mut lengths, mut codings) = (Vec::new(), Vec::new());
+    for line in lines {
+        let line: Vec<u8> = line;
+        let Some((name, value)) = field(&line) else { return false };
+        match &name[..] {
+            b"content-length" => lengths.push(value.to_vec()),
+            b"transfer-encoding" => codings.push(value.to_ascii_lowercase()),
+            _ => {}
+        }
+    }
+    let numbers: Vec<Option<u64>> = lengths
+        .iter()
+        .map(|value| {
+            let digits = value.iter().all(|byte| byte.is_ascii_digit());
+            std::str::from_utf8(value).ok().filter(|_| digits).and_then(|text| text.parse().ok())
+        })
+        .collect();
+    let is_length = numbers.iter().all(|number| number.is_some() && *number == numbers[0]);
+    let is_coding = match &codings[..] {
+        [] => true,
+        [coding] => coding == b"chunked" && numbers.is_empty() && !is_1_0,
+        _ => false,
+    };
+    is_status && is_reason && is_length && is_coding
+}
+
+/// Bytes that mean something somewhere in a head.
+const MEANINGFUL: &[u8] = b"\r\n \t:,;+-019aZ\0\x01\x0b\x7f\x80\xa0\xff\"(";
+
+/// A change of one byte, at a share of the length of the head.
+#[derive(Debug, Clone)]
+enum Damage {
+    Replace(f64, usize),
+    Insert(f64, usize),
+    Remove(f64),
+}
+
+fn damages() -> impl Strategy<Value = Vec<Damage>> {
+    let (at, byte) = (0.0..1.0, 0..MEANINGFUL.len());
+    let one = prop_oneof![
+        (at.clone(), byte.clone()).prop_map(|(at, byte)| Damage::Replace(at, byte)),
+        (at.clone(), byte).prop_map(|(at, byte)| Damage::Insert(at, byte)),
+        at.prop_map(Damage::Remove),
+    ];
+    proptest::collection::vec(one, 0..4)
+}
+
+fn damaged(mut head: Vec<u8>, damages: &[Damage]) -> Vec<u8> {
+    for damage in damages {
+        let (Damage::Replace(at, _) | Damage::Insert(at, _) | Damage::Remove(at)) = damage;
+        let at = (*at * head.len() as f64) as usize;
+        match damage {
+            Damage::Replace(_, byte) => head[at] = MEANINGFUL[*byte],
+            Damage::Insert(_, byte) => head.insert(at, MEANINGFUL[*byte]),
+            Damage::Remove(_) => {
+                head.remove(at);
+            }
+        }
+    }
+    head
+}
+
+const SOUND_HEADS: [&str; 5] = [
+    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Own: a, b\r\n\r\n",
+    "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.0 404 Not Found\r\nContent-Length:4\r\nContent-Length: 4\r\n\r\n",
+    "HTTP/1.1 103 Hints\r\nLink: </x>\r\n\r\n",
+    "HTTP/1.1 299 \r\nX-Empty:\r\n\r\n",
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(20_000))]
+
+    /// Both errors: a head that is none is accepted, or one that is sound is refused.
+    #[test]
+    fn a_damaged_head_is_taken_for_one_or_a_sound_one_is_refused(
+        head in 0..SOUND_HEADS.len(),
+        damages in damages(),
+    ) {
+        let bytes = damaged(SOUND_HEADS[head].into(), &damages);
+        let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+        let head = &bytes[..end.map_or(bytes.len(), |end| end + 4)];
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let parsed = parse_head(&TestDialect, &mut buffer);
+        let is_accepted = matches!(parsed, Ok(Some(_)));
+        prop_assert_eq!(is_accepted, is_sound_head(head), "{:?}", bytes.escape_ascii().to_string());
+        if is_accepted {
+            prop_assert_eq!(buffer.len(), bytes.len() - head.len());
+        }
+    }
+}
--- a/crates/portrackd/tests/logs.rs
+++ b/crates/portrackd/tests/logs.rs
@@ -6,8 +6,8 @@
 fn sources() -> Vec<String> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let mut files = vec![root.join("src/gateway.rs")];
-    let mut folders =
-        vec![root.join("../portrack/src/gateway"), root.join("../portrack/src/store")];
+    let parts = ["gateway", "http1", "store"];
+    let mut folders = Vec::from(parts.map(|part| root.join("../portrack/src").join(part)));
     while let Some(folder) = folders.pop() {
         let entries = std::fs::read_dir(folder).expect("the gateway's sources");
         for path in entries.map(|entry| entry.expect("a file").path()) {
