An answer with a spoilt chunk reached its caller as a whole one

What callers would see: of a server in trouble, the first half of a body, framed as whole (MIXED), and of a stream too (ORDER): an empty line, or an extension alone, where the size of the next chunk is due.

Cause: the size of a chunk was what the parser in use let pass. It takes a line without digits for a chunk of size zero, which ends the body, and lets any byte stand in an extension. Lines of a trailer were not looked at.

Change: http1/body.rs reads the line itself: digits, and an extension of text if any. Each line of a trailer must be a field. A line with a size may be 1,024 bytes long, whether or not it arrives in one piece (64 bytes before, if it did not).

--- a/crates/portrack-standins/src/heads.rs
+++ b/crates/portrack-standins/src/heads.rs
@@ -1,4 +1,4 @@
-//! Answers of a server in trouble, whose heads are spoilt, and unusual answers that are sound.
+//! Answers of a server in trouble, whose heads or chunks are spoilt, and unusual answers that are sound.
 
 /// The body of every answer here.
 pub const BODY: &str = "0123456789";
@@ -160,6 +160,26 @@
     status("an informational status 000", b"HTTP/1.1 000\r\n\r\nHTTP/1.1 200 OK"),
 ];
 
+/// Answers whose chunks are not framed by the grammar.
+pub const SPOILT_CHUNKS: &[Answer] = &[
+    chunks("a chunk without a size", b"5\r\n01234\r\n\r\n\r\n"),
+    chunks("only an extension where the size is due", b"5\r\n01234\r\n;x=y\r\n\r\n"),
+    chunks("a size with a sign", b"+5\r\n01234\r\n0\r\n\r\n"),
+    chunks("a size in other notation", b"0x5\r\n01234\r\n0\r\n\r\n"),
+    chunks("a size too large for a number", b"fffffffffffffffff\r\n01234\r\n0\r\n\r\n"),
+    chunks("a blank before a size", b" 5\r\n01234\r\n0\r\n\r\n"),
+    chunks("two sizes", b"5 5\r\n01234\r\n0\r\n\r\n"),
+    chunks("a size that ends with a line feed", b"5\n01234\r\n0\r\n\r\n"),
+    chunks("a chunk that ends with a line feed", b"5\r\n01234\n0\r\n\r\n"),
+    chunks("bytes between chunks", b"5\r\n01234xx\r\n0\r\n\r\n"),
+    chunks("a control byte in an extension", b"5;a\x01\r\n01234\r\n0\r\n\r\n"),
+    chunks("a line feed in an extension", b"5;a\n0\r\n01234\r\n0\r\n\r\n"),
+    chunks("a trailer that is no field", b"5\r\n01234\r\n0\r\nno field\r\n\r\n"),
+    chunks("a trailer with a blank in its name", b"5\r\n01234\r\n0\r\nX Own: 1\r\n\r\n"),
+    chunks("a trailer with a control byte", b"5\r\n01234\r\n0\r\nX-Own: \x00\r\n\r\n"),
+    chunks("a lone line feed in a trailer", b"5\r\n01234\r\n0\r\nX-Own: 1\n\r\n\r\n"),
+];
+
 const fn chunks(what: &'static str, body: &'static [u8]) -> Answer {
     Answer { what, status_line: OK, lines: b"Transfer-Encoding: chunked\r\n", body }
 }
@@ -169,6 +189,11 @@
     SPOILT_LENGTHS.iter().chain(SPOILT_LINES).chain(SPOILT_STATUS)
 }
 
+/// All answers whose head or chunks are spoilt.
+pub fn spoilt() -> impl Iterator<Item = &'static Answer> {
+    spoilt_heads().chain(SPOILT_CHUNKS)
+}
+
 /// Unusual answers that are sound; all have the whole [`BODY`].
 pub const SOUND: &[Answer] = &[
     status("no reason", b"HTTP/1.1 200"),
--- a/crates/portrack/src/http1/body.rs
+++ b/crates/portrack/src/http1/body.rs
@@ -2,6 +2,7 @@
 
 use super::ResponseError;
 use super::bounds::{MAX_CHUNK_LINE_BYTES, MAX_TRAILER_BYTES};
+use super::field::{is_field, is_text};
 use super::framing::Framing;
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -108,12 +109,15 @@
                     self.state = DecodeState::ChunkLine;
                 }
                 DecodeState::Trailer(read) => {
-                    let line = buffer.windows(2).position(|pair| pair == b"\r\n");
+                    let line = find_line_end(buffer);
                     let read = read + line.map_or(buffer.len(), |end| end + 2);
                     if read > MAX_TRAILER_BYTES {
                         return Err(ResponseError::TrailerTooLong);
                     }
                     let Some(end) = line else { return Ok(DecodeStep::More) };
+                    if end > 0 && !is_field(&buffer[..end]) {
+                        return Err(ResponseError::Trailer);
+                    }
                     buffer.advance(end + 2);
                     self.state = match end {
                         0 => DecodeState::Done,
@@ -133,15 +137,35 @@
     Some(buffer.split_to(length).freeze())
 }
 
+/// Position of the first CRLF.
+fn find_line_end(buffer: &[u8]) -> Option<usize> {
+    buffer.windows(2).position(|pair| pair == b"\r\n")
+}
+
+/// Removes the line before a chunk from the front of `buffer` and returns the size that it states; `None` while it is
+/// incomplete.
 fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, ResponseError> {
-    match httparse::parse_chunk_size(buffer).map_err(|_| ResponseError::ChunkSize)? {
-        httparse::Status::Complete((length, size)) => {
-            buffer.advance(length);
-            Ok(Some(size))
-        }
-        httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE_BYTES => {
-            Err(ResponseError::ChunkSize)
-        }
-        httparse::Status::Partial => Ok(None),
-    }
+    let Some(end) = find_line_end(&buffer[..buffer.len().min(MAX_CHUNK_LINE_BYTES)]) else {
+        return match buffer.len() >= MAX_CHUNK_LINE_BYTES {
+            true => Err(ResponseError::ChunkSize),
+            false => Ok(None),
+        };
+    };
+    let size = parse_chunk_line(&buffer[..end]).ok_or(ResponseError::ChunkSize)?;
+    buffer.advance(end + 2);
+    Ok(Some(size))
+}
+
+/// The size in a line `size [; extension]`. An empty size is none: taken for zero, it would end the body.
+fn parse_chunk_line(line: &[u8]) -> Option<u64> {
+    let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
+    let (size, extension) = line.split_at(digits);
+    let size = std::str::from_utf8(size).ok()?;
+    let size = u64::from_str_radix(size, 16).ok()?;
+    is_chunk_extension(extension).then_some(size)
+}
+
+fn is_chunk_extension(bytes: &[u8]) -> bool {
+    let is_begun = bytes.is_empty() || bytes.trim_ascii_start().starts_with(b";");
+    is_begun && bytes.iter().all(|byte| is_text(*byte))
 }
--- a/crates/portrack/src/http1/bounds.rs
+++ b/crates/portrack/src/http1/bounds.rs
@@ -8,7 +8,7 @@
 /// Maximum number of informational heads before a response.
 pub const MAX_INFORMATIONAL_HEADS: usize = 16;
 /// Maximum length in bytes of the line that gives the size of a chunk.
-pub const MAX_CHUNK_LINE_BYTES: usize = 64;
+pub const MAX_CHUNK_LINE_BYTES: usize = 1024;
 /// Maximum size in bytes of what follows the last chunk.
 pub const MAX_TRAILER_BYTES: usize = 8 * 1024;
 /// Maximum size in bytes of an event that is forwarded as a whole.
