A spoilt answer was believed by clients of the HTTP library

What callers would see, where the report's cause is looked for in the other readers: of a plain service in trouble, a 200 with a part of its body, a status 600, or a 101 (MIXED); of an engine, a request that may have run told as not run, and run twice; of the platform's store, a call that may have been done taken for refused ('503', '412', '404' in a head that is none), so that a claim or a record is believed not written.

Cause: plain services, engines, the key-value service, the node list, the platform's store and the command line read answers with awc, whose parser lets more pass than the gateway's did: a length beside a coding, 'identity', a blank after a name, lone line feeds, empty lines before the head, any status up to 999, trailers of any kind. And less than is sound: an informational head was taken for the answer. An answer that states no end was taken for one with an empty body.

Change: http1/checked.rs is the connection below awc. It reads answers by http1/head.rs and http1/body.rs, the grammar that the gateway reads by, and hands awc the same answer in its plainest form. All else ends the connection, with the line and the counter. These clients look at no server after a close, so an answer must state its end. Bytes that arrive while no request is outstanding end the connection too. 'Expect' is not passed on any more: the body is there, and nobody waits for the interim answer.

--- a/crates/portrack-cli/src/client.rs
+++ b/crates/portrack-cli/src/client.rs
@@ -3,6 +3,8 @@
 use crate::failure::Failure;
 use awc::http::StatusCode;
 use portrack::audit::ChangeId;
+use portrack::http1::MalformedResponses;
+use portrack::http1::checked::checked_connector;
 use portrack::settings::{Accepted, Change, Edit};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -28,7 +30,8 @@
             Some(file) => Some(read_token(file)?),
             None => None,
         };
-        let http = awc::Client::builder().timeout(TIMEOUT).finish();
+        let connector = checked_connector(MalformedResponses::default());
+        let http = awc::Client::builder().connector(connector).timeout(TIMEOUT).finish();
         Ok(Self { http, node: node.to_owned(), token })
     }
 
--- a/crates/portrack-standins/src/heads.rs
+++ b/crates/portrack-standins/src/heads.rs
@@ -24,6 +24,11 @@
         parts.concat()
     }
 
+    /// Whether the unusual lies in its chunks, which [`Self::bytes_with`] replaces.
+    pub fn has_own_chunks(&self) -> bool {
+        self.body != CHUNKED && self.body != SIZED
+    }
+
     /// The bytes of the answer with another body: [`BODY`]'s length becomes that of `body`, or its chunks one chunk.
     pub fn bytes_with(&self, first_lines: &str, body: &[u8]) -> Vec<u8> {
         let length = body.len().to_string();
--- a/crates/portrack-standins/src/lib.rs
+++ b/crates/portrack-standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod heads;
 pub mod kv;
 pub mod nodes;
+pub mod raw;
 pub mod service;
 pub mod weights;
 pub mod world;
--- a/crates/portrack/src/daemon/core.rs
+++ b/crates/portrack/src/daemon/core.rs
@@ -5,6 +5,7 @@
 use super::metrics::Metrics;
 use super::peers::Link;
 use crate::engine::EngineClient;
+use crate::http1::MalformedResponses;
 use crate::limits::{Breakers, RetryBudget};
 use crate::node::{Effect, Input, Node, Tunables};
 use crate::reserve::{Grant, Token};
@@ -40,6 +41,7 @@
     pub etcd: Etcd,
     pub store: Store,
     pub engines: EngineClient,
+    pub malformed: MalformedResponses,
     pub leases: Leases,
     pub link: Link,
     pub operators: Operators,
@@ -68,7 +70,9 @@
 impl Core {
     pub fn new(parts: CoreDeps) -> Rc<Self> {
         let CoreDeps { bootstrap, clock, node, base, link, operators } = parts;
-        let etcd = Etcd::new(bootstrap.platform.key_value.clone());
+        let metrics = Metrics::new();
+        let malformed = MalformedResponses::new(metrics.malformed_responses.clone());
+        let etcd = Etcd::recording(bootstrap.platform.key_value.clone(), malformed.clone());
         let kv: Rc<dyn Kv> = Rc::new(etcd.clone());
         let store = Store::new(kv.clone(), bootstrap.platform.prefix.clone());
         let owner = bootstrap.node.to_string();
@@ -82,11 +86,12 @@
             book: RefCell::default(),
             etcd,
             store,
-            engines: EngineClient::new(),
+            engines: EngineClient::new(&malformed),
+            malformed,
             leases,
             link,
             operators,
-            metrics: Metrics::new(),
+            metrics,
             in_flight: InFlight::default(),
             breakers: RefCell::default(),
             retries: RefCell::new(RetryBudget::new(share)),
--- a/crates/portrack/src/daemon/metrics.rs
+++ b/crates/portrack/src/daemon/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemon.
 
+use crate::http1::MalformedResponses;
 use crate::metrics::{self, MetricMaker};
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
 
@@ -28,6 +29,8 @@
     pub bytes_received: IntCounterVec,
     /// Control messages sent, by kind.
     pub messages_sent: IntCounterVec,
+    /// Bytes from other systems that are no response, by reason.
+    pub malformed_responses: IntCounterVec,
     /// Datagrams and frames dropped, by reason.
     pub dropped: IntCounterVec,
     /// Calls to the key-value service, watches included.
@@ -70,6 +73,11 @@
                 &["kind"],
             ),
             messages_sent: made.counters("control_messages_sent_total", "Messages", &["kind"]),
+            malformed_responses: made.counters(
+                MalformedResponses::NAME,
+                MalformedResponses::HELP,
+                &MalformedResponses::LABELS,
+            ),
             dropped: made.counters("datagrams_dropped_total", "Datagrams dropped", &["reason"]),
             kv_calls: made.gauge("kv_calls", "Calls to the key-value service so far"),
             settings_revision: made.gauge("settings_revision", "Revision in force"),
--- a/crates/portrack/src/daemon/plain.rs
+++ b/crates/portrack/src/daemon/plain.rs
@@ -5,13 +5,15 @@
 use super::inflight::InFlightGuard;
 use super::key::ClaimedKey;
 use crate::http::{Meta, Reply, certainly_not_sent, read_body};
+use crate::http1::MalformedResponses;
+use crate::http1::checked::checked_connector;
 use crate::router::BackendServer;
 use crate::settings::PlainService;
 use crate::types::{EngineName, Reason, Refusal, Run, ServiceName};
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
+use awc::Client;
 use awc::error::SendRequestError;
-use awc::{Client, Connector};
 use bytes::Bytes;
 use rand::Rng;
 use std::rc::Rc;
@@ -26,8 +28,9 @@
 /// Largest number of servers tried for one request.
 const MAX_SERVERS_TRIED: usize = 3;
 /// Hop-by-hop headers, which are not forwarded.
-const HOP_BY_HOP: [&str; 9] = [
+const HOP_BY_HOP: [&str; 10] = [
     "connection",
+    "expect",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
@@ -182,7 +185,8 @@
 
     async fn send(&self, server: &BackendServer) -> Result<Reply, SendError> {
         let url = format!("{}{}", server.address, self.target);
-        let mut request = client(self.timeout).request(self.method.clone(), url);
+        let mut request =
+            client(self.timeout, &self.core.malformed).request(self.method.clone(), url);
         for (name, value) in self.headers.iter() {
             request = request.insert_header((name.clone(), value.clone()));
         }
@@ -211,8 +215,10 @@
 
 /// Connections are never reused: if the server closes a reused connection, the client cannot tell
 /// whether the request ran.
-fn client(timeout: Duration) -> Client {
-    let connector = Connector::new().timeout(CONNECT_TIMEOUT).conn_keep_alive(Duration::ZERO);
+fn client(timeout: Duration, malformed: &MalformedResponses) -> Client {
+    let connector = checked_connector(malformed.clone())
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(Duration::ZERO);
     Client::builder()
         .connector(connector)
         .timeout(timeout)
--- a/crates/portrack/src/daemon/running.rs
+++ b/crates/portrack/src/daemon/running.rs
@@ -153,7 +153,10 @@
 }
 
 async fn follow_nodes(core: Rc<Core>) {
-    let client = NodeListClient::new(core.bootstrap.platform.node_list.clone());
+    let client = NodeListClient::recording(
+        core.bootstrap.platform.node_list.clone(),
+        core.malformed.clone(),
+    );
     loop {
         match client.fetch().await {
             Ok(list) => {
--- a/crates/portrack/src/engine/client.rs
+++ b/crates/portrack/src/engine/client.rs
@@ -4,11 +4,13 @@
 use super::status::{FenceAnswer, FenceOrder, LoadOrder, Status, UnloadOrder};
 use super::{ChunkCheck, ChunkStream};
 use crate::http::{certainly_not_sent, headers};
+use crate::http1::MalformedResponses;
+use crate::http1::checked::checked_connector;
 use crate::owner::{Order, OrderKind, OrderResult, Report};
 use crate::types::{Class, Fence, ReservationId, Time};
+use awc::Client;
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
-use awc::{Client, Connector};
 use serde::Serialize;
 use snafu::Snafu;
 use std::time::Duration;
@@ -70,14 +72,14 @@
 
 impl Default for EngineClient {
     fn default() -> Self {
-        Self::new()
+        Self::new(&MalformedResponses::default())
     }
 }
 
 impl EngineClient {
-    /// Creates a client with its own connection pools.
-    pub fn new() -> Self {
-        let connector = || Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    /// Creates a client with its own connection pools, which records bytes that are no response.
+    pub fn new(malformed: &MalformedResponses) -> Self {
+        let connector = || checked_connector(malformed.clone()).timeout(CONNECT_TIMEOUT).limit(0);
         let control = Client::builder().connector(connector()).timeout(CONTROL_TIMEOUT).finish();
         let streams = Client::builder()
             .connector(connector().conn_keep_alive(Duration::ZERO))
--- a/crates/portrack/src/http1/error.rs
+++ b/crates/portrack/src/http1/error.rs
@@ -40,6 +40,12 @@
     /// There are too many informational heads before the response.
     #[snafu(display("too many informational heads"))]
     TooManyInformationalHeads,
+    /// Neither a length nor a coding tells where the body ends, on a connection where a break could not be told from it.
+    #[snafu(display("body without a stated end"))]
+    Unframed,
+    /// Bytes arrived while no request was outstanding.
+    #[snafu(display("bytes that belong to no request"))]
+    Unasked,
     /// The line before a chunk has no valid size.
     #[snafu(display("invalid chunk size"))]
     ChunkSize,
@@ -69,6 +75,8 @@
             Self::HeadTooLong => "head_too_long",
             Self::TooManyFields => "too_many_fields",
             Self::TooManyInformationalHeads => "too_many_informational_heads",
+            Self::Unframed => "unframed",
+            Self::Unasked => "unasked",
             Self::ChunkSize => "chunk_size",
             Self::ChunkEnd => "chunk_end",
             Self::Trailer => "trailer",
--- a/crates/portrack/src/http1/mod.rs
+++ b/crates/portrack/src/http1/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod bounds;
+pub mod checked;
 pub mod collected;
 mod error;
 mod field;
--- a/crates/portrack/src/store/etcd.rs
+++ b/crates/portrack/src/store/etcd.rs
@@ -2,6 +2,8 @@
 
 use super::kv::{Kv, KvEntry, KvError, KvList, KvPut, LocalFuture};
 use crate::http::certainly_not_sent;
+use crate::http1::MalformedResponses;
+use crate::http1::checked::checked_connector;
 use awc::error::SendRequestError;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -28,7 +30,13 @@
 impl Etcd {
     /// Creates a client of `endpoint`, given as `http://host:port`.
     pub fn new(endpoint: impl Into<String>) -> Self {
-        let client = awc::Client::builder().timeout(TIMEOUT).finish();
+        Self::recording(endpoint, MalformedResponses::default())
+    }
+
+    /// Creates a client of `endpoint` that records bytes which are no response.
+    pub fn recording(endpoint: impl Into<String>, malformed: MalformedResponses) -> Self {
+        let connector = checked_connector(malformed);
+        let client = awc::Client::builder().connector(connector).timeout(TIMEOUT).finish();
         Self { client, endpoint: endpoint.into(), calls: Rc::default() }
     }
 
--- a/crates/portrack/src/store/nodes.rs
+++ b/crates/portrack/src/store/nodes.rs
@@ -1,5 +1,7 @@
 //! A client of the platform's list of live and leaving nodes.
 
+use crate::http1::MalformedResponses;
+use crate::http1::checked::checked_connector;
 use crate::membership::Peer;
 use crate::router::BackendServer;
 use crate::settings::PeerSettings;
@@ -56,7 +58,13 @@
 impl NodeListClient {
     /// Creates a client of the node list at `url`.
     pub fn new(url: impl Into<String>) -> Self {
-        let client = awc::Client::builder().timeout(TIMEOUT).finish();
+        Self::recording(url, MalformedResponses::default())
+    }
+
+    /// Creates a client of the node list at `url` that records bytes which are no response.
+    pub fn recording(url: impl Into<String>, malformed: MalformedResponses) -> Self {
+        let connector = checked_connector(malformed);
+        let client = awc::Client::builder().connector(connector).timeout(TIMEOUT).finish();
         Self { client, url: url.into() }
     }
 
