A cut answer of a plain service reached its caller as a whole one

What callers would see: of a plain service that breaks off, a 200 with the first part of its body, framed as whole (MIXED), with a length and with chunks alike.

Cause: awc takes the close of a connection for the end of any body.

Change: the connection below awc knows where the body stands, and reports a close within it as an error.

Evidence: answers.rs cuts an answer with a length, one with chunks and one that states no end at each byte. Streams of engines were not concerned: they need their last event.

--- a/crates/portrack-standins/tests/answers.rs
+++ b/crates/portrack-standins/tests/answers.rs
@@ -112,6 +112,27 @@
     );
 }
 
+/// A cut body looks like one that the close of the connection ends.
+#[actix_rt::test]
+async fn a_cut_answer_of_a_plain_service_reaches_its_caller_as_a_whole_one() {
+    let path = PlainPath::start("cut").await;
+    let sized = "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 10\r\n\r\n0123456789";
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n";
+    let unframed = "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\r\n0123456789";
+    let mut found = Vec::new();
+    for whole in [sized, chunked, unframed] {
+        let ends = 1..whole.len() + usize::from(whole == unframed);
+        for end in ends {
+            let cut = whole.as_bytes()[..end].to_vec();
+            let reply = path.ask_for("POST", (cut, Then::Close)).await;
+            if !is_failure(&reply) {
+                found.push(format!("{:?}: {reply:?}", &whole[..end]));
+            }
+        }
+    }
+    assert!(found.is_empty(), "{}:\n{}", found.len(), found.join("\n"));
+}
+
 /// The other error.
 #[actix_rt::test]
 async fn an_unusual_but_sound_answer_of_a_plain_service_breaks_for_its_caller() {
--- a/crates/portrack/src/http1/checked.rs
+++ b/crates/portrack/src/http1/checked.rs
@@ -141,6 +141,14 @@
         Ok(Progress::Advanced)
     }
 
+    /// Handles the close of the connection. The library takes the end of a body that is cut for its own.
+    fn on_close(&self) -> io::Result<()> {
+        match self.expected {
+            Expected::Body { .. } => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+
     /// Gives the connection up because of bytes that are no response.
     fn give_up(&mut self, error: ResponseError) -> io::Error {
         if !matches!(self.expected, Expected::Malformed(_)) {
@@ -211,7 +219,7 @@
             let mut buffer = ReadBuf::new(&mut bytes);
             ready!(Pin::new(&mut this.stream).poll_read(context, &mut buffer))?;
             if buffer.filled().is_empty() {
-                return Poll::Ready(Ok(()));
+                return Poll::Ready(this.on_close());
             }
             this.received.extend_from_slice(buffer.filled());
         }
