A call whose answer stops within its body was waited for without end

What callers would see: a request to a plain service that sends a part of its answer and falls silent has no answer at all, long past its deadline; a node whose store, key-value service, node list or engine does so waits for that call for good, and follows no more (LOST, CONFIG). Found by the tests of spoilt heads, some of which never ended.

Cause: a timeout of the HTTP library covers the head only. It is handed to the body turned off.

Change: each body has a time of its own, the one that its call has.

--- a/crates/portrack-standins/tests/answers.rs
+++ b/crates/portrack-standins/tests/answers.rs
@@ -272,3 +272,28 @@
         assert!(listed.is_ok(), "{}: {listed:?}", answer.what);
     }
 }
+
+/// A server that sends the head of an answer, a part of its body, and nothing more.
+async fn silent_server() -> RawServer {
+    let begun = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123";
+    RawServer::start(|_| (begun.to_vec(), Then::KeepOpen)).await.unwrap()
+}
+
+#[actix_rt::test]
+async fn a_server_that_falls_silent_within_its_answer_is_waited_for_without_end() {
+    let path = PlainPath::start("silent").await;
+    let begun = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123";
+    let reply = path.ask_for("POST", (begun.to_vec(), Then::KeepOpen)).await;
+    assert!(is_failure(&reply), "{reply:?}");
+    let (url, engines) = (silent_server().await.url(), EngineClient::default());
+    let rejecting = b"HTTP/1.1 503 Full\r\nportrack-run: no\r\nContent-Length: 10\r\n\r\n0123";
+    let rejecting = RawServer::start(|_| (rejecting.to_vec(), Then::KeepOpen)).await.unwrap();
+    let calls = async {
+        assert!(engines.status(&url, Time(0)).await.is_none());
+        assert!(Etcd::new(&url).list("a").await.is_err());
+        assert!(NodeListClient::new(&url).fetch().await.is_err());
+        assert!(engines.open(&rejecting.url(), &call()).await.is_err());
+    };
+    let ended = actix_rt::time::timeout(Duration::from_secs(30), calls).await;
+    assert!(ended.is_ok(), "a call is still waited for");
+}
--- a/crates/portrack/src/daemon/plain.rs
+++ b/crates/portrack/src/daemon/plain.rs
@@ -184,6 +184,7 @@
     }
 
     async fn send(&self, server: &BackendServer) -> Result<Reply, SendError> {
+        let began = self.core.now();
         let url = format!("{}{}", server.address, self.target);
         let mut request =
             client(self.timeout, &self.core.malformed).request(self.method.clone(), url);
@@ -191,7 +192,8 @@
             request = request.insert_header((name.clone(), value.clone()));
         }
         let sent = request.send_body(self.body.clone()).await;
-        let mut response = sent.map_err(send_error)?;
+        let left = self.timeout.saturating_sub(self.core.now().since(began));
+        let mut response = sent.map_err(send_error)?.timeout(left);
         let body = response.body().limit(MAX_RESPONSE).await;
         let body = body.map_err(|e| SendError::Unknown(e.to_string()))?;
         if self.is_retryable(response.status()) {
--- a/crates/portrack/src/engine/client.rs
+++ b/crates/portrack/src/engine/client.rs
@@ -92,7 +92,7 @@
     /// Fetches the engine's status as a report; `None` if there is no valid response.
     pub async fn status(&self, address: &str, asked_at: Time) -> Option<Report> {
         let sent = self.control.get(format!("{address}/v1/status")).send().await;
-        let mut response = sent.ok()?;
+        let mut response = sent.ok()?.timeout(CONTROL_TIMEOUT);
         if !response.status().is_success() {
             return None;
         }
@@ -106,7 +106,7 @@
     pub async fn raise_fence(&self, address: &str, fence: Fence) -> Option<Result<(), Fence>> {
         let order = FenceOrder { fence: fence.0 };
         let sent = self.control.post(format!("{address}/v1/fence")).send_json(&order).await;
-        let mut response = sent.ok()?;
+        let mut response = sent.ok()?.timeout(CONTROL_TIMEOUT);
         match response.status() {
             StatusCode::OK => Some(Ok(())),
             StatusCode::CONFLICT => {
@@ -142,7 +142,7 @@
         let request = self.control.post(format!("{address}/v1/{call}")).timeout(ORDER_TIMEOUT);
         let sent = request.insert_header((headers::FENCE, fence.to_string())).send_json(body);
         let mut response = match sent.await {
-            Ok(response) => response,
+            Ok(response) => response.timeout(CONTROL_TIMEOUT),
             Err(error) if certainly_not_sent(&error) => return OrderResult::Failed,
             Err(_) => return OrderResult::Unknown,
         };
@@ -174,7 +174,7 @@
         if response.status().is_success() {
             return Ok(ChunkStream::new(response, ChunkCheck::new(call.id)));
         }
-        Err(rejection(response).await)
+        Err(rejection(response.timeout(CONTROL_TIMEOUT)).await)
     }
 
     /// Reopens the stream of a request at the position that `check` expects.
--- a/crates/portrack/src/store/etcd.rs
+++ b/crates/portrack/src/store/etcd.rs
@@ -48,7 +48,8 @@
     async fn call(&self, path: &str, body: Value) -> Result<Value, KvError> {
         self.calls.set(self.calls.get() + 1);
         let url = format!("{}/v3/{path}", self.endpoint);
-        let mut response = self.client.post(url).send_json(&body).await.map_err(classify_error)?;
+        let sent = self.client.post(url).send_json(&body).await;
+        let mut response = sent.map_err(classify_error)?.timeout(TIMEOUT);
         if !response.status().is_success() {
             return Err(KvError::Unknown);
         }
--- a/crates/portrack/src/store/nodes.rs
+++ b/crates/portrack/src/store/nodes.rs
@@ -72,7 +72,7 @@
     pub async fn fetch(&self) -> Result<NodeList, NodeListError> {
         let unreachable = |reason: String| NodeListError::Unreachable { reason };
         let sent = self.client.get(&self.url).send().await;
-        let mut response = sent.map_err(|e| unreachable(e.to_string()))?;
+        let mut response = sent.map_err(|e| unreachable(e.to_string()))?.timeout(TIMEOUT);
         if !response.status().is_success() {
             return Err(unreachable(response.status().to_string()));
         }
