Bodies without end fill a node of the product's own interface

What callers would see: plain services or engines that send bytes without end fill the memory of the node, and all its requests end with it (processes that end by themselves, LOST).

Cause: each body of a plain service had a bound of 32 MB, all together none; an event of an engine and a line of a watch had none.

Change: bodies of plain services count together, 64 MB, while they are held, until they are sent; an event of an engine may have 1 MB, a line of a watch 16 MB.

A whole body of 20 MB passes.

--- a/crates/portrack-standins/tests/answers.rs
+++ b/crates/portrack-standins/tests/answers.rs
@@ -18,6 +18,8 @@
 /// A sound answer.
 const SOUND: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
 
+/// Size of a large body in bytes.
+const LARGE: usize = 20 * 1024 * 1024;
 /// Time in which a caller gets an answer: longer than the deadline of its request.
 const NO_ANSWER_AFTER: Duration = Duration::from_millis(2_500);
 
@@ -158,6 +160,9 @@
         let reply = path.ask_for("POST", (answer.into_bytes(), Then::KeepOpen)).await;
         assert_eq!(reply, (status, "x".into()));
     }
+    let large = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{}", "x".repeat(LARGE));
+    let (status, body) = path.ask_for("POST", (large.into_bytes(), Then::KeepOpen)).await;
+    assert_eq!((status, body.len()), (200, LARGE));
     let expecting = client().post(format!("http://{}/docks/x", path.world.daemon("a1").callers()));
     let response = expecting.insert_header(("expect", "100-continue")).send_body("x").await;
     assert_eq!(
--- a/crates/portrack/src/daemon/core.rs
+++ b/crates/portrack/src/daemon/core.rs
@@ -6,6 +6,8 @@
 use super::peers::Link;
 use crate::engine::EngineClient;
 use crate::http1::MalformedResponses;
+use crate::http1::bounds::{MAX_PLAIN_BYTES, MAX_PLAIN_TOTAL_BYTES};
+use crate::http1::collected::BodyMemory;
 use crate::limits::{Breakers, RetryBudget};
 use crate::node::{Effect, Input, Node, Tunables};
 use crate::reserve::{Grant, Token};
@@ -42,6 +44,7 @@
     pub store: Store,
     pub engines: EngineClient,
     pub malformed: MalformedResponses,
+    pub body_memory: BodyMemory,
     pub leases: Leases,
     pub link: Link,
     pub operators: Operators,
@@ -88,6 +91,7 @@
             store,
             engines: EngineClient::new(&malformed),
             malformed,
+            body_memory: BodyMemory::new(MAX_PLAIN_BYTES, MAX_PLAIN_TOTAL_BYTES),
             leases,
             link,
             operators,
--- a/crates/portrack/src/daemon/plain.rs
+++ b/crates/portrack/src/daemon/plain.rs
@@ -6,6 +6,7 @@
 use super::key::ClaimedKey;
 use crate::http::{Meta, Reply, certainly_not_sent, read_body};
 use crate::http1::MalformedResponses;
+use crate::http1::body::BodyEnd;
 use crate::http1::checked::checked_connector;
 use crate::router::BackendServer;
 use crate::settings::PlainService;
@@ -15,6 +16,7 @@
 use awc::Client;
 use awc::error::SendRequestError;
 use bytes::Bytes;
+use futures_util::StreamExt;
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,8 +25,6 @@
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest response forwarded, in bytes.
-const MAX_RESPONSE: usize = 32 * 1024 * 1024;
 /// Largest number of servers tried for one request.
 const MAX_SERVERS_TRIED: usize = 3;
 /// Hop-by-hop headers, which are not forwarded.
@@ -194,8 +194,14 @@
         let sent = request.send_body(self.body.clone()).await;
         let left = self.timeout.saturating_sub(self.core.now().since(began));
         let mut response = sent.map_err(send_error)?.timeout(left);
-        let body = response.body().limit(MAX_RESPONSE).await;
-        let body = body.map_err(|e| SendError::Unknown(e.to_string()))?;
+        let mut body = self.core.body_memory.collector();
+        while let Some(part) = response.next().await {
+            let part = part.map_err(|error| SendError::Unknown(error.to_string()))?;
+            if !body.push(&part) {
+                return Err(SendError::Unknown("response body too large".into()));
+            }
+        }
+        let body = body.finish(BodyEnd::Stated);
         if self.is_retryable(response.status()) {
             return Err(SendError::Unknown(response.status().to_string()));
         }
--- a/crates/portrack/src/engine/stream.rs
+++ b/crates/portrack/src/engine/stream.rs
@@ -1,12 +1,15 @@
 //! Streams of chunks from an engine.
 
 use super::{Chunk, ChunkCheck, ChunkVerdict};
+use crate::http1::bounds::MAX_EVENT_BYTES;
 use crate::types::ReservationId;
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::stream::LocalBoxStream;
 use futures_util::{Stream, StreamExt};
 use snafu::Snafu;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A stream that receives nothing for this long counts as broken.
@@ -36,8 +39,20 @@
         bytes: impl Stream<Item = Result<Bytes, E>> + 'static,
         check: ChunkCheck,
     ) -> Self {
-        let events = bytes.map(|b| b.map_err(|_| StreamError::Broken)).eventsource();
-        let events = events.map(|event| event.map_err(|_| StreamError::Broken));
+        let pending = Rc::new(Cell::new(0));
+        let received = pending.clone();
+        let bytes = bytes.map(move |part| {
+            let part = part.map_err(|_| StreamError::Broken)?;
+            received.set(received.get() + part.len());
+            match received.get() > MAX_EVENT_BYTES {
+                true => Err(StreamError::Broken),
+                false => Ok(part),
+            }
+        });
+        let events = bytes.eventsource().map(move |event| {
+            pending.set(0);
+            event.map_err(|_| StreamError::Broken)
+        });
         Self { events: events.boxed_local(), check, dropped: 0 }
     }
 
--- a/crates/portrack/src/http1/bounds.rs
+++ b/crates/portrack/src/http1/bounds.rs
@@ -19,5 +19,11 @@
 pub const MAX_REPORT_BYTES: usize = 1024 * 1024;
 /// Maximum size in bytes of a response body that is collected before it is forwarded.
 pub const MAX_COLLECTED_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size in bytes of a response body of a plain service of the product's own interface.
+pub const MAX_PLAIN_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum size in bytes of all such bodies that are held: a quarter of the memory of a small node.
+pub const MAX_PLAIN_TOTAL_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size in bytes of a line of a watch of the key-value service.
+pub const MAX_WATCH_LINE_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum size in bytes of all bodies that are being collected: a fifth of the memory of a small node.
 pub const MAX_COLLECTED_TOTAL_BYTES: usize = 32 * 1024 * 1024;
--- a/crates/portrack/src/http1/collected.rs
+++ b/crates/portrack/src/http1/collected.rs
@@ -2,14 +2,26 @@
 
 use super::body::BodyEnd;
 use super::bounds::{MAX_COLLECTED_BYTES, MAX_COLLECTED_TOTAL_BYTES};
+use actix_http::body::{BodySize, MessageBody};
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
-/// Counts the bytes of all bodies that are held.
-#[derive(Debug, Clone, Default)]
+/// Counts the bytes of all bodies that are held; clones share the count.
+#[derive(Debug, Clone)]
 pub struct BodyMemory {
     held: Rc<Cell<usize>>,
+    max_each: usize,
+    max_total: usize,
+}
+
+impl Default for BodyMemory {
+    fn default() -> Self {
+        Self::new(MAX_COLLECTED_BYTES, MAX_COLLECTED_TOTAL_BYTES)
+    }
 }
 
 /// A body that is being collected. Its bytes count until it is dropped.
@@ -31,6 +43,11 @@
 }
 
 impl BodyMemory {
+    /// Holds bodies of at most `max_each` bytes, and `max_total` bytes together.
+    pub fn new(max_each: usize, max_total: usize) -> Self {
+        Self { held: Rc::default(), max_each, max_total }
+    }
+
     /// Starts an empty body.
     pub fn collector(&self) -> BodyCollector {
         BodyCollector { memory: self.clone(), body: BytesMut::new(), counted: 0 }
@@ -47,7 +64,8 @@
     #[must_use]
     pub fn push(&mut self, part: &[u8]) -> bool {
         let held = self.memory.held.get() + part.len();
-        if self.body.len() + part.len() > MAX_COLLECTED_BYTES || held > MAX_COLLECTED_TOTAL_BYTES {
+        let is_too_large = self.body.len() + part.len() > self.memory.max_each;
+        if is_too_large || held > self.memory.max_total {
             return false;
         }
         self.memory.held.set(held);
@@ -68,3 +86,19 @@
         self.memory.held.set(self.memory.held.get() - self.counted);
     }
 }
+
+impl MessageBody for CollectedBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.bytes.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let bytes = std::mem::take(&mut self.bytes);
+        Poll::Ready((!bytes.is_empty()).then_some(Ok(bytes)))
+    }
+}
--- a/crates/portrack/src/store/etcd.rs
+++ b/crates/portrack/src/store/etcd.rs
@@ -3,6 +3,7 @@
 use super::kv::{Kv, KvEntry, KvError, KvList, KvPut, LocalFuture};
 use crate::http::certainly_not_sent;
 use crate::http1::MalformedResponses;
+use crate::http1::bounds::MAX_WATCH_LINE_BYTES;
 use crate::http1::checked::checked_connector;
 use awc::error::SendRequestError;
 use base64::Engine as _;
@@ -121,6 +122,9 @@
                 return Ok(entries);
             }
         }
+        if buffer.len() > MAX_WATCH_LINE_BYTES {
+            return Err(KvError::Unavailable);
+        }
     }
     Err(KvError::Unavailable)
 }
