A refused entry put all its text into a line of the log

What operators would see: a line of a megabyte, and with it the lines that it crowds out, when another writer leaves a long text where a configuration or a version is due.

Cause: the reason of a refusal quotes the value, and only the line of server entries cut it.

Change: the message of a DialectError shows 160 characters at most, wherever it is logged.

Evidence: garbage.rs, a text of a million characters: 1,000,087 characters before, less than 400 now, for configurations, versions and servers.

--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -187,12 +187,15 @@
     Elsewhere,
 }
 
+/// Displayed characters of a problem: it may quote text of another writer.
+const MAX_MESSAGE_CHARS: usize = 160;
+
 /// Error for a message that cannot be translated.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
 pub enum DialectError {
     /// The message does not have the platform's format.
-    #[snafu(display("{what}: {message}"))]
+    #[snafu(display("{what}: {message:.MAX_MESSAGE_CHARS$}"))]
     Malformed {
         /// Names the message.
         what: String,
