--- a/review/rig-2/parts.rs
+++ b/review/rig-2/parts.rs
@@ -620,7 +620,8 @@
             let _ = child.kill();
             let _ = child.wait();
         } else if matches!(child.try_wait(), Ok(None)) {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status();
+            // `kill` of the shell: a program of that name is not on every machine.
+            let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {id}")]).status();
         }
     }
 
