A stopping daemon sends no request whose answer may come after its end

Cause: requests were accepted until a fixed time before the end of the stop, 2.5 s, whatever time their route allows (3 s here); streams until 2.7 s after its begin, whatever time the stop has. The end of the wait, the reserve after it and these two bounds were constants of three places. The check was made once, when a request was read, not when it was sent after a wait for an adapter or place.

The deadline, the sooner of the route's timeout and the caller's own, bounds every answer, second tries and waits included: all run under it.

Change: gateway/shutdown.rs derives all times of a stop from the time that it has. A request is sent just if its deadline lies before the end of the wait. A stream is also sent without that for as long as the balancer may send callers here, if 4.6 s are left (with 8 s: 2.7 s, as before). Checked when a request is read, while it waits, and right before each send; a stream that has begun may go on. What is not sent is refused at once, as not run, with a time to come back.

Why it holds: the end of the wait cannot come before a deadline that was checked against it.

Tests: three of shutdown.rs (path) failed before (an answer lost; a request of 0.9 s refused 1.1 s before the end of the wait; a request for an adapter kept waiting).

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -31,6 +31,7 @@
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::shutdown::Shutdown;
 use crate::gateway::software::registry::SoftwareRegistry;
 use crate::gateway::software::resolver::{StreamOrigins, StreamOriginsDeps};
 use crate::gateway::store_sync::era::EraTracker;
@@ -83,10 +84,8 @@
     pub store_seen: Cell<Option<Time>>,
     /// Number of requests being served.
     pub in_flight: Cell<usize>,
-    /// When the stop began, if one was requested.
-    pub stopping_since: Cell<Option<Time>>,
-    /// Set near the end of a stop: a request read now could not be finished.
-    pub(super) takes_no_more: Cell<bool>,
+    /// The planned stop.
+    pub shutdown: Rc<Shutdown>,
     /// Claims on servers, as recorded in the store.
     pub records: Rc<RefCell<ClaimRecords>>,
     /// Looks up the daemon that holds the claim on a server.
@@ -109,10 +108,6 @@
     pub unclaimed_servers: RefCell<UnclaimedServers>,
     /// When this daemon started.
     pub started_at: Time,
-    /// Notifies connections to close once they are idle.
-    pub closing: Rc<Notify>,
-    /// Set once idle connections are being closed.
-    pub closing_idle: Cell<bool>,
     /// Detects that this process stood still.
     pub(in crate::gateway) pauses: PauseDetector,
     /// The metrics of this daemon.
@@ -279,6 +274,8 @@
                 trials: metrics.trials.clone(),
             },
         });
+        let stop_within = Duration::from_secs_f64(bounds.stop_within_s);
+        let shutdown = Rc::new(Shutdown::new(clock.clone(), stop_within));
         let handler = RequestHandler {
             clock: clock.clone(),
             dialect: dialect.clone(),
@@ -309,6 +306,7 @@
             loads_are_delayed: Cell::new(false),
             retry_counts: metrics.retries.clone(),
             held_back: metrics.held_back.clone(),
+            shutdown: shutdown.clone(),
             is_ordered: claim_predicate(
                 clock.clone(),
                 order_executor.clone(),
@@ -331,8 +329,7 @@
             incarnation,
             store_seen: Cell::new(None),
             in_flight: Cell::new(0),
-            stopping_since: Cell::new(None),
-            takes_no_more: Cell::new(false),
+            shutdown,
             records,
             claim_holders,
             watches: Cell::new(false),
@@ -344,8 +341,6 @@
             reconnected: Notify::new(),
             unclaimed_servers: RefCell::default(),
             started_at,
-            closing: Rc::new(Notify::new()),
-            closing_idle: Cell::new(false),
             pauses: PauseDetector::default(),
             metrics,
         }
@@ -358,7 +353,7 @@
 
     /// True once a stop was requested.
     pub fn stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+        self.shutdown.has_begun()
     }
 
     /// True if the store answered recently.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod run;
 mod selection;
 mod settings;
+mod shutdown;
 mod software;
 mod store_lease;
 mod store_sync;
@@ -140,6 +141,7 @@
 pub use selection::load_target::{LoadTarget, choose_load_target};
 pub use selection::replicas::{ReplicaDemand, mean_run_time};
 pub use settings::{Bounds, GatewaySettings, NodeLimits};
+pub use shutdown::{AnswerBound, Shutdown, StopTimes};
 pub use software::message::{OriginAnswer, OriginMessage, OriginReport};
 pub use software::origin::{Origin, StreamKey};
 pub use software::origin_table::{KnownOrigin, MAX_ORIGINS, ORIGIN_TTL, OriginTable};
--- a/crates/portrack/src/gateway/requests/exchange.rs
+++ b/crates/portrack/src/gateway/requests/exchange.rs
@@ -44,6 +44,8 @@
     RetryExpired,
     /// Before the request was sent, it became known that the request is quarantined.
     HeldBack,
+    /// Before the request was sent, this daemon began to stop, and its answer might come too late.
+    Stopping,
     /// The server could not be reached, also not from another daemon.
     Unreachable(ExchangeError),
     /// The server could not be reached from here; it may be well.
--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -2,7 +2,7 @@
 
 use super::caller::{CallerRequest, RefusalReason, Refused, ReplySink};
 use super::exchange::{NotRunReason, OutgoingRequest, SendOutcome, request_bytes, send_request};
-use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, timed_out};
+use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, stopping, timed_out};
 use super::relay::{Relay, RelayHooks, RelayOutcome};
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
@@ -26,6 +26,7 @@
 use crate::gateway::retries::reason::RetryReason;
 use crate::gateway::selection::demand::AdapterDemandTracker;
 use crate::gateway::selection::load::LoadTable;
+use crate::gateway::shutdown::Shutdown;
 use crate::gateway::software::resolver::StreamOrigins;
 use crate::gateway::tunnels::connecting::ServerConnections;
 use crate::types::Clock;
@@ -80,6 +81,8 @@
     pub origins: Rc<StreamOrigins>,
     /// Demand for adapters.
     pub demand: Rc<AdapterDemandTracker>,
+    /// The planned stop of this daemon.
+    pub shutdown: Rc<Shutdown>,
     /// Whether some daemon, as far as known, may send orders to a server.
     pub is_ordered: Box<dyn Fn(&str) -> bool>,
     /// The data hall and region of this daemon.
@@ -118,6 +121,9 @@
             Err(refused) => return RequestRecord::refused(refused),
         };
         *progress.route.borrow_mut() = Some(job.route.clone());
+        if !self.shutdown.allows_send(job.answer_bound()) {
+            return RequestRecord::refused_on(stopping(), job.route.clone());
+        }
         if let Err(refused) = self.resume(&mut job).await {
             return RequestRecord::refused_on(refused, job.route.clone());
         }
@@ -234,6 +240,9 @@
                 left = self.until_held(job) => {
                     return job.held_back(left, relay.has_started());
                 }
+                () = self.shutdown.until_send_ends(job.answer_bound()), if !relay.has_started() => {
+                    return job.stopped(false);
+                }
             };
             let choice = match selected {
                 Ok(choice) => choice,
@@ -283,7 +292,8 @@
         choice.sent(now);
         self.traffic.count_server_bytes("requests", &backend.hall, bytes.len());
         let id = &job.request.meta.id;
-        let may_send = || self.check_before_send(job, choice);
+        let started = relay.has_started();
+        let may_send = || self.check_before_send(job, choice, started);
         let on_head = |head: &ResponseHead| {
             self.backpressure.on_response(backend, now, head.status.as_u16(), &head.meta);
             self.leaving.on_response(backend, head.meta.leaving);
@@ -391,6 +401,12 @@
                 // This is not a failure of the server; only the slot is released.
                 choice.ended(SlotEnd::Answered);
             }
+            NotRunReason::Stopping => {
+                job.sends -= 1;
+                choice.grant_ended(GrantEnd::Unsent);
+                choice.ended(SlotEnd::Unsent);
+                return NextStep::Finish(job.stopped(relay.has_started()));
+            }
             NotRunReason::Ungranted | NotRunReason::Resting | NotRunReason::RetryExpired => {
                 job.sends -= 1;
                 job.tried.pop();
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -7,7 +7,7 @@
 use crate::gateway::dialect::{AdapterKey, ModelRequest};
 use crate::gateway::dispatch::{SlotEnd, SlotGuard};
 use crate::gateway::fleet::backend::Backend;
-use crate::gateway::fleet::config::{Route, Service};
+use crate::gateway::fleet::config::{Route, RouteKind, Service};
 use crate::gateway::fleet::versions::VersionChoice;
 use crate::gateway::quarantine::fingerprint::{
     CallerIdentity, FingerprintInput, PartInput, RequestFingerprint,
@@ -16,6 +16,7 @@
 use crate::gateway::regions::allowed::RegionConstraints;
 use crate::gateway::retries::permit::RetryPermit;
 use crate::gateway::retries::reason::RetryReason;
+use crate::gateway::shutdown::AnswerBound;
 use crate::gateway::software::origin::Origin;
 use crate::http1::framing::Framing;
 use crate::types::Time;
@@ -27,6 +28,9 @@
 /// Retry delay if all servers are busy.
 const BUSY_RETRY: Duration = Duration::from_millis(300);
 
+/// Retry delay of requests that a stopping daemon refuses: other daemons take them.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
 /// Maximum number of parts of a prompt that can be held back, the first ones.
 const MAX_PARTS: usize = 16;
 
@@ -260,6 +264,22 @@
         self.possible_runs > 0
     }
 
+    /// What bounds its answer.
+    pub(in crate::gateway) fn answer_bound(&self) -> AnswerBound {
+        AnswerBound { deadline: self.deadline, is_stream: self.route.kind == RouteKind::Stream }
+    }
+
+    /// The outcome if the daemon stops too soon for its answer; `started` tells whether its reply has begun.
+    pub(in crate::gateway) fn stopped(&self, started: bool) -> RequestOutcome {
+        if started {
+            return RequestOutcome::Broken(RefusalReason::Stopping.name().into());
+        }
+        RequestOutcome::Refused(match self.may_have_run() {
+            true => Refused::new(RefusalReason::Lost, None),
+            false => stopping(),
+        })
+    }
+
     /// The outcome if the request must not be sent again; `started` tells whether its reply has begun.
     pub(in crate::gateway) fn out_of_retries(&self, started: bool) -> RequestOutcome {
         match started {
@@ -291,6 +311,11 @@
     }
 }
 
+/// The refusal of a request that has not run, by a daemon that stops.
+pub(in crate::gateway) fn stopping() -> Refused {
+    Refused::new(RefusalReason::Stopping, Some(STOPPING_RETRY))
+}
+
 /// The refusal of a request at its deadline: as not run only if it was never sent.
 pub(in crate::gateway) fn timed_out(job: &Job<'_>) -> Refused {
     match job.server.is_some() {
--- a/crates/portrack/src/gateway/requests/sending.rs
+++ b/crates/portrack/src/gateway/requests/sending.rs
@@ -18,13 +18,17 @@
 const LOOK_TIMEOUT: Duration = Duration::from_millis(700);
 
 impl RequestHandler {
-    /// Checks whether a request may be sent now: the state of the server and of the request may have changed
-    /// while a connection was opened.
+    /// Checks whether a request may be sent now: the state of the server, of the request and of this daemon may have
+    /// changed while a connection was opened. `started` tells whether its reply has begun.
     pub(super) fn check_before_send(
         &self,
         job: &Job<'_>,
         choice: &Choice,
+        started: bool,
     ) -> Result<(), NotRunReason> {
+        if !started && !self.shutdown.allows_send(job.answer_bound()) {
+            return Err(NotRunReason::Stopping);
+        }
         let (backend, hash) = (&choice.backend, choice.backend.incarnation_hash());
         if !self.view.borrow().accepts_requests(self.clock.now(), &backend.id) {
             return Err(NotRunReason::Closed);
--- a/crates/portrack/src/gateway/requests/serving.rs
+++ b/crates/portrack/src/gateway/requests/serving.rs
@@ -1,6 +1,6 @@
 //! Serves the connections of callers: accepting, refusals while stopping, metrics and the request log.
 
-use super::caller::{CallerRequest, RefusalReason, Refused};
+use super::caller::{CallerRequest, Refused};
 use super::ingress::{ConnectionHost, ReplyWriter, serve_connection};
 use super::job::{Progress, RequestOutcome, RequestRecord};
 use crate::gateway::admission::OrganisationHash;
@@ -17,14 +17,6 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// Streams that arrive later than this after the start of a stop are refused, since they may not finish
-/// in time.
-const STREAM_CUTOFF: Duration = Duration::from_millis(2_700);
-/// Other requests are refused if they arrive within this time before the end of the stop.
-const REQUEST_MARGIN: Duration = Duration::from_millis(2_500);
-/// Retry delay of refused callers, which are to turn to another daemon.
-const STOPPING_RETRY: Duration = Duration::from_millis(20);
-
 /// Counts and logs a request on drop, also if its caller disconnects before the end.
 struct RequestAccounting<'a> {
     daemon: &'a GatewayDaemon,
@@ -48,23 +40,6 @@
     }
 }
 
-impl GatewayDaemon {
-    /// Whether a request arrived so late in a stop that it may not finish in time.
-    fn is_too_late_for(&self, request: &CallerRequest) -> bool {
-        let Some(since) = self.stopping_since.get() else { return false };
-        if self.takes_no_more.get() {
-            return true;
-        }
-        let elapsed = self.now().since(since);
-        let stop_within = Duration::from_secs_f64(self.settings.bounds.stop_within_s);
-        let cutoff = match request.meta.model {
-            Some(_) => STREAM_CUTOFF,
-            None => stop_within.saturating_sub(REQUEST_MARGIN),
-        };
-        elapsed >= cutoff
-    }
-}
-
 impl ConnectionHost for GatewayDaemon {
     fn limits(&self) -> CallerLimits {
         let view = self.handler.view.borrow();
@@ -84,9 +59,7 @@
     }
 
     async fn idle_connections_closing(&self) {
-        if !self.closing_idle.get() {
-            self.closing.notified().await;
-        }
+        self.shutdown.until_idle_closes().await;
     }
 
     async fn serve(&self, request: CallerRequest, sink: &mut ReplyWriter<'_>) {
@@ -97,12 +70,7 @@
             record: None,
         };
         self.in_flight.set(self.in_flight.get() + 1);
-        let record = match self.is_too_late_for(&request) {
-            true => {
-                RequestRecord::refused(Refused::new(RefusalReason::Stopping, Some(STOPPING_RETRY)))
-            }
-            false => self.handler.serve(&request, sink, &accounting.progress).await,
-        };
+        let record = self.handler.serve(&request, sink, &accounting.progress).await;
         if let RequestOutcome::Refused(refused) = &record.end {
             let _ = sink.refuse(refused).await;
         }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -5,6 +5,7 @@
 use crate::gateway::dialect::Dialect;
 use crate::gateway::fleet::incarnation::Incarnation;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::shutdown::{LAST_REPLIES_TIMEOUT, RELEASE_TIMEOUT, RESIGN_TIMEOUT};
 use crate::gateway::store_sync::staleness::Staleness;
 use crate::http::{Limits, plain, serve};
 use crate::store::KvStore;
@@ -18,17 +19,6 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
-/// How long idle connections are kept open after a stop request. By then the balancer opens no new
-/// connections.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_600);
-/// Part of the stop time that is reserved for the steps after waiting for running requests.
-const STOP_RESERVE: Duration = Duration::from_millis(700);
-/// Timeout for giving up the claims on servers at the end of a stop.
-const RESIGN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for giving up the lease of the retry slack.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time after that for writing the refusals of requests that arrived in the meantime.
-const REFUSALS_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between checks for running requests during a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval between sweeps of expired state.
@@ -193,6 +183,11 @@
 }
 
 impl GatewayDaemon {
+    /// Whether nothing is left that a stop has to wait for.
+    fn is_idle(&self) -> bool {
+        self.in_flight.get() == 0 && self.carried_tunnels() == 0
+    }
+
     /// Drops the limits and backoffs of server incarnations that no longer exist.
     fn remove_stale_limits(&self) {
         let view = self.handler.view.borrow();
@@ -204,7 +199,7 @@
     /// Waits until requests that arrived at the end of a stop have been refused.
     async fn wait_for_refusals(&self) {
         let began = self.now();
-        while self.in_flight.get() > 0 && self.now().since(began) < REFUSALS_TIMEOUT {
+        while self.in_flight.get() > 0 && self.now().since(began) < LAST_REPLIES_TIMEOUT {
             actix_rt::time::sleep(STOP_POLL_INTERVAL).await;
         }
     }
@@ -241,26 +236,16 @@
     pub async fn stop(self) -> usize {
         let daemon = &self.daemon;
         let began = daemon.now();
-        let within = Duration::from_secs_f64(daemon.settings.bounds.stop_within_s);
-        let within = within.saturating_sub(STOP_RESERVE);
-        daemon.stopping_since.set(Some(began));
+        let times = daemon.shutdown.begin();
         log::info!(in_flight = daemon.in_flight.get(); "stop_begun");
         daemon.beat();
-        loop {
-            let passed = daemon.now().since(began);
-            if passed >= IDLE_CLOSE_DELAY && !daemon.closing_idle.get() {
-                daemon.closing_idle.set(true);
-                daemon.closing.notify_waiters();
-            }
-            let is_idle = daemon.in_flight.get() == 0 && daemon.carried_tunnels() == 0;
-            let idle = is_idle && passed >= IDLE_CLOSE_DELAY + STOP_POLL_INTERVAL * 4;
-            if idle || passed >= within {
+        while daemon.now() < times.wait_ends_at() {
+            if daemon.is_idle() && daemon.now() >= times.may_end_at() {
                 break;
             }
             actix_rt::time::sleep(STOP_POLL_INTERVAL).await;
         }
-        // From here to the end of the process nothing may be sent to a server.
-        daemon.takes_no_more.set(true);
+        daemon.shutdown.end_wait();
         if actix_rt::time::timeout(RESIGN_TIMEOUT, daemon.resign()).await.is_err() {
             log::warn!(after_ms = RESIGN_TIMEOUT.as_millis() as u64; "servers_not_given_up");
         }
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -45,6 +45,7 @@
 mod routes;
 mod scanner;
 mod settings;
+mod shutdown;
 mod support;
 mod suspects;
 mod timings;
