Requests that the end of a stop cuts get an answer

Cause: the process ended around its running requests. The waits before a server is chosen (take-ups of streams, trials, quotas) were outside the deadline too, so that no bound held for them.

Change: a request ends at its deadline or at the end of the wait, whichever comes first, waits before the choice included. What a server may have run gets 502, never "not run"; the rest is refused as not run. A stream that has begun is broken off without its end. Requests cut so still count as left.

--- a/crates/portrack/src/gateway/requests/handler.rs
+++ b/crates/portrack/src/gateway/requests/handler.rs
@@ -2,7 +2,7 @@
 
 use super::caller::{CallerRequest, RefusalReason, Refused, ReplySink};
 use super::exchange::{NotRunReason, OutgoingRequest, SendOutcome, request_bytes, send_request};
-use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord, stopping, timed_out};
+use super::job::{Choice, Job, Progress, RequestOutcome, RequestRecord};
 use super::relay::{Relay, RelayHooks, RelayOutcome};
 use super::routes::pick_target;
 use crate::gateway::admission::{Charge, FreshnessProof, KeyFreshnessRules, Quotas, authenticate};
@@ -121,28 +121,13 @@
             Err(refused) => return RequestRecord::refused(refused),
         };
         *progress.route.borrow_mut() = Some(job.route.clone());
-        if !self.shutdown.allows_send(job.answer_bound()) {
-            return RequestRecord::refused_on(stopping(), job.route.clone());
-        }
-        if let Err(refused) = self.resume(&mut job).await {
-            return RequestRecord::refused_on(refused, job.route.clone());
-        }
-        if let Err(refused) = self.admit(&mut job).await {
-            return RequestRecord::refused_on(refused, job.route.clone());
-        }
-        job.charge = match self.charge(&job).await {
-            Ok(charge) => charge,
-            Err(refused) => return RequestRecord::refused_on(refused, job.route.clone()),
-        };
-        let now = self.clock.now();
-        self.retries.record_request(&job.service.name);
         let mut relay = Relay::new(&job.route);
-        let time_left = job.deadline.since(now);
-        let running = self.run(&mut job, &mut relay, sink);
-        let end = match actix_rt::time::timeout(time_left, running).await {
-            Ok(end) => end,
-            Err(_) if relay.has_started() => RequestOutcome::Broken("deadline".into()),
-            Err(_) => RequestOutcome::Refused(timed_out(&job)),
+        let time_left = job.deadline.since(self.clock.now());
+        let end = tokio::select! {
+            biased;
+            end = self.handle(&mut job, &mut relay, sink) => end,
+            () = actix_rt::time::sleep(time_left) => job.out_of_time(relay.has_started()),
+            () = self.shutdown.until_wait_ends() => job.cut_by_stop(relay.has_started()),
         };
         RequestRecord {
             end,
@@ -154,6 +139,31 @@
         }
     }
 
+    /// Handles a request without regard to its deadline and the end of this daemon.
+    async fn handle(
+        &self,
+        job: &mut Job<'_>,
+        relay: &mut Relay,
+        sink: &mut impl ReplySink,
+    ) -> RequestOutcome {
+        if !self.shutdown.allows_send(job.answer_bound()) {
+            return job.stopped(false);
+        }
+        if let Err(refused) = self.prepare(job).await {
+            return RequestOutcome::Refused(refused);
+        }
+        self.retries.record_request(&job.service.name);
+        self.run(job, relay, sink).await
+    }
+
+    /// Makes the checks that may take some time, before a server is chosen.
+    async fn prepare(&self, job: &mut Job<'_>) -> Result<(), Refused> {
+        self.resume(job).await?;
+        self.admit(job).await?;
+        job.charge = self.charge(job).await?;
+        Ok(())
+    }
+
     fn job<'a>(
         &self,
         request: &'a CallerRequest,
--- a/crates/portrack/src/gateway/requests/job.rs
+++ b/crates/portrack/src/gateway/requests/job.rs
@@ -276,7 +276,26 @@
         }
         RequestOutcome::Refused(match self.may_have_run() {
             true => Refused::new(RefusalReason::Lost, None),
-            false => stopping(),
+            false => Refused::new(RefusalReason::Stopping, Some(STOPPING_RETRY)),
+        })
+    }
+
+    /// The outcome at the end of the daemon's stop; `started` tells whether its reply has begun.
+    pub(in crate::gateway) fn cut_by_stop(&self, started: bool) -> RequestOutcome {
+        if self.server.is_some() && !started {
+            return RequestOutcome::Refused(Refused::new(RefusalReason::Lost, None));
+        }
+        self.stopped(started)
+    }
+
+    /// The outcome at its deadline: not run only if it was never sent; `started` tells whether its reply has begun.
+    pub(in crate::gateway) fn out_of_time(&self, started: bool) -> RequestOutcome {
+        if started {
+            return RequestOutcome::Broken("deadline".into());
+        }
+        RequestOutcome::Refused(match self.server.is_some() {
+            true => Refused::new(RefusalReason::TimedOut, None),
+            false => Refused::new(RefusalReason::Expired, Some(BUSY_RETRY)),
         })
     }
 
@@ -311,19 +330,6 @@
     }
 }
 
-/// The refusal of a request that has not run, by a daemon that stops.
-pub(in crate::gateway) fn stopping() -> Refused {
-    Refused::new(RefusalReason::Stopping, Some(STOPPING_RETRY))
-}
-
-/// The refusal of a request at its deadline: as not run only if it was never sent.
-pub(in crate::gateway) fn timed_out(job: &Job<'_>) -> Refused {
-    match job.server.is_some() {
-        true => Refused::new(RefusalReason::TimedOut, None),
-        false => Refused::new(RefusalReason::Expired, Some(BUSY_RETRY)),
-    }
-}
-
 /// Outcome of a request, with the details to log.
 #[derive(Debug)]
 pub struct RequestRecord {
@@ -353,9 +359,4 @@
             adapter_note: String::new(),
         }
     }
-
-    /// Record of a request that was refused before a server was selected.
-    pub fn refused_on(refused: Refused, route: Rc<Route>) -> Self {
-        Self { route: Some(route), ..Self::refused(refused) }
-    }
 }
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -196,8 +196,8 @@
         self.handler.backpressure.retain(|server| hashes.contains(&server));
     }
 
-    /// Waits until requests that arrived at the end of a stop have been refused.
-    async fn wait_for_refusals(&self) {
+    /// Waits until the last replies are written: to requests that the end of the wait has cut, or that arrived later.
+    async fn wait_for_last_replies(&self) {
         let began = self.now();
         while self.in_flight.get() > 0 && self.now().since(began) < LAST_REPLIES_TIMEOUT {
             actix_rt::time::sleep(STOP_POLL_INTERVAL).await;
@@ -245,6 +245,7 @@
             }
             actix_rt::time::sleep(STOP_POLL_INTERVAL).await;
         }
+        let cut = daemon.in_flight.get();
         daemon.shutdown.end_wait();
         if actix_rt::time::timeout(RESIGN_TIMEOUT, daemon.resign()).await.is_err() {
             log::warn!(after_ms = RESIGN_TIMEOUT.as_millis() as u64; "servers_not_given_up");
@@ -253,8 +254,8 @@
         if released.is_err() {
             log::warn!(after_ms = RELEASE_TIMEOUT.as_millis() as u64; "retry_slack_not_released");
         }
-        daemon.wait_for_refusals().await;
-        let left = daemon.in_flight.get();
+        daemon.wait_for_last_replies().await;
+        let left = cut.max(daemon.in_flight.get());
         log::info!(left = left, took_ms = daemon.now().since(began).as_millis() as u64; "stop");
         left
     }
