The first request of a connection is awaited while idle connections are closed

What callers saw: a connection opened to a stopping daemon later than 2.6 s after its SIGTERM was closed unless its request came with it, and so was one opened earlier and not used yet. The balancer still sends callers then when most daemons of a hall stop; they got no answer, not even a refusal.

Cause: from the time at which idle connections are closed, each connection without bytes at that instant counted as idle.

Change: a connection's first request is awaited until the process ends.

Test: the_first_request_of_a_connection_is_awaited_late_in_a_stop; failed before (no answer).

--- a/crates/portrack/src/gateway/requests/ingress.rs
+++ b/crates/portrack/src/gateway/requests/ingress.rs
@@ -186,8 +186,9 @@
         close: false,
         finished: false,
     };
+    let mut is_first = true;
     loop {
-        let request = match next_request(host, &mut reader, &mut writer.codec).await {
+        let request = match next_request(host, &mut reader, &mut writer.codec, is_first).await {
             Ok(request) => request,
             Err(NoRequest::Closed) => return,
             Err(NoRequest::Refuse(status, reason)) => {
@@ -198,6 +199,7 @@
                 return;
             }
         };
+        is_first = false;
         writer.close = host.is_stopping() || !writer.codec.keep_alive();
         writer.finished = false;
         let disconnected = tokio::select! {
@@ -219,10 +221,13 @@
     }
 }
 
+/// Reads the next request of a connection. The first one is awaited also while idle connections are closed: its caller
+/// has opened the connection for it.
 async fn next_request(
     host: &impl ConnectionHost,
     reader: &mut RequestReader<'_>,
     codec: &mut Codec,
+    is_first: bool,
 ) -> Result<CallerRequest, NoRequest> {
     let limits = host.limits();
     if reader.buffer.is_empty() {
@@ -231,7 +236,7 @@
             filled = actix_rt::time::timeout(limits.idle_timeout, reader.fill()) => {
                 filled.map_err(|_| NoRequest::Closed)??;
             }
-            () = host.idle_connections_closing() => return Err(NoRequest::Closed),
+            () = host.idle_connections_closing(), if !is_first => return Err(NoRequest::Closed),
         }
     }
     let reading_head = read_head(reader, codec, limits.header_bytes);
