A stop waits for requests that are being received

What callers saw: a request whose body was still on its way when nothing else ran was cut by the end of the process, at the earliest 2.7 s after the SIGTERM, and its caller got no answer.

Cause: only requests that were read in full counted as work to wait for.

Change: a request counts from its first byte on. Its own time limits bound that, and the end of the stop. The count of requests in flight moves to types/, where both interfaces use it.

--- a/crates/portrack/src/daemon/completion.rs
+++ b/crates/portrack/src/daemon/completion.rs
@@ -3,7 +3,6 @@
 use super::answer::Answer;
 use super::callers::refuse;
 use super::core::Core;
-use super::inflight::InFlightGuard;
 use super::key::ClaimedKey;
 use super::prompt::Prompt;
 use super::reservation::Reservation;
@@ -13,6 +12,7 @@
 use crate::http::{self, Meta, Reply, headers, read_body};
 use crate::reserve::Spec;
 use crate::router::Wanted;
+use crate::types::InFlightGuard;
 use crate::types::{AdapterVersion, EngineName, Reason, Refusal, Run, Time};
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, StatusCode};
--- a/crates/portrack/src/daemon/core.rs
+++ b/crates/portrack/src/daemon/core.rs
@@ -1,6 +1,5 @@
 //! The daemon's shared state; feeds inputs to the node and executes its effects.
 
-use super::inflight::InFlight;
 use super::leases::Leases;
 use super::metrics::Metrics;
 use super::peers::Link;
@@ -14,6 +13,7 @@
 use crate::router::BackendServer;
 use crate::settings::{Book, Bootstrap, Effective, Operators, Place, Store};
 use crate::store::{Etcd, Kv};
+use crate::types::InFlight;
 use crate::types::{AdapterVersion, Clock, EngineName, Refusal, Time};
 use crate::wire::KeyVerdict;
 use std::cell::{Cell, RefCell};
--- a/crates/portrack/src/daemon/mod.rs
+++ b/crates/portrack/src/daemon/mod.rs
@@ -7,7 +7,6 @@
 mod engines;
 mod error;
 mod fetch;
-mod inflight;
 mod key;
 mod leases;
 mod logging;
--- a/crates/portrack/src/daemon/plain.rs
+++ b/crates/portrack/src/daemon/plain.rs
@@ -2,7 +2,6 @@
 
 use super::callers::refuse;
 use super::core::Core;
-use super::inflight::InFlightGuard;
 use super::key::ClaimedKey;
 use crate::http::{Meta, Reply, certainly_not_sent, read_body};
 use crate::http1::MalformedResponses;
@@ -10,6 +9,7 @@
 use crate::http1::checked::checked_connector;
 use crate::router::BackendServer;
 use crate::settings::PlainService;
+use crate::types::InFlightGuard;
 use crate::types::{EngineName, Reason, Refusal, Run, ServiceName};
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -45,7 +45,7 @@
 use crate::gateway::tunnels::pauses::PauseDetector;
 use crate::http1::MalformedResponses;
 use crate::store::{CountedStore, KvStore, StoreEra};
-use crate::types::{Clock, Time};
+use crate::types::{Clock, InFlight, Time};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -82,8 +82,10 @@
     pub incarnation: Incarnation,
     /// When the store last answered, or the end of the pause between two watches, if later.
     pub store_seen: Cell<Option<Time>>,
-    /// Number of requests being served.
-    pub in_flight: Cell<usize>,
+    /// Requests being served.
+    pub in_flight: InFlight,
+    /// Requests of which a part has been received.
+    pub receiving: InFlight,
     /// The planned stop.
     pub shutdown: Rc<Shutdown>,
     /// Claims on servers, as recorded in the store.
@@ -328,7 +330,8 @@
             messenger,
             incarnation,
             store_seen: Cell::new(None),
-            in_flight: Cell::new(0),
+            in_flight: InFlight::default(),
+            receiving: InFlight::default(),
             shutdown,
             records,
             claim_holders,
--- a/crates/portrack/src/gateway/requests/ingress.rs
+++ b/crates/portrack/src/gateway/requests/ingress.rs
@@ -3,7 +3,7 @@
 use super::caller::{CallerGone, CallerRequest, RefusalReason, Refused, ReplyHead, ReplySink};
 use crate::gateway::dialect::Dialect;
 use crate::gateway::fleet::config::CallerLimits;
-use crate::types::Clock;
+use crate::types::{Clock, InFlightGuard};
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message};
@@ -50,6 +50,8 @@
     fn dialect(&self) -> &dyn Dialect;
     /// Whether connections are to be closed after the current reply.
     fn is_stopping(&self) -> bool;
+    /// Counts a request that is being received.
+    fn begin_receiving(&self) -> InFlightGuard;
     /// Resolves when idle connections are to be closed.
     fn idle_connections_closing(&self) -> impl Future<Output = ()>;
     /// Serves a request.
@@ -239,6 +241,7 @@
             () = host.idle_connections_closing(), if !is_first => return Err(NoRequest::Closed),
         }
     }
+    let _receiving = host.begin_receiving();
     let reading_head = read_head(reader, codec, limits.header_bytes);
     let timeout = actix_rt::time::timeout(limits.header_timeout, reading_head).await;
     let head = timeout
--- a/crates/portrack/src/gateway/requests/serving.rs
+++ b/crates/portrack/src/gateway/requests/serving.rs
@@ -9,7 +9,7 @@
 use crate::gateway::fleet::config::{CallerLimits, RouteKind};
 use crate::gateway::fleet::versions::VersionFields;
 use crate::http1::framing::Framing;
-use crate::types::Clock;
+use crate::types::{Clock, InFlightGuard};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -58,18 +58,22 @@
         self.stopping()
     }
 
+    fn begin_receiving(&self) -> InFlightGuard {
+        self.receiving.enter()
+    }
+
     async fn idle_connections_closing(&self) {
         self.shutdown.until_idle_closes().await;
     }
 
     async fn serve(&self, request: CallerRequest, sink: &mut ReplyWriter<'_>) {
+        let _in_flight = self.in_flight.enter();
         let mut accounting = RequestAccounting {
             daemon: self,
             request: &request,
             progress: Progress::default(),
             record: None,
         };
-        self.in_flight.set(self.in_flight.get() + 1);
         let record = self.handler.serve(&request, sink, &accounting.progress).await;
         if let RequestOutcome::Refused(refused) = &record.end {
             let _ = sink.refuse(refused).await;
@@ -81,7 +85,6 @@
 impl Drop for RequestAccounting<'_> {
     fn drop(&mut self) {
         let daemon = self.daemon;
-        daemon.in_flight.set(daemon.in_flight.get().saturating_sub(1));
         let took = daemon.now().since(self.request.arrived);
         let kind = self.kind();
         let end = self.end();
--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -176,7 +176,7 @@
             self.order_executor.planner.borrow_mut().sweep(now);
             self.handler.view.borrow_mut().adapter_locations.expire_notices(now);
             self.remove_stale_limits();
-            self.metrics.in_flight.set(self.in_flight.get() as i64);
+            self.metrics.in_flight.set(self.in_flight.count() as i64);
             self.check_proof();
         }
     }
@@ -185,7 +185,7 @@
 impl GatewayDaemon {
     /// Whether nothing is left that a stop has to wait for.
     fn is_idle(&self) -> bool {
-        self.in_flight.get() == 0 && self.carried_tunnels() == 0
+        self.receiving.count() == 0 && self.in_flight.count() == 0 && self.carried_tunnels() == 0
     }
 
     /// Drops the limits and backoffs of server incarnations that no longer exist.
@@ -199,7 +199,7 @@
     /// Waits until the last replies are written: to requests that the end of the wait has cut, or that arrived later.
     async fn wait_for_last_replies(&self) {
         let began = self.now();
-        while self.in_flight.get() > 0 && self.now().since(began) < LAST_REPLIES_TIMEOUT {
+        while self.in_flight.count() > 0 && self.now().since(began) < LAST_REPLIES_TIMEOUT {
             actix_rt::time::sleep(STOP_POLL_INTERVAL).await;
         }
     }
@@ -237,7 +237,7 @@
         let daemon = &self.daemon;
         let began = daemon.now();
         let times = daemon.shutdown.begin();
-        log::info!(in_flight = daemon.in_flight.get(); "stop_begun");
+        log::info!(in_flight = daemon.in_flight.count(); "stop_begun");
         daemon.beat();
         while daemon.now() < times.wait_ends_at() {
             if daemon.is_idle() && daemon.now() >= times.may_end_at() {
@@ -245,7 +245,7 @@
             }
             actix_rt::time::sleep(STOP_POLL_INTERVAL).await;
         }
-        let cut = daemon.in_flight.get();
+        let cut = daemon.in_flight.count();
         daemon.shutdown.end_wait();
         if actix_rt::time::timeout(RESIGN_TIMEOUT, daemon.resign()).await.is_err() {
             log::warn!(after_ms = RESIGN_TIMEOUT.as_millis() as u64; "servers_not_given_up");
@@ -255,7 +255,7 @@
             log::warn!(after_ms = RELEASE_TIMEOUT.as_millis() as u64; "retry_slack_not_released");
         }
         daemon.wait_for_last_replies().await;
-        let left = cut.max(daemon.in_flight.get());
+        let left = cut.max(daemon.in_flight.count());
         log::info!(left = left, took_ms = daemon.now().since(began).as_millis() as u64; "stop");
         left
     }
