A tunnel in use when its carrier begins to stop is not used again

What callers would see: a request that a daemon without a link to a server sends through another daemon is cut when that one ends, though it had said that it is leaving.

Cause: the idle tunnels of a carrier are closed when it says that it leaves; one in use at that moment went back to the pool afterwards, and the next request went through it.

Change: the pool remembers which daemons are leaving, until they are back, and closes a connection through one when it is released.

--- a/crates/portrack/src/gateway/connections/pool.rs
+++ b/crates/portrack/src/gateway/connections/pool.rs
@@ -10,7 +10,7 @@
 use crate::http1::collected::BodyMemory;
 use crate::types::{BootClock, Clock, Time};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -53,6 +53,8 @@
     connector: Rc<dyn Connector>,
     links: Rc<ServerLinks>,
     servers: RefCell<HashMap<Rc<str>, ServerPool>>,
+    /// Daemons that are leaving: connections that lead through them are not used again.
+    leaving_carriers: RefCell<HashSet<SocketAddr>>,
     body_memory: BodyMemory,
     malformed: MalformedResponses,
 }
@@ -115,7 +117,8 @@
         let Some(connection) = self.connection.take() else { return };
         let mut servers = self.pool.servers.borrow_mut();
         let Some(server) = servers.get_mut(&self.server) else { return };
-        if server.idle.len() < MAX_IDLE && server.generation == self.generation {
+        let ends_soon = connection.carrier().is_some_and(|carrier| self.pool.is_leaving(carrier));
+        if server.idle.len() < MAX_IDLE && server.generation == self.generation && !ends_soon {
             server.idle.push(connection);
         } else {
             server.open = server.open.saturating_sub(1);
@@ -153,7 +156,8 @@
         malformed: MalformedResponses,
     ) -> Self {
         let (servers, body_memory) = (RefCell::default(), BodyMemory::default());
-        Self { connector, links, servers, body_memory, malformed }
+        let leaving_carriers = RefCell::default();
+        Self { connector, links, servers, leaving_carriers, body_memory, malformed }
     }
 
     /// The links to the servers.
@@ -281,13 +285,24 @@
         servers.retain(|_, server| server.open > 0);
     }
 
-    /// Closes the idle connections that lead through a daemon which is leaving.
-    pub fn close_carried_by(&self, carrier: SocketAddr) {
+    /// Closes the idle connections that lead through a daemon which is leaving; those in use are closed when they are
+    /// released.
+    pub fn carrier_leaves(&self, carrier: SocketAddr) {
+        self.leaving_carriers.borrow_mut().insert(carrier);
         let mut servers = self.servers.borrow_mut();
         let others = |idle: &Connection| idle.carrier() != Some(carrier);
         servers.values_mut().for_each(|server| server.retain_idle(others));
     }
 
+    /// Records that a daemon is back after it left.
+    pub fn carrier_returns(&self, carrier: SocketAddr) {
+        self.leaving_carriers.borrow_mut().remove(&carrier);
+    }
+
+    fn is_leaving(&self, carrier: SocketAddr) -> bool {
+        self.leaving_carriers.borrow().contains(&carrier)
+    }
+
     /// Closes the idle connections to a server that was removed or has restarted; those in use are
     /// closed when they are released.
     pub fn close_server(&self, server: &str) {
--- a/crates/portrack/src/gateway/fleet/heartbeats.rs
+++ b/crates/portrack/src/gateway/fleet/heartbeats.rs
@@ -182,6 +182,7 @@
         }
         self.send_known_peers(now, address, known);
         if change == Some(PeerChange::Up) {
+            self.handler.pool.carrier_returns(address);
             self.handler.quarantine.send_snapshot(address);
             self.handler.backpressure.send_snapshot(address);
             self.handler.leaving.send_snapshot(address);
@@ -189,7 +190,7 @@
         match change {
             Some(PeerChange::Up) if self.logs_each_peer() => log::info!(peer = &*node; "peer_up"),
             Some(PeerChange::Leaving) => {
-                self.handler.pool.close_carried_by(address);
+                self.handler.pool.carrier_leaves(address);
                 log::info!(peer = &*node; "peer_leaving");
             }
             Some(PeerChange::StaleIncarnation(known)) => {
