The product's own interface refuses requests on kept connections that may outlast a stop

What callers would see: a request on a connection that was open before the stop, sent after the 3 s in which the daemon takes new connections, was accepted until the end of the drain time and cut by it.

Cause: the end of new connections was taken for the end of new requests.

Change: after these 3 s a request to a plain service is sent, first or again, just if its timeout ends before the drain time; a completion, whose deadline bounds only its start, is refused.

Test: a_request_that_may_outlast_a_stop_is_refused_on_a_kept_connection; before, one request was left at the end of the stop.

--- a/crates/portrack-standins/src/world.rs
+++ b/crates/portrack-standins/src/world.rs
@@ -203,10 +203,10 @@
         self.change(Edit::Service { name, spec }).await;
     }
 
-    /// Sets a key at the root of the settings tree.
-    pub async fn set(&self, key: &str, value: u64) {
+    /// Sets a key at the root of the settings tree, and returns the revision.
+    pub async fn set(&self, key: &str, value: u64) -> u64 {
         let (path, key) = (TreePath::fleet(), key.to_owned());
-        self.change(Edit::Set { path, key, value: Some(value) }).await;
+        self.change(Edit::Set { path, key, value: Some(value) }).await
     }
 
     /// Adds an adapter with one version that serves all requests.
--- a/crates/portrack-standins/tests/outages.rs
+++ b/crates/portrack-standins/tests/outages.rs
@@ -5,7 +5,11 @@
 use common::{complete, expected, one_hall, text, until, world};
 use portrack_standins::kv::Fault;
 use portrack_standins::world::{World, WorldConfig};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 #[actix_rt::test]
 async fn a_daemon_started_during_an_outage_gets_settings_from_its_peers() {
@@ -127,7 +131,7 @@
     for _ in 0..3 {
         let (status, _) = complete(world.daemon("a1").callers(), "ana", "try", 2).await;
         statuses.push(status.as_u16());
-        actix_rt::time::sleep(std::time::Duration::from_secs(1)).await;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
     }
     assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
 }
@@ -146,3 +150,50 @@
     assert_eq!(status, 200, "{answer}");
     assert_eq!(text(&answer), expected("ana@v1", "long", 400));
 }
+
+/// Guards against a request on a kept connection that a stopping daemon took shortly before its end, and cut.
+#[actix_rt::test]
+async fn a_request_that_may_outlast_a_stop_is_refused_on_a_kept_connection() {
+    let mut world = world("late", one_hall(2, 1)).await;
+    let revision = world.set("drain_s", 1).await;
+    assert!(world.settled(revision).await, "the daemons did not settle in time");
+    let stopping = world.take_daemon("a1");
+    let callers = stopping.callers();
+    let mut kept = KeptConnection::open(callers).await;
+    assert_eq!(kept.unlock("first").await, 200);
+    world.services[0].1.set_delay(Duration::from_millis(3_800));
+    let running =
+        actix_rt::spawn(async move { KeptConnection::open(callers).await.unlock("long").await });
+    until("the service runs the request", || world.services[0].1.bodies().contains_key("long"))
+        .await;
+    world.services[0].1.set_delay(Duration::from_millis(2_000));
+    let late = actix_rt::spawn(async move {
+        actix_rt::time::sleep(Duration::from_millis(3_300)).await;
+        kept.unlock("late").await
+    });
+    assert_eq!(stopping.stop().await, 0, "requests are left");
+    assert_eq!((running.await.unwrap(), late.await.unwrap()), (200, 503));
+    assert!(!world.services[0].1.bodies().contains_key("late"));
+}
+
+/// A caller's connection that stays open between requests.
+struct KeptConnection(TcpStream);
+
+impl KeptConnection {
+    async fn open(daemon: SocketAddr) -> Self {
+        Self(TcpStream::connect(daemon).await.unwrap())
+    }
+
+    /// Sends a request that must not be repeated, and returns the status of the answer.
+    async fn unlock(&mut self, body: &str) -> u16 {
+        let length = body.len();
+        let request = format!(
+            "POST /docks/unlock HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        self.0.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = vec![0; 4_096];
+        let read = self.0.read(&mut answer).await.unwrap();
+        let text = String::from_utf8_lossy(&answer[..read]).into_owned();
+        text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+}
--- a/crates/portrack/src/daemon/completion.rs
+++ b/crates/portrack/src/daemon/completion.rs
@@ -12,8 +12,7 @@
 use crate::http::{self, Meta, Reply, headers, read_body};
 use crate::reserve::Spec;
 use crate::router::Wanted;
-use crate::types::InFlightGuard;
-use crate::types::{AdapterVersion, EngineName, Reason, Refusal, Run, Time};
+use crate::types::{AdapterVersion, EngineName, InFlightGuard, Reason, Refusal, Run, Time};
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, StatusCode};
 use bytes::Bytes;
@@ -74,6 +73,8 @@
         let prompt = Prompt::parse(endpoint, &body)?;
         let wanted = resolve(core, &prompt, &meta, &service)?;
         let deadline = arrived + meta.deadline.unwrap_or_else(|| settings.deadline());
+        // Its deadline bounds the start of a completion only.
+        core.check_stop(None)?;
         core.retries.borrow_mut().record_request();
         Ok(Self {
             core: core.clone(),
--- a/crates/portrack/src/daemon/core.rs
+++ b/crates/portrack/src/daemon/core.rs
@@ -13,8 +13,7 @@
 use crate::router::BackendServer;
 use crate::settings::{Book, Bootstrap, Effective, Operators, Place, Store};
 use crate::store::{Etcd, Kv};
-use crate::types::InFlight;
-use crate::types::{AdapterVersion, Clock, EngineName, Refusal, Time};
+use crate::types::{AdapterVersion, Clock, EngineName, InFlight, Reason, Refusal, Time};
 use crate::wire::KeyVerdict;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -54,6 +53,8 @@
     pub retries: RefCell<RetryBudget>,
     pub ready: Cell<bool>,
     pub leaving: Cell<bool>,
+    /// When a planned stop ends, once it sends only requests that are answered before that.
+    pub stop_ends_at: Cell<Option<Time>>,
     pub platform_seen: Cell<Option<Time>>,
     pub seen_revision: Cell<u64>,
     waiting: RefCell<HashMap<Token, UnboundedSender<Signal>>>,
@@ -101,6 +102,7 @@
             retries: RefCell::new(RetryBudget::new(share)),
             ready: Cell::new(false),
             leaving: Cell::new(false),
+            stop_ends_at: Cell::new(None),
             platform_seen: Cell::new(None),
             seen_revision: Cell::new(0),
             waiting: RefCell::default(),
@@ -113,6 +115,16 @@
         self.clock.now()
     }
 
+    /// Refuses a request if a planned stop may end before its answer. `answered_by` is the latest end of that;
+    /// `None` if it has no bound.
+    pub fn check_stop(&self, answered_by: Option<Time>) -> Result<(), Refusal> {
+        let Some(end) = self.stop_ends_at.get() else { return Ok(()) };
+        match answered_by.is_some_and(|answered| answered <= end) {
+            true => Ok(()),
+            false => Err(Refusal::not_run(Reason::NoBackend, "the node is stopping")),
+        }
+    }
+
     /// Milliseconds since the Unix epoch.
     pub fn unix_ms(&self) -> u64 {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/portrack/src/daemon/plain.rs
+++ b/crates/portrack/src/daemon/plain.rs
@@ -9,8 +9,7 @@
 use crate::http1::checked::checked_connector;
 use crate::router::BackendServer;
 use crate::settings::PlainService;
-use crate::types::InFlightGuard;
-use crate::types::{EngineName, Reason, Refusal, Run, ServiceName};
+use crate::types::{EngineName, InFlightGuard, Reason, Refusal, Run, ServiceName};
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
 use awc::Client;
@@ -131,6 +130,9 @@
         let mut tried: Vec<EngineName> = Vec::new();
         let mut last = Refusal::not_run(Reason::NoBackend, "no server of the service can be had");
         while tried.len() < MAX_SERVERS_TRIED {
+            if let Err(stopping) = self.core.check_stop(Some(self.core.now() + self.timeout)) {
+                return Err(if last.run == Run::No { stopping } else { last });
+            }
             let Some(server) = self.choose(&tried) else { break };
             if let Some(key) = key {
                 key.check(&self.core)?;
--- a/crates/portrack/src/daemon/running.rs
+++ b/crates/portrack/src/daemon/running.rs
@@ -263,6 +263,8 @@
         let until = self.core.now() + self.core.effective(None).drain();
         let [callers, operators] = [0, 1].map(|at| &self.listeners[at]);
         callers.abort();
+        // Callers on kept connections may still send requests.
+        self.core.stop_ends_at.set(Some(until));
         while self.core.in_flight.count() > 0 && self.core.now() < until {
             actix_rt::time::sleep(STOP_CHECK_INTERVAL).await;
         }
