A new holder counts a replacement that the holder before has ordered

What callers would see: a server is ordered to load beyond its places and falls with all that it runs (LIMIT).

Cause: while a newer version of an adapter replaces an older one, both take a place until the older one's requests end. A holder that ordered this knows; one that takes the claim over reads a report that lists the adapter as held and as on its way, or as held in two versions, and counted it once.

Change: a version that a report lists beside an older one counts beside it, unless this daemon has seen it loaded since that report can have been made.

Test: a_new_holder_does_not_count_the_version_that_replaces_another; before, a fifth place was used at a server of four.

--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -184,6 +184,7 @@
         self.surveyed_at = now;
         self.record_orders_taken(report.orders_taken);
         self.models = report.models.clone();
+        let replacements = self.replacements(now, report);
         let is_listed = |key: &AdapterKey| {
             report.held.iter().chain(&report.pending).any(|(listed, _)| listed == key)
         };
@@ -199,6 +200,35 @@
             let fresh = Slot::new(*version, SlotState::Loading, now);
             self.slots.entry(key.clone()).or_insert(fresh);
         }
+        for (key, version, older) in replacements {
+            let Some(slot) = self.slots.get_mut(&key) else { continue };
+            if slot.state == SlotState::Held {
+                *slot =
+                    Slot { version, state: SlotState::Loading, changed_at: now, ..slot.clone() };
+                slot.replaces = Some(older);
+            }
+        }
+    }
+
+    /// The versions that a report lists beside an older one of the same adapter, each with that: the older one stays
+    /// loaded until its requests end. Another holder may have ordered them.
+    fn replacements(&self, now: Time, report: &ServerReport) -> Vec<(AdapterKey, u64, u64)> {
+        let oldest = |key: &AdapterKey| {
+            report.held.iter().filter(|(held, _)| held == key).map(|(_, version)| *version).min()
+        };
+        let is_over = |key: &AdapterKey, version: u64| {
+            self.slots.get(key).is_some_and(|slot| {
+                slot.state == SlotState::Held
+                    && slot.version >= version
+                    && now.since(slot.changed_at) < MAX_REPORT_LAG
+            })
+        };
+        let listed = report.held.iter().chain(&report.pending);
+        let replacing = listed.filter_map(|(key, version)| {
+            let older = oldest(key).filter(|older| older < version)?;
+            (!is_over(key, *version)).then(|| (key.clone(), *version, older))
+        });
+        replacing.collect()
     }
 
     fn remember_cached(&mut self, key: &AdapterKey, version: u64) {
--- a/crates/portrack/tests/gateway/room.rs
+++ b/crates/portrack/tests/gateway/room.rs
@@ -3,8 +3,8 @@
 use crate::support::{MODEL, backend, config, key, ms};
 use portrack::Time;
 use portrack::gateway::{
-    AdapterKey, EngineSpec, FleetConfig, HeldModel, ModelSpec, PlanOutcome, PlannedLoad, Planner,
-    ServerReport, Service,
+    AdapterKey, EngineSpec, FleetConfig, HeldModel, ModelSpec, Plan, PlanOutcome, PlannedLoad,
+    Planner, ServerReport, Service,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -128,3 +128,45 @@
         }
     }
 }
+
+fn adapter(model: &str, name: &str) -> AdapterKey {
+    AdapterKey { model: model.into(), adapter: name.into() }
+}
+
+/// The plans at the server after a request for each of these adapters.
+fn plans_for(planner: &mut Planner, now: u64, wanted: &[AdapterKey]) -> Vec<Plan> {
+    let server: Rc<str> = "s1".into();
+    for key in wanted {
+        planner.request_load(Time(now), &server, key, 1, 1);
+    }
+    planner.plan(Time(now), std::slice::from_ref(&server)).0
+}
+
+/// Guards against a load into the slot that a replacement needs which the holder before has ordered: the older version
+/// stays loaded beside the newer one until its requests end.
+#[test]
+fn a_new_holder_does_not_count_the_version_that_replaces_another() {
+    let config = configuration(42_000.0, 4, vec![model(MODEL, 40_000.0, 10.0)]);
+    let held = |names: &[(&str, u64)]| -> Vec<(AdapterKey, u64)> {
+        names.iter().map(|(name, version)| (key(name), *version)).collect()
+    };
+    let is_replaced = ServerReport {
+        models: vec![MODEL.into()],
+        held: held(&[("a1", 1), ("a2", 1), ("a3", 1)]),
+        pending: held(&[("a1", 2)]),
+        ..ServerReport::default()
+    };
+    let holds_both = ServerReport {
+        held: held(&[("a1", 1), ("a1", 2), ("a2", 1), ("a3", 1)]),
+        pending: Vec::new(),
+        ..is_replaced.clone()
+    };
+    for report in [is_replaced, holds_both] {
+        let mut planner = planner(&config, &[MODEL.into()]);
+        planner.reported(Time(10_000), "s1", &report);
+        let plans = plans_for(&mut planner, 20_000, &[key("b1")]);
+        let [plan] = &plans[..] else { panic!("one plan: {plans:?}") };
+        let evicted = plan.evict.as_ref().map(|key| &*key.adapter);
+        assert!(matches!(evicted, Some("a2" | "a3")), "four slots are in use: {plan:?}");
+    }
+}
