The room kept for late orders is that of the largest adapter

What callers would see: a server that has restarted is ordered to load an adapter, and a late order to its former incarnation brings a larger one for which no room is left (LIMIT). By reading; with one model, or models whose adapters have one size, it cannot happen.

Cause: the room for late orders was kept in places; the memory was that of as many adapters of the model that is asked for.

Change: the adapters that late orders may load count like held ones, each with the largest size that the service has. What does not fit at all gives no room, also where the size of a held adapter is not configured (it counted as nothing). With one model all figures are as before.

Test: the_room_kept_for_a_late_order_is_that_of_a_smaller_adapter; before, four of 100 MB were loaded into 1,000 MB beside a late one of 900.

--- a/crates/portrack/src/gateway/fleet/config.rs
+++ b/crates/portrack/src/gateway/fleet/config.rs
@@ -136,30 +136,37 @@
         self.models.iter().find(|model| &*model.name == name)
     }
 
+    /// Returns the model with the largest adapters.
+    pub fn largest_adapter(&self) -> Option<&ModelSpec> {
+        self.models.iter().max_by(|a, b| a.adapter_mb.total_cmp(&b.adapter_mb))
+    }
+
     /// Number of further adapters of a model that fit into a server beside all that it holds: base models of any kind,
-    /// and adapters, each given by its model and including those that are being loaded or unloaded. None fit beside a
-    /// model whose size is not configured.
+    /// and adapters, each given by its model and including those that are being loaded or unloaded. `None` if these do
+    /// not fit themselves, or the size of one is not configured.
     pub fn room_for_adapters<'a>(
         &self,
         model: &str,
         held_models: &[Rc<str>],
         held_adapters: impl Iterator<Item = &'a str>,
-    ) -> usize {
-        let Some(model) = self.model(model) else { return 0 };
+    ) -> Option<usize> {
+        let model = self.model(model)?;
         let mut weights = held_models.iter().map(|name| Some(self.model(name)?.weights_mb));
-        let Some(models_mb) = weights.try_fold(0.0, |sum, weight| Some(sum + weight?)) else {
-            return 0;
-        };
-        let adapter_mb = |name: &str| self.model(name).map_or(0.0, |model| model.adapter_mb);
-        let sizes: Vec<f64> = held_adapters.map(adapter_mb).collect();
-        let free_slots = self.adapter_slots.saturating_sub(sizes.len());
+        let models_mb = weights.try_fold(0.0, |sum, weight| Some(sum + weight?))?;
+        let adapter_mb = |name: &str| Some(self.model(name)?.adapter_mb);
+        let sizes: Vec<f64> = held_adapters.map(adapter_mb).collect::<Option<_>>()?;
+        let free_slots = self.adapter_slots.checked_sub(sizes.len())?;
+        // Sums of sizes may be off by a rounding error.
+        let tolerance = ROUNDING * model.adapter_mb.max(0.0);
+        let free_mb = self.weights_mb - models_mb - sizes.iter().sum::<f64>() + tolerance;
+        if free_mb < 0.0 {
+            return None;
+        }
         if model.adapter_mb <= 0.0 {
-            return free_slots;
+            return Some(free_slots);
         }
-        let free_mb = (self.weights_mb - models_mb - sizes.iter().sum::<f64>()).max(0.0);
-        // Sums of sizes may be off by a rounding error.
-        let fitting = (free_mb / model.adapter_mb + ROUNDING).floor() as usize;
-        fitting.min(free_slots)
+        let fitting = (free_mb / model.adapter_mb).floor() as usize;
+        Some(fitting.min(free_slots))
     }
 }
 
--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -336,29 +336,36 @@
     /// incarnation: each order names the number of orders before it, so a late one is executed only if none was
     /// accepted since.
     pub fn free_slots(&self, now: Time, spec: &EngineSpec, model: &str) -> usize {
-        let (reserved, _) = self.reserved_slots(now);
-        self.room_without(spec, model, None).saturating_sub(reserved)
+        self.room_without(now, spec, model, None).unwrap_or(0)
     }
 
-    /// Returns true if an adapter may be evicted for another: not while the slots reserved for late orders are in use.
+    /// Returns true if an adapter may be evicted for another: not while the room reserved for late orders is in use.
     pub fn may_evict(&self, now: Time, spec: &EngineSpec, model: &str) -> bool {
-        let (reserved, _) = self.reserved_slots(now);
-        self.room_without(spec, model, None) >= reserved
+        self.room_without(now, spec, model, None).is_some()
     }
 
-    /// Returns how many more adapters of a model fit, with one of those that it holds evicted.
-    fn room_without(&self, spec: &EngineSpec, model: &str, evicted: Option<&AdapterKey>) -> usize {
+    /// Returns how many more adapters of a model fit beside the largest that late orders may load, with one of those
+    /// that it holds evicted; `None` if not even the late ones fit.
+    fn room_without(
+        &self,
+        now: Time,
+        spec: &EngineSpec,
+        model: &str,
+        evicted: Option<&AdapterKey>,
+    ) -> Option<usize> {
+        let (reserved, _) = self.reserved_slots(now);
         let kept = self.slots.iter().filter(|(key, _)| Some(*key) != evicted);
         // A version that is being replaced may need a slot beside the newer one.
         let copies = |slot: &Slot| 1 + usize::from(slot.replaces.is_some());
         let adapters = kept.flat_map(|(key, slot)| std::iter::repeat_n(&*key.model, copies(slot)));
-        spec.room_for_adapters(model, &self.models, adapters)
+        let late = spec.largest_adapter().map(|model| &*model.name).unwrap_or(model);
+        let late = std::iter::repeat_n(late, reserved);
+        spec.room_for_adapters(model, &self.models, adapters.chain(late))
     }
 
     /// Returns true if another adapter fits once this one is evicted.
     fn makes_room(&self, now: Time, spec: &EngineSpec, model: &str, victim: &AdapterKey) -> bool {
-        let (reserved, _) = self.reserved_slots(now);
-        self.room_without(spec, model, Some(victim)) > reserved
+        self.room_without(now, spec, model, Some(victim)).is_some_and(|room| room > 0)
     }
 
     /// Counts the adapters that could be evicted for `wanted`.
--- a/crates/portrack/tests/gateway/room.rs
+++ b/crates/portrack/tests/gateway/room.rs
@@ -3,8 +3,8 @@
 use crate::support::{MODEL, backend, config, key, ms};
 use portrack::Time;
 use portrack::gateway::{
-    AdapterKey, EngineSpec, FleetConfig, HeldModel, ModelSpec, Plan, PlanOutcome, PlannedLoad,
-    Planner, ServerReport, Service,
+    AdapterKey, EngineSpec, FleetConfig, HeldModel, ModelSpec, OrderKind, Plan, PlanOutcome,
+    PlannedLoad, Planner, ServerReport, Service, UnansweredOrder,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -170,3 +170,38 @@
         assert!(matches!(evicted, Some("a2" | "a3")), "four slots are in use: {plan:?}");
     }
 }
+
+/// Guards against a load for which there is no room beside a late order to the former incarnation that loads a larger
+/// adapter.
+#[test]
+fn the_room_kept_for_a_late_order_is_that_of_a_smaller_adapter() {
+    let models = vec![model("small", 10_000.0, 100.0), model("large", 10_000.0, 900.0)];
+    let config = configuration(21_000.0, SLOTS, models);
+    let held: [Rc<str>; 2] = ["small".into(), "large".into()];
+    let mut planner = planner(&config, &held);
+    let late = UnansweredOrder {
+        kind: OrderKind::Load,
+        adapter: adapter("large", "l1"),
+        expected: 0,
+        sent_at: Time(1_000),
+    };
+    planner.order_sent(&"s1".into(), late);
+    planner.server_restarted(Time(1_500), &"s1".into());
+    planner.claimed(&"s1".into(), Time(0));
+    let held_model = |name: &Rc<str>| HeldModel { name: name.clone(), adapters: Vec::new() };
+    let mut server = backend("s1", &[]);
+    server.models = held.iter().map(held_model).collect();
+    planner.update_server(Time(1_600), &server);
+    let report = ServerReport { models: held.to_vec(), ..ServerReport::default() };
+    planner.reported(Time(1_700), "s1", &report);
+    let smaller = (0..4).map(|n| adapter("small", &format!("a{n}")));
+    let mut loaded = 0;
+    for (at, key) in smaller.enumerate() {
+        let now = 2_000 + 1_000 * at as u64;
+        for plan in plans_for(&mut planner, now, &[key]) {
+            loaded += usize::from(plan.evict.is_none());
+            planner.ended(Time(now + 100), &plan, PlanOutcome::Done, Some(ms(100)));
+        }
+    }
+    assert!(loaded <= 1, "1,000 MB, 900 of them for the late order: {loaded} of 100 were loaded");
+}
