Servers' room is counted with the sizes under which they may have loaded

What callers would see: after a change of the configuration that names smaller adapters, servers that still hold the larger ones are ordered to load beyond their memory and fall (LIMIT); and one that holds a model which the configuration no longer names gets no adapter of its other models any more.

Cause: all that a server holds was counted with the sizes of the newest configuration.

Change: the planner counts with the largest size that it has seen of each model and its adapters, and keeps those of models that are no longer named. These are not loaded any more. A daemon that started after the change does not know the larger sizes: servers do not report them.

Test: adapters_count_with_a_size_that_the_configuration_had_when_they_were_loaded; before, an adapter was loaded without an eviction beside 1,000 MB of 1,000.

--- a/crates/portrack/src/gateway/fleet/config.rs
+++ b/crates/portrack/src/gateway/fleet/config.rs
@@ -136,6 +136,22 @@
         self.models.iter().find(|model| &*model.name == name)
     }
 
+    /// This capacity with the larger sizes of this and a former configuration: servers may hold what was loaded under
+    /// either. Models of the former one alone come last.
+    pub fn with_sizes_of(&self, former: &Self) -> Self {
+        let mut models = self.models.clone();
+        for old in &former.models {
+            match models.iter_mut().find(|model| model.name == old.name) {
+                Some(model) => {
+                    model.weights_mb = model.weights_mb.max(old.weights_mb);
+                    model.adapter_mb = model.adapter_mb.max(old.adapter_mb);
+                }
+                None => models.push(old.clone()),
+            }
+        }
+        Self { models, ..self.clone() }
+    }
+
     /// Returns the model with the largest adapters.
     pub fn largest_adapter(&self) -> Option<&ModelSpec> {
         self.models.iter().max_by(|a, b| a.adapter_mb.total_cmp(&b.adapter_mb))
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -115,6 +115,8 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     config: Option<Rc<FleetConfig>>,
+    /// Capacities of the engines by service, with the largest size of each model and adapter since this daemon started.
+    capacities: Rc<HashMap<Rc<str>, EngineSpec>>,
     servers: BTreeMap<Rc<str>, PlannedServer>,
     versions: HashMap<AdapterKey, u64>,
     budgets: HashMap<Rc<str>, LoadBudget>,
@@ -133,12 +135,16 @@
 impl Planner {
     /// Updates the configuration.
     pub fn set_config(&mut self, now: Time, config: Rc<FleetConfig>) {
+        let mut capacities = HashMap::clone(&self.capacities);
         for service in config.services.values() {
             let Some(engine) = &service.engine else { continue };
+            let former = capacities.get(&service.name).unwrap_or(engine);
+            capacities.insert(service.name.clone(), engine.with_sizes_of(former));
             let new = || LoadBudget::new(now, engine.loads_per_second);
             let budget = self.budgets.entry(service.name.clone()).or_insert_with(new);
             budget.set_rate(engine.loads_per_second);
         }
+        self.capacities = Rc::new(capacities);
         self.config = Some(config);
     }
 
@@ -303,14 +309,16 @@
                 SlotState::Unloading => {}
             }
         }
-        let free = self.config.as_ref().and_then(|config| {
-            let spec = config.services.get(&server.service)?.engine.as_ref()?;
+        if self.config.as_ref().is_some_and(|config| !names_model(config, &server.service, key)) {
+            return LoadRequestAnswer::Refused;
+        }
+        let free = self.capacities.get(&server.service).map(|spec| {
             let idle = if server.may_evict(now, spec, &key.model) {
                 server.evictable_count(now, spec, key)
             } else {
                 0
             };
-            Some(server.free_slots(now, spec, &key.model) + idle)
+            server.free_slots(now, spec, &key.model) + idle
         });
         let reserved =
             self.load_requests.keys().filter(|(at, other)| at == id && other != key).count();
@@ -380,8 +388,10 @@
             let Some(spec) = self.spec(&config, id) else { continue };
             plans.extend(self.plan_base_load(now, id, spec));
         }
+        let capacities = self.capacities.clone();
         for ranked in self.ranked_requests(now, orderable) {
-            let Some(spec) = self.spec(&config, &ranked.server) else { continue };
+            let Some(server) = self.servers.get(&ranked.server) else { continue };
+            let Some(spec) = capacities.get(&server.service) else { continue };
             if let Some(plan) = self.plan_adapter_load(now, spec, &ranked) {
                 self.load_requests.remove(&(ranked.server, ranked.key));
                 plans.push(plan);
@@ -557,3 +567,10 @@
         }
     }
 }
+
+/// Whether a configuration names the model of an adapter.
+fn names_model(config: &FleetConfig, service: &str, key: &AdapterKey) -> bool {
+    let service = config.services.get(service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    engine.is_some_and(|engine| engine.model(&key.model).is_some())
+}
--- a/crates/portrack/tests/gateway/room.rs
+++ b/crates/portrack/tests/gateway/room.rs
@@ -205,3 +205,25 @@
     }
     assert!(loaded <= 1, "1,000 MB, 900 of them for the late order: {loaded} of 100 were loaded");
 }
+
+/// Guards against loads beside adapters that are larger than the configuration says by now: it has changed since they
+/// were loaded. And against a server that stays without adapters because a model that it holds is no longer named.
+#[test]
+fn adapters_count_with_a_size_that_the_configuration_had_when_they_were_loaded() {
+    let models =
+        |adapter_mb: f64| ["m0", "m1"].map(|name| model(name, MODEL_MB, adapter_mb)).to_vec();
+    let held: [Rc<str>; 2] = ["m0".into(), "m1".into()];
+    let mut planner = planner(&configuration(SERVER_MB, SLOTS, models(200.0)), &held);
+    let loaded = load_all(&mut planner, (0..5).map(|n| adapter("m0", &format!("a{n}"))));
+    assert_eq!(loaded.len(), 5, "1,000 MB hold five of 200 MB");
+    planner.set_config(Time(100_000), configuration(SERVER_MB, SLOTS, models(50.0)));
+    let plans = plans_for(&mut planner, 110_000, &[adapter("m0", "b1")]);
+    assert!(plans.iter().all(|plan| plan.evict.is_some()), "no room is left: {plans:?}");
+
+    let mut planner = self::planner(&configuration(SERVER_MB, SLOTS, models(200.0)), &held);
+    let first = vec![model("m0", MODEL_MB, 200.0)];
+    planner.set_config(Time(100_000), configuration(SERVER_MB, SLOTS, first));
+    let loaded = load_all(&mut planner, (0..9).map(|n| adapter("m0", &format!("c{n}"))));
+    let most = loaded.iter().map(|load| load.held.len()).max();
+    assert_eq!(most, Some(5), "m1 is still loaded, and needs its 22,000 MB");
+}
