A model that a late entry does not list stays counted until a report tells

What callers would see: an entry of the store that is older than the last report, and does not list a model that the server has been reported to hold, made room for adapters that is not there (LIMIT); or the first model of the configuration was ordered beside the one that is held.

Cause: an entry replaced the list of models whatever its age; the adapters were protected from that, the models not.

Change: once a report was read, a model that an entry does not list is kept, and a new report is read before the next order.

Test: a_late_entry_hides_a_model_that_the_server_holds; before, 21 adapters were loaded where 15 fit.

--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -150,15 +150,22 @@
         self.late_orders.may_unload(now, self.orders_taken, key)
     }
 
-    /// Applies the entry in the store. It may be older than any order, so it does not change the
-    /// adapters of a server whose report was read: only this daemon's orders do.
+    /// Applies the entry in the store. It may be older than any order, so it does not change the adapters of a server
+    /// whose report was read, as only this daemon's orders do. A model that it does not list is looked for in a report.
     pub fn apply_entry(&mut self, now: Time, backend: &Backend) {
         self.draining = backend.draining;
-        self.models = backend.models.iter().map(|model| model.name.clone()).collect();
+        let was_surveyed = self.surveyed;
+        let listed: Vec<Rc<str>> = backend.models.iter().map(|model| model.name.clone()).collect();
+        let reported = std::mem::take(&mut self.models).into_iter();
+        let missing: Vec<Rc<str>> =
+            reported.filter(|name| was_surveyed && !listed.contains(name)).collect();
+        // The next report tells whether the missing ones are still there.
+        self.surveyed &= missing.is_empty();
+        self.models = [listed, missing].concat();
         if !self.models.is_empty() {
             self.base_ordered_at = None;
         }
-        if self.surveyed || !self.slots.is_empty() {
+        if was_surveyed || !self.slots.is_empty() {
             return;
         }
         for model in &backend.models {
--- a/crates/portrack/tests/gateway/room.rs
+++ b/crates/portrack/tests/gateway/room.rs
@@ -227,3 +227,21 @@
     let most = loaded.iter().map(|load| load.held.len()).max();
     assert_eq!(most, Some(5), "m1 is still loaded, and needs its 22,000 MB");
 }
+
+/// Guards against loads beside a model that an entry older than the last report does not list yet.
+#[test]
+fn a_late_entry_hides_a_model_that_the_server_holds() {
+    let models = ["m0", "m1"].map(|name| model(name, MODEL_MB, ADAPTER_MB));
+    let config = configuration(SERVER_MB, SLOTS, models.to_vec());
+    let held: [Rc<str>; 2] = ["m0".into(), "m1".into()];
+    let mut planner = planner(&config, &held);
+    let mut late = backend("s1", &[]);
+    late.models = vec![HeldModel { name: "m0".into(), adapters: Vec::new() }];
+    planner.update_server(Time(5_000), &late);
+    assert!(plans_for(&mut planner, 5_100, &[adapter("m0", "a0")]).is_empty(), "not surveyed");
+    let report = ServerReport { models: held.to_vec(), ..ServerReport::default() };
+    planner.reported(Time(5_200), "s1", &report);
+    let loaded = load_all(&mut planner, (0..40).map(|n| adapter("m0", &format!("a{n}"))));
+    let most = loaded.iter().map(|load| load.held.len()).max();
+    assert_eq!(most, Some(15), "1,000 MB are left beside both models");
+}
