The end of loads that the holder before has ordered is looked for

What callers would see: a server that was taken over while three loads were on the way got no further loads for as long as nothing else made its report be read; requests for adapters there were refused as not loaded.

Cause: a load in a report counts as under way until a later report; only the daemon that ordered it asks for its end.

Change: a load that is not over 2.5 s after the last look makes a report be read. Orders go on meanwhile.

Test: loads_of_the_holder_before_block_a_server_for_good; failed before (no report was wanted).

--- a/crates/portrack/src/gateway/orders/planned_server.rs
+++ b/crates/portrack/src/gateway/orders/planned_server.rs
@@ -13,6 +13,8 @@
 
 /// An unload that is not over after this time requires a new report.
 const UNLOAD_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A load that is not known to be over after this time is looked for in a new report, and again so much later.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Upper bound by which a report is older than an order.
 const MAX_REPORT_LAG: Duration = Duration::from_millis(700);
 /// Pause after an order without a response.
@@ -85,6 +87,8 @@
     pub base_ordered_at: Option<Time>,
     /// Whether a report was read since this daemon began to order it.
     pub surveyed: bool,
+    /// Whether a new report is to be read, though orders may be sent without it.
+    pub report_due: bool,
     cached: Vec<(AdapterKey, u64)>,
     paused_until: Time,
     /// Orders to its former incarnations that it may execute.
@@ -107,6 +111,7 @@
             slots: HashMap::new(),
             base_ordered_at: None,
             surveyed: false,
+            report_due: false,
             cached: Vec::new(),
             paused_until: Time(0),
             late_orders: LateOrders::default(),
@@ -185,9 +190,19 @@
         })
     }
 
+    /// Returns true if a report has to tell whether a load is over: nobody else looks at one that the holder before
+    /// has ordered.
+    pub fn has_overdue_load(&self, now: Time) -> bool {
+        self.slots.values().any(|slot| {
+            let checked_at = slot.changed_at.max(self.surveyed_at);
+            slot.state == SlotState::Loading && now.since(checked_at) >= LOAD_TIMEOUT
+        })
+    }
+
     /// Applies a report, which is newer than the entry but may be older than the last orders.
     pub fn apply_report(&mut self, now: Time, report: &ServerReport) {
         self.surveyed = true;
+        self.report_due = false;
         self.surveyed_at = now;
         self.record_orders_taken(report.orders_taken);
         self.models = report.models.clone();
--- a/crates/portrack/src/gateway/orders/planner.rs
+++ b/crates/portrack/src/gateway/orders/planner.rs
@@ -244,10 +244,11 @@
         }
     }
 
-    /// Returns those of the given servers whose report has to be read first, with their addresses.
+    /// Returns those of the given servers whose report has to be read, with their addresses.
     pub fn needing_survey(&self, orderable: &[Rc<str>]) -> Vec<(Rc<str>, SocketAddr)> {
         let servers = orderable.iter().filter_map(|id| self.servers.get_key_value(id));
-        let needing_survey = servers.filter(|(_, server)| !server.surveyed && !server.draining);
+        let needing_survey = servers
+            .filter(|(_, server)| (!server.surveyed || server.report_due) && !server.draining);
         needing_survey.map(|(id, server)| (id.clone(), server.address)).collect()
     }
 
@@ -379,6 +380,7 @@
         let Some(config) = self.config.clone() else { return (Vec::new(), Vec::new()) };
         self.ordered_servers = orderable.len();
         for server in self.servers.values_mut() {
+            server.report_due |= server.has_overdue_load(now);
             if server.has_overdue_unload(now) || server.is_survey_outdated(now) {
                 server.surveyed = false;
             }
