An answer without a length counts as whole only if its server itself answers afterwards

Cause: such an answer ends with its connection, and the system closes those of a killed process as the server does. What was taken for proof that the server lived was the absence of a sign: it had meant to leave, or something listened there. Nobody asked who.

Change: after such a close the server's health endpoint is asked, with the id of the server; the answer counts as whole if that names it, or rejects the question as a full server does, which others do with 421. Directly, on two connections, else through another daemon. A service without a health endpoint is looked at as before.

Why it holds: a killed process answers nothing, and what comes after it has another id. A server that ends in the instant of its last answer cannot be told from one that is killed: its answer is a cut.

--- a/crates/portrack/src/gateway/connections/mod.rs
+++ b/crates/portrack/src/gateway/connections/mod.rs
@@ -5,6 +5,7 @@
 
 pub(in crate::gateway) mod connection;
 pub(in crate::gateway) mod connector;
+pub(in crate::gateway) mod identity;
 pub(in crate::gateway) mod inbound;
 pub(in crate::gateway) mod links;
 pub(in crate::gateway) mod pool;
--- a/crates/portrack/src/gateway/dialect.rs
+++ b/crates/portrack/src/gateway/dialect.rs
@@ -117,6 +117,8 @@
     pub signed: bool,
     /// True if the server declares that it did not run the request.
     pub not_run: bool,
+    /// The id of the server, if it names itself.
+    pub instance: Option<String>,
     /// The request rate that the server accepts, in requests per second.
     pub limit: LimitHint,
     /// True if the server announces that it is leaving.
--- a/crates/portrack/src/gateway/requests/sending.rs
+++ b/crates/portrack/src/gateway/requests/sending.rs
@@ -5,6 +5,7 @@
 use super::handler::RequestHandler;
 use super::job::{Choice, Job};
 use crate::gateway::arrivals::GrantGuard;
+use crate::gateway::connections::identity::IdentityCheck;
 use crate::gateway::dialect::ForwardMeta;
 use crate::gateway::fleet::backend::Backend;
 use crate::gateway::tunnels::connecting::LOOK_DELAY;
@@ -54,8 +55,25 @@
         Ok(())
     }
 
-    /// Looks at a server that has closed the connection of a response.
+    /// Looks at a server that has closed the connection of a response: it runs if it says so itself. Neither that it
+    /// meant to leave nor that something listens at its address tells whether it was killed.
     pub(super) async fn look_after_close(&self, backend: &Backend) -> ServerAfterClose {
+        let service = self.view.borrow().service(&backend.service).cloned();
+        let Some(service) = service.filter(|service| !service.health_path.is_empty()) else {
+            return self.look_at_address(backend).await;
+        };
+        actix_rt::time::sleep(LOOK_DELAY).await;
+        let check = IdentityCheck::new(&*self.dialect, &backend.id, &service.health_path);
+        let asking = self.connections.answers(backend, &check);
+        let answers = actix_rt::time::timeout(LOOK_TIMEOUT, asking).await.unwrap_or(false);
+        match answers && !self.view.borrow().has_restarted(backend) {
+            true => ServerAfterClose::Runs,
+            false => ServerAfterClose::NotSeen,
+        }
+    }
+
+    /// The same look at a server that cannot be asked who it is.
+    async fn look_at_address(&self, backend: &Backend) -> ServerAfterClose {
         // The entry of a server that is killed goes afterwards.
         let ends_as_planned = self.view.borrow().ends_after_last_answer(&backend.id);
         actix_rt::time::sleep(LOOK_DELAY).await;
--- a/crates/portrack/src/gateway/tunnels/connecting.rs
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -3,6 +3,7 @@
 use super::carriers::Carriers;
 use super::message::{TunnelReply, TunnelRequest};
 use crate::gateway::connections::connection::{Connection, ConnectionRoute, ExchangeError};
+use crate::gateway::connections::identity::IdentityCheck;
 use crate::gateway::connections::links::{PeerResult, Reachability};
 use crate::gateway::connections::pool::{AcquireError, ConnectionPool, PooledConnection};
 use crate::gateway::fleet::backend::Backend;
@@ -22,6 +23,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Daemons asked for a server that is known to be out of reach from here.
 const MAX_CARRIERS: usize = 2;
+/// Direct connections on which a server is asked who it is: an idle one may end at that moment.
+const DIRECT_CHECKS: usize = 2;
 /// Daemons asked by a request whose direct attempt has just failed: the server may be down.
 const FIRST_CARRIERS: usize = 1;
 
@@ -142,6 +145,24 @@
         self.peer_opinion(backend).await == PeerOpinion::Reached
     }
 
+    /// Whether a server itself answers, on a connection from here or through another daemon.
+    pub async fn answers(&self, backend: &Backend, check: &IdentityCheck<'_>) -> bool {
+        let (id, now) = (&backend.id, self.clock.now());
+        if self.pool.links().reachability(now, id) == Reachability::Direct {
+            for _ in 0..DIRECT_CHECKS {
+                let acquiring = self.pool.acquire(id, backend.address, usize::MAX);
+                let Ok(mut pooled) = acquiring.await else { break };
+                if let Ok(is_proved) = check.ask(pooled.connection()).await {
+                    return is_proved;
+                }
+            }
+        }
+        match self.open_tunnel(backend, MAX_CARRIERS).await {
+            Ok(mut connection) => check.ask(&mut connection).await.unwrap_or(false),
+            Err(_) => false,
+        }
+    }
+
     /// Asks other daemons whether they reach a server.
     pub async fn peer_opinion(&self, backend: &Backend) -> PeerOpinion {
         match self.open_tunnel(backend, MAX_CARRIERS).await {
