A peer's reply may take as long as it keeps arriving

Cause: a stale daemon asks three peers at once for all that it lacks, and the time for the begin of a reply, a tenth of the least bound (300 ms), was the time for the whole. Three copies of a large configuration do not fit such a link in it; what had arrived was dropped and asked for again, which kept the link full.

Change: a peer must begin its reply within that time; the rest may take as long as bytes arrive, each 4 KB within 0.2 of the bound, at most 10 s (the largest frame takes 7 s at 10 Mbit/s). The sender gives up on the same grounds, not after 1.5 s. Of replies over 64 KB one is received at a time; the others are closed, and their peers not held to be unresponsive.

Why it holds: a reply that was begun is finished unless its bytes stop.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -50,7 +50,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 /// State shared by the tasks of one gateway daemon.
 pub struct GatewayDaemon {
@@ -102,6 +102,8 @@
     pub(super) news_old: Cell<bool>,
     /// Set if the last check found no proof fresh enough to accept keys.
     pub(super) proof_lost: Cell<bool>,
+    /// Permits for receiving large replies of peers.
+    pub(super) large_replies: Semaphore,
     /// Store changes forwarded to the followers of this daemon.
     pub(super) feed: FollowerFeed,
     /// Notified when datagrams from peers arrive again after this daemon was cut off.
@@ -340,6 +342,7 @@
             around: RefCell::default(),
             news_old: Cell::new(false),
             proof_lost: Cell::new(false),
+            large_replies: Semaphore::new(1),
             feed: FollowerFeed::default(),
             reconnected: Notify::new(),
             unclaimed_servers: RefCell::default(),
--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -2,7 +2,7 @@
 
 use super::era_delta::EraDelta;
 use super::follower_feed::PeerRequest;
-use super::frames::{read_frame, write_frame};
+use super::frames::{read_frame, read_frame_body, write_frame, write_large_frame};
 use super::mirror::{MirrorChange, MirrorItem, MirrorUpdate};
 use super::retained::RetainedItem;
 use crate::gateway::daemon::GatewayDaemon;
@@ -13,14 +13,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest interval between checks whether peers have newer state.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout for catching up from one peer.
+/// Timeout for the first response of a peer to a daemon that has no configuration yet, and for a peer's question.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout for a whole reply that keeps arriving: over a link of 10 Mbit/s the largest takes 7 s.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Replies longer than this are received one at a time: over a link of 10 Mbit/s, one takes 50 ms.
+const LARGE_REPLY_BYTES: u32 = 64 * 1024;
 /// Peers that are queried in parallel when the copy is stale: one of them may not be able to help.
 const MAX_PARALLEL_QUERIES: usize = 3;
 
@@ -105,13 +110,19 @@
     /// Fetches an update from a peer, together with a proof of how fresh it is.
     async fn catch_up(self: &Rc<Self>, peer: SocketAddr, timeout: Duration) {
         let requested_at = self.now();
-        let position = self.known_position();
-        let Ok(Some(reply)) =
-            actix_rt::time::timeout(timeout, request_catch_up(peer, position)).await
-        else {
-            log::warn!(peer:% = peer; "peer_did_not_answer");
-            self.course.borrow_mut().mark_unresponsive(self.now(), peer);
-            return;
+        let receiving =
+            actix_rt::time::timeout(REPLY_TIMEOUT, self.request_catch_up(peer, timeout));
+        let reply = match receiving.await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(CatchUpFailure::Crowded)) => {
+                log::debug!(peer:% = peer; "peer_not_needed");
+                return;
+            }
+            Ok(Err(CatchUpFailure::NoReply)) | Err(_) => {
+                log::warn!(peer:% = peer; "peer_did_not_answer");
+                self.course.borrow_mut().mark_unresponsive(self.now(), peer);
+                return;
+            }
         };
         let update = PeerUpdate {
             era: reply.era,
@@ -136,6 +147,26 @@
         }
     }
 
+    /// Requests an update from a peer, which must begin to reply within `timeout`. After that, a reply may take as long
+    /// as it keeps arriving.
+    async fn request_catch_up(
+        &self,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Result<CatchUpReply, CatchUpFailure> {
+        let beginning = begin_catch_up(peer, self.known_position());
+        let beginning = actix_rt::time::timeout(timeout, beginning).await.ok().flatten();
+        let (mut stream, length) = beginning.ok_or(CatchUpFailure::NoReply)?;
+        let is_large = length > LARGE_REPLY_BYTES;
+        let _permit = match is_large {
+            true => Some(self.large_replies.try_acquire().map_err(|_| CatchUpFailure::Crowded)?),
+            false => None,
+        };
+        let chunk_timeout = self.sync_timings().silence_timeout();
+        let reading = read_frame_body(&mut stream, length, chunk_timeout);
+        reading.await.map_err(|_| CatchUpFailure::NoReply)
+    }
+
     /// Applies a peer's update.
     pub(in crate::gateway) fn apply_peer_update(&self, update: PeerUpdate) -> PeerUpdateResult {
         let era = self.eras.borrow().resolve_peer_era(update.era);
@@ -206,9 +237,13 @@
                     let kept = mirror.retained_items();
                     CatchUpReply { revision, proof_age_ms, whole, items, era, kept, step }
                 };
-                actix_rt::time::timeout(CATCH_UP_TIMEOUT, write_frame(&mut stream, &reply))
-                    .await
-                    .ok()?
+                let timeout = self.sync_timings().silence_timeout();
+                actix_rt::time::timeout(
+                    REPLY_TIMEOUT,
+                    write_large_frame(&mut stream, &reply, timeout),
+                )
+                .await
+                .ok()?
             }
             PeerRequest::Follow { after, question: query, era } => {
                 let after = StorePosition::new(era, after);
@@ -219,9 +254,19 @@
     }
 }
 
-async fn request_catch_up(peer: SocketAddr, after: StorePosition) -> Option<CatchUpReply> {
+/// Why a peer's reply was not received.
+enum CatchUpFailure {
+    /// The peer did not reply, or stopped in the middle.
+    NoReply,
+    /// Another large reply is being received, for which this one would take bandwidth.
+    Crowded,
+}
+
+/// Sends a request to a peer, and waits for the length of its reply.
+async fn begin_catch_up(peer: SocketAddr, after: StorePosition) -> Option<(TcpStream, u32)> {
     let mut stream = TcpStream::connect(peer).await.ok()?;
     let StorePosition { era, revision: after } = after;
     write_frame(&mut stream, &PeerRequest::CatchUp { after, era }).await?;
-    read_frame(&mut stream, CATCH_UP_TIMEOUT).await.ok()
+    let length = stream.read_u32().await.ok()?;
+    Some((stream, length))
 }
--- a/crates/portrack/src/gateway/store_sync/frames.rs
+++ b/crates/portrack/src/gateway/store_sync/frames.rs
@@ -29,6 +29,18 @@
     stream.write_all(&encode_frame(body)?).await.ok()
 }
 
+/// Writes a message of any length: each chunk must be accepted within `timeout`.
+pub(in crate::gateway) async fn write_large_frame(
+    stream: &mut (impl AsyncWrite + Unpin),
+    body: &impl Serialize,
+    timeout: Duration,
+) -> Option<()> {
+    for chunk in encode_frame(body)?.chunks(CHUNK) {
+        actix_rt::time::timeout(timeout, stream.write_all(chunk)).await.ok()?.ok()?;
+    }
+    Some(())
+}
+
 /// Why no message was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::gateway) enum FrameError {
@@ -46,7 +58,15 @@
 ) -> Result<T, FrameError> {
     let mut length = [0; 4];
     read_chunk(stream, &mut length, timeout).await?;
-    let length = u32::from_be_bytes(length);
+    read_frame_body(stream, u32::from_be_bytes(length), timeout).await
+}
+
+/// Reads the rest of a message after its length, as [`read_frame`] does.
+pub(in crate::gateway) async fn read_frame_body<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    length: u32,
+    timeout: Duration,
+) -> Result<T, FrameError> {
     if length > MAX_BODY {
         return Err(FrameError::Failed);
     }
