Collected bodies are held in blocks, not in memory that doubles

Cause: the bodies of plain services may hold 64 MB together. A body that grew in small parts doubled its memory each time, and what it had left was not given back at once, so that up to twice as much was resident; how much hung on the order in which 20 of them grew.

Change: a body is collected in blocks of 64 KB and joined once, at its end. Shorter ones are as before. The bounds, and that of the test, stay.

--- a/crates/portrack/src/http1/collected.rs
+++ b/crates/portrack/src/http1/collected.rs
@@ -10,6 +10,10 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+/// Size in bytes from which a body is collected in several blocks. One that grew as a whole would hold up to twice its
+/// size: the memory that it has left is not given back at once.
+const BLOCK: usize = 64 * 1024;
+
 /// Counts the bytes of all bodies that are held; clones share the count.
 #[derive(Debug, Clone)]
 pub struct BodyMemory {
@@ -28,7 +32,9 @@
 #[derive(Debug)]
 pub struct BodyCollector {
     memory: BodyMemory,
-    body: BytesMut,
+    /// The body so far, in order.
+    blocks: Vec<BytesMut>,
+    /// Its length.
     counted: usize,
 }
 
@@ -50,7 +56,7 @@
 
     /// Starts an empty body.
     pub fn collector(&self) -> BodyCollector {
-        BodyCollector { memory: self.clone(), body: BytesMut::new(), counted: 0 }
+        BodyCollector { memory: self.clone(), blocks: Vec::new(), counted: 0 }
     }
 
     /// Number of bytes held.
@@ -64,20 +70,31 @@
     #[must_use]
     pub fn push(&mut self, part: &[u8]) -> bool {
         let held = self.memory.held.get() + part.len();
-        let is_too_large = self.body.len() + part.len() > self.memory.max_each;
+        let is_too_large = self.counted + part.len() > self.memory.max_each;
         if is_too_large || held > self.memory.max_total {
             return false;
         }
         self.memory.held.set(held);
         self.counted += part.len();
-        self.body.extend_from_slice(part);
+        match self.blocks.last_mut().filter(|block| block.len() + part.len() <= BLOCK) {
+            Some(block) => block.extend_from_slice(part),
+            None => self.blocks.push(part.into()),
+        }
         true
     }
 
     /// The whole body.
     pub fn finish(mut self, end: BodyEnd) -> CollectedBody {
-        let bytes = self.body.split().freeze();
-        CollectedBody { bytes, end, _counted: self }
+        CollectedBody { bytes: self.join(), end, _counted: self }
+    }
+
+    fn join(&mut self) -> Bytes {
+        if self.blocks.len() <= 1 {
+            return self.blocks.pop().unwrap_or_default().freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.counted);
+        self.blocks.drain(..).for_each(|block| whole.extend_from_slice(&block));
+        whole.freeze()
     }
 }
 
