A server whose health endpoint names nobody is asked for its report by its id

Cause: such an answer counted as another server's.

Change: if it names nobody, a server with an engine is asked for its report with its id, which others refuse with 421.

--- a/crates/portrack/src/gateway/requests/sending.rs
+++ b/crates/portrack/src/gateway/requests/sending.rs
@@ -63,7 +63,9 @@
             return self.look_at_address(backend).await;
         };
         actix_rt::time::sleep(LOOK_DELAY).await;
-        let check = IdentityCheck::new(&*self.dialect, &backend.id, &service.health_path);
+        let report_path = service.engine.as_ref().map(|_| self.dialect.report_path());
+        let check =
+            IdentityCheck::new(&*self.dialect, &backend.id, &service.health_path, report_path);
         let asking = self.connections.answers(backend, &check);
         let answers = actix_rt::time::timeout(LOOK_TIMEOUT, asking).await.unwrap_or(false);
         match answers && !self.view.borrow().has_restarted(backend) {
--- a/crates/portrack/src/gateway/tunnels/connecting.rs
+++ b/crates/portrack/src/gateway/tunnels/connecting.rs
@@ -3,7 +3,7 @@
 use super::carriers::Carriers;
 use super::message::{TunnelReply, TunnelRequest};
 use crate::gateway::connections::connection::{Connection, ConnectionRoute, ExchangeError};
-use crate::gateway::connections::identity::IdentityCheck;
+use crate::gateway::connections::identity::{Identity, IdentityCheck};
 use crate::gateway::connections::links::{PeerResult, Reachability};
 use crate::gateway::connections::pool::{AcquireError, ConnectionPool, PooledConnection};
 use crate::gateway::fleet::backend::Backend;
@@ -147,20 +147,34 @@
 
     /// Whether a server itself answers, on a connection from here or through another daemon.
     pub async fn answers(&self, backend: &Backend, check: &IdentityCheck<'_>) -> bool {
+        for path in check.paths() {
+            match self.ask_identity(backend, check, path).await {
+                Some(Identity::Unnamed) => {}
+                identity => return identity == Some(Identity::Confirmed),
+            }
+        }
+        false
+    }
+
+    /// Who answers at a server's address; `None` if nobody does.
+    async fn ask_identity(
+        &self,
+        backend: &Backend,
+        check: &IdentityCheck<'_>,
+        path: &str,
+    ) -> Option<Identity> {
         let (id, now) = (&backend.id, self.clock.now());
         if self.pool.links().reachability(now, id) == Reachability::Direct {
             for _ in 0..DIRECT_CHECKS {
                 let acquiring = self.pool.acquire(id, backend.address, usize::MAX);
                 let Ok(mut pooled) = acquiring.await else { break };
-                if let Ok(is_proved) = check.ask(pooled.connection()).await {
-                    return is_proved;
+                if let Ok(identity) = check.ask(pooled.connection(), path).await {
+                    return Some(identity);
                 }
             }
         }
-        match self.open_tunnel(backend, MAX_CARRIERS).await {
-            Ok(mut connection) => check.ask(&mut connection).await.unwrap_or(false),
-            Err(_) => false,
-        }
+        let mut connection = self.open_tunnel(backend, MAX_CARRIERS).await.ok()?;
+        check.ask(&mut connection, path).await.ok()
     }
 
     /// Asks other daemons whether they reach a server.
