A reply that begins late, or a slow one beside a quick one, no longer keeps a copy old

After a cut in which the configuration grew by 1,400 routes, daemons answered 404 for routes that are there and sent requests where the route had gone.

Cause: a figure ended each attempt to catch up. A reply that had not begun after a tenth of the bound (200 ms) was dropped and asked for again; on a way, or at a busy machine, where all replies begin later, for ever. And the loop waited for all three that it had asked: one peer that dribbled held it for up to 10 s, kept the permit for large replies, and, where revisions tied, the same one was asked first again, since only one peer was ever named by its revision.

Change: attempts are a state machine (store_sync/attempts.rs). None is given up for being slow: after the time for a first response further peers are asked beside it, also the same one at growing intervals, and the first that brings the copy up to date ends the others. A large reply is waited for only while its pace shows that it will be there within half the bound. What ends an attempt is that nobody sends anything for 10 s. All peers with later revisions are candidates. After a cut, attempts from before are made anew. Logs: each attempt's time to its begin, bytes had of bytes announced and why it ended; with each configuration, how old the news was.

Why it holds: whatever time the way takes, the attempt that is on it stays, and never excludes others.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -34,6 +34,7 @@
 use crate::gateway::shutdown::Shutdown;
 use crate::gateway::software::registry::SoftwareRegistry;
 use crate::gateway::software::resolver::{StreamOrigins, StreamOriginsDeps};
+use crate::gateway::store_sync::attempts::CatchUpAttempts;
 use crate::gateway::store_sync::era::EraTracker;
 use crate::gateway::store_sync::follower_feed::FollowerFeed;
 use crate::gateway::store_sync::mirror::{Mirror, MirrorChange};
@@ -50,7 +51,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
 /// State shared by the tasks of one gateway daemon.
 pub struct GatewayDaemon {
@@ -102,8 +103,8 @@
     pub(super) news_old: Cell<bool>,
     /// Set if the last check found no proof fresh enough to accept keys.
     pub(super) proof_lost: Cell<bool>,
-    /// Permits for receiving large replies of peers.
-    pub(super) large_replies: Semaphore,
+    /// Requests for updates from peers that are under way.
+    pub(super) attempts: RefCell<CatchUpAttempts>,
     /// Store changes forwarded to the followers of this daemon.
     pub(super) feed: FollowerFeed,
     /// Notified when datagrams from peers arrive again after this daemon was cut off.
@@ -342,7 +343,7 @@
             around: RefCell::default(),
             news_old: Cell::new(false),
             proof_lost: Cell::new(false),
-            large_replies: Semaphore::new(1),
+            attempts: RefCell::default(),
             feed: FollowerFeed::default(),
             reconnected: Notify::new(),
             unclaimed_servers: RefCell::default(),
@@ -462,7 +463,7 @@
                 if let Some(config) = view.config() {
                     planner.set_config(now, config.clone());
                     self.metrics.config_version.set(*version as i64);
-                    log::info!(version = version, routes = config.routes.len(), source = source; "config_in_force");
+                    log::info!(version = version, routes = config.routes.len(), source = source, news_age_ms = self.staleness().millis(); "config_in_force");
                 }
             }
             ViewChange::Backend(id) => {
--- a/crates/portrack/src/gateway/fleet/peers.rs
+++ b/crates/portrack/src/gateway/fleet/peers.rs
@@ -509,20 +509,17 @@
         peers.map(|peer| peer.heartbeat.address).collect()
     }
 
-    /// The daemon that knows the latest state of the store, if that is later than this one's
-    /// `revision` in `eras`.
-    pub fn most_up_to_date(
-        &self,
-        now: Time,
-        eras: &EraTracker,
-        revision: u64,
-    ) -> Option<SocketAddr> {
+    /// The daemons that know a later state of the store than this one's `revision` in `eras`, those
+    /// with the latest first.
+    pub fn more_up_to_date(&self, now: Time, eras: &EraTracker, revision: u64) -> Vec<SocketAddr> {
         let mine = StorePosition::new(eras.era(), revision);
         let known = self.up(now).filter_map(|(_, peer)| {
             let era = eras.resolve_peer_era(peer.heartbeat.store.era)?;
             Some((StorePosition::new(era, peer.heartbeat.revision), peer.heartbeat.address))
         });
-        known.filter(|(position, _)| *position > mine).max().map(|(_, address)| address)
+        let mut later: Vec<_> = known.filter(|(position, _)| *position > mine).collect();
+        later.sort_unstable_by(|a, b| b.cmp(a));
+        later.into_iter().map(|(_, address)| address).collect()
     }
 
     /// A daemon that retains items against the store's copy of an era.
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -149,6 +149,9 @@
 pub use software::registry::{ListedVersions, SoftwareRegistry};
 pub use software::replicas::{asked, keepers};
 pub use software::resolver::{OriginSource, StreamOrigins, StreamOriginsDeps};
+pub use store_sync::attempts::{
+    Attempt, AttemptId, CatchUpAttempts, LARGE_REPLY_BYTES, MAX_ATTEMPTS,
+};
 pub use store_sync::era::{EraChange, EraReport, EraTracker};
 pub use store_sync::era_delta::EraDelta;
 pub use store_sync::mirror::{Mirror, MirrorChange, MirrorItem, MirrorUpdate};
--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -1,17 +1,21 @@
 //! Fetches updates of the store from peers on demand, and answers peers that do the same.
 
+use super::attempts::{Attempt, AttemptId, LARGE_REPLY_BYTES, MAX_ATTEMPTS};
 use super::era_delta::EraDelta;
 use super::follower_feed::PeerRequest;
-use super::frames::{read_frame, read_frame_body, write_frame, write_large_frame};
+use super::frames::{FrameError, read_frame, read_frame_body, write_frame, write_large_frame};
 use super::mirror::{MirrorChange, MirrorItem, MirrorUpdate};
 use super::retained::RetainedItem;
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::fleet::cold_start_tracker::SOURCE_PEER;
 use crate::gateway::fleet::trailing_field::or_default;
 use crate::store::{StoreEra, StorePosition};
+use futures_util::future::{FutureExt, LocalBoxFuture};
 use serde::{Deserialize, Serialize};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,14 +24,17 @@
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest interval between checks whether peers have newer state.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout for the first response of a peer to a daemon that has no configuration yet, and for a peer's question.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Timeout for a whole reply that keeps arriving: over a link of 10 Mbit/s the largest takes 7 s.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Replies longer than this are received one at a time: over a link of 10 Mbit/s, one takes 50 ms.
-const LARGE_REPLY_BYTES: u32 = 64 * 1024;
-/// Peers that are queried in parallel when the copy is stale: one of them may not be able to help.
-const MAX_PARALLEL_QUERIES: usize = 3;
+/// Timeout for a peer's question.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time without any byte, both before and within a reply. It only frees what the attempt
+/// holds: other peers are asked long before.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout for a whole reply, for peers that send a few bytes now and then.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval between checks whether another large reply still arrives.
+const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Peers that are considered when the copy is stale.
+const MAX_CANDIDATES: usize = 2 * MAX_ATTEMPTS;
 
 /// A peer's response to [`PeerRequest::CatchUp`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -80,50 +87,90 @@
 impl GatewayDaemon {
     /// Catches up from peers whenever the copy is stale. Runs forever.
     pub async fn catch_up_from_peers(self: Rc<Self>) {
+        let mut running = RunningAttempts::default();
         loop {
-            actix_rt::time::sleep(PEER_CHECK_INTERVAL.min(self.sync_timings().response_time()))
-                .await;
+            let interval = PEER_CHECK_INTERVAL.min(self.sync_timings().response_time());
+            tokio::select! {
+                () = actix_rt::time::sleep(interval) => {}
+                // What was sent before a network partition may be lost.
+                () = self.reconnected.notified() => self.end_attempts(&mut running),
+                ended = running.next(), if !running.is_empty() => self.finish_attempt(ended),
+            }
             self.update_timings();
             self.log_staleness_change();
             self.expire_retained();
-            self.fetch_retained_items().await;
+            self.fetch_retained_items();
             if self.staleness().is_within(self.sync_timings().healthy_staleness()) {
-                continue;
+                self.end_attempts(&mut running);
+            } else {
+                self.start_attempts(&mut running);
             }
-            let now = self.now();
-            let revision = self.mirror.borrow().revision();
-            let informed = self.peers.borrow().most_up_to_date(now, &self.eras.borrow(), revision);
-            let mut peers = self.fresher_peers(MAX_PARALLEL_QUERIES);
-            if peers.is_empty() {
-                let in_backoff = |peer: &SocketAddr| self.course.borrow().is_in_backoff(now, *peer);
-                peers.extend(informed.filter(|peer| !in_backoff(peer)));
+        }
+    }
+
+    /// Asks further peers if it is time.
+    fn start_attempts(self: &Rc<Self>, running: &mut RunningAttempts) {
+        let (now, timings, candidates) = (self.now(), self.sync_timings(), self.informed_peers());
+        let peers = self.attempts.borrow().peers_to_ask(now, timings, &candidates);
+        for peer in peers {
+            let (id, replaced) = self.attempts.borrow_mut().start(now, peer);
+            if let Some(replaced) = replaced {
+                log::info!(replaced:? = replaced; "catch_up_replaced");
+                running.end(replaced);
             }
-            let timeout = match self.handler.view.borrow().config() {
-                Some(_) => self.sync_timings().first_response_timeout(),
-                None => CATCH_UP_TIMEOUT,
-            };
-            let requests = peers.into_iter().map(|peer| self.catch_up(peer, timeout));
-            futures_util::future::join_all(requests).await;
+            let daemon = self.clone();
+            running.add(id, async move { daemon.catch_up(id, peer).await });
         }
     }
 
-    /// Fetches an update from a peer, together with a proof of how fresh it is.
-    async fn catch_up(self: &Rc<Self>, peer: SocketAddr, timeout: Duration) {
-        let requested_at = self.now();
-        let receiving =
-            actix_rt::time::timeout(REPLY_TIMEOUT, self.request_catch_up(peer, timeout));
-        let reply = match receiving.await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(CatchUpFailure::Crowded)) => {
-                log::debug!(peer:% = peer; "peer_not_needed");
-                return;
+    /// Peers that may bring the copy up to date, the most suitable first.
+    fn informed_peers(&self) -> Vec<SocketAddr> {
+        let fresher = self.fresher_peers(MAX_CANDIDATES);
+        if !fresher.is_empty() {
+            return fresher;
+        }
+        let (now, revision) = (self.now(), self.mirror.borrow().revision());
+        let later = self.peers.borrow().more_up_to_date(now, &self.eras.borrow(), revision);
+        let is_usable = |peer: &SocketAddr| !self.course.borrow().is_in_backoff(now, *peer);
+        later.into_iter().filter(is_usable).take(MAX_CANDIDATES).collect()
+    }
+
+    /// Ends all attempts: they are not needed any more, or what they sent may be lost.
+    fn end_attempts(&self, running: &mut RunningAttempts) {
+        running.clear();
+        self.attempts.borrow_mut().clear();
+    }
+
+    /// Records how an attempt has ended.
+    fn finish_attempt(&self, ended: EndedAttempt) {
+        let EndedAttempt { id, end } = ended;
+        let Some(attempt) = self.attempts.borrow_mut().finish(id) else { return };
+        let now = self.now();
+        let took_ms = now.since(attempt.started_at).as_millis() as u64;
+        let begun =
+            attempt.first_begun_at.map(|at| at.since(attempt.started_at).as_millis() as i64);
+        let (begun_ms, peer) = (begun.unwrap_or(-1), attempt.peer);
+        let Attempt { received, announced, .. } = attempt;
+        match (end, begun) {
+            (Ok(()), _) => {
+                log::info!(peer:% = peer, begun_ms, took_ms, received, announced; "catch_up_done");
             }
-            Ok(Err(CatchUpFailure::NoReply)) | Err(_) => {
-                log::warn!(peer:% = peer; "peer_did_not_answer");
-                self.course.borrow_mut().mark_unresponsive(self.now(), peer);
-                return;
+            (Err(error), Some(_)) => {
+                log::warn!(peer:% = peer, why:? = error, begun_ms, took_ms, received, announced; "catch_up_broken");
             }
-        };
+            (Err(error), None) => {
+                log::warn!(peer:% = peer, why:? = error, took_ms; "peer_did_not_answer");
+                self.course.borrow_mut().mark_unresponsive(now, peer);
+            }
+        }
+    }
+
+    /// Fetches an update from a peer, together with a proof of how fresh it is.
+    async fn catch_up(self: &Rc<Self>, id: AttemptId, peer: SocketAddr) -> Result<(), FrameError> {
+        let requested_at = self.now();
+        let receiving = self.request_catch_up(id, peer);
+        let receiving = actix_rt::time::timeout(REPLY_TIMEOUT, receiving).await;
+        let reply = receiving.map_err(|_| FrameError::TimedOut)??;
         let update = PeerUpdate {
             era: reply.era,
             revision: reply.revision,
@@ -134,7 +181,7 @@
         };
         let PeerUpdateResult::Applied(changes) = self.apply_peer_update(update) else {
             log::info!(peer:% = peer, era:% = reply.era, revision = reply.revision; "peer_of_no_use");
-            return;
+            return Ok(());
         };
         log::info!(
             peer:% = peer, revision = reply.revision, changes = changes.len(),
@@ -145,26 +192,36 @@
         if let Some(age) = reply.proof_age_ms {
             self.handler.proof.renew_from_peer(requested_at, Duration::from_millis(age.into()));
         }
+        Ok(())
     }
 
-    /// Requests an update from a peer, which must begin to reply within `timeout`. After that, a reply may take as long
-    /// as it keeps arriving.
+    /// Requests an update from a peer. The reply may take as long as it keeps arriving.
     async fn request_catch_up(
         &self,
+        id: AttemptId,
         peer: SocketAddr,
-        timeout: Duration,
-    ) -> Result<CatchUpReply, CatchUpFailure> {
+    ) -> Result<CatchUpReply, FrameError> {
         let beginning = begin_catch_up(peer, self.known_position());
-        let beginning = actix_rt::time::timeout(timeout, beginning).await.ok().flatten();
-        let (mut stream, length) = beginning.ok_or(CatchUpFailure::NoReply)?;
-        let is_large = length > LARGE_REPLY_BYTES;
-        let _permit = match is_large {
-            true => Some(self.large_replies.try_acquire().map_err(|_| CatchUpFailure::Crowded)?),
-            false => None,
-        };
-        let chunk_timeout = self.sync_timings().silence_timeout();
-        let reading = read_frame_body(&mut stream, length, chunk_timeout);
-        reading.await.map_err(|_| CatchUpFailure::NoReply)
+        let beginning = actix_rt::time::timeout(SILENCE_TIMEOUT, beginning).await;
+        let (mut stream, length) = beginning.map_err(|_| FrameError::TimedOut)??;
+        self.attempts.borrow_mut().begun(self.now(), id, length);
+        self.wait_for_turn(id, length).await;
+        let received = |bytes| self.attempts.borrow_mut().received(self.now(), id, bytes);
+        received(0);
+        let reading = read_frame_body(&mut stream, length, SILENCE_TIMEOUT, received);
+        reading.await
+    }
+
+    /// Waits while another large reply arrives fast enough: this one would take bandwidth from it.
+    async fn wait_for_turn(&self, id: AttemptId, length: u32) {
+        if length <= LARGE_REPLY_BYTES {
+            return;
+        }
+        let is_on_course =
+            || self.attempts.borrow().is_on_course(self.now(), self.sync_timings(), Some(id));
+        while is_on_course() {
+            actix_rt::time::sleep(TURN_CHECK_INTERVAL).await;
+        }
     }
 
     /// Applies a peer's update.
@@ -199,7 +256,7 @@
     }
 
     /// Fetches retained items from a peer, if this daemon has only the restored store's state.
-    async fn fetch_retained_items(self: &Rc<Self>) {
+    fn fetch_retained_items(self: &Rc<Self>) {
         let era = self.mirror.borrow().era();
         if self.mirror.borrow().kept() > 0 || self.kept_asked.get() == era {
             return;
@@ -207,7 +264,13 @@
         let retaining = self.peers.borrow().with_kept_items(self.now(), era);
         let Some(peer) = retaining else { return };
         self.kept_asked.set(era);
-        self.catch_up(peer, self.sync_timings().first_response_timeout()).await;
+        let id = self.attempts.borrow_mut().unlisted();
+        let daemon = self.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = daemon.catch_up(id, peer).await {
+                log::warn!(peer:% = peer, why:? = error; "kept_items_not_fetched");
+            }
+        });
     }
 
     /// Answers catch-up and follow requests of peers. Runs forever.
@@ -223,8 +286,8 @@
     }
 
     async fn serve_peer(&self, mut stream: TcpStream) -> Option<()> {
-        let reading = read_frame(&mut stream, CATCH_UP_TIMEOUT);
-        let request = actix_rt::time::timeout(CATCH_UP_TIMEOUT, reading).await.ok()?.ok()?;
+        let reading = read_frame(&mut stream, REQUEST_TIMEOUT);
+        let request = actix_rt::time::timeout(REQUEST_TIMEOUT, reading).await.ok()?.ok()?;
         match request {
             PeerRequest::CatchUp { after, era } => {
                 let reply = {
@@ -237,13 +300,8 @@
                     let kept = mirror.retained_items();
                     CatchUpReply { revision, proof_age_ms, whole, items, era, kept, step }
                 };
-                let timeout = self.sync_timings().silence_timeout();
-                actix_rt::time::timeout(
-                    REPLY_TIMEOUT,
-                    write_large_frame(&mut stream, &reply, timeout),
-                )
-                .await
-                .ok()?
+                let writing = write_large_frame(&mut stream, &reply, SILENCE_TIMEOUT);
+                actix_rt::time::timeout(REPLY_TIMEOUT, writing).await.ok()?
             }
             PeerRequest::Follow { after, question: query, era } => {
                 let after = StorePosition::new(era, after);
@@ -254,19 +312,61 @@
     }
 }
 
-/// Why a peer's reply was not received.
-enum CatchUpFailure {
-    /// The peer did not reply, or stopped in the middle.
-    NoReply,
-    /// Another large reply is being received, for which this one would take bandwidth.
-    Crowded,
-}
-
 /// Sends a request to a peer, and waits for the length of its reply.
-async fn begin_catch_up(peer: SocketAddr, after: StorePosition) -> Option<(TcpStream, u32)> {
-    let mut stream = TcpStream::connect(peer).await.ok()?;
+async fn begin_catch_up(
+    peer: SocketAddr,
+    after: StorePosition,
+) -> Result<(TcpStream, u32), FrameError> {
+    let mut stream = TcpStream::connect(peer).await.map_err(|_| FrameError::Closed)?;
     let StorePosition { era, revision: after } = after;
-    write_frame(&mut stream, &PeerRequest::CatchUp { after, era }).await?;
-    let length = stream.read_u32().await.ok()?;
-    Some((stream, length))
+    let request = PeerRequest::CatchUp { after, era };
+    write_frame(&mut stream, &request).await.ok_or(FrameError::Closed)?;
+    let length = stream.read_u32().await.map_err(|_| FrameError::Closed)?;
+    Ok((stream, length))
+}
+
+/// An attempt that has ended.
+struct EndedAttempt {
+    id: AttemptId,
+    end: Result<(), FrameError>,
+}
+
+/// The attempts that are under way.
+#[derive(Default)]
+struct RunningAttempts(Vec<(AttemptId, LocalBoxFuture<'static, Result<(), FrameError>>)>);
+
+impl RunningAttempts {
+    fn add(
+        &mut self,
+        id: AttemptId,
+        attempt: impl Future<Output = Result<(), FrameError>> + 'static,
+    ) {
+        self.0.push((id, attempt.boxed_local()));
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Waits until one of them ends.
+    async fn next(&mut self) -> EndedAttempt {
+        poll_fn(|context| {
+            for at in 0..self.0.len() {
+                if let Poll::Ready(end) = self.0[at].1.poll_unpin(context) {
+                    let (id, _) = self.0.swap_remove(at);
+                    return Poll::Ready(EndedAttempt { id, end });
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    fn end(&mut self, ended: AttemptId) {
+        self.0.retain(|(id, _)| *id != ended);
+    }
+
+    fn clear(&mut self) {
+        self.0.clear();
+    }
 }
--- a/crates/portrack/src/gateway/store_sync/frames.rs
+++ b/crates/portrack/src/gateway/store_sync/frames.rs
@@ -7,8 +7,8 @@
 
 /// The largest body in bytes. A fleet's whole state with a configuration of thousands of routes
 /// fits.
-const MAX_BODY: u32 = 8 * 1024 * 1024;
-/// Bytes read at a time. The read timeout applies to each chunk, so that a slow link is not
+pub(super) const MAX_BODY: u32 = 8 * 1024 * 1024;
+/// Bytes read or written at a time. Timeouts apply to each chunk, so that a slow link is not
 /// mistaken for a silent one.
 const CHUNK: usize = 4_096;
 
@@ -35,7 +35,16 @@
     body: &impl Serialize,
     timeout: Duration,
 ) -> Option<()> {
-    for chunk in encode_frame(body)?.chunks(CHUNK) {
+    write_bytes(stream, &encode_frame(body)?, timeout).await
+}
+
+/// Writes bytes, of which each chunk must be accepted within `timeout`.
+pub(in crate::gateway) async fn write_bytes(
+    stream: &mut (impl AsyncWrite + Unpin),
+    bytes: &[u8],
+    timeout: Duration,
+) -> Option<()> {
+    for chunk in bytes.chunks(CHUNK) {
         actix_rt::time::timeout(timeout, stream.write_all(chunk)).await.ok()?.ok()?;
     }
     Some(())
@@ -46,46 +55,72 @@
 pub(in crate::gateway) enum FrameError {
     /// Nothing arrived for a while.
     TimedOut,
-    /// The connection was closed, or the data is not a valid message.
-    Failed,
+    /// The connection could not be opened, or was closed.
+    Closed,
+    /// The data is not a valid message.
+    Malformed,
 }
 
-/// Reads a message. Each chunk must arrive within `timeout`; the whole message may take any time
-/// over a slow link.
+/// Reads a message. It may take any time over a slow link, but never pause for `timeout`.
 pub(in crate::gateway) async fn read_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
     timeout: Duration,
 ) -> Result<T, FrameError> {
     let mut length = [0; 4];
-    read_chunk(stream, &mut length, timeout).await?;
-    read_frame_body(stream, u32::from_be_bytes(length), timeout).await
+    let reading = actix_rt::time::timeout(timeout, stream.read_exact(&mut length)).await;
+    let reading = reading.map_err(|_| FrameError::TimedOut)?;
+    reading.map_err(|_| FrameError::Closed)?;
+    read_frame_body(stream, u32::from_be_bytes(length), timeout, |_| {}).await
 }
 
-/// Reads the rest of a message after its length, as [`read_frame`] does.
+/// Reads the rest of a message after its length, as [`read_frame`] does. `received` is told the
+/// number of bytes whenever some have arrived.
 pub(in crate::gateway) async fn read_frame_body<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
     length: u32,
     timeout: Duration,
+    received: impl Fn(usize),
 ) -> Result<T, FrameError> {
     if length > MAX_BODY {
-        return Err(FrameError::Failed);
+        return Err(FrameError::Malformed);
     }
     let mut body = Vec::new();
-    let mut chunk = [0; CHUNK];
-    while body.len() < length as usize {
-        let wanted = CHUNK.min(length as usize - body.len());
-        read_chunk(stream, &mut chunk[..wanted], timeout).await?;
-        body.extend_from_slice(&chunk[..wanted]);
-    }
-    postcard::from_bytes(&body).map_err(|_| FrameError::Failed)
+    let collect = |bytes: &[u8]| {
+        body.extend_from_slice(bytes);
+        received(bytes.len());
+    };
+    read_bytes(stream, length, timeout, collect).await?;
+    postcard::from_bytes(&body).map_err(|_| FrameError::Malformed)
 }
 
-async fn read_chunk(
+/// Reads `length` bytes, and hands them over as they arrive. There must never be a pause of `timeout`.
+pub(in crate::gateway) async fn read_bytes(
     stream: &mut (impl AsyncRead + Unpin),
-    chunk: &mut [u8],
+    length: u32,
     timeout: Duration,
+    mut received: impl FnMut(&[u8]),
 ) -> Result<(), FrameError> {
-    let read = actix_rt::time::timeout(timeout, stream.read_exact(chunk)).await;
-    let read = read.map_err(|_| FrameError::TimedOut)?;
-    read.map(|_| ()).map_err(|_| FrameError::Failed)
+    let mut buffer = [0; CHUNK];
+    let mut left = length as usize;
+    while left > 0 {
+        let wanted = CHUNK.min(left);
+        let bytes = read_some(stream, &mut buffer[..wanted], timeout).await?;
+        left -= bytes.len();
+        received(bytes);
+    }
+    Ok(())
+}
+
+/// Reads the next bytes, which must arrive within `timeout`.
+async fn read_some<'a>(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &'a mut [u8],
+    timeout: Duration,
+) -> Result<&'a [u8], FrameError> {
+    let reading = actix_rt::time::timeout(timeout, stream.read(buffer)).await;
+    let length = reading.map_err(|_| FrameError::TimedOut)?.map_err(|_| FrameError::Closed)?;
+    if length == 0 {
+        return Err(FrameError::Closed);
+    }
+    Ok(&buffer[..length])
 }
--- a/crates/portrack/src/gateway/store_sync/mod.rs
+++ b/crates/portrack/src/gateway/store_sync/mod.rs
@@ -5,6 +5,7 @@
 //! mirror goes back to an older revision, and every update carries the age of its proof. Freshness
 //! reported by other daemons only determines which of them to query; it is not accepted as proof.
 
+pub(in crate::gateway) mod attempts;
 pub(in crate::gateway) mod catch_up;
 pub(in crate::gateway) mod era;
 pub(in crate::gateway) mod era_delta;
--- a/crates/portrack/src/gateway/store_sync/peer_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/peer_feed.rs
@@ -201,7 +201,7 @@
                     return FeedEnd::Redirected;
                 }
                 Err(FrameError::TimedOut) => return FeedEnd::Silent,
-                Err(FrameError::Failed) => return FeedEnd::Closed,
+                Err(FrameError::Closed | FrameError::Malformed) => return FeedEnd::Closed,
             }
         }
     }
--- a/crates/portrack/src/gateway/store_sync/timings.rs
+++ b/crates/portrack/src/gateway/store_sync/timings.rs
@@ -19,6 +19,8 @@
 const FIRST_RESPONSE_SHARE: f64 = 0.1;
 /// Share after which a feed that sends nothing is dropped: two frames are late by then.
 const SILENCE_SHARE: f64 = 0.2;
+/// Share for the rest of a reply that arrives, within which no other reply is received beside it.
+const REPLY_SHARE: f64 = 0.5;
 /// Share for the staleness of a daemon with a healthy source: two watches, the pause between them,
 /// the store's response and a frame.
 const HEALTHY_SHARE: f64 = 0.66;
@@ -80,6 +82,12 @@
         self.share(SILENCE_SHARE)
     }
 
+    /// A reply that is expected to be there within this time is waited for; if it takes longer, others
+    /// are received beside it.
+    pub fn reply_timeout(&self) -> Duration {
+        self.share(REPLY_SHARE)
+    }
+
     /// The staleness that a daemon with a healthy source does not exceed. A source with an older
     /// copy is dropped.
     pub fn healthy_staleness(&self) -> Duration {
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, without sockets, clocks or the platform.
 
 mod arrivals;
+mod attempts;
 mod backpressure;
 mod claims;
 mod cold;
--- a/crates/portrack/tests/gateway/peers.rs
+++ b/crates/portrack/tests/gateway/peers.rs
@@ -92,12 +92,14 @@
 }
 
 #[test]
-fn the_most_up_to_date_daemon_is_selected() {
+fn daemons_with_later_state_are_listed_with_the_latest_first() {
     let mut peers = peers();
     peers.on_heartbeat(Time(10), heartbeat_of(3, 1));
     peers.on_heartbeat(Time(10), heartbeat_of(5, 1));
-    assert_eq!(peers.most_up_to_date(Time(20), &EraTracker::default(), 2), Some(address(5)));
-    assert_eq!(peers.most_up_to_date(Time(20), &EraTracker::default(), 5), None);
+    let eras = EraTracker::default();
+    assert_eq!(peers.more_up_to_date(Time(20), &eras, 2), [address(5), address(3)]);
+    assert_eq!(peers.more_up_to_date(Time(20), &eras, 3), [address(5)]);
+    assert!(peers.more_up_to_date(Time(20), &eras, 5).is_empty());
 }
 
 #[test]
