A daemon may listen for the others at another address than the one it names

members_listen: the node's own address for traffic between daemons where the others reach it at `members`, as behind address translation. The daemon binds it and fetches copies of the store from it. Without the setting nothing changes.

--- a/crates/portrack/src/gateway/run.rs
+++ b/crates/portrack/src/gateway/run.rs
@@ -66,13 +66,16 @@
     settings.callers = bound;
     let (readiness, bound) = listen("readiness", settings.readiness).await?;
     settings.readiness = bound;
-    let (members, bound) = listen("members", settings.members).await?;
-    settings.members = bound;
+    let (members, members_bound) =
+        listen("members", settings.members_listen.unwrap_or(settings.members)).await?;
+    if settings.members_listen.is_none() {
+        settings.members = members_bound;
+    }
     let metrics = match settings.metrics {
         Some(address) => Some(listen("metrics", address).await?.0),
         None => None,
     };
-    let address = settings.members;
+    let address = members_bound;
     let socket =
         UdpSocket::bind(address).await.context(ListenSnafu { what: "members", address })?;
     log::info!(
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -27,6 +27,9 @@
     pub readiness: SocketAddr,
     /// Listen address for other daemons, over UDP and TCP.
     pub members: SocketAddr,
+    /// Address on this node for traffic between daemons, if the others reach this one at another
+    /// (`members`), as behind address translation.
+    pub members_listen: Option<SocketAddr>,
     /// Listen address for metrics; not served if left out.
     pub metrics: Option<SocketAddr>,
     /// Addresses of daemons to contact first; their ports are ignored.
--- a/crates/portrack/src/gateway/store_sync/mod.rs
+++ b/crates/portrack/src/gateway/store_sync/mod.rs
@@ -13,6 +13,7 @@
 pub(in crate::gateway) mod frames;
 pub(in crate::gateway) mod mirror;
 pub(in crate::gateway) mod pacing;
+mod peer_connection;
 pub(in crate::gateway) mod peer_feed;
 pub(in crate::gateway) mod peer_freshness;
 pub(in crate::gateway) mod report;
--- a/crates/portrack/src/gateway/store_sync/peer_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/peer_feed.rs
@@ -156,7 +156,7 @@
     async fn read_feed(self: &Rc<Self>, source: SocketAddr) -> FeedEnd {
         let timings = self.sync_timings();
         let connecting =
-            actix_rt::time::timeout(timings.first_response_timeout(), TcpStream::connect(source));
+            actix_rt::time::timeout(timings.first_response_timeout(), self.connect_to_peer(source));
         let Ok(Ok(mut stream)) = connecting.await else { return FeedEnd::NoConnection };
         let (mut read, mut write) = stream.split();
         let mut query = FreshnessQuery { sent_at: self.now() };
