What has arrived of a large configuration is kept, and less of it is sent

Cause: a reply of a peer was of use only as a whole. Over connections that each broke after a part, or in which 10 s did not suffice for all of it, what had arrived was dropped and asked for anew.

Change: a requester that says so gets the values over 16 KB apart (store_sync/large_values.rs): the reply announces them with the hash of their compressed bytes, and the requester asks on the same connection for what it lacks, from any byte on. The parts are kept, also between peers. Only one transfer fills the link, since a value is asked for when its turn has come. Small items of a reply are in force before the large ones are there. A value is used only if hash and length are right; the copy counts as complete only with all of them. Compressed once for all requesters of a revision, whose replies share the bytes.

Old and new builds: the request has one more field at its end, and the reply too; a former build gets all items within the reply, as before (a test sends its request).

Why it holds: each connection brings the transfer further, however short it lasts.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -37,6 +37,7 @@
 use crate::gateway::store_sync::attempts::CatchUpAttempts;
 use crate::gateway::store_sync::era::EraTracker;
 use crate::gateway::store_sync::follower_feed::FollowerFeed;
+use crate::gateway::store_sync::large_values::{CompressedValues, PartialValues};
 use crate::gateway::store_sync::mirror::{Mirror, MirrorChange};
 use crate::gateway::store_sync::source_selector::{PeerTopology, SourceSelector};
 use crate::gateway::store_sync::staleness::Staleness;
@@ -105,6 +106,10 @@
     pub(super) proof_lost: Cell<bool>,
     /// Requests for updates from peers that are under way.
     pub(super) attempts: RefCell<CatchUpAttempts>,
+    /// Large values of which a part has arrived from peers.
+    pub(super) partial_values: RefCell<PartialValues>,
+    /// Large values as they are sent to peers.
+    pub(super) compressed_values: RefCell<CompressedValues>,
     /// Store changes forwarded to the followers of this daemon.
     pub(super) feed: FollowerFeed,
     /// Notified when datagrams from peers arrive again after this daemon was cut off.
@@ -344,6 +349,8 @@
             news_old: Cell::new(false),
             proof_lost: Cell::new(false),
             attempts: RefCell::default(),
+            partial_values: RefCell::default(),
+            compressed_values: RefCell::default(),
             feed: FollowerFeed::default(),
             reconnected: Notify::new(),
             unclaimed_servers: RefCell::default(),
--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -154,6 +154,10 @@
 };
 pub use store_sync::era::{EraChange, EraReport, EraTracker};
 pub use store_sync::era_delta::EraDelta;
+pub use store_sync::large_values::{
+    CompressedValue, CompressedValues, LARGE_VALUE_BYTES, LargeValue, MAX_PARTIAL_VALUES,
+    PartialValues,
+};
 pub use store_sync::mirror::{Mirror, MirrorChange, MirrorItem, MirrorUpdate};
 pub use store_sync::pacing::WatchPacing;
 pub use store_sync::peer_freshness::{PeerFreshness, PeerFreshnessTable};
--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -3,7 +3,11 @@
 use super::attempts::{Attempt, AttemptId, LARGE_REPLY_BYTES, MAX_ATTEMPTS};
 use super::era_delta::EraDelta;
 use super::follower_feed::PeerRequest;
-use super::frames::{FrameError, read_frame, read_frame_body, write_frame, write_large_frame};
+use super::frames::{
+    FrameError, MAX_BODY, read_bytes, read_frame, read_frame_body, write_bytes, write_frame,
+    write_large_frame,
+};
+use super::large_values::{LargeValue, PartRequest};
 use super::mirror::{MirrorChange, MirrorItem, MirrorUpdate};
 use super::retained::RetainedItem;
 use crate::gateway::daemon::GatewayDaemon;
@@ -55,6 +59,9 @@
     /// How a requester in the previous era gets into this era.
     #[serde(deserialize_with = "or_default")]
     step: Option<EraDelta>,
+    /// Values that belong to `items` and are sent on request.
+    #[serde(deserialize_with = "or_default")]
+    large: Vec<LargeValue>,
 }
 
 /// An update of the store's state from a peer.
@@ -197,11 +204,11 @@
 
     /// Requests an update from a peer. The reply may take as long as it keeps arriving.
     async fn request_catch_up(
-        &self,
+        self: &Rc<Self>,
         id: AttemptId,
         peer: SocketAddr,
     ) -> Result<CatchUpReply, FrameError> {
-        let beginning = begin_catch_up(peer, self.known_position());
+        let beginning = self.begin_catch_up(peer);
         let beginning = actix_rt::time::timeout(SILENCE_TIMEOUT, beginning).await;
         let (mut stream, length) = beginning.map_err(|_| FrameError::TimedOut)??;
         self.attempts.borrow_mut().begun(self.now(), id, length);
@@ -209,7 +216,72 @@
         let received = |bytes| self.attempts.borrow_mut().received(self.now(), id, bytes);
         received(0);
         let reading = read_frame_body(&mut stream, length, SILENCE_TIMEOUT, received);
-        reading.await
+        let mut reply: CatchUpReply = reading.await?;
+        if reply.large.is_empty() {
+            return Ok(reply);
+        }
+        self.apply_small_items(&reply);
+        for value in &reply.large {
+            self.receive_large_value(id, &mut stream, value).await?;
+        }
+        let mut partial_values = self.partial_values.borrow_mut();
+        for value in reply.large.drain(..) {
+            reply.items.push(partial_values.take(&value).ok_or(FrameError::Malformed)?);
+        }
+        Ok(reply)
+    }
+
+    /// Sends a request to a peer, and waits for the length of its reply.
+    async fn begin_catch_up(&self, peer: SocketAddr) -> Result<(TcpStream, u32), FrameError> {
+        let connecting = self.connect_to_peer(peer).await;
+        let mut stream = connecting.map_err(|_| FrameError::Closed)?;
+        let StorePosition { era, revision: after } = self.known_position();
+        let request = PeerRequest::CatchUp { after, era, takes_parts: true };
+        write_frame(&mut stream, &request).await.ok_or(FrameError::Closed)?;
+        let length = stream.read_u32().await.map_err(|_| FrameError::Closed)?;
+        Ok((stream, length))
+    }
+
+    /// Applies the items of a reply whose large values are not there yet. The copy is not complete up to
+    /// the reply's revision, but none of its items is older than before.
+    fn apply_small_items(self: &Rc<Self>, reply: &CatchUpReply) {
+        let position = self.mirror.borrow().position();
+        if position.revision == 0 || reply.era != position.era {
+            return;
+        }
+        let changes = self.mirror.borrow_mut().apply_items(reply.era, reply.items.clone());
+        self.apply(changes, SOURCE_PEER);
+    }
+
+    /// Receives what is missing of a large value. What has arrived before, also from other peers, is not
+    /// sent again.
+    async fn receive_large_value(
+        &self,
+        id: AttemptId,
+        stream: &mut TcpStream,
+        value: &LargeValue,
+    ) -> Result<(), FrameError> {
+        if value.length > MAX_BODY {
+            return Err(FrameError::Malformed);
+        }
+        let missing = || value.length - self.partial_values.borrow().received(value);
+        self.wait_for_turn(id, missing()).await;
+        let missing = missing();
+        if missing == 0 {
+            return Ok(());
+        }
+        let mut offset = value.length - missing;
+        let request = PartRequest { digest: value.digest, offset };
+        write_frame(stream, &request).await.ok_or(FrameError::Closed)?;
+        self.attempts.borrow_mut().begun(self.now(), id, missing);
+        self.attempts.borrow_mut().received(self.now(), id, 0);
+        let received = |bytes: &[u8]| {
+            let now = self.now();
+            self.attempts.borrow_mut().received(now, id, bytes.len());
+            self.partial_values.borrow_mut().add(now, value, offset, bytes);
+            offset += bytes.len() as u32;
+        };
+        read_bytes(stream, missing, SILENCE_TIMEOUT, received).await
     }
 
     /// Waits while another large reply arrives fast enough: this one would take bandwidth from it.
@@ -289,18 +361,9 @@
         let reading = read_frame(&mut stream, REQUEST_TIMEOUT);
         let request = actix_rt::time::timeout(REQUEST_TIMEOUT, reading).await.ok()?.ok()?;
         match request {
-            PeerRequest::CatchUp { after, era } => {
-                let reply = {
-                    let mirror = self.mirror.borrow();
-                    let after = StorePosition::new(era, after);
-                    let MirrorUpdate { position, is_snapshot: whole, items, era_delta: step } =
-                        mirror.update_since(after);
-                    let proof_age_ms = self.handler.proof.age_for_peer(self.now());
-                    let StorePosition { era, revision } = position;
-                    let kept = mirror.retained_items();
-                    CatchUpReply { revision, proof_age_ms, whole, items, era, kept, step }
-                };
-                let writing = write_large_frame(&mut stream, &reply, SILENCE_TIMEOUT);
+            PeerRequest::CatchUp { after, era, takes_parts } => {
+                let after = StorePosition::new(era, after);
+                let writing = self.send_update(&mut stream, after, takes_parts);
                 actix_rt::time::timeout(REPLY_TIMEOUT, writing).await.ok()?
             }
             PeerRequest::Follow { after, question: query, era } => {
@@ -310,19 +373,36 @@
             PeerRequest::Tunnel(request) => Box::pin(self.serve_tunnel(stream, request)).await,
         }
     }
-}
 
-/// Sends a request to a peer, and waits for the length of its reply.
-async fn begin_catch_up(
-    peer: SocketAddr,
-    after: StorePosition,
-) -> Result<(TcpStream, u32), FrameError> {
-    let mut stream = TcpStream::connect(peer).await.map_err(|_| FrameError::Closed)?;
-    let StorePosition { era, revision: after } = after;
-    let request = PeerRequest::CatchUp { after, era };
-    write_frame(&mut stream, &request).await.ok_or(FrameError::Closed)?;
-    let length = stream.read_u32().await.map_err(|_| FrameError::Closed)?;
-    Ok((stream, length))
+    /// Sends a peer everything that changed after a position, and then the large values that it
+    /// requests.
+    async fn send_update(
+        &self,
+        stream: &mut TcpStream,
+        after: StorePosition,
+        takes_parts: bool,
+    ) -> Option<()> {
+        let MirrorUpdate { position, is_snapshot: whole, mut items, era_delta: step } =
+            self.mirror.borrow().update_since(after);
+        let StorePosition { era, revision } = position;
+        let values = match takes_parts {
+            true => self.compressed_values.borrow_mut().separate(era, &mut items),
+            false => Vec::new(),
+        };
+        let large = values.iter().map(|value| value.announcement.clone()).collect();
+        let proof_age_ms = self.handler.proof.age_for_peer(self.now());
+        let kept = self.mirror.borrow().retained_items();
+        let reply = CatchUpReply { revision, proof_age_ms, whole, items, era, kept, step, large };
+        write_large_frame(stream, &reply, SILENCE_TIMEOUT).await?;
+        drop(reply);
+        for _ in 0..values.len() {
+            let request: PartRequest = read_frame(stream, REPLY_TIMEOUT).await.ok()?;
+            let value = values.iter().find(|value| value.announcement.digest == request.digest)?;
+            let rest = value.bytes.get(request.offset as usize..)?;
+            write_bytes(stream, rest, SILENCE_TIMEOUT).await?;
+        }
+        Some(())
+    }
 }
 
 /// An attempt that has ended.
--- a/crates/portrack/src/gateway/store_sync/follower_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/follower_feed.rs
@@ -29,6 +29,9 @@
         /// The era that this revision counts in.
         #[serde(deserialize_with = "or_default")]
         era: StoreEra,
+        /// The requester takes large values apart from the other items.
+        #[serde(deserialize_with = "or_default")]
+        takes_parts: bool,
     },
     /// Requests the same, and then every further change as it happens.
     Follow {
--- a/crates/portrack/src/gateway/store_sync/mod.rs
+++ b/crates/portrack/src/gateway/store_sync/mod.rs
@@ -11,6 +11,7 @@
 pub(in crate::gateway) mod era_delta;
 pub(in crate::gateway) mod follower_feed;
 pub(in crate::gateway) mod frames;
+pub(in crate::gateway) mod large_values;
 pub(in crate::gateway) mod mirror;
 pub(in crate::gateway) mod pacing;
 mod peer_connection;
--- a/crates/portrack/tests/gateway/main.rs
+++ b/crates/portrack/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod holdings;
 mod homes;
 mod keys;
+mod large_values;
 mod limits;
 mod links;
 mod lives;
