A large configuration reaches all followers of a feed over a link of 10 Mbit/s

What callers saw: 404 for routes that are there and requests served on routes that were gone, at daemons that were in touch all the time, for up to 5.8 s after the store had accepted a configuration with 1,400 routes more (2 s are allowed).

Cause: a daemon that watches the store sent each of its followers the whole configuration, one copy each over its one link. Followers that had no proof meanwhile asked three peers each for the same, again and again, over the same links.

Change: followers that say so get large values compressed and in parts (FeedMessage::Part), from where their transfer stopped before. Items beside them are in force at once, and the frame counts as proof only when all its parts are there.

Old and new builds: new fields stand at the end of the request and the frame; parts are sent only to those that ask for them.

--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -9,6 +9,7 @@
 };
 use super::large_values::{LargeValue, PartRequest};
 use super::mirror::{MirrorChange, MirrorItem, MirrorUpdate};
+use super::peer_feed::FeedStart;
 use super::retained::RetainedItem;
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::fleet::cold_start_tracker::SOURCE_PEER;
@@ -220,14 +221,12 @@
         if reply.large.is_empty() {
             return Ok(reply);
         }
-        self.apply_small_items(&reply);
+        self.apply_small_items(reply.era, &reply.items);
         for value in &reply.large {
             self.receive_large_value(id, &mut stream, value).await?;
         }
-        let mut partial_values = self.partial_values.borrow_mut();
-        for value in reply.large.drain(..) {
-            reply.items.push(partial_values.take(&value).ok_or(FrameError::Malformed)?);
-        }
+        let values = self.take_large_values(reply.era, &reply.large);
+        reply.items.extend(values.ok_or(FrameError::Malformed)?);
         Ok(reply)
     }
 
@@ -242,17 +241,6 @@
         Ok((stream, length))
     }
 
-    /// Applies the items of a reply whose large values are not there yet. The copy is not complete up to
-    /// the reply's revision, but none of its items is older than before.
-    fn apply_small_items(self: &Rc<Self>, reply: &CatchUpReply) {
-        let position = self.mirror.borrow().position();
-        if position.revision == 0 || reply.era != position.era {
-            return;
-        }
-        let changes = self.mirror.borrow_mut().apply_items(reply.era, reply.items.clone());
-        self.apply(changes, SOURCE_PEER);
-    }
-
     /// Receives what is missing of a large value. What has arrived before, also from other peers, is not
     /// sent again.
     async fn receive_large_value(
@@ -366,9 +354,10 @@
                 let writing = self.send_update(&mut stream, after, takes_parts);
                 actix_rt::time::timeout(REPLY_TIMEOUT, writing).await.ok()?
             }
-            PeerRequest::Follow { after, question: query, era } => {
+            PeerRequest::Follow { after, question: query, era, takes_parts, rests } => {
                 let after = StorePosition::new(era, after);
-                self.serve_follower(stream, after, query).await
+                let start = FeedStart { after, query, takes_parts, rests };
+                self.serve_follower(stream, start).await
             }
             PeerRequest::Tunnel(request) => Box::pin(self.serve_tunnel(stream, request)).await,
         }
@@ -385,10 +374,7 @@
         let MirrorUpdate { position, is_snapshot: whole, mut items, era_delta: step } =
             self.mirror.borrow().update_since(after);
         let StorePosition { era, revision } = position;
-        let values = match takes_parts {
-            true => self.compressed_values.borrow_mut().separate(era, &mut items),
-            false => Vec::new(),
-        };
+        let values = self.separate_large_values(takes_parts, era, &mut items);
         let large = values.iter().map(|value| value.announcement.clone()).collect();
         let proof_age_ms = self.handler.proof.age_for_peer(self.now());
         let kept = self.mirror.borrow().retained_items();
--- a/crates/portrack/src/gateway/store_sync/follower_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/follower_feed.rs
@@ -4,6 +4,7 @@
 //! in 48 s. Two daemons of each group watch; the others follow one of them over a connection.
 
 use super::era_delta::EraDelta;
+use super::large_values::{LargeValue, PartRequest};
 use super::mirror::MirrorItem;
 use super::report::SyncReport;
 use super::retained::RetainedItem;
@@ -42,6 +43,12 @@
         /// The era that the revision counts in.
         #[serde(deserialize_with = "or_default")]
         era: StoreEra,
+        /// The requester takes large values apart from the other items.
+        #[serde(deserialize_with = "or_default")]
+        takes_parts: bool,
+        /// What the requester lacks of large values of which a part has arrived.
+        #[serde(deserialize_with = "or_default")]
+        rests: Vec<PartRequest>,
     },
     /// Asks for a connection to a server.
     Tunnel(TunnelRequest),
@@ -84,6 +91,15 @@
     /// The sender does not watch the store, or no longer does: its own report, then the reports of
     /// known watchers. This is the last message.
     Redirect(Vec<SyncReport>),
+    /// Bytes of a large value that the frame before has announced.
+    Part {
+        /// The value's [`LargeValue::digest`].
+        digest: u64,
+        /// The place of the first byte.
+        offset: u32,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
 }
 
 /// Changes for a follower.
@@ -113,6 +129,9 @@
     /// How a follower in the previous era gets into this era.
     #[serde(deserialize_with = "or_default")]
     pub step: Option<EraDelta>,
+    /// Values that belong to `items` and follow in parts, before the next frame.
+    #[serde(deserialize_with = "or_default")]
+    pub large: Vec<LargeValue>,
 }
 
 /// The position of one follower in the feed.
--- a/crates/portrack/src/gateway/store_sync/large_values.rs
+++ b/crates/portrack/src/gateway/store_sync/large_values.rs
@@ -33,7 +33,7 @@
     pub value_length: u32,
 }
 
-/// Requests the rest of a value that was announced before on the same connection.
+/// Requests the rest of a value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(in crate::gateway) struct PartRequest {
     /// The value's [`LargeValue::digest`].
@@ -54,7 +54,7 @@
 impl CompressedValue {
     fn new(key: String, revision: u64, value: &[u8]) -> Option<Self> {
         let mut bytes = Vec::new();
-        DeflateEncoder::new(value, Compression::fast()).read_to_end(&mut bytes).ok()?;
+        DeflateEncoder::new(value, Compression::default()).read_to_end(&mut bytes).ok()?;
         let announcement = LargeValue {
             key,
             revision,
@@ -142,6 +142,15 @@
         partial.changed_at = now;
     }
 
+    /// What is missing of all values of which a part is there.
+    pub(in crate::gateway) fn rests(&self) -> Vec<PartRequest> {
+        let rest = |partial: &PartialValue| PartRequest {
+            digest: partial.digest,
+            offset: partial.bytes.len() as u32,
+        };
+        self.values.iter().map(rest).collect()
+    }
+
     fn make_room(&mut self) {
         if self.values.len() < MAX_PARTIAL_VALUES {
             return;
--- a/crates/portrack/src/gateway/store_sync/mirror.rs
+++ b/crates/portrack/src/gateway/store_sync/mirror.rs
@@ -104,6 +104,13 @@
         self.retained
     }
 
+    /// What the store holds at a key, if that is known in an era.
+    pub fn item(&self, era: StoreEra, key: &str) -> Option<MirrorItem> {
+        let entry = self.items.get(key).filter(|_| era == self.era)?;
+        let (key, value) = (key.to_owned(), entry.stored().cloned());
+        Some(MirrorItem { key, revision: entry.revision, value })
+    }
+
     /// Applies a change of an era if it is newer than the item here.
     pub fn apply(&mut self, era: StoreEra, change: KvChange) -> Option<MirrorChange> {
         if era != self.era {
--- a/crates/portrack/src/gateway/store_sync/mod.rs
+++ b/crates/portrack/src/gateway/store_sync/mod.rs
@@ -14,6 +14,7 @@
 pub(in crate::gateway) mod large_values;
 pub(in crate::gateway) mod mirror;
 pub(in crate::gateway) mod pacing;
+mod partial_updates;
 mod peer_connection;
 pub(in crate::gateway) mod peer_feed;
 pub(in crate::gateway) mod peer_freshness;
--- a/crates/portrack/src/gateway/store_sync/peer_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/peer_feed.rs
@@ -4,7 +4,8 @@
 use super::follower_feed::{
     FeedFrame, FeedMessage, Freshness, FreshnessQuery, PeerRequest, ReceivedQuery,
 };
-use super::frames::{FrameError, read_frame, write_frame};
+use super::frames::{FrameError, read_frame, write_frame, write_large_frame};
+use super::large_values::{CompressedValue, PartRequest};
 use super::mirror::MirrorUpdate;
 use super::report::{SyncReport, SyncState};
 use super::retained::RetainedItem;
@@ -28,9 +29,10 @@
 const SINGLE_GROUP_LIMIT: usize = 12;
 /// Longest interval between frames of a feed that has changes to send.
 const FRAME_INTERVAL: Duration = Duration::from_millis(100);
-/// A follower that does not accept a frame within this time is disconnected: over a link of 10
-/// Mbit/s the largest configuration takes half of it.
+/// A follower that accepts nothing within this time is disconnected.
 const FRAME_WRITE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Bytes of a large value in one message.
+const PART_BYTES: usize = 4 * 1024;
 /// Pause between attempts of an isolated daemon, unless it receives a datagram before.
 const ISOLATED_RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Number of daemons outside the group that are notified immediately when this daemon has reached
@@ -161,10 +163,12 @@
         let (mut read, mut write) = stream.split();
         let mut query = FreshnessQuery { sent_at: self.now() };
         let StorePosition { era, revision: after } = self.known_position();
-        let request = PeerRequest::Follow { after, question: query, era };
+        let (takes_parts, rests) = (true, self.partial_values.borrow().rests());
+        let request = PeerRequest::Follow { after, question: query, era, takes_parts, rests };
         if write_frame(&mut write, &request).await.is_none() {
             return FeedEnd::NoConnection;
         }
+        let mut incomplete = None;
         loop {
             let mut reading = pin!(read_frame(&mut read, timings.silence_timeout()));
             let message = loop {
@@ -191,10 +195,16 @@
                 }
             };
             match message {
+                Ok(FeedMessage::News(_)) if incomplete.is_some() => return FeedEnd::Unfit,
                 Ok(FeedMessage::News(frame)) => {
-                    if self.apply_frame(source, frame).is_none() {
-                        return FeedEnd::Unfit;
+                    self.apply_reports(&frame);
+                    if !frame.large.is_empty() {
+                        self.apply_small_items(frame.era, &frame.items);
                     }
+                    incomplete = Some(frame);
+                }
+                Ok(FeedMessage::Part { digest, offset, bytes }) => {
+                    self.add_part(incomplete.as_ref(), digest, offset, &bytes);
                 }
                 Ok(FeedMessage::Redirect(reports)) => {
                     self.handle_redirect(source, query.sent_at, &reports);
@@ -203,6 +213,12 @@
                 Err(FrameError::TimedOut) => return FeedEnd::Silent,
                 Err(FrameError::Closed | FrameError::Malformed) => return FeedEnd::Closed,
             }
+            let complete = incomplete.take_if(|frame| self.has_all_parts(frame.era, &frame.large));
+            if let Some(frame) = complete
+                && self.apply_frame(source, frame).is_none()
+            {
+                return FeedEnd::Unfit;
+            }
         }
     }
 
@@ -214,18 +230,33 @@
         self.course.borrow_mut().record_response(self.now(), requested_at, reports);
     }
 
-    /// Applies a frame. Returns `None` if the frame does not build on this daemon's state.
-    fn apply_frame(self: &Rc<Self>, source: SocketAddr, frame: FeedFrame) -> Option<()> {
-        let now = self.now();
-        self.handler.loads.record_reports(now, &frame.loads);
+    /// Applies what a frame tells of servers beside the store's items.
+    fn apply_reports(self: &Rc<Self>, frame: &FeedFrame) {
+        self.handler.loads.record_reports(self.now(), &frame.loads);
         if !frame.notices.is_empty() {
             self.on_notices(&frame.notices);
         }
+    }
+
+    /// Keeps a part of a large value that a frame has announced.
+    fn add_part(&self, frame: Option<&FeedFrame>, digest: u64, offset: u32, bytes: &[u8]) {
+        let mut announced = frame.into_iter().flat_map(|frame| &frame.large);
+        if let Some(value) = announced.find(|value| value.digest == digest) {
+            self.partial_values.borrow_mut().add(self.now(), value, offset, bytes);
+        }
+    }
+
+    /// Applies the items of a frame of which all parts are there. Returns `None` if it does not build on
+    /// this daemon's state.
+    fn apply_frame(self: &Rc<Self>, source: SocketAddr, frame: FeedFrame) -> Option<()> {
+        let now = self.now();
+        let mut items = frame.items;
+        items.extend(self.take_large_values(frame.era, &frame.large)?);
         let update = PeerUpdate {
             era: frame.era,
             revision: frame.revision,
             is_snapshot: frame.whole,
-            items: frame.items,
+            items,
             retained: frame.kept,
             era_delta: frame.step,
         };
@@ -258,13 +289,13 @@
     pub(in crate::gateway) async fn serve_follower(
         &self,
         mut stream: TcpStream,
-        after: StorePosition,
-        query: FreshnessQuery,
+        start: FeedStart,
     ) -> Option<()> {
-        let query = Cell::new(ReceivedQuery { query, received_at: self.now() });
+        let query = ReceivedQuery { query: start.query, received_at: self.now() };
+        let query = Cell::new(query);
         let (mut read, mut write) = stream.split();
         tokio::select! {
-            ended = self.write_feed(&mut write, after, &query) => ended,
+            ended = self.write_feed(&mut write, start, &query) => ended,
             ended = self.receive_queries(&mut read, &query) => ended,
         }
     }
@@ -272,11 +303,11 @@
     async fn write_feed(
         &self,
         stream: &mut WriteHalf<'_>,
-        after: StorePosition,
+        start: FeedStart,
         query: &Cell<ReceivedQuery>,
     ) -> Option<()> {
         let mut cursor = self.feed.cursor();
-        let mut sent_position = after;
+        let mut sent_position = start.after;
         let mut last_sent_at: Option<Time> = None;
         let mut sent_proof = None;
         let mut sent_retained: Vec<RetainedItem> = Vec::new();
@@ -295,8 +326,10 @@
                 actix_rt::time::sleep(frame_interval).await;
                 continue;
             }
-            let MirrorUpdate { position, is_snapshot: whole, items, era_delta: step } =
+            let MirrorUpdate { position, is_snapshot: whole, mut items, era_delta: step } =
                 self.mirror.borrow().update_since(sent_position);
+            let values = self.separate_large_values(start.takes_parts, position.era, &mut items);
+            let large = values.iter().map(|value| value.announcement.clone()).collect();
             let kept = self.retained_to_send(&mut sent_retained);
             let store_age_ms = self.store_age();
             let freshness = self.freshness(query.get());
@@ -312,11 +345,14 @@
                 era,
                 kept,
                 step,
+                large,
             };
             (sent_position, last_sent_at, sent_proof) = (position, Some(now), proof);
             let message = FeedMessage::News(frame);
-            let writing = write_frame(stream, &message);
-            actix_rt::time::timeout(FRAME_WRITE_TIMEOUT, writing).await.ok()??;
+            write_large_frame(stream, &message, FRAME_WRITE_TIMEOUT).await?;
+            for value in &values {
+                write_parts(stream, value, &start.rests).await?;
+            }
             actix_rt::time::sleep(frame_interval).await;
         }
         let reports = std::iter::once(self.own_sync_report()).chain(self.peer_sync_reports());
@@ -359,6 +395,35 @@
     }
 }
 
+/// What a follower asked for.
+pub(in crate::gateway) struct FeedStart {
+    /// The position up to which its copy is complete.
+    pub after: StorePosition,
+    /// Its first freshness query.
+    pub query: FreshnessQuery,
+    /// Whether it takes large values apart from the other items.
+    pub takes_parts: bool,
+    /// What it lacks of large values of which a part has arrived.
+    pub rests: Vec<PartRequest>,
+}
+
+/// Writes what a follower lacks of a large value.
+async fn write_parts(
+    stream: &mut WriteHalf<'_>,
+    value: &CompressedValue,
+    rests: &[PartRequest],
+) -> Option<()> {
+    let digest = value.announcement.digest;
+    let rest = rests.iter().find(|rest| rest.digest == digest);
+    let mut offset = rest.map_or(0, |rest| rest.offset);
+    for bytes in value.bytes.get(offset as usize..)?.chunks(PART_BYTES) {
+        let message = FeedMessage::Part { digest, offset, bytes: bytes.to_vec() };
+        write_large_frame(stream, &message, FRAME_WRITE_TIMEOUT).await?;
+        offset += bytes.len() as u32;
+    }
+    Some(())
+}
+
 /// Why a feed ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum FeedEnd {
--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -1,5 +1,6 @@
 //! A small fleet: daemons in processes of their own, with a store and model servers in the test process.
 
+use crate::links::{LinkedNode, Network, link_address};
 use portrack::gateway::log_field;
 use portrack_platform_standins::{
     Arrival, ChatPlan, ColdPlan, Crash, ModelServer, Operator, OrderSeen, READY_PATH,
@@ -79,6 +80,9 @@
     pub first_start: bool,
     /// Whether every server has all adapters at the start, instead of each adapter one server.
     pub replicates_adapters: bool,
+    /// Bandwidth of each node's link in Mbit/s, which its traffic with other nodes and the store shares; not limited
+    /// if `None`.
+    pub link_mbps: Option<f64>,
 }
 
 impl FleetPlan {
@@ -98,6 +102,7 @@
             retry_slack: RETRY_SLACK,
             first_start: false,
             replicates_adapters: false,
+            link_mbps: None,
         }
     }
 }
@@ -140,6 +145,8 @@
     daemons: Vec<Daemon>,
     ports: Ports,
     folder: PathBuf,
+    /// The nodes' links, if their bandwidth is limited.
+    pub network: Option<Network>,
 }
 
 /// Ports shared by all daemons, each of which has an address of its own.
@@ -196,6 +203,7 @@
             organisations: plan.organisations.clone(),
             cold: plan.cold,
             home: plan.halls[0].1.into(),
+            further: Vec::new(),
         };
         Operator(&store).configure(1, &chat);
         let mut store_doors = Vec::new();
@@ -234,7 +242,18 @@
             daemons: Vec::new(),
             ports: Ports::free(),
             folder,
+            network: None,
         };
+        if let Some(mbps) = plan.link_mbps {
+            let nodes = (0..daemons).map(|n| LinkedNode {
+                hall: plan.halls[n % plan.halls.len()].0,
+                own: address(n),
+                reached_at: link_address(address(n)),
+                store: fleet.store_doors[n].address,
+            });
+            let network = Network::start(mbps, fleet.ports.members, nodes.collect()).await;
+            fleet.network = Some(network.expect("the links are opened"));
+        }
         for n in 0..daemons {
             fleet.add_daemon(n, address(n), address(0), &plan);
         }
@@ -243,7 +262,7 @@
     }
 
     fn add_daemon(&mut self, n: usize, address: Ipv4Addr, seed: Ipv4Addr, plan: &FleetPlan) {
-        let Ports { callers, readiness, members } = self.ports;
+        let Ports { callers, readiness, .. } = self.ports;
         let node = format!("n{n}");
         let hall = plan.halls[n % plan.halls.len()].0;
         let regions = plan.halls.iter().map(|(hall, region)| format!("{hall} = \"{region}\"\n"));
@@ -251,14 +270,22 @@
         let (cold_ratio, cold_slack) = (COLD_RATIO, COLD_SLACK);
         let (retry_ratio, retry_slack) = (plan.retry_ratio, plan.retry_slack);
         let first_start = plan.first_start;
+        let (mut members, mut seed) = (address, seed);
+        let mut store = self.store_doors[n].address;
+        let mut members_listen = String::new();
+        if let Some(network) = &self.network {
+            members_listen = format!("members_listen = \"{address}:{}\"\n", self.ports.members);
+            (members, seed, store) =
+                (link_address(address), link_address(seed), network.store_address(n));
+        }
+        let port = self.ports.members;
         let text = format!(
             "node = \"{node}\"\nhall = \"{hall}\"\ncallers = \"{address}:{callers}\"\n\
-             readiness = \"{address}:{readiness}\"\nmembers = \"{address}:{members}\"\n\
-             seeds = [\"{seed}:{members}\"]\nstore = \"{}\"\nfirst_start = {first_start}\n\n[bounds]\nretry_ratio = {retry_ratio:?}\nretry_slack = {retry_slack:?}\n\
+             readiness = \"{address}:{readiness}\"\nmembers = \"{members}:{port}\"\n{members_listen}\
+             seeds = [\"{seed}:{port}\"]\nstore = \"{store}\"\nfirst_start = {first_start}\n\n[bounds]\nretry_ratio = {retry_ratio:?}\nretry_slack = {retry_slack:?}\n\
              stop_within_s = {STOP_WITHIN_S}\nrevoke_within_ms = {REVOKED_WITHIN_MS}\n\
              evacuate_within_ms = {EVACUATED_WITHIN_MS}\ncold_ratio = {cold_ratio:?}\n\
-             cold_slack = {cold_slack:?}\n\n[regions]\n{regions}",
-            self.store_doors[n].address
+             cold_slack = {cold_slack:?}\n\n[regions]\n{regions}"
         );
         let settings = self.folder.join(format!("{node}.toml"));
         std::fs::write(&settings, text).expect("the settings are written");
@@ -358,6 +385,14 @@
         Operator(&self.store).configure(*version, plan)
     }
 
+    /// Replaces the further routes of the configuration; returns when the store accepted it.
+    pub fn set_further_routes(&mut self, paths: Vec<String>) -> Instant {
+        let (version, plan) = &mut self.config;
+        *version += 1;
+        plan.further = paths;
+        Operator(&self.store).configure(*version, plan)
+    }
+
     /// Closes or reopens the store for a daemon.
     pub fn set_store_blocked(&self, n: usize, blocked: bool) {
         self.store_doors[n].set_closed(blocked);
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -4,8 +4,10 @@
 mod callers;
 mod crashes;
 mod fleet;
+mod growth;
 mod invariants;
 mod keys;
+mod links;
 mod retries;
 mod returns;
 mod series;
