An attempt to catch up has seconds to begin, however many peers there are

In a fleet of many peers, twelve attempts were under way after 0.6 s, and further ones then took the places of the first: where all replies begin later than that, none ever would.

Test: attempts::an_attempt_has_seconds_to_begin_however_many_peers_there_are (200 peers, none answers).

--- a/crates/portrack/src/gateway/store_sync/attempts.rs
+++ b/crates/portrack/src/gateway/store_sync/attempts.rs
@@ -76,7 +76,8 @@
 
 impl CatchUpAttempts {
     /// The peers to ask now, of the candidates in their order of preference. None are asked while a
-    /// reply arrives fast enough, or right after others were.
+    /// reply arrives fast enough. The more attempts are under way, the longer is the pause after the
+    /// last ones: each then has several seconds before another takes its place.
     pub fn peers_to_ask(
         &self,
         now: Time,
@@ -84,7 +85,10 @@
         candidates: &[SocketAddr],
     ) -> Vec<SocketAddr> {
         let interval = timings.first_response_timeout();
-        let pause = if self.attempts.is_empty() { timings.response_time() } else { interval };
+        let pause = match self.attempts.len().div_ceil(MAX_STARTED_AT_ONCE) {
+            0 => timings.response_time(),
+            rounds => interval * 2u32.pow(rounds as u32 - 1),
+        };
         let is_too_soon = self.last_started_at.is_some_and(|at| now.since(at) < pause);
         if is_too_soon || self.is_on_course(now, timings, None) {
             return Vec::new();
--- a/crates/portrack/tests/gateway/attempts.rs
+++ b/crates/portrack/tests/gateway/attempts.rs
@@ -2,6 +2,7 @@
 
 use portrack::gateway::{CatchUpAttempts, LARGE_REPLY_BYTES, MAX_ATTEMPTS, SyncTimings};
 use portrack::types::Time;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,7 +34,26 @@
     assert_eq!(ask(&mut attempts, 0, &peers), peers[..3]);
     assert!(ask(&mut attempts, 190, &peers).is_empty());
     assert_eq!(ask(&mut attempts, 200, &peers), peers[3..6]);
-    assert_eq!(ask(&mut attempts, 400, &peers)[..2], peers[6..]);
+    assert!(ask(&mut attempts, 590, &peers).is_empty());
+    assert_eq!(ask(&mut attempts, 600, &peers)[..2], peers[6..]);
+}
+
+/// Guards against attempts that make room for others before any reply can begin, where all begin late and there are
+/// many peers.
+#[test]
+fn an_attempt_has_seconds_to_begin_however_many_peers_there_are() {
+    let (mut attempts, peers) = (CatchUpAttempts::default(), peers(200));
+    let mut started_at = BTreeMap::new();
+    let mut shortest = u64::MAX;
+    for now in (0..30_000).step_by(50) {
+        for peer in attempts.peers_to_ask(Time(now), timings(), &peers[started_at.len()..]) {
+            let (id, replaced) = attempts.start(Time(now), peer);
+            started_at.insert(id, now);
+            let lived = replaced.map(|replaced| now - started_at[&replaced]);
+            shortest = shortest.min(lived.unwrap_or(u64::MAX));
+        }
+    }
+    assert!((2_500..30_000).contains(&shortest), "{shortest} ms");
 }
 
 /// Guards against a request that is lost on the way and waited for, where there is no other peer.
