--- a/crates/portrackd/tests/soak/growth.rs
+++ b/crates/portrackd/tests/growth/growth.rs
@@ -9,7 +9,7 @@
 use crate::fleet::{Fleet, FleetPlan, HOST, MODEL};
 use crate::invariants::InvariantReport;
 use crate::links::Cut;
-use crate::series::{number, run_seeds};
+use crate::seeds::{number, run_seeds};
 use portrack::gateway::log_field;
 use portrack_platform_standins::{CallerConnection, CallerRequest};
 use rand::rngs::SmallRng;
@@ -137,6 +137,8 @@
     random: SmallRng,
     in_turns: bool,
     steps: usize,
+    /// The longest time between two steps: how long the links and the store, which run in this process, stood still.
+    longest_step: Duration,
     frozen_until: Vec<Option<Instant>>,
     /// When the last trouble of each daemon ended.
     trouble_ended: Vec<Option<Instant>>,
@@ -146,8 +148,10 @@
     /// Lets time pass.
     async fn run_until(&mut self, until: Instant) {
         while Instant::now() < until {
+            let began = Instant::now();
             self.step();
             actix_rt::time::sleep(STEP).await;
+            self.longest_step = self.longest_step.max(began.elapsed());
         }
     }
 
@@ -291,7 +295,15 @@
     let in_turns = number("PORTRACK_SOAK_TURNS", 0) > 0;
     let trouble = || vec![None; daemons];
     let (frozen_until, trouble_ended) = (trouble(), trouble());
-    let mut scenario = Scenario { fleet, random, in_turns, steps: 0, frozen_until, trouble_ended };
+    let mut scenario = Scenario {
+        fleet,
+        random,
+        in_turns,
+        steps: 0,
+        longest_step: Duration::ZERO,
+        frozen_until,
+        trouble_ended,
+    };
     let callers = Callers::default();
     callers.start(seed, daemons, &scenario.fleet.callers());
     let routes = number("PORTRACK_SOAK_ROUTES", ROUTES) as usize;
@@ -309,8 +321,10 @@
     let broken = count(&scenario.fleet.logs(), "catch_up_broken");
     let unanswered = count(&scenario.fleet.logs(), "peer_did_not_answer");
     let summary = format!(
-        "seed {seed}: {cut:?}, {beside:?}, {}; {broken} replies broken, {unanswered} not begun",
-        summaries.join("; ")
+        "seed {seed}: {cut:?}, {beside:?}, {}; {broken} replies broken, {unanswered} not begun; \
+         longest step {} ms",
+        summaries.join("; "),
+        scenario.longest_step.as_millis()
     );
     if late.is_empty() && report.is_clean() {
         return Ok(summary);
--- a/crates/portrackd/tests/soak/crashes.rs
+++ b/crates/portrackd/tests/soak/crashes.rs
@@ -7,7 +7,7 @@
 use crate::callers::Callers;
 use crate::fleet::{Fleet, FleetPlan, HOST, MODEL};
 use crate::invariants::{InvariantReport, served_after};
-use crate::series::run_seeds;
+use crate::seeds::run_seeds;
 use portrack_platform_standins::{Arrival, CHAT_PATH, CallerConnection, CallerRequest, Crash};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/portrackd/tests/soak/fleet.rs
+++ b/crates/portrackd/tests/soak/fleet.rs
@@ -386,6 +386,7 @@
     }
 
     /// Replaces the further routes of the configuration; returns when the store accepted it.
+    #[allow(dead_code, reason = "the test target `growth` uses it")]
     pub fn set_further_routes(&mut self, paths: Vec<String>) -> Instant {
         let (version, plan) = &mut self.config;
         *version += 1;
--- a/crates/portrackd/tests/soak/keys.rs
+++ b/crates/portrackd/tests/soak/keys.rs
@@ -4,7 +4,7 @@
 //! `PORTRACK_SOAK_FIRST` and `PORTRACK_SOAK_SEEDS` override the default seeds.
 
 use crate::fleet::{ADAPTERS, Fleet, HOST, MODEL, REVOKED_WITHIN_MS};
-use crate::series::number;
+use crate::seeds::number;
 use portrack_platform_standins::{CHAT_PATH, CallerConnection, CallerRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/portrackd/tests/soak/main.rs
+++ b/crates/portrackd/tests/soak/main.rs
@@ -4,12 +4,13 @@
 mod callers;
 mod crashes;
 mod fleet;
-mod growth;
 mod invariants;
 mod keys;
+#[allow(dead_code, reason = "the test target `growth` uses more of it")]
 mod links;
 mod retries;
 mod returns;
+mod seeds;
 mod series;
 mod servers;
 mod software;
--- a/crates/portrackd/tests/soak/retries.rs
+++ b/crates/portrackd/tests/soak/retries.rs
@@ -7,7 +7,7 @@
 use crate::callers::{Callers, SentRequest};
 use crate::fleet::{Fleet, FleetPlan};
 use crate::invariants::InvariantReport;
-use crate::series::run_seeds;
+use crate::seeds::run_seeds;
 use portrack_platform_standins::ReceivedRequest;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/portrackd/tests/soak/returns.rs
+++ b/crates/portrackd/tests/soak/returns.rs
@@ -7,7 +7,7 @@
 use crate::callers::Callers;
 use crate::fleet::{ADAPTERS, Fleet, FleetPlan};
 use crate::invariants::{InvariantReport, served_after};
-use crate::series::{number, run_seeds};
+use crate::seeds::{number, run_seeds};
 use portrack_platform_standins::{LostWrites, OrderSeen, StoreSnapshot};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/portrackd/tests/soak/series.rs
+++ b/crates/portrackd/tests/soak/series.rs
@@ -7,6 +7,7 @@
 use crate::callers::Callers;
 use crate::fleet::{ADAPTERS, Fleet, FleetPlan};
 use crate::invariants::{InvariantReport, served_after};
+use crate::seeds::{number, run_seeds};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -140,38 +141,6 @@
     Err(format!("{summary}; logs in {}; {report:?}", scenario.fleet.folder().display()))
 }
 
-/// Runs the seeds given by the environment, or `seeds` seeds from `first` on, up to `at_once` at the same
-/// time; panics with the violations.
-pub async fn run_seeds<F: Future<Output = Result<String, String>>>(
-    first: u64,
-    seeds: u64,
-    at_once: usize,
-    run: impl Fn(u64) -> F,
-) {
-    let first = number("PORTRACK_SOAK_FIRST", first);
-    let seeds: Vec<u64> = (first..first + number("PORTRACK_SOAK_SEEDS", seeds)).collect();
-    let mut violations = Vec::new();
-    for chunk in seeds.chunks(at_once) {
-        for result in futures_util::future::join_all(chunk.iter().map(|seed| run(*seed))).await {
-            match result {
-                Ok(summary) => println!("{summary}"),
-                Err(why) => violations.push(why),
-            }
-        }
-    }
-    assert!(
-        violations.is_empty(),
-        "{} of {} seeds failed: {violations:#?}",
-        violations.len(),
-        seeds.len()
-    );
-}
-
-/// Reads a number from an environment variable.
-pub fn number(variable: &str, default: u64) -> u64 {
-    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 #[actix_rt::test]
 async fn invariants_hold_under_random_announcements_kills_and_stops() {
     let daemons = number("PORTRACK_SOAK_DAEMONS", DAEMONS) as usize;
--- a/crates/portrackd/tests/soak/servers.rs
+++ b/crates/portrackd/tests/soak/servers.rs
@@ -7,7 +7,7 @@
 use crate::callers::Callers;
 use crate::fleet::{COLD_RATIO, COLD_SLACK, EVACUATED_WITHIN_MS, Fleet, FleetPlan};
 use crate::invariants::{InvariantReport, served_after};
-use crate::series::number;
+use crate::seeds::number;
 use portrack_platform_standins::{Arrival, ColdPlan, HOME_PATH};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/portrackd/tests/soak/software.rs
+++ b/crates/portrackd/tests/soak/software.rs
@@ -5,7 +5,7 @@
 //! `PORTRACK_SOAK_FIRST` and `PORTRACK_SOAK_SEEDS` override the default seeds.
 
 use crate::fleet::{Fleet, FleetPlan, HOST};
-use crate::series::run_seeds;
+use crate::seeds::run_seeds;
 use crate::streams::{StreamCallers, StreamSeen, StreamServer, Try, configure};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/portrackd/tests/soak/words.rs
+++ b/crates/portrackd/tests/soak/words.rs
@@ -6,7 +6,7 @@
 use crate::callers::Callers;
 use crate::fleet::{Fleet, FleetPlan};
 use crate::invariants::{InvariantReport, served_after};
-use crate::series::run_seeds;
+use crate::seeds::run_seeds;
 use portrack_platform_standins::{HintPeriod, ServerHints};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
