A feed cannot announce a value of any length

What callers saw: nothing; found by reading. A frame of a feed that announces a value of gigabytes and sends its parts would have been kept until the node's memory was full. Only catching up looked at the length.

Change: the parts of a value are kept only if its announced length is that of the largest message.

--- a/crates/portrack/src/gateway/store_sync/large_values.rs
+++ b/crates/portrack/src/gateway/store_sync/large_values.rs
@@ -126,8 +126,11 @@
     }
 
     /// Adds bytes that begin at `offset`. Bytes that are there already are dropped, and so are bytes
-    /// after a gap.
+    /// after a gap and those of a value that is too long.
     pub fn add(&mut self, now: Time, value: &LargeValue, offset: u32, bytes: &[u8]) {
+        if value.length > MAX_BODY {
+            return;
+        }
         if self.get(value.digest).is_none() && offset == 0 {
             self.make_room();
             let (digest, bytes) = (value.digest, Vec::new());
--- a/crates/portrack/tests/gateway/large_values.rs
+++ b/crates/portrack/tests/gateway/large_values.rs
@@ -114,3 +114,12 @@
         assert_eq!(partial.received(&value.announcement), value.announcement.length);
     }
 }
+
+/// Guards against a peer that announces a value of gigabytes and sends it.
+#[test]
+fn a_value_that_is_too_long_is_not_kept() {
+    let mut partial = PartialValues::default();
+    let announced = LargeValue { length: u32::MAX, ..compressed(1).announcement };
+    partial.add(Time(0), &announced, 0, &[0; 1_000]);
+    assert_eq!(partial.received(&announced), 0);
+}
