Compressed values of keys that come and go do not pile up

What callers saw: nothing; found by reading. A daemon kept the compressed form of the newest value of each key that ever had a large one, for ever: entries of servers that were replaced, for instance.

Change: the four that were sent last are kept.

Test: large_values::compressed_values_of_keys_that_are_not_sent_any_more_are_forgotten (before: the first of twenty is still held).

--- a/crates/portrack/src/gateway/store_sync/large_values.rs
+++ b/crates/portrack/src/gateway/store_sync/large_values.rs
@@ -8,7 +8,6 @@
 use flate2::Compression;
 use flate2::read::{DeflateDecoder, DeflateEncoder};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::io::Read;
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -17,6 +16,8 @@
 pub const LARGE_VALUE_BYTES: usize = 16 * 1024;
 /// Partly received values that are kept: the newest configuration and the one before.
 pub const MAX_PARTIAL_VALUES: usize = 2;
+/// Compressed values that are kept to be sent.
+const MAX_COMPRESSED_VALUES: usize = 4;
 
 /// Announces a value that is sent apart from the other items.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,10 +67,11 @@
     }
 }
 
-/// The newest large values in compressed form, one for each key.
+/// The large values that were sent last, in compressed form.
 #[derive(Debug, Default)]
 pub struct CompressedValues {
-    by_key: BTreeMap<String, (StoreEra, CompressedValue)>,
+    /// At most [`MAX_COMPRESSED_VALUES`], the one that was sent last at the end.
+    values: Vec<(StoreEra, CompressedValue)>,
 }
 
 impl CompressedValues {
@@ -88,17 +90,24 @@
 
     fn compressed(&mut self, era: StoreEra, item: &MirrorItem) -> Option<CompressedValue> {
         let value = item.value.as_ref().filter(|value| value.len() > LARGE_VALUE_BYTES)?;
-        let known = self.by_key.get(&item.key);
-        let known = known.filter(|(known_era, known)| {
-            *known_era == era && known.announcement.revision == item.revision
-        });
-        if let Some((_, known)) = known {
-            return Some(known.clone());
+        let compressed = match self.take_known(era, item) {
+            Some(known) => known,
+            None => CompressedValue::new(item.key.clone(), item.revision, value)?,
+        };
+        if self.values.len() >= MAX_COMPRESSED_VALUES {
+            self.values.remove(0);
         }
-        let compressed = CompressedValue::new(item.key.clone(), item.revision, value)?;
-        self.by_key.insert(item.key.clone(), (era, compressed.clone()));
+        self.values.push((era, compressed.clone()));
         Some(compressed)
     }
+
+    fn take_known(&mut self, era: StoreEra, item: &MirrorItem) -> Option<CompressedValue> {
+        let at = self.values.iter().position(|(known_era, known)| {
+            let LargeValue { key, revision, .. } = &known.announcement;
+            (*known_era, key, *revision) == (era, &item.key, item.revision)
+        })?;
+        Some(self.values.remove(at).1)
+    }
 }
 
 /// The first bytes of a compressed value.
--- a/crates/portrack/tests/gateway/large_values.rs
+++ b/crates/portrack/tests/gateway/large_values.rs
@@ -6,6 +6,7 @@
 };
 use portrack::store::StoreEra;
 use portrack::types::Time;
+use std::rc::Rc;
 
 fn era(number: u64) -> StoreEra {
     StoreEra::from_number(number)
@@ -123,3 +124,15 @@
     partial.add(Time(0), &announced, 0, &[0; 1_000]);
     assert_eq!(partial.received(&announced), 0);
 }
+
+/// Guards against compressed values of keys that come and go, which would pile up.
+#[test]
+fn compressed_values_of_keys_that_are_not_sent_any_more_are_forgotten() {
+    let mut values = CompressedValues::default();
+    let mut separate = |n: u32| {
+        values.separate(era(3), &mut vec![item(&format!("servers/{n}"), 7, value(n))]).remove(0)
+    };
+    let first = separate(0);
+    (1..20).for_each(|n| drop(separate(n)));
+    assert_eq!(Rc::strong_count(&first.bytes), 1);
+}
