Parts of a value have an end

What callers saw: nothing; found by reading. Parts of a configuration that no peer sends any more were kept until two other values had begun to arrive, and were named in each request for a feed.

Change: they are forgotten 60 s after their last bytes, which is longer than daemons are cut off.

Test: large_values::parts_of_a_value_that_is_not_sent_any_more_are_forgotten (a new call; there was none to fail before).

--- a/crates/portrack/src/gateway/mod.rs
+++ b/crates/portrack/src/gateway/mod.rs
@@ -156,7 +156,7 @@
 pub use store_sync::era_delta::EraDelta;
 pub use store_sync::large_values::{
     CompressedValue, CompressedValues, LARGE_VALUE_BYTES, LargeValue, MAX_PARTIAL_VALUES,
-    PartialValues,
+    PARTIAL_VALUE_TTL, PartialValues,
 };
 pub use store_sync::mirror::{Mirror, MirrorChange, MirrorItem, MirrorUpdate};
 pub use store_sync::pacing::WatchPacing;
--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -108,6 +108,7 @@
             self.log_staleness_change();
             self.expire_retained();
             self.fetch_retained_items();
+            self.partial_values.borrow_mut().expire(self.now());
             if self.staleness().is_within(self.sync_timings().healthy_staleness()) {
                 self.end_attempts(&mut running);
             } else {
--- a/crates/portrack/src/gateway/store_sync/large_values.rs
+++ b/crates/portrack/src/gateway/store_sync/large_values.rs
@@ -10,12 +10,15 @@
 use serde::{Deserialize, Serialize};
 use std::io::Read;
 use std::rc::Rc;
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Values longer than this are sent apart.
 pub const LARGE_VALUE_BYTES: usize = 16 * 1024;
 /// Partly received values that are kept: the newest configuration and the one before.
 pub const MAX_PARTIAL_VALUES: usize = 2;
+/// How long a partly received value is kept after its last bytes: longer than daemons are cut off.
+pub const PARTIAL_VALUE_TTL: Duration = Duration::from_secs(60);
 /// Compressed values that are kept to be sent.
 const MAX_COMPRESSED_VALUES: usize = 4;
 
@@ -163,6 +166,11 @@
         self.values.iter().map(rest).collect()
     }
 
+    /// Forgets values of which nothing has arrived for [`PARTIAL_VALUE_TTL`].
+    pub fn expire(&mut self, now: Time) {
+        self.values.retain(|partial| now.since(partial.changed_at) < PARTIAL_VALUE_TTL);
+    }
+
     fn make_room(&mut self) {
         if self.values.len() < MAX_PARTIAL_VALUES {
             return;
--- a/crates/portrack/tests/gateway/large_values.rs
+++ b/crates/portrack/tests/gateway/large_values.rs
@@ -2,11 +2,12 @@
 
 use portrack::gateway::{
     CompressedValue, CompressedValues, LARGE_VALUE_BYTES, LargeValue, MAX_PARTIAL_VALUES,
-    MirrorItem, PartialValues,
+    MirrorItem, PARTIAL_VALUE_TTL, PartialValues,
 };
 use portrack::store::StoreEra;
 use portrack::types::Time;
 use std::rc::Rc;
+use std::time::Duration;
 
 fn era(number: u64) -> StoreEra {
     StoreEra::from_number(number)
@@ -136,3 +137,14 @@
     (1..20).for_each(|n| drop(separate(n)));
     assert_eq!(Rc::strong_count(&first.bytes), 1);
 }
+
+/// Guards against a part of an old configuration that is kept for ever.
+#[test]
+fn parts_of_a_value_that_is_not_sent_any_more_are_forgotten() {
+    let (sent, mut partial) = (compressed(1), PartialValues::default());
+    add(&mut partial, &sent, 0, 1_000);
+    partial.expire(Time(0) + PARTIAL_VALUE_TTL - Duration::from_millis(1));
+    assert_eq!(partial.received(&sent.announcement), 1_000);
+    partial.expire(Time(0) + PARTIAL_VALUE_TTL);
+    assert_eq!(partial.received(&sent.announcement), 0);
+}
