A follower is sent the whole of a value that is sent a second time

What callers saw: nothing; found by reading. A follower names the parts that it has when its feed begins. If the same configuration was written again later, the daemon that feeds it skipped these bytes once more, although the follower had used them up: it left the feed and began anew, with the configuration late by that.

Change: what a follower named counts once.

Test: slow_links::a_follower_is_not_sent_the_begin_of_a_value_a_second_time (before: 350 bytes of 137,526).

--- a/crates/portrack/src/gateway/store_sync/peer_feed.rs
+++ b/crates/portrack/src/gateway/store_sync/peer_feed.rs
@@ -303,7 +303,7 @@
     async fn write_feed(
         &self,
         stream: &mut WriteHalf<'_>,
-        start: FeedStart,
+        mut start: FeedStart,
         query: &Cell<ReceivedQuery>,
     ) -> Option<()> {
         let mut cursor = self.feed.cursor();
@@ -351,7 +351,8 @@
             let message = FeedMessage::News(frame);
             write_large_frame(stream, &message, FRAME_WRITE_TIMEOUT).await?;
             for value in &values {
-                write_parts(stream, value, &start.rests).await?;
+                let offset = start.take_offset(value.announcement.digest);
+                write_parts(stream, value, offset).await?;
             }
             actix_rt::time::sleep(frame_interval).await;
         }
@@ -407,15 +408,22 @@
     pub rests: Vec<PartRequest>,
 }
 
-/// Writes what a follower lacks of a large value.
+impl FeedStart {
+    /// The first byte of a value that the follower lacks. If the value is sent once more, that is its
+    /// first one: the follower has taken its parts by then.
+    fn take_offset(&mut self, digest: u64) -> u32 {
+        let at = self.rests.iter().position(|rest| rest.digest == digest);
+        at.map_or(0, |at| self.rests.swap_remove(at).offset)
+    }
+}
+
+/// Writes a large value from a byte on.
 async fn write_parts(
     stream: &mut WriteHalf<'_>,
     value: &CompressedValue,
-    rests: &[PartRequest],
+    mut offset: u32,
 ) -> Option<()> {
     let digest = value.announcement.digest;
-    let rest = rests.iter().find(|rest| rest.digest == digest);
-    let mut offset = rest.map_or(0, |rest| rest.offset);
     for bytes in value.bytes.get(offset as usize..)?.chunks(PART_BYTES) {
         let message = FeedMessage::Part { digest, offset, bytes: bytes.to_vec() };
         write_large_frame(stream, &message, FRAME_WRITE_TIMEOUT).await?;
