The only peer is asked again soon after its reply has stopped midway

What callers saw: nothing; found by reading.

Cause: a peer whose reply had begun was never asked again while that attempt lasted: a begin of any age counted as if bytes still came.

Change: a peer is asked again once nothing has come from it for a while, counted from the last bytes, and at growing intervals.

Tests: attempts::the_only_peer_is_asked_again_soon_after_its_reply_has_stopped (failed before). a_peer_whose_reply_has_begun_is_not_asked_again wanted no second request for 60 s without a byte, which is this fault; in its place a_peer_whose_reply_arrives_is_not_asked_again wants none for 60 s while bytes come.

--- a/crates/portrack/src/gateway/store_sync/attempts.rs
+++ b/crates/portrack/src/gateway/store_sync/attempts.rs
@@ -110,14 +110,12 @@
         self.at(peer).count()
     }
 
-    /// Whether a peer is asked once more although it was asked before: what was sent to it may be
-    /// lost. Each time takes twice as long as the one before. A peer whose reply has begun is not
-    /// asked again.
+    /// Whether a peer is asked once more although it was asked before: nothing has come from it for a
+    /// while, and what was sent may be lost. Each time takes twice as long as the one before.
     fn is_due_again(&self, now: Time, interval: Duration, count: usize, peer: SocketAddr) -> bool {
-        let has_begun = self.at(peer).any(|attempt| attempt.begun_at.is_some());
-        let newest = self.at(peer).map(|attempt| attempt.started_at).max();
+        let newest = self.at(peer).map(Attempt::last_evidence).max();
         let pause = interval * 2u32.saturating_pow(count as u32);
-        !has_begun && newest.is_none_or(|at| now.since(at) >= pause)
+        newest.is_none_or(|at| now.since(at) >= pause)
     }
 
     /// An attempt that is not listed among the others.
