A daemon holds a bounded number of large replies for its peers

What callers saw: nothing; found by reading.

Who waits for one holds nothing, and is let go once it has closed its connection; small replies do not wait. Requesters bear a late begin since.

Beside it, for readers: what answers peers is update_server.rs, the running attempts are a file of their own; NO_PROGRESS_TIMEOUT and acceptable_reply_time do not sound like silence_timeout and REPLY_TIMEOUT any more; catch_up_replaced names the peer and how far it came; the setting members_listen says what it covers; one comment less of an unclear test name.

--- a/crates/portrack/src/gateway/daemon.rs
+++ b/crates/portrack/src/gateway/daemon.rs
@@ -42,6 +42,7 @@
 use crate::gateway::store_sync::source_selector::{PeerTopology, SourceSelector};
 use crate::gateway::store_sync::staleness::Staleness;
 use crate::gateway::store_sync::timings::SyncTimings;
+use crate::gateway::store_sync::update_server::MAX_LARGE_REPLIES;
 use crate::gateway::tunnels::carriers::Carriers;
 use crate::gateway::tunnels::connecting::ServerConnections;
 use crate::gateway::tunnels::pauses::PauseDetector;
@@ -52,7 +53,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 /// State shared by the tasks of one gateway daemon.
 pub struct GatewayDaemon {
@@ -110,6 +111,8 @@
     pub(super) partial_values: RefCell<PartialValues>,
     /// Large values as they are sent to peers.
     pub(super) compressed_values: RefCell<CompressedValues>,
+    /// Permits for holding large replies for peers.
+    pub(super) large_replies: Semaphore,
     /// Store changes forwarded to the followers of this daemon.
     pub(super) feed: FollowerFeed,
     /// Notified when datagrams from peers arrive again after this daemon was cut off.
@@ -351,6 +354,7 @@
             attempts: RefCell::default(),
             partial_values: RefCell::default(),
             compressed_values: RefCell::default(),
+            large_replies: Semaphore::new(MAX_LARGE_REPLIES),
             feed: FollowerFeed::default(),
             reconnected: Notify::new(),
             unclaimed_servers: RefCell::default(),
--- a/crates/portrack/src/gateway/settings.rs
+++ b/crates/portrack/src/gateway/settings.rs
@@ -27,8 +27,8 @@
     pub readiness: SocketAddr,
     /// Listen address for other daemons, over UDP and TCP.
     pub members: SocketAddr,
-    /// Address on this node for traffic between daemons, if the others reach this one at another
-    /// (`members`), as behind address translation.
+    /// Address at which this daemon listens for the others, and from which it fetches copies of the
+    /// store, if they reach it at another address (`members`), as behind address translation.
     pub members_listen: Option<SocketAddr>,
     /// Listen address for metrics; not served if left out.
     pub metrics: Option<SocketAddr>,
--- a/crates/portrack/src/gateway/store_sync/attempts.rs
+++ b/crates/portrack/src/gateway/store_sync/attempts.rs
@@ -25,7 +25,8 @@
 /// How far an attempt has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempt {
-    id: AttemptId,
+    /// The attempt's id.
+    pub id: AttemptId,
     /// The peer that was asked.
     pub peer: SocketAddr,
     /// When it was asked.
@@ -44,7 +45,7 @@
 
 impl Attempt {
     /// The latest evidence that this attempt may succeed.
-    fn last_evidence(&self) -> Time {
+    pub fn last_evidence(&self) -> Time {
         self.progress_at.or(self.begun_at).unwrap_or(self.started_at)
     }
 
@@ -62,7 +63,7 @@
         }
         let left = f64::from(self.announced.saturating_sub(self.received));
         let time_left = elapsed.as_secs_f64() * left / f64::from(self.received);
-        time_left <= timings.reply_timeout().as_secs_f64()
+        time_left <= timings.acceptable_reply_time().as_secs_f64()
     }
 }
 
@@ -126,11 +127,11 @@
 
     /// Records that a peer is asked. Returns the attempt, and another one that has to end for it: the
     /// one without any evidence for the longest time.
-    pub fn start(&mut self, now: Time, peer: SocketAddr) -> (AttemptId, Option<AttemptId>) {
+    pub fn start(&mut self, now: Time, peer: SocketAddr) -> (AttemptId, Option<Attempt>) {
         let is_full = self.attempts.len() >= MAX_ATTEMPTS;
         let oldest = self.attempts.iter().min_by_key(|attempt| attempt.last_evidence());
-        let replaced = oldest.filter(|_| is_full).map(|attempt| attempt.id);
-        self.attempts.retain(|attempt| Some(attempt.id) != replaced);
+        let oldest = oldest.filter(|_| is_full).map(|attempt| attempt.id);
+        let replaced = oldest.and_then(|id| self.finish(id));
         self.last_started_at = Some(now);
         let id = self.unlisted();
         self.attempts.push(Attempt {
--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -1,41 +1,31 @@
-//! Fetches updates of the store from peers on demand, and answers peers that do the same.
+//! Fetches updates of the store from peers on demand.
 
 use super::attempts::{Attempt, AttemptId, LARGE_REPLY_BYTES, MAX_ATTEMPTS};
 use super::era_delta::EraDelta;
 use super::follower_feed::PeerRequest;
-use super::frames::{
-    FrameError, MAX_BODY, read_bytes, read_frame, read_frame_body, write_bytes, write_frame,
-    write_large_frame,
-};
+use super::frames::{FrameError, MAX_BODY, read_bytes, read_frame_body, write_frame};
 use super::large_values::{LargeValue, PartRequest};
-use super::mirror::{MirrorChange, MirrorItem, MirrorUpdate};
-use super::peer_feed::FeedStart;
+use super::mirror::{MirrorChange, MirrorItem};
 use super::retained::RetainedItem;
+use super::running_attempts::{EndedAttempt, RunningAttempts};
 use crate::gateway::daemon::GatewayDaemon;
 use crate::gateway::fleet::cold_start_tracker::SOURCE_PEER;
 use crate::gateway::fleet::trailing_field::or_default;
 use crate::store::{StoreEra, StorePosition};
-use futures_util::future::{FutureExt, LocalBoxFuture};
 use serde::{Deserialize, Serialize};
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest interval between checks whether peers have newer state.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout for a peer's question.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest time without any byte, both before and within a reply. It only frees what the attempt
 /// holds: other peers are asked long before.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const NO_PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for a whole reply, for peers that send a few bytes now and then.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const REPLY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval between checks whether another large reply still arrives.
 const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Peers that are considered when the copy is stale.
@@ -43,26 +33,28 @@
 
 /// A peer's response to [`PeerRequest::CatchUp`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct CatchUpReply {
-    revision: u64,
+pub(super) struct CatchUpReply {
+    /// The revision up to which the requester's copy is complete afterwards.
+    pub revision: u64,
     /// The age of the peer's proof that this is the newest state, in milliseconds, if it has a
     /// proof.
-    proof_age_ms: Option<u32>,
+    pub proof_age_ms: Option<u32>,
     /// `items` is a complete snapshot: keys that it lacks have been removed.
-    whole: bool,
-    items: Vec<MirrorItem>,
+    pub whole: bool,
+    /// The items that changed.
+    pub items: Vec<MirrorItem>,
     /// The era that revisions count in.
     #[serde(deserialize_with = "or_default")]
-    era: StoreEra,
+    pub era: StoreEra,
     /// Items that the peer retains although the store's copy differs.
     #[serde(deserialize_with = "or_default")]
-    kept: Vec<RetainedItem>,
+    pub kept: Vec<RetainedItem>,
     /// How a requester in the previous era gets into this era.
     #[serde(deserialize_with = "or_default")]
-    step: Option<EraDelta>,
+    pub step: Option<EraDelta>,
     /// Values that belong to `items` and are sent on request.
     #[serde(deserialize_with = "or_default")]
-    large: Vec<LargeValue>,
+    pub large: Vec<LargeValue>,
 }
 
 /// An update of the store's state from a peer.
@@ -124,8 +116,10 @@
         for peer in peers {
             let (id, replaced) = self.attempts.borrow_mut().start(now, peer);
             if let Some(replaced) = replaced {
-                log::info!(replaced:? = replaced; "catch_up_replaced");
-                running.end(replaced);
+                running.end(replaced.id);
+                let silent_ms = now.since(replaced.last_evidence()).as_millis() as u64;
+                let Attempt { peer, received, announced, .. } = replaced;
+                log::info!(peer:% = peer, silent_ms, received, announced; "catch_up_replaced");
             }
             let daemon = self.clone();
             running.add(id, async move { daemon.catch_up(id, peer).await });
@@ -211,13 +205,13 @@
         peer: SocketAddr,
     ) -> Result<CatchUpReply, FrameError> {
         let beginning = self.begin_catch_up(peer);
-        let beginning = actix_rt::time::timeout(SILENCE_TIMEOUT, beginning).await;
+        let beginning = actix_rt::time::timeout(NO_PROGRESS_TIMEOUT, beginning).await;
         let (mut stream, length) = beginning.map_err(|_| FrameError::TimedOut)??;
         self.attempts.borrow_mut().begun(self.now(), id, length);
         self.wait_for_turn(id, length).await;
         let received = |bytes| self.attempts.borrow_mut().received(self.now(), id, bytes);
         received(0);
-        let reading = read_frame_body(&mut stream, length, SILENCE_TIMEOUT, received);
+        let reading = read_frame_body(&mut stream, length, NO_PROGRESS_TIMEOUT, received);
         let mut reply: CatchUpReply = reading.await?;
         if reply.large.is_empty() {
             return Ok(reply);
@@ -270,7 +264,7 @@
             self.partial_values.borrow_mut().add(now, value, offset, bytes);
             offset += bytes.len() as u32;
         };
-        read_bytes(stream, missing, SILENCE_TIMEOUT, received).await
+        read_bytes(stream, missing, NO_PROGRESS_TIMEOUT, received).await
     }
 
     /// Waits while another large reply arrives fast enough: this one would take bandwidth from it.
@@ -333,107 +327,4 @@
             }
         });
     }
-
-    /// Answers catch-up and follow requests of peers. Runs forever.
-    pub async fn serve_peers(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
-            };
-            let daemon = self.clone();
-            actix_rt::spawn(async move { daemon.serve_peer(stream).await });
-        }
-    }
-
-    async fn serve_peer(&self, mut stream: TcpStream) -> Option<()> {
-        let reading = read_frame(&mut stream, REQUEST_TIMEOUT);
-        let request = actix_rt::time::timeout(REQUEST_TIMEOUT, reading).await.ok()?.ok()?;
-        match request {
-            PeerRequest::CatchUp { after, era, takes_parts } => {
-                let after = StorePosition::new(era, after);
-                let writing = self.send_update(&mut stream, after, takes_parts);
-                actix_rt::time::timeout(REPLY_TIMEOUT, writing).await.ok()?
-            }
-            PeerRequest::Follow { after, question: query, era, takes_parts, rests } => {
-                let after = StorePosition::new(era, after);
-                let start = FeedStart { after, query, takes_parts, rests };
-                self.serve_follower(stream, start).await
-            }
-            PeerRequest::Tunnel(request) => Box::pin(self.serve_tunnel(stream, request)).await,
-        }
-    }
-
-    /// Sends a peer everything that changed after a position, and then the large values that it
-    /// requests.
-    async fn send_update(
-        &self,
-        stream: &mut TcpStream,
-        after: StorePosition,
-        takes_parts: bool,
-    ) -> Option<()> {
-        let MirrorUpdate { position, is_snapshot: whole, mut items, era_delta: step } =
-            self.mirror.borrow().update_since(after);
-        let StorePosition { era, revision } = position;
-        let values = self.separate_large_values(takes_parts, era, &mut items);
-        let large = values.iter().map(|value| value.announcement.clone()).collect();
-        let proof_age_ms = self.handler.proof.age_for_peer(self.now());
-        let kept = self.mirror.borrow().retained_items();
-        let reply = CatchUpReply { revision, proof_age_ms, whole, items, era, kept, step, large };
-        write_large_frame(stream, &reply, SILENCE_TIMEOUT).await?;
-        drop(reply);
-        for _ in 0..values.len() {
-            let request: PartRequest = read_frame(stream, REPLY_TIMEOUT).await.ok()?;
-            let value = values.iter().find(|value| value.announcement.digest == request.digest)?;
-            let rest = value.bytes.get(request.offset as usize..)?;
-            write_bytes(stream, rest, SILENCE_TIMEOUT).await?;
-        }
-        Some(())
-    }
-}
-
-/// An attempt that has ended.
-struct EndedAttempt {
-    id: AttemptId,
-    end: Result<(), FrameError>,
-}
-
-/// The attempts that are under way.
-#[derive(Default)]
-struct RunningAttempts(Vec<(AttemptId, LocalBoxFuture<'static, Result<(), FrameError>>)>);
-
-impl RunningAttempts {
-    fn add(
-        &mut self,
-        id: AttemptId,
-        attempt: impl Future<Output = Result<(), FrameError>> + 'static,
-    ) {
-        self.0.push((id, attempt.boxed_local()));
-    }
-
-    fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
-    /// Waits until one of them ends.
-    async fn next(&mut self) -> EndedAttempt {
-        poll_fn(|context| {
-            for at in 0..self.0.len() {
-                if let Poll::Ready(end) = self.0[at].1.poll_unpin(context) {
-                    let (id, _) = self.0.swap_remove(at);
-                    return Poll::Ready(EndedAttempt { id, end });
-                }
-            }
-            Poll::Pending
-        })
-        .await
-    }
-
-    fn end(&mut self, ended: AttemptId) {
-        self.0.retain(|(id, _)| *id != ended);
-    }
-
-    fn clear(&mut self) {
-        self.0.clear();
-    }
 }
--- a/crates/portrack/src/gateway/store_sync/timings.rs
+++ b/crates/portrack/src/gateway/store_sync/timings.rs
@@ -19,7 +19,7 @@
 const FIRST_RESPONSE_SHARE: f64 = 0.1;
 /// Share after which a feed that sends nothing is dropped: two frames are late by then.
 const SILENCE_SHARE: f64 = 0.2;
-/// Share for the rest of a reply that arrives, within which no other reply is received beside it.
+/// Share for the rest of a large reply, within which no other is received beside it.
 const REPLY_SHARE: f64 = 0.5;
 /// Share for the staleness of a daemon with a healthy source: two watches, the pause between them,
 /// the store's response and a frame.
@@ -82,9 +82,9 @@
         self.share(SILENCE_SHARE)
     }
 
-    /// A reply that is expected to be there within this time is waited for; if it takes longer, others
-    /// are received beside it.
-    pub fn reply_timeout(&self) -> Duration {
+    /// A large reply that is expected to be there within this time is received alone; if it takes
+    /// longer, others are received beside it.
+    pub fn acceptable_reply_time(&self) -> Duration {
         self.share(REPLY_SHARE)
     }
 
--- a/crates/portrack/tests/gateway/attempts.rs
+++ b/crates/portrack/tests/gateway/attempts.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// With this bound, a first response is expected after 200 ms.
-const TIMINGS: Duration = Duration::from_millis(2_000);
+/// A first response is expected after a tenth of this bound, 200 ms.
+const BOUND: Duration = Duration::from_millis(2_000);
 const LARGE: u32 = 10 * LARGE_REPLY_BYTES;
 
 fn timings() -> SyncTimings {
-    SyncTimings::new(TIMINGS)
+    SyncTimings::new(BOUND)
 }
 
 fn peers(count: u16) -> Vec<SocketAddr> {
@@ -49,7 +49,7 @@
         for peer in attempts.peers_to_ask(Time(now), timings(), &peers[started_at.len()..]) {
             let (id, replaced) = attempts.start(Time(now), peer);
             started_at.insert(id, now);
-            let lived = replaced.map(|replaced| now - started_at[&replaced]);
+            let lived = replaced.map(|replaced| now - started_at[&replaced.id]);
             shortest = shortest.min(lived.unwrap_or(u64::MAX));
         }
     }
@@ -142,7 +142,7 @@
         (0..MAX_ATTEMPTS).map(|n| attempts.start(Time(n as u64), peers[n]).0).collect();
     attempts.begun(Time(100), ids[0], LARGE);
     let (_, replaced) = attempts.start(Time(200), peers[MAX_ATTEMPTS]);
-    assert_eq!(replaced, Some(ids[1]));
+    assert_eq!(replaced.map(|attempt| attempt.id), Some(ids[1]));
     assert!(attempts.finish(ids[1]).is_none());
     assert!(attempts.finish(ids[0]).is_some());
 }
