A large value that the copy has already is not fetched again

Change: a value that is there is not requested. The test now looks at what the daemon tells another one: with the fault put back, a daemon that starts without the store learns no configuration.

--- a/crates/portrack/src/gateway/store_sync/catch_up.rs
+++ b/crates/portrack/src/gateway/store_sync/catch_up.rs
@@ -218,7 +218,9 @@
         }
         self.apply_small_items(reply.era, &reply.items);
         for value in &reply.large {
-            self.receive_large_value(id, &mut stream, value).await?;
+            if !self.has_all_parts(reply.era, std::slice::from_ref(value)) {
+                self.receive_large_value(id, &mut stream, value).await?;
+            }
         }
         let values = self.take_large_values(reply.era, &reply.large);
         reply.items.extend(values.ok_or(FrameError::Malformed)?);
